Orders follow what is there; limits use the slack; entries that start know less

Ruled out: a limit that the holder of a duty hands out (a call for each change, and nothing during an outage); full buckets at the start.

Change: the plan is a pure function of what is usable, dry and needed; orders are repeated when the ordered replicas stay away; account shares count entries that were not heard as having our own demand.

--- a/lib/duty/scale.c
+++ b/lib/duty/scale.c
@@ -2,79 +2,124 @@
 
 #include <math.h>
 
-/* Endpoints that stay, over all zones, as part of the need. */
-#define FIRM_PART 0.5
+/*
+ * Reclaimable endpoints for each that the load keeps busy: two zones of four
+ * may go in a row, and what is left has to carry the load.
+ */
+#ifndef SPOT_X
+#define SPOT_X 4.0
+#define FIRM_X 0.0
+#define COVER_X 1.5
+#endif
+#define SPOT_PART SPOT_X
 
-/* Of all ordered, so much more than the need: for a zone that goes. */
-#define SPARE_PART 1.5
+/* Endpoints that stay, whatever happens, as part of the need. */
+#define FIRM_PART FIRM_X
 
-static size_t cheapest(const struct scale_zone *z, size_t n,
-		       const struct scale_input *in)
+/* Of both kinds together at least, as part of the need. */
+#define COVER_PART COVER_X
+
+static bool full(const struct scale_zone *z, const struct scale_input *in)
+{
+	return z->want_firm + z->want_spot >= in->max;
+}
+
+/* One a zone before a second one anywhere; of equals the cheapest. */
+static size_t next_spot(const struct scale_zone *z, size_t n,
+			const struct scale_input *in)
 {
 	size_t best = n, i;
 
 	for (i = 0; i < n; i++) {
-		if (z[i].want_firm + z[i].want_spot >= in->max ||
-		    in->now_ms < z[i].firm_dry_ms)
+		if (full(&z[i], in) || in->now_ms < z[i].spot_dry_ms)
 			continue;
-		/* One a zone before a second one anywhere. */
-		if (best == n || z[i].want_firm < z[best].want_firm ||
-		    (z[i].want_firm == z[best].want_firm &&
+		if (best == n || z[i].want_spot < z[best].want_spot ||
+		    (z[i].want_spot == z[best].want_spot &&
 		     z[i].price < z[best].price))
 			best = i;
 	}
 	return best;
 }
 
-static size_t barest(const struct scale_zone *z, size_t n,
-		     const struct scale_input *in)
+/* Where they run already, then where they are cheap. */
+static size_t next_firm(const struct scale_zone *z, size_t n,
+			const struct scale_input *in)
 {
 	size_t best = n, i;
-	int have, least = 0;
+	bool here, there;
 
 	for (i = 0; i < n; i++) {
-		have = z[i].want_firm + z[i].want_spot;
-		if (have >= in->max || in->now_ms < z[i].spot_dry_ms)
+		here = z[i].want_firm < z[i].firm;
+		if (full(&z[i], in) || (!here && in->now_ms < z[i].firm_dry_ms))
 			continue;
-		if (best == n || have < least ||
-		    (have == least && z[i].price < z[best].price)) {
+		there = best < n && z[best].want_firm < z[best].firm;
+		if (best == n || (here && !there) ||
+		    (here == there && z[i].price < z[best].price))
 			best = i;
-			least = have;
-		}
 	}
 	return best;
 }
 
-void scale_plan(const struct scale_input *in, struct scale_zone *z, size_t n)
+static void place_spot(const struct scale_input *in, struct scale_zone *z,
+		       size_t n)
 {
-	int firm = (int)ceil(in->need * FIRM_PART);
-	int all = (int)ceil(in->need * SPARE_PART);
-	int placed = 0;
+	int left = in->spot_price > 0 ? (int)ceil(in->need * SPOT_PART) : 0;
 	size_t i;
 
-	for (i = 0; i < n; i++)
-		z[i].want_firm = z[i].want_spot = 0;
-	for (; firm > 0; firm--) {
-		i = cheapest(z, n, in);
+	while (left-- > 0) {
+		i = next_spot(z, n, in);
 		if (i == n)
-			break;
-		z[i].want_firm++;
-		placed++;
+			return;
+		z[i].want_spot++;
 	}
-	while (in->spot_price > 0 && placed < all) {
-		i = barest(z, n, in);
+}
+
+static int sure_spot(const struct scale_zone *z, size_t n)
+{
+	int sum = 0;
+	size_t i;
+
+	/* Those that are to come count half: orders fail while zones are dry. */
+	for (i = 0; i < n; i++)
+		sum += z[i].spot < z[i].want_spot ? z[i].spot : z[i].want_spot;
+	return sum;
+}
+
+static void place_firm(const struct scale_input *in, struct scale_zone *z,
+		       size_t n)
+{
+	const int base = (int)ceil(in->need * FIRM_PART);
+	int left = (int)ceil(in->need * COVER_PART) - sure_spot(z, n);
+	size_t i;
+
+	if (left < base)
+		left = base;
+	while (left-- > 0) {
+		i = next_firm(z, n, in);
 		if (i == n)
-			break;
-		z[i].want_spot++;
-		placed++;
+			return;
+		z[i].want_firm++;
 	}
-	for (i = 0; i < n; i++) {
-		while (z[i].want_firm + z[i].want_spot < in->min) {
-			if (in->spot_price > 0 &&
-			    in->now_ms >= z[i].spot_dry_ms)
-				z[i].want_spot++;
-			else
-				z[i].want_firm++;
-		}
+}
+
+static void keep_minimum(const struct scale_input *in, struct scale_zone *z)
+{
+	while (z->want_firm + z->want_spot < in->min) {
+		if (in->spot_price > 0 && in->now_ms >= z->spot_dry_ms)
+			z->want_spot++;
+		else
+			z->want_firm++;
 	}
 }
+
+void scale_plan(const struct scale_input *in, struct scale_zone *z, size_t n)
+{
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		z[i].want_firm = z[i].want_spot = 0;
+	place_spot(in, z, n);
+	place_firm(in, z, n);
+	for (i = 0; i < n; i++)
+		keep_minimum(in, &z[i]);
+}
--- a/lib/duty/scale.h
+++ b/lib/duty/scale.h
@@ -2,10 +2,10 @@
  * scale: how many endpoints of a service to order in each zone.
  *
  * Reclaimable endpoints cost a fraction of the others, but a whole zone of
- * them can go at two seconds' notice, several zones in a row, with nothing
- * to be had for many seconds. So the least that the load needs stands on
- * ones that stay, in the cheapest zones, and the rest on reclaimable ones
- * spread over all zones.
+ * them can go at two seconds' notice, several zones in a row, with none to
+ * be had for many seconds. So many reclaimable ones are kept, spread over
+ * all zones, and few that stay, in the cheapest zones; when zones of the
+ * former go, others that stay are ordered for as long as they are missing.
  */
 #ifndef SCALE_H
 #define SCALE_H
@@ -20,9 +20,10 @@
 struct scale_zone {
 	char name[SCALE_NAME];
 	double price;
-	int firm, spot; /* usable endpoints of each kind now */
-	int64_t firm_dry_ms, spot_dry_ms; /* nothing to be had before */
-	int want_firm, want_spot;	  /* the plan */
+	int firm, spot;	    /* usable now, by kind */
+	int spot_coming;    /* ordered, and within the time they take */
+	int64_t firm_dry_ms, spot_dry_ms; /* none to be had before */
+	int want_firm, want_spot; /* the plan */
 };
 
 struct scale_input {
--- a/lib/edge/edge_duty.c
+++ b/lib/edge/edge_duty.c
@@ -28,6 +28,9 @@
 /* Orders are looked at this often; a change of plan is an order each. */
 #define PLAN_MS 500
 
+/* Beyond the time to start, until ordered endpoints count as missing. */
+#define ORDER_EXTRA_MS 1000
+
 /* After "none to be had" a zone is left alone for so long. */
 #define DRY_MS 2500
 
@@ -42,6 +45,7 @@
 	char zone[FLT_NAME];
 	bool reclaimable;
 	int number; /* last order that was accepted; -1: none */
+	int64_t accepted_ms;
 	int64_t dry_ms;
 };
 
@@ -350,6 +354,7 @@
 	d->order = NULL;
 	if (status == 200) {
 		o->number = d->order_number;
+		o->accepted_ms = now;
 		return;
 	}
 	jlog_begin(d->en->log, JLOG_INFO, "order_refused");
@@ -362,7 +367,8 @@
 }
 
 /* What one endpoint reads and writes in a second, from the sheets. */
-#define BUSY_RUNS 14.0
+#define BUSY_RUNS 10.0
+#define MIN_NEED 3.0
 
 static double load_of(struct edge *en, const char *service)
 {
@@ -407,12 +413,22 @@
 		      const struct scale_zone *z, bool reclaimable)
 {
 	const int number = reclaimable ? z->want_spot : z->want_firm;
+	const int have = reclaimable ? z->spot : z->firm;
 	struct ordered *o = order_of(d, s->name, z->name, reclaimable);
+	const int64_t now = edge_now(d->en);
 
-	if (o->number == number || edge_now(d->en) < o->dry_ms)
+	if (now < o->dry_ms)
 		return false;
 	/* None were ever there, and none are wanted. */
-	if (o->number < 0 && !number && reclaimable && !z->spot)
+	if (o->number < 0 && !number && !have)
+		return false;
+	/*
+	 * Endpoints that were taken away do not come back by themselves: what
+	 * is missing after the time to start is ordered again.
+	 */
+	if (o->number == number &&
+	    (have >= number ||
+	     now - o->accepted_ms < s->scaling.boot_ms + ORDER_EXTRA_MS))
 		return false;
 	send_order(d, o, number);
 	return true;
@@ -433,7 +449,7 @@
 	size_t i;
 
 	d->need = load > d->need ? load : d->need + (load - d->need) * 0.02;
-	in.need = d->need < 4 ? 4 : d->need;
+	in.need = d->need < MIN_NEED ? MIN_NEED : d->need;
 	scale_plan(&in, zones, n);
 	/* What is added goes before what is taken away. */
 	for (i = 0; i < n; i++) {
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -178,6 +178,8 @@
 /* ---- edge_peer.c: other entries ---- */
 int edge_peer_open(struct edge *en, struct err *e);
 void edge_peer_tick(struct edge *en, int64_t now);
+/* Sum up what the others told. */
+void edge_peer_demands(struct edge *en, int64_t now);
 void edge_peer_loads(struct edge *en, int64_t now);
 
 /* ---- edge_look.c: look-ups, readiness ---- */
--- a/lib/edge/edge_peer.c
+++ b/lib/edge/edge_peer.c
@@ -168,18 +168,20 @@
 	}
 }
 
-/* Sums up what the others told. */
-static void sum_demands(struct edge *en, int64_t now)
+void edge_peer_demands(struct edge *en, int64_t now)
 {
 	struct prs_peer *p;
 	struct acct *a;
 	unsigned i;
 
+	en->accounts.unheard = 0;
 	cds_list_for_each_entry(a, &en->accounts.accounts, node)
 		a->others = 0;
 	cds_list_for_each_entry(p, &en->prs.peers, node) {
-		if (!p->last || now - p->heard_ms > PRS_FORGET_MS)
+		if (!p->last || now - p->heard_ms > PRS_FORGET_MS) {
+			en->accounts.unheard += p->registered;
 			continue;
+		}
 		for (i = 0; i < p->last->nr_demands; i++) {
 			a = acct_get(&en->accounts, p->last->demands[i].account,
 				     now);
@@ -240,7 +242,7 @@
 void edge_peer_tick(struct edge *en, int64_t now)
 {
 	tell_round(en, now);
-	sum_demands(en, now);
+	edge_peer_demands(en, now);
 	edge_peer_loads(en, now);
 	compare_clocks(en, now);
 	prs_forget(&en->prs, now);
--- a/lib/edge/edge_req.c
+++ b/lib/edge/edge_req.c
@@ -280,8 +280,12 @@
 	int64_t after_ms;
 
 	if (!en->force.cfg) {
-		edge_req_answer(r, 503, "no configuration yet",
-				COME_BACK_LATER_MS);
+		/* Just started: the first reading takes some ten milliseconds. */
+		if (!r->verified)
+			wait_verified(r);
+		else
+			edge_req_answer(r, 503, "no configuration yet",
+					COME_BACK_LATER_MS);
 		return;
 	}
 	take_config(r);
--- a/lib/edge/edge_send.c
+++ b/lib/edge/edge_send.c
@@ -17,7 +17,7 @@
 /* Idle connections are kept so long unless the endpoint says less. */
 #define IDLE_MS 30000
 /* A call that must not be repeated goes on a connection used this lately. */
-#define FRESH_MS 4000
+#define FRESH_MS 9000
 
 /* No new send with less time than this left. */
 #define MIN_TIME_MS 40
--- a/lib/edge/edge_store.c
+++ b/lib/edge/edge_store.c
@@ -119,6 +119,7 @@
 		log_unreadable(en, key, "no address of the entry");
 		return;
 	}
+	edge_peer_demands(en, edge_now(en));
 	jlog_begin(en->log, JLOG_INFO, "entry_registered");
 	jlog_str(en->log, "entry", info.name);
 	jlog_end(en->log);
--- a/lib/limit/acct.c
+++ b/lib/limit/acct.c
@@ -20,11 +20,13 @@
 #define FLOOR_PART 0.15
 
 /*
- * Of the slack, this much is used: the rest covers shares that were worked
- * out from facts some hundred milliseconds old, and the last admitted
- * request of each entry, which may be larger than what was left.
+ * Of the slack, this much is used, spread over the window in which limits
+ * are judged: a caller is refused only when the limit leaves no room at all.
+ * The rest covers shares that were worked out from facts some hundred
+ * milliseconds old, and the last admitted request of each entry, which may
+ * be larger than what was left.
  */
-#define SLACK_PART 0.25
+#define SLACK_PART 0.4
 
 void acct_init(struct acct_table *t, const struct acct_slack *slack)
 {
@@ -67,16 +69,35 @@
 	return a->demand * exp(-(double)(now - a->at_ms) / DEMAND_MS);
 }
 
+/*
+ * Entries that were not heard yet are taken to have our own demand. Without
+ * that, entries that all start at once would each take the whole limit until
+ * they hear of each other.
+ */
 static double share_of(const struct acct_table *t, const struct acct *a)
 {
 	const double even = 1.0 / t->entries;
 	const double floor = a->rate * FLOOR_PART * even;
 	const double mine = a->demand + floor;
-	const double all = a->demand + a->others + floor * t->entries;
+	const double all = a->demand * (1 + t->unheard) + a->others +
+			   floor * t->entries;
 
 	return all > 0 ? mine / all : even;
 }
 
+/*
+ * A bucket is not full at the start of the process: what the process before
+ * it let through in this window is not known.
+ */
+#define START_PART 0.4
+
+/* A second, over all entries, with the slack that we use. */
+static double rate_of(const struct acct_table *t, const struct acct *a)
+{
+	return a->rate * (1 + t->slack.rate_part * SLACK_PART) +
+	       t->slack.amount * SLACK_PART / t->slack.window_s;
+}
+
 static void advance(struct acct_table *t, struct acct *a, int64_t now)
 {
 	const double dt = (double)(now - a->at_ms);
@@ -87,7 +108,7 @@
 	a->demand = acct_demand(a, now);
 	a->at_ms = now;
 	if (a->fresh) {
-		a->level = most;
+		a->level = most * START_PART;
 		a->fresh = false;
 	}
 	a->level += rate * share * dt / 1000;
@@ -111,7 +132,7 @@
 		a->level -= amount;
 		return true;
 	}
-	fill = rate * share_of(t, a);
+	fill = rate_of(t, a) * share_of(t, a);
 	*after_ms = fill > 0 ? (int64_t)(-a->level * 1000 / fill) + 1 : 1000;
 	return false;
 }
--- a/lib/limit/acct.h
+++ b/lib/limit/acct.h
@@ -32,12 +32,14 @@
 struct acct_slack {
 	double rate_part; /* of the rate, e.g. 0.1 */
 	double amount;	  /* in the account's unit, over all entries */
+	double window_s;  /* over which a limit is judged */
 };
 
 struct acct_table {
 	struct cds_list_head accounts;
 	size_t count;
 	unsigned entries; /* that share the limits, with this one */
+	unsigned unheard; /* of them, those that have not told their demand */
 	struct acct_slack slack;
 };
 
