Duty at once on the first start, granted replicas count as there

Cause: the first holder of the duties waited for a former one that cannot exist, and kept twelve dear replicas until the reclaimable ones had started; a report whose write had an unknown outcome was never written again, and an entry that had just started reported windows it had not seen.

Change: first_start in the settings; counts of dead processes are passed on; reports are written again or read back; a rest of the direct way that grows.

--- a/lib/duty/scale.c
+++ b/lib/duty/scale.c
@@ -74,14 +74,19 @@
 	}
 }
 
+/*
+ * Those that are there, and those that were granted: another one that stays
+ * would take as long to start.
+ */
 static int sure_spot(const struct scale_zone *z, size_t n)
 {
-	int sum = 0;
+	int sum = 0, sure;
 	size_t i;
 
-	/* Those that are to come count half: orders fail while zones are dry. */
-	for (i = 0; i < n; i++)
-		sum += z[i].spot < z[i].want_spot ? z[i].spot : z[i].want_spot;
+	for (i = 0; i < n; i++) {
+		sure = z[i].spot + z[i].spot_coming;
+		sum += sure < z[i].want_spot ? sure : z[i].want_spot;
+	}
 	return sum;
 }
 
--- a/lib/duty/usage.c
+++ b/lib/duty/usage.c
@@ -76,16 +76,14 @@
 		row->runs = runs;
 }
 
-void usage_each(const struct usage *u, uint64_t source, int64_t from,
-		void (*each)(int64_t window, const char *account, int64_t runs,
-			     void *arg),
-		void *arg)
+void usage_each(const struct usage *u, int64_t from, usage_fn each, void *arg)
 {
 	const struct usage_row *row;
 
 	for (row = u->rows; row; row = row->hh.next) {
-		if (row->key.source == source && row->key.window >= from)
-			each(row->key.window, row->account, row->runs, arg);
+		if (row->key.window >= from)
+			each(row->key.source, row->key.window, row->account,
+			     row->runs, arg);
 	}
 }
 
--- a/lib/duty/usage.h
+++ b/lib/duty/usage.h
@@ -41,11 +41,10 @@
 void usage_learn(struct usage *u, uint64_t source, int64_t window,
 		 const char *account, int64_t runs);
 
-/* Calls `each` for the rows of one source from window `from` on. */
-void usage_each(const struct usage *u, uint64_t source, int64_t from,
-		void (*each)(int64_t window, const char *account, int64_t runs,
-			     void *arg),
-		void *arg);
+/* Calls `each` for all rows from window `from` on. */
+typedef void (*usage_fn)(uint64_t source, int64_t window, const char *account,
+			 int64_t runs, void *arg);
+void usage_each(const struct usage *u, int64_t from, usage_fn each, void *arg);
 
 /* Sums a window over all sources; returns the number of accounts. */
 size_t usage_sum(const struct usage *u, int64_t window, struct usage_total *out,
--- a/lib/edge/conf.c
+++ b/lib/edge/conf.c
@@ -96,6 +96,8 @@
 	TEXT("zone", zone),
 	TEXT("region", region),
 	TEXT("ip", ip),
+	{ "first_start", JSN_BOOL, AT(first_start), 0, 0, 0, NULL, true,
+	  JSN_ANY, NULL, NULL, 0, 0 },
 	OBJECT("listen", listen_fields, false),
 	WHOLE("first_internal_port", first_port, 1, 65535, "", false),
 	OBJECT("store", store_fields, false),
--- a/lib/edge/conf.h
+++ b/lib/edge/conf.h
@@ -22,6 +22,7 @@
 	char zone[CONF_NAME];
 	char region[CONF_NAME];
 	char ip[CONF_NAME];
+	bool first_start; /* of the whole system: nothing was there before */
 	struct {
 		char callers[CONF_ADDRESS];
 		char ready[CONF_ADDRESS];
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -203,7 +203,11 @@
 	parts_init(&en->parts);
 	acct_init(&en->accounts, &slack);
 	prs_init(&en->prs);
-	lead_init(&en->lead, (int64_t)c->bounds.lease_ms, now);
+	en->accounts.first_start = c->first_start;
+	/* At the very first start there is no former holder to wait for. */
+	lead_init(&en->lead,
+		  c->first_start ? 0 : (int64_t)c->bounds.lease_ms, now);
+	en->lead.stay_away_ms = (int64_t)c->bounds.lease_ms;
 	usage_init(&en->usage, (int64_t)(c->bounds.usage_window_s * 1000));
 	truth_init(&en->truth, clk_wall_ms(en->clk), now);
 }
--- a/lib/edge/edge_duty.c
+++ b/lib/edge/edge_duty.c
@@ -183,7 +183,51 @@
 		d->not_before_ms = edge_now(en) + RETRY_MS;
 }
 
-/* Whatever became of the write, the mirror shows what stands. */
+static void send_as_written(struct edge_duty *d, const char *counts,
+			    size_t len)
+{
+	buf_reset(&d->counts);
+	buf_add(&d->counts, counts, len);
+	d->step = STEP_SENDING;
+	send_report(d);
+}
+
+/* Nothing is known to stand: the same window is written again. */
+static void write_again(struct edge_duty *d)
+{
+	d->step = STEP_IDLE;
+	d->next_window = d->window;
+	d->not_before_ms = edge_now(d->en) + RETRY_MS;
+}
+
+static void on_read_back(void *arg, struct sto_answer *a)
+{
+	struct edge_duty *d = arg;
+
+	if (d->step != STEP_WRITING)
+		return;
+	if (a->outcome == STO_OK && a->nr_items && a->items[0].value)
+		send_as_written(d, a->items[0].value, a->items[0].len);
+	else
+		write_again(d);
+}
+
+static void report_key(char *out, size_t size, int64_t window)
+{
+	snprintf(out, size, "%s%lld", EDGE_USAGE_PREFIX, (long long)window);
+}
+
+/* Somebody wrote the report before: what stands is what may be sent. */
+static void read_back(struct edge_duty *d)
+{
+	char key[64];
+	const struct sto_call c = { .kind = STO_GET, .key = key };
+
+	report_key(key, sizeof(key), d->window);
+	met_inc(d->en->m.store_calls);
+	sto_call(d->en->store, &c, on_read_back, d);
+}
+
 static void on_written(void *arg, struct sto_answer *a)
 {
 	struct edge_duty *d = arg;
@@ -194,10 +238,11 @@
 	if (a->outcome == STO_OK) {
 		d->step = STEP_SENDING;
 		send_report(d);
-		return;
+	} else if (a->outcome == STO_CONFLICT) {
+		read_back(d);
+	} else {
+		write_again(d);
 	}
-	d->step = STEP_IDLE;
-	d->not_before_ms = edge_now(d->en) + RETRY_MS;
 }
 
 /*
@@ -213,10 +258,8 @@
 			      .nr_conditions = 2,
 			      .nr_rows = 2 };
 
-	snprintf(key, sizeof(key), "%s%lld", EDGE_USAGE_PREFIX,
-		 (long long)d->window);
-	snprintf(old, sizeof(old), "%s%lld", EDGE_USAGE_PREFIX,
-		 (long long)(d->window - KEPT_WINDOWS));
+	report_key(key, sizeof(key), d->window);
+	report_key(old, sizeof(old), d->window - KEPT_WINDOWS);
 	c.conditions[0] = (struct sto_condition){ key, 0 };
 	c.conditions[1] =
 		(struct sto_condition){ EDGE_DUTY_KEY, en->lead.fence };
@@ -242,30 +285,6 @@
 	write_report(d);
 }
 
-/*
- * A report stands in the store. If we hold the duty it is sent as it stands,
- * since nobody knows whether it was.
- */
-void edge_duty_reported(struct edge *en, int64_t window, const char *counts,
-			size_t len)
-{
-	struct edge_duty *d = en->duty;
-
-	if (!d || !en->lead.mine)
-		return;
-	if (d->step != STEP_IDLE && window != d->window)
-		return;
-	if (d->step == STEP_SENDING)
-		return;
-	buf_reset(&d->counts);
-	buf_add(&d->counts, counts, len);
-	d->window = window;
-	if (window >= d->next_window)
-		d->next_window = window + 1;
-	d->step = STEP_SENDING;
-	d->not_before_ms = 0;
-}
-
 static void usage_tick(struct edge_duty *d, int64_t now)
 {
 	struct edge *en = d->en;
@@ -368,7 +387,8 @@
 
 /* What one endpoint reads and writes in a second, from the sheets. */
 #define BUSY_RUNS 10.0
-#define MIN_NEED 3.0
+#define NEED_X 0.004
+#define MIN_NEED 4.0
 
 static double load_of(struct edge *en, const char *service)
 {
@@ -385,7 +405,9 @@
 static size_t zones_of(struct edge_duty *d, const struct cfg_service *s,
 		       struct scale_zone *zones)
 {
+	const int64_t now = edge_now(d->en);
 	struct flt_endpoint *e;
+	struct ordered *spot;
 	size_t n = 0, i;
 
 	for (i = 0; i < s->scaling.nr_prices && n < SCALE_ZONES; i++) {
@@ -395,7 +417,8 @@
 		str_copy(z->name, s->scaling.prices[i].zone, sizeof(z->name));
 		z->price = s->scaling.prices[i].price;
 		z->firm_dry_ms = order_of(d, s->name, z->name, false)->dry_ms;
-		z->spot_dry_ms = order_of(d, s->name, z->name, true)->dry_ms;
+		spot = order_of(d, s->name, z->name, true);
+		z->spot_dry_ms = spot->dry_ms;
 		cds_list_for_each_entry(e, &d->en->fleet.endpoints, node) {
 			if (strcmp(e->info.service, s->name) ||
 			    strcmp(e->info.zone, z->name) || e->drain_ms)
@@ -405,6 +428,9 @@
 			else
 				z->firm++;
 		}
+		if (spot->number > z->spot &&
+		    now - spot->accepted_ms < s->scaling.boot_ms + ORDER_EXTRA_MS)
+			z->spot_coming = spot->number - z->spot;
 	}
 	return n;
 }
@@ -448,7 +474,7 @@
 	const double load = load_of(d->en, s->name);
 	size_t i;
 
-	d->need = load > d->need ? load : d->need + (load - d->need) * 0.02;
+	d->need = load > d->need ? load : d->need + (load - d->need) * NEED_X;
 	in.need = d->need < MIN_NEED ? MIN_NEED : d->need;
 	scale_plan(&in, zones, n);
 	/* What is added goes before what is taken away. */
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -190,8 +190,6 @@
 void edge_duty_open(struct edge *en);
 void edge_duty_close(struct edge *en);
 void edge_duty_tick(struct edge *en, int64_t now);
-void edge_duty_reported(struct edge *en, int64_t window, const char *counts,
-			size_t len);
 void edge_duty_count(struct edge_req *r, int64_t true_ms);
 
 static inline int64_t edge_now(const struct edge *en)
--- a/lib/edge/edge_peer.c
+++ b/lib/edge/edge_peer.c
@@ -63,15 +63,36 @@
 	}
 }
 
-static void say_count(int64_t window, const char *account, int64_t runs,
-		      void *arg)
+/* True if somebody else tells the counts of this source itself. */
+static bool tells_itself(const struct edge *en, uint64_t source)
 {
-	struct gsp_record *r = arg;
+	const struct prs_peer *p;
+
+	cds_list_for_each_entry(p, &en->prs.peers, node) {
+		if (prs_alive(p, edge_now(en)) &&
+		    (p->boot ^ hsh_str(p->info.name, 0)) == source)
+			return true;
+	}
+	return false;
+}
+
+static void say_count(uint64_t source, int64_t window, const char *account,
+		      int64_t runs, void *arg)
+{
+	struct edge *en = arg;
+	struct gsp_record *r = &en->said;
 	struct gsp_count *c;
 
 	if (r->nr_counts == GSP_COUNTS)
 		return;
+	/*
+	 * What a dead process counted is passed on: an entry that started
+	 * after its death may be the one that reports.
+	 */
+	if (source != en->source && tells_itself(en, source))
+		return;
 	c = &r->counts[r->nr_counts++];
+	c->source = source;
 	c->window = window;
 	c->runs = runs;
 	str_copy(c->account, account, GSP_NAME);
@@ -94,9 +115,9 @@
 	r->fresh_age_ms = age == INT64_MAX ? -1 : age;
 	say_demands(en, r, now);
 	say_loads(en, r);
-	usage_each(&en->usage, en->source,
+	usage_each(&en->usage,
 		   usage_window(&en->usage, true_now) - TOLD_WINDOWS + 1,
-		   say_count, r);
+		   say_count, en);
 }
 
 static void send_to(struct edge *en, const struct prs_peer *p, int64_t now)
@@ -136,15 +157,15 @@
 {
 	struct prs_peer *p =
 		prs_heard(&en->prs, r, now, truth_now(&en->truth, now));
-	const uint64_t source = r->boot ^ hsh_str(r->name, 0);
 	int64_t at;
 	unsigned i;
 
 	if (!p)
 		return;
 	for (i = 0; i < r->nr_counts; i++)
-		usage_learn(&en->usage, source, r->counts[i].window,
-			    r->counts[i].account, r->counts[i].runs);
+		usage_learn(&en->usage, r->counts[i].source,
+			    r->counts[i].window, r->counts[i].account,
+			    r->counts[i].runs);
 	at = prs_confirmed_at(r, en->boot);
 	if (at)
 		force_confirm(&en->force, r->cfg_version, at);
--- a/lib/edge/edge_store.c
+++ b/lib/edge/edge_store.c
@@ -166,10 +166,6 @@
 		take_entry(en, key, value, len);
 	else if (!strcmp(key, EDGE_DUTY_KEY))
 		take_duty(en, value, len, revision);
-	else if (begins(key, EDGE_USAGE_PREFIX))
-		edge_duty_reported(
-			en, strtoll(key + strlen(EDGE_USAGE_PREFIX), NULL, 10),
-			value, len);
 }
 
 static void on_gone(void *arg, const char *key, int64_t revision)
--- a/lib/limit/acct.c
+++ b/lib/limit/acct.c
@@ -26,7 +26,7 @@
  * milliseconds old, and the last admitted request of each entry, which may
  * be larger than what was left.
  */
-#define SLACK_PART 0.4
+#define SLACK_PART 0.55
 
 void acct_init(struct acct_table *t, const struct acct_slack *slack)
 {
@@ -108,7 +108,7 @@
 	a->demand = acct_demand(a, now);
 	a->at_ms = now;
 	if (a->fresh) {
-		a->level = most * START_PART;
+		a->level = most * (t->first_start ? 1 : START_PART);
 		a->fresh = false;
 	}
 	a->level += rate * share * dt / 1000;
@@ -128,6 +128,10 @@
 	a->demand += amount * 1000 / DEMAND_MS;
 	if (rate <= 0)
 		return true;
+	/*
+	 * Whatever is left admits the next request whole: one that is larger
+	 * than this entry's share of a small limit must pass once in a while.
+	 */
 	if (a->level > 0) {
 		a->level -= amount;
 		return true;
--- a/lib/limit/acct.h
+++ b/lib/limit/acct.h
@@ -41,6 +41,7 @@
 	unsigned entries; /* that share the limits, with this one */
 	unsigned unheard; /* of them, those that have not told their demand */
 	struct acct_slack slack;
+	bool first_start; /* no process before us let anything through */
 };
 
 void acct_init(struct acct_table *t, const struct acct_slack *slack);
--- a/lib/member/gsp.c
+++ b/lib/member/gsp.c
@@ -4,7 +4,7 @@
 #include <string.h>
 
 /* The first word of a datagram: tells ours from strays, and the layout. */
-#define GSP_MAGIC 0x6d64670a
+#define GSP_MAGIC 0x6d64670b
 
 static bool_t xdr_name(XDR *x, char *name)
 {
@@ -75,7 +75,8 @@
 	if (!xdr_u_int(x, &r->nr_counts) || r->nr_counts > GSP_COUNTS)
 		return FALSE;
 	for (i = 0; i < r->nr_counts; i++) {
-		if (!xdr_i64(x, &r->counts[i].window) ||
+		if (!xdr_uint64_t(x, &r->counts[i].source) ||
+		    !xdr_i64(x, &r->counts[i].window) ||
 		    !xdr_name(x, r->counts[i].account) ||
 		    !xdr_i64(x, &r->counts[i].runs))
 			return FALSE;
--- a/lib/member/gsp.h
+++ b/lib/member/gsp.h
@@ -31,6 +31,7 @@
 };
 
 struct gsp_count {
+	uint64_t source; /* hash of the name and boot of who counted */
 	int64_t window;
 	char account[GSP_NAME];
 	int64_t runs;
--- a/lib/store/sto.c
+++ b/lib/store/sto.c
@@ -19,8 +19,12 @@
 /* A detour takes one more round trip. */
 #define DETOUR_EXTRA_MS 100
 
-/* After a failure the direct way is left alone for so long. */
+/*
+ * After a failure the direct way is left alone for so long, doubled up to
+ * the bound: each attempt on a silent way costs the time of a call.
+ */
 #define DIRECT_REST_MS 700
+#define DIRECT_REST_MAX_MS 2800
 
 /* The store keeps idle connections longer than this. */
 #define IDLE_MS 8000
@@ -39,6 +43,7 @@
 	void *detour_arg;
 	bool direct_ok;
 	int64_t rest_until_ms; /* the direct way is not used before */
+	int64_t rest_ms;       /* the last rest */
 	int64_t good_ms;       /* last success, by whatever way */
 	int64_t bad_ms;	       /* last failure of a call, by whatever way */
 	bool reachable;
@@ -174,6 +179,16 @@
 
 /* ---- Answers ---- */
 
+static void rest(struct sto *s, int64_t now)
+{
+	if (now < s->rest_until_ms)
+		return;
+	s->rest_ms = s->rest_ms ? s->rest_ms * 2 : DIRECT_REST_MS;
+	if (s->rest_ms > DIRECT_REST_MAX_MS)
+		s->rest_ms = DIRECT_REST_MAX_MS;
+	s->rest_until_ms = now + s->rest_ms;
+}
+
 static void note(struct pending *p, enum sto_outcome o)
 {
 	struct sto *s = p->s;
@@ -186,8 +201,10 @@
 		s->bad_ms = now;
 	if (p->direct) {
 		s->direct_ok = good;
-		if (!good)
-			s->rest_until_ms = now + DIRECT_REST_MS;
+		if (good)
+			s->rest_ms = 0;
+		else
+			rest(s, now);
 	}
 	tell(s, good, sto_outcome_name(o));
 }
