--- a/lib/duty/scale.c
+++ b/lib/duty/scale.c
@@ -74,31 +74,53 @@
 	}
 }
 
-/*
- * Those that are there, and those that were granted: another one that stays
- * would take as long to start.
- */
-static int sure_spot(const struct scale_zone *z, size_t n)
+/* Reclaimable ones of the plan that are there, or were granted as well. */
+static int sure_spot(const struct scale_zone *z, size_t n, bool granted)
 {
 	int sum = 0, sure;
 	size_t i;
 
 	for (i = 0; i < n; i++) {
-		sure = z[i].spot + z[i].spot_coming;
+		sure = z[i].spot + (granted ? z[i].spot_coming : 0);
 		sum += sure < z[i].want_spot ? sure : z[i].want_spot;
 	}
 	return sum;
 }
 
-static void place_firm(const struct scale_input *in, struct scale_zone *z,
+static int at_least(int number, int bound)
+{
+	return number < bound ? bound : number;
+}
+
+/*
+ * Between two figures: none is added for what granted ones will cover, since
+ * another one takes as long to start; none is taken away before those are
+ * there. Taking away at once left no endpoint at all for four seconds after
+ * a shortage ended.
+ */
+static int firm_wanted(const struct scale_input *in, const struct scale_zone *z,
 		       size_t n)
 {
 	const int base = (int)ceil(in->need * FIRM_PART);
-	int left = (int)ceil(in->need * COVER_PART) - sure_spot(z, n);
+	const int cover = (int)ceil(in->need * COVER_PART);
+	const int low = at_least(cover - sure_spot(z, n, true), base);
+	const int high = at_least(cover - sure_spot(z, n, false), base);
+	int now = 0;
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		now += z[i].firm;
+	if (in->idle || now < low)
+		return low;
+	return now < high ? now : high;
+}
+
+static void place_firm(const struct scale_input *in, struct scale_zone *z,
+		       size_t n)
+{
+	int left = firm_wanted(in, z, n);
 	size_t i;
 
-	if (left < base)
-		left = base;
 	while (left-- > 0) {
 		i = next_firm(z, n, in);
 		if (i == n)
--- a/lib/duty/scale.h
+++ b/lib/duty/scale.h
@@ -29,6 +29,7 @@
 struct scale_input {
 	int min, max;	   /* of both kinds together, in each zone */
 	double need;	   /* endpoints that the load keeps busy */
+	bool idle;	   /* no request has come yet */
 	double spot_price; /* as part of the price; 0: none to be had */
 	int64_t now_ms;
 };
--- a/lib/edge/edge_duty.c
+++ b/lib/edge/edge_duty.c
@@ -475,6 +475,7 @@
 	size_t i;
 
 	d->need = load > d->need ? load : d->need + (load - d->need) * NEED_X;
+	in.idle = !d->need;
 	in.need = d->need < MIN_NEED ? MIN_NEED : d->need;
 	scale_plan(&in, zones, n);
 	/* What is added goes before what is taken away. */
