Leaving in two steps

Ruled out: the answer's own flush (answers that were written arrived).

Change: first the listener and idle connections close, then the process ends when the last connection has; bounded by the grace.

--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -103,7 +103,13 @@
 
 	if (since < LEAVE_MIN_MS)
 		return;
-	if (en->callers.nr_answering && since < latest)
+	/*
+	 * First no request can come any more, then the last one ends, then
+	 * the process. Ending as soon as none is under way cut off a request
+	 * that was read in the same turn of the loop.
+	 */
+	hsc_server_leave(&en->callers);
+	if (en->callers.nr_conns && since < latest)
 		return;
 	ev_break(en->loop, EVBREAK_ALL);
 }
--- a/lib/io/hsc.c
+++ b/lib/io/hsc.c
@@ -292,15 +292,31 @@
 	return 0;
 }
 
-void hsc_server_close(struct hsc_server *s)
+static void stop_listening(struct hsc_server *s)
 {
-	struct hsc *c, *next;
-
 	if (s->fd < 0)
 		return;
 	ev_io_stop(s->loop, &s->acceptor);
 	close(s->fd);
 	s->fd = -1;
+}
+
+void hsc_server_leave(struct hsc_server *s)
+{
+	struct hsc *c, *next;
+
+	stop_listening(s);
+	cds_list_for_each_entry_safe(c, next, &s->conns, node) {
+		if (c->state == HSC_IDLE && !c->waiting.len)
+			drop(c, ioc_close);
+	}
+}
+
+void hsc_server_close(struct hsc_server *s)
+{
+	struct hsc *c, *next;
+
+	stop_listening(s);
 	cds_list_for_each_entry_safe(c, next, &s->conns, node) {
 		drop(c, ioc_close);
 	}
--- a/lib/io/hsc.h
+++ b/lib/io/hsc.h
@@ -97,6 +97,12 @@
 /* Callers are asked to leave: connections close after their next answer. */
 void hsc_server_drain(struct hsc_server *s);
 
+/*
+ * Takes no further connections, and closes those on which nothing was read
+ * since their last answer: a request that crosses that close was not read.
+ */
+void hsc_server_leave(struct hsc_server *s);
+
 void hsc_write(struct hsc *c, const void *data, size_t len);
 
 /* The answer is written. `close`: the connection ends in order after it. */
