--- a/lib/edge/conf.c
+++ b/lib/edge/conf.c
@@ -99,7 +99,7 @@
 	{ "first_start", JSN_BOOL, AT(first_start), 0, 0, 0, NULL, true,
 	  JSN_ANY, NULL, NULL, 0, 0 },
 	OBJECT("listen", listen_fields, false),
-	WHOLE("first_internal_port", first_port, 1, 65535, "", false),
+	WHOLE("first_internal_port", first_port, 0, 65535, "", false),
 	OBJECT("store", store_fields, false),
 	OBJECT("cloud", cloud_fields, true),
 	OBJECT("limits", limit_fields, true),
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -156,19 +156,23 @@
 		leave_tick(en, now);
 }
 
-static int open_server(struct edge *en, struct hsc_server *s, const char *at,
-		       const struct hsc_vtable *vt, struct err *e)
+/* Opens at `at`, and writes there which port it is (0: any free one). */
+static int open_server(struct edge *en, struct hsc_server *s,
+		       char at[CONF_ADDRESS], const struct hsc_vtable *vt,
+		       struct err *e)
 {
 	struct sockaddr_in addr;
 
-	if (ioc_address(at, &addr, e))
+	if (ioc_address(at, &addr, e) ||
+	    hsc_server_open(s, en->loop, &addr, vt, en, e))
 		return -1;
-	return hsc_server_open(s, en->loop, &addr, vt, en, e);
+	hsc_server_address(s, at, CONF_ADDRESS);
+	return 0;
 }
 
 static int open_servers(struct edge *en, struct err *e)
 {
-	const struct conf *c = en->conf;
+	struct conf *c = &en->conf_now;
 
 	if (open_server(en, &en->ready, c->listen.ready, &edge_look_vtable,
 			e) ||
@@ -223,6 +227,9 @@
 	jlog_begin(en->log, JLOG_INFO, "start");
 	jlog_str(en->log, "zone", en->conf->zone);
 	jlog_str(en->log, "callers", en->conf->listen.callers);
+	jlog_str(en->log, "lookup", en->conf->listen.lookup);
+	jlog_str(en->log, "ready", en->conf->listen.ready);
+	jlog_str(en->log, "peers", en->self_peers);
 	jlog_str(en->log, "store", en->conf->store.address);
 	jlog_bool(en->log, "usage", en->conf->cloud.usage);
 	jlog_bool(en->log, "scaling", en->conf->cloud.scaling);
--- a/lib/edge/edge_peer.c
+++ b/lib/edge/edge_peer.c
@@ -397,6 +397,11 @@
 
 	snprintf(en->self_peers, sizeof(en->self_peers), "%s:%d", en->conf->ip,
 		 (int)en->conf->first_port);
+	if (ioc_address(en->self_peers, &addr, e) ||
+	    hsc_server_open(&en->peers, en->loop, &addr, &peer_vtable, en, e))
+		return -1;
+	/* Datagrams on the same port, also if any free one was asked for. */
+	hsc_server_address(&en->peers, en->self_peers, sizeof(en->self_peers));
 	if (ioc_address(en->self_peers, &addr, e))
 		return -1;
 	en->datagrams =
@@ -408,6 +413,5 @@
 	ev_io_init(&en->datagram_reader, on_datagrams, en->datagrams, EV_READ);
 	en->datagram_reader.data = en;
 	ev_io_start(en->loop, &en->datagram_reader);
-	return hsc_server_open(&en->peers, en->loop, &addr, &peer_vtable, en,
-			       e);
+	return 0;
 }
--- a/lib/io/hmsg.c
+++ b/lib/io/hmsg.c
@@ -1,5 +1,6 @@
 #include "io/hmsg.h"
 
+#include <ctype.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
@@ -172,12 +173,33 @@
 	return 0;
 }
 
+/*
+ * The library as distributions build it lets a space pass in names: "Host :"
+ * would be another header to the next reader, and none to us.
+ */
+static bool names_are_tokens(const struct hmsg *m)
+{
+	static const char marks[] = "!#$%&'*+-.^_`|~";
+	const char *c;
+	unsigned i;
+
+	for (i = 0; i < m->nr_headers; i++) {
+		for (c = hmsg_name(m, i); *c; c++) {
+			if (!isalnum((unsigned char)*c) && !strchr(marks, *c))
+				return false;
+		}
+	}
+	return true;
+}
+
 static int on_headers(http_parser *hp)
 {
 	struct hparse *p = hp->data;
 	struct hmsg *m = &p->msg;
 
 	text_end(m);
+	if (!names_are_tokens(m))
+		return -1;
 	m->method = hp->method;
 	m->status = hp->status_code;
 	m->keep_alive = http_should_keep_alive(hp);
@@ -247,11 +269,12 @@
 	fault = HTTP_PARSER_ERRNO(&p->parser);
 	if (p->too_large || fault == HPE_HEADER_OVERFLOW)
 		return HPARSE_LARGE;
+	/* Nobody here speaks another protocol after a request. */
+	if (p->parser.upgrade)
+		return HPARSE_BAD;
 	if (fault == HPE_PAUSED)
 		return HPARSE_STOPPED;
-	if (fault != HPE_OK || p->parser.upgrade)
-		return HPARSE_BAD;
-	return HPARSE_MORE;
+	return fault == HPE_OK ? HPARSE_MORE : HPARSE_BAD;
 }
 
 bool hparse_eof(struct hparse *p)
--- a/lib/io/hmsg.h
+++ b/lib/io/hmsg.h
@@ -1,10 +1,9 @@
 /*
  * hmsg: HTTP/1.1 messages: an incremental parser around the http-parser
- * library in strict mode, and a writer for heads.
+ * library, and a writer for heads.
  *
- * The library checks framing (two lengths, a length beside chunks, unknown
- * codings are errors); what the caller's side of the product forbids beyond
- * that is checked by hmsg_sane_request.
+ * The library checks framing: two lengths, a length beside chunks, unknown
+ * codings are errors. Names of headers are checked here.
  */
 #ifndef HMSG_H
 #define HMSG_H
--- a/lib/io/hsc.c
+++ b/lib/io/hsc.c
@@ -1,7 +1,9 @@
 #include "io/hsc.h"
 
+#include <arpa/inet.h>
 #include <assert.h>
 #include <errno.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -40,7 +42,7 @@
 
 	assert(!c->dead);
 	ev_timer_stop(s->loop, &c->timer);
-	ev_prepare_stop(s->loop, &c->resume_later);
+	ev_timer_stop(s->loop, &c->resume);
 	if (c->state == HSC_ANSWERING)
 		s->nr_answering--;
 	cds_list_del(&c->node);
@@ -197,13 +199,13 @@
 }
 
 /* The next request was sent before the last one was answered. */
-static void on_resume(struct ev_loop *loop, ev_prepare *w, int revents)
+static void on_resume(struct ev_loop *loop, ev_timer *t, int revents)
 {
-	struct hsc *c = w->data;
+	struct hsc *c = t->data;
 	struct buf held = c->waiting;
 
+	(void)loop;
 	(void)revents;
-	ev_prepare_stop(loop, w);
 	c->waiting = (struct buf)BUF_INIT;
 	ioc_pause(c->io, false);
 	c->in_feed = true;
@@ -247,8 +249,8 @@
 	c->io = ioc_adopt(s->loop, fd, &patience, &io_vtable, c);
 	ev_timer_init(&c->timer, on_timer, 0, 0);
 	c->timer.data = c;
-	ev_prepare_init(&c->resume_later, on_resume);
-	c->resume_later.data = c;
+	ev_timer_init(&c->resume, on_resume, 0, 0);
+	c->resume.data = c;
 	hparse_init(&c->parse, true, 0, &parse_vtable, c);
 	s->vt->limits(s, &c->limits);
 	cds_list_add_tail(&c->node, &s->conns);
@@ -292,6 +294,17 @@
 	return 0;
 }
 
+void hsc_server_address(const struct hsc_server *s, char *out, size_t size)
+{
+	struct sockaddr_in addr;
+	socklen_t len = sizeof(addr);
+	char ip[INET_ADDRSTRLEN];
+
+	getsockname(s->fd, (struct sockaddr *)&addr, &len);
+	inet_ntop(AF_INET, &addr.sin_addr, ip, sizeof(ip));
+	snprintf(out, size, "%s:%u", ip, ntohs(addr.sin_port));
+}
+
 static void stop_listening(struct hsc_server *s)
 {
 	if (s->fd < 0)
@@ -353,7 +366,7 @@
 	c->server->vt->limits(c->server, &c->limits);
 	arm(c, c->limits.idle_ms);
 	if (c->waiting.len)
-		ev_prepare_start(c->server->loop, &c->resume_later);
+		ev_timer_start(c->server->loop, &c->resume);
 	else
 		ioc_pause(c->io, false);
 }
--- a/lib/io/hsc.h
+++ b/lib/io/hsc.h
@@ -78,7 +78,7 @@
 	struct buf body;
 	struct buf waiting; /* bytes after the present request */
 	ev_timer timer;
-	ev_prepare resume_later;
+	ev_timer resume; /* reads what is waiting, in the loop's next turn */
 	bool close_after;
 	bool too_large;
 	bool in_feed;
@@ -91,6 +91,9 @@
 		    const struct sockaddr_in *at, const struct hsc_vtable *vt,
 		    void *owner, struct err *e);
 
+/* Writes the address that it listens on as IP:PORT. */
+void hsc_server_address(const struct hsc_server *s, char *out, size_t size);
+
 /* Stops to listen and closes what is left. */
 void hsc_server_close(struct hsc_server *s);
 
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -38,6 +38,8 @@
 if [ "$WHAT" != unit ]; then
 	BIN=$BUILD/bin scripts/process_test.sh >"$OUT" 2>&1
 	add process_test $?
+	BIN=$BUILD/bin scripts/edge_test.sh >"$OUT" 2>&1
+	add edge_test $?
 fi
 rm -f "$OUT"
 echo "$passed passed, $failed failed"
--- /dev/null
+++ b/scripts/edge_cluster.sh
@@ -0,0 +1,79 @@
+# Functions that start the stand-in platform and entries on it; sourced by the
+# tests and the demo of the platform's path. Builds on cluster.sh.
+
+EDGES=${EDGES:-3}
+EDGE_SERVICES_EACH=${EDGE_SERVICES_EACH:-3}
+
+edge_settings() {
+	cat <<-END
+	{
+		"name": "edge-$1", "zone": "north", "region": "here",
+		"ip": "127.0.0.1", "first_start": ${2:-true},
+		"listen": { "callers": "127.0.0.1:0", "ready": "127.0.0.1:0",
+			"lookup": "127.0.0.1:0" },
+		"first_internal_port": 0,
+		"store": { "address": "$PLATFORM" },
+		"cloud": { "address": "$PLATFORM", "duties": ["usage"] },
+		"bounds": { "usage_window_s": 1, "usage_late_s": 10 }
+	}
+	END
+}
+
+# start_edge N [FIRST_START]
+start_edge() {
+	edge_settings "$1" "$2" >"$DIR/edge-$1.json"
+	: >"$DIR/edge-$1.out"
+	start "edge-$1" "$BIN/marldock-edge" -s "$DIR/edge-$1.json"
+	wait_for grep -q '"event":"start"' "$DIR/edge-$1.out"
+}
+
+start_edges() {
+	local i
+	start platform "$BIN/standin-platform" --endpoints "$EDGE_SERVICES_EACH"
+	PLATFORM=$(ready platform) || return 1
+	for i in $(seq 1 "$EDGES"); do start_edge "$i" || return 1; done
+}
+
+# address N WHAT: callers, lookup, ready or peers, of the newest start.
+address() {
+	grep '"event":"start"' "$DIR/edge-$1.out" | tail -1 |
+		sed "s/.*\"$2\":\"\([^\"]*\)\".*/\1/"
+}
+
+# wait_for COMMAND...: until it holds; half a minute at most.
+wait_for() {
+	local i
+	for i in $(seq 1 600); do
+		"$@" >/dev/null 2>&1 && return 0
+		sleep 0.05
+	done
+	return 1
+}
+
+# put_document VERSION KEYS [MORE_ROUTES]
+put_document() {
+	sed "s|%VERSION%|$1|; s|%KEYS%|$2|; s|%ROUTES%|$3|" \
+		tests/standin/document.json >"$DIR/document.json"
+	curl -s -o /dev/null --data-binary @"$DIR/document.json" \
+		"http://$PLATFORM/test/put?key=op/config"
+}
+
+platform_test() {
+	curl -s "http://$PLATFORM/test/$1"
+}
+
+# seen NAME: a count of what the stand-in saw.
+seen() {
+	platform_test seen | head -1 | tr ' ' '\n' | grep -A1 "^$1$" | tail -1
+}
+
+# request N ID PATH [CURL OPTION...]: to entry N; body in $DIR/body, prints
+# the status.
+request() {
+	local n=$1 id=$2 path=$3
+	shift 3
+	curl -s -m 20 -o "$DIR/body" -w '%{http_code}' -H 'Host: t.example' \
+		-H "Attempt-Id: $id" -H 'Deadline-Ms: 10000' \
+		-H "Authorization: Bearer ${KEY:-k1}" "$@" \
+		"http://$(address "$n" callers)$path"
+}
--- /dev/null
+++ b/tests/standin/platform.c
@@ -0,0 +1,772 @@
+/*
+ * A stand-in for the platform, on one loopback port, in its protocol: the
+ * key-value store with leases and watches, the duties' calls, and endpoints
+ * that run requests and remember which ones. Faults are asked for by calls
+ * under /test/.
+ *
+ * Options: --endpoints N (of each service), --gap MS (between events).
+ */
+#include <ev.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "base/clk.h"
+#include "base/jsn.h"
+#include "io/hsc.h"
+
+#define MAX_KEYS 256
+#define MAX_RUNS 20000
+#define MAX_ENDPOINTS 32
+#define HISTORY 4096
+
+struct item {
+	char key[200];
+	char *value; /* base64, as it came; NULL: not there */
+	int64_t revision, lease;
+};
+
+struct lease {
+	int64_t id, ttl_ms, until_ms;
+};
+
+struct run {
+	char id[80];
+	int endpoint;
+	int times;
+	bool once; /* of a kind that may run once at most */
+};
+
+struct endpoint {
+	struct hsc_server server;
+	char id[32];
+	const char *service;
+	bool draining, gone, fail, mute, break_streams;
+	int64_t gone_ms;
+	unsigned seen; /* requests since it was drained */
+};
+
+struct watcher {
+	struct cds_list_head node;
+	struct hsc *conn;
+	int64_t after, until_ms;
+	char prefix[200];
+};
+
+struct stream {
+	struct cds_list_head node;
+	struct hsc *conn;
+	struct endpoint *at;
+	int next, last;
+	int64_t due_ms;
+};
+
+static struct {
+	struct ev_loop *loop;
+	struct hsc_server server;
+	struct item items[MAX_KEYS];
+	int nr_items;
+	int64_t revision, forgotten;
+	struct lease leases[64];
+	int nr_leases;
+	int64_t next_lease;
+	struct {
+		int64_t revision;
+		int item;
+		bool gone;
+	} history[HISTORY];
+	int nr_history;
+	struct run runs[MAX_RUNS];
+	int nr_runs;
+	struct endpoint endpoints[MAX_ENDPOINTS];
+	int nr_endpoints;
+	struct cds_list_head watchers, streams;
+	int64_t down_until_ms;
+	int gap_ms;
+	int nr_usage, nr_scale, wrong_fence, usage_twice;
+	int64_t last_fence;
+	char usage[64][512];
+	ev_timer tick;
+} w;
+
+static int64_t now_ms(void)
+{
+	return clk_boot_ms(clk_real());
+}
+
+static void reply(struct hsc *c, int status, const char *body)
+{
+	BUF_AUTO out = BUF_INIT;
+
+	hmsg_put_status(&out, status);
+	hmsg_put(&out, "Content-Type", "application/json");
+	hmsg_put_int(&out, "Content-Length", (int64_t)strlen(body));
+	hmsg_put_end(&out);
+	buf_str(&out, body);
+	hsc_write(c, out.data, out.len);
+	hsc_done(c, false);
+}
+
+/* ---- The store ---- */
+
+static struct item *find_item(const char *key, bool make)
+{
+	int i;
+
+	for (i = 0; i < w.nr_items; i++) {
+		if (!strcmp(w.items[i].key, key))
+			return &w.items[i];
+	}
+	if (!make || w.nr_items == MAX_KEYS)
+		return NULL;
+	str_copy(w.items[w.nr_items].key, key, sizeof(w.items[0].key));
+	return &w.items[w.nr_items++];
+}
+
+static void put_item(struct buf *out, const struct item *it, bool gone,
+		     int64_t revision)
+{
+	buf_str(out, "{\"key\":");
+	buf_json(out, it->key);
+	if (gone)
+		buf_fmt(out, ",\"revision\":%lld,\"deleted\":true}",
+			(long long)revision);
+	else
+		buf_fmt(out,
+			",\"value\":\"%s\",\"revision\":%lld,\"lease\":%lld}",
+			it->value, (long long)it->revision,
+			(long long)it->lease);
+}
+
+static bool answer_watcher(struct watcher *v, bool late)
+{
+	BUF_AUTO out = BUF_INIT;
+	int i, n = 0;
+
+	buf_str(&out, "{\"events\":[");
+	for (i = 0; i < w.nr_history; i++) {
+		const struct item *it = &w.items[w.history[i].item];
+		const int64_t rev = w.history[i].revision;
+
+		if (rev <= v->after ||
+		    strncmp(it->key, v->prefix, strlen(v->prefix)))
+			continue;
+		/* A write that was overwritten since is not told. */
+		if (!w.history[i].gone && it->revision != rev)
+			continue;
+		if (n++)
+			buf_str(&out, ",");
+		put_item(&out, it, w.history[i].gone, rev);
+	}
+	if (!n && !late)
+		return false;
+	buf_fmt(&out, "],\"currentRev\":%lld}", (long long)w.revision);
+	cds_list_del(&v->node);
+	v->conn->request = NULL;
+	reply(v->conn, 200, out.data);
+	free(v);
+	return true;
+}
+
+static void changed(struct item *it, bool gone)
+{
+	struct watcher *v, *next;
+
+	if (w.nr_history < HISTORY) {
+		w.history[w.nr_history].revision = w.revision;
+		w.history[w.nr_history].item = (int)(it - w.items);
+		w.history[w.nr_history++].gone = gone;
+	}
+	cds_list_for_each_entry_safe(v, next, &w.watchers, node) {
+		answer_watcher(v, false);
+	}
+}
+
+static void write_item(const char *key, const char *base64, int64_t lease)
+{
+	struct item *it = find_item(key, true);
+
+	free(it->value);
+	it->value = mem_dup(base64);
+	it->lease = lease;
+	it->revision = ++w.revision;
+	changed(it, false);
+}
+
+static void delete_item(struct item *it)
+{
+	if (!it || !it->value)
+		return;
+	free(it->value);
+	it->value = NULL;
+	w.revision++;
+	changed(it, true);
+}
+
+static char *base64(const char *text)
+{
+	static const char set[] = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqr"
+				  "stuvwxyz0123456789+/";
+	const size_t len = strlen(text);
+	char *out = calloc(1, len / 3 * 4 + 8), *o = out;
+	size_t i;
+
+	for (i = 0; i < len; i += 3) {
+		const unsigned a = (unsigned char)text[i];
+		const unsigned b = i + 1 < len ? (unsigned char)text[i + 1] : 0;
+		const unsigned d = i + 2 < len ? (unsigned char)text[i + 2] : 0;
+
+		*o++ = set[a >> 2];
+		*o++ = set[(a & 3) << 4 | b >> 4];
+		*o++ = i + 1 < len ? set[(b & 15) << 2 | d >> 6] : '=';
+		*o++ = i + 2 < len ? set[d & 63] : '=';
+	}
+	return out;
+}
+
+static void write_text(const char *key, const char *text)
+{
+	MEM_AUTO char *b = base64(text);
+
+	write_item(key, b, 0);
+}
+
+static void on_get(struct hsc *c, const char *url)
+{
+	char key[200] = "";
+	BUF_AUTO out = BUF_INIT;
+	struct item *it;
+
+	hmsg_query(url, "key", key, sizeof(key));
+	it = find_item(key, false);
+	if (!it || !it->value) {
+		buf_fmt(&out, "{\"currentRev\":%lld}", (long long)w.revision);
+		reply(c, 404, out.data);
+		return;
+	}
+	put_item(&out, it, false, 0);
+	out.data[out.len - 1] = '\0';
+	out.len--;
+	buf_fmt(&out, ",\"currentRev\":%lld}", (long long)w.revision);
+	reply(c, 200, out.data);
+}
+
+static void on_range(struct hsc *c, const char *url)
+{
+	char prefix[200] = "";
+	BUF_AUTO out = BUF_INIT;
+	int i, n = 0;
+
+	hmsg_query(url, "prefix", prefix, sizeof(prefix));
+	buf_str(&out, "{\"items\":[");
+	for (i = 0; i < w.nr_items; i++) {
+		if (!w.items[i].value ||
+		    strncmp(w.items[i].key, prefix, strlen(prefix)))
+			continue;
+		if (n++)
+			buf_str(&out, ",");
+		put_item(&out, &w.items[i], false, 0);
+	}
+	buf_fmt(&out, "],\"morePages\":false,\"currentRev\":%lld}",
+		(long long)w.revision);
+	reply(c, 200, out.data);
+}
+
+static void on_watch(struct hsc *c, const char *url)
+{
+	struct watcher *v = calloc(1, sizeof(*v));
+	char number[32] = "0";
+
+	hmsg_query(url, "prefix", v->prefix, sizeof(v->prefix));
+	hmsg_query(url, "after", number, sizeof(number));
+	v->after = atoll(number);
+	hmsg_query(url, "waitMs", number, sizeof(number));
+	v->until_ms = now_ms() + atoll(number);
+	v->conn = c;
+	c->request = v;
+	cds_list_add_tail(&v->node, &w.watchers);
+	if (v->after < w.forgotten) {
+		cds_list_del(&v->node);
+		c->request = NULL;
+		free(v);
+		reply(c, 410, "{}");
+		return;
+	}
+	answer_watcher(v, false);
+}
+
+static struct lease *find_lease(int64_t id)
+{
+	int i;
+
+	for (i = 0; i < w.nr_leases; i++) {
+		if (w.leases[i].id == id)
+			return &w.leases[i];
+	}
+	return NULL;
+}
+
+static void end_lease(struct lease *l)
+{
+	const int64_t id = l->id;
+	int i;
+
+	*l = w.leases[--w.nr_leases];
+	for (i = 0; i < w.nr_items; i++) {
+		if (w.items[i].value && w.items[i].lease == id)
+			delete_item(&w.items[i]);
+	}
+}
+
+static void on_lease(struct hsc *c, struct json_object *o)
+{
+	char text[80];
+	struct lease *l = &w.leases[w.nr_leases++];
+
+	l->id = ++w.next_lease + 1000;
+	l->ttl_ms = jsn_int(o, "ttlMs", 1000);
+	l->until_ms = now_ms() + l->ttl_ms;
+	snprintf(text, sizeof(text), "{\"lease\":%lld,\"ttlMs\":%lld}",
+		 (long long)l->id, (long long)l->ttl_ms);
+	reply(c, 200, text);
+}
+
+static bool conditions_hold(struct json_object *list)
+{
+	size_t i;
+
+	for (i = 0; i < jsn_len(list); i++) {
+		struct json_object *o = json_object_array_get_idx(list, i);
+		const struct item *it = find_item(jsn_str(o, "key", ""), false);
+		const int64_t rev = it && it->value ? it->revision : 0;
+
+		if (rev != jsn_int(o, "revision", 0))
+			return false;
+	}
+	return true;
+}
+
+static void on_txn(struct hsc *c, struct json_object *o)
+{
+	struct json_object *writes = jsn_get(o, "writes");
+	struct json_object *deletes = jsn_get(o, "deletes");
+	char text[64];
+	size_t i;
+
+	if (!conditions_hold(jsn_get(o, "expectedRev"))) {
+		reply(c, 412, "{\"items\":[]}");
+		return;
+	}
+	for (i = 0; i < jsn_len(writes); i++) {
+		struct json_object *x = json_object_array_get_idx(writes, i);
+		const int64_t lease = jsn_int(x, "lease", 0);
+
+		if (lease && !find_lease(lease)) {
+			reply(c, 404, "{}");
+			return;
+		}
+		write_item(jsn_str(x, "key", ""), jsn_str(x, "value", ""),
+			   lease);
+	}
+	for (i = 0; i < jsn_len(deletes); i++)
+		delete_item(find_item(
+			json_object_get_string(
+				json_object_array_get_idx(deletes, i)),
+			false));
+	snprintf(text, sizeof(text), "{\"revision\":%lld}",
+		 (long long)w.revision);
+	reply(c, 200, text);
+}
+
+/* ---- Duties ---- */
+
+static void check_fence(struct hsc *c)
+{
+	const char *f = hmsg_find(&c->parse.msg, "Fencing-Token");
+	const int64_t fence = f ? atoll(f) : 0;
+
+	w.wrong_fence += !fence || fence < w.last_fence;
+	w.last_fence = fence;
+}
+
+static void on_usage(struct hsc *c)
+{
+	const char *body = buf_cstr(&c->body);
+	int i;
+
+	check_fence(c);
+	for (i = 0; i < w.nr_usage; i++) {
+		const size_t n = strcspn(body, ",");
+
+		if (!strncmp(w.usage[i], body, n) && strcmp(w.usage[i], body))
+			w.usage_twice++;
+	}
+	if (w.nr_usage < 64)
+		str_copy(w.usage[w.nr_usage++], body, sizeof(w.usage[0]));
+	reply(c, 200, "{}");
+}
+
+static void on_scale(struct hsc *c)
+{
+	check_fence(c);
+	w.nr_scale++;
+	reply(c, 200, "{}");
+}
+
+/* ---- Endpoints ---- */
+
+static void register_endpoint(struct endpoint *e)
+{
+	char address[32], key[64], text[300];
+
+	hsc_server_address(&e->server, address, sizeof(address));
+	snprintf(key, sizeof(key), "servers/%s", e->id);
+	snprintf(text, sizeof(text),
+		 "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"north\","
+		 "\"slots\":8,\"state\":\"%s\",\"seqNo\":1}",
+		 e->service, address, e->draining ? "draining" : "ready");
+	write_text(key, text);
+}
+
+static struct run *run_of(const char *id)
+{
+	int i;
+
+	for (i = 0; i < w.nr_runs; i++) {
+		if (!strcmp(w.runs[i].id, id))
+			return &w.runs[i];
+	}
+	if (w.nr_runs == MAX_RUNS)
+		return &w.runs[0];
+	str_copy(w.runs[w.nr_runs].id, id, sizeof(w.runs[0].id));
+	return &w.runs[w.nr_runs++];
+}
+
+static void put_head(struct buf *out, int status, const char *id, bool stream)
+{
+	hmsg_put_status(out, status);
+	hmsg_put(out, "Attempt-Id", id);
+	hmsg_put(out, "Replica-Seal", "seal");
+	if (stream) {
+		hmsg_put(out, "Content-Type", "text/event-stream");
+		hmsg_put(out, "Transfer-Encoding", "chunked");
+		hmsg_put_end(out);
+	}
+}
+
+static void start_stream(struct endpoint *e, struct hsc *c, const char *id)
+{
+	const char *after = hmsg_find(&c->parse.msg, "Last-Event-Id");
+	struct stream *s = calloc(1, sizeof(*s));
+	BUF_AUTO out = BUF_INIT;
+
+	put_head(&out, 200, id, true);
+	hsc_write(c, out.data, out.len);
+	s->conn = c;
+	s->at = e;
+	s->next = after ? atoi(after) + 1 : 1;
+	s->last = 20;
+	s->due_ms = now_ms() + w.gap_ms;
+	c->request = s;
+	cds_list_add_tail(&s->node, &w.streams);
+}
+
+static void answer_plain(struct endpoint *e, struct hsc *c, const char *id)
+{
+	const char *account = hmsg_find(&c->parse.msg, "Tenant");
+	BUF_AUTO out = BUF_INIT;
+	BUF_AUTO body = BUF_INIT;
+
+	buf_fmt(&body, "%s ran %s for %s", e->id, id,
+		account ? account : "nobody");
+	put_head(&out, e->fail ? 500 : 200, id, false);
+	hmsg_put_int(&out, "Content-Length", (int64_t)body.len);
+	hmsg_put_end(&out);
+	buf_add(&out, body.data, body.len);
+	hsc_write(c, out.data, out.len);
+	hsc_done(c, false);
+}
+
+static void endpoint_request(struct hsc *c)
+{
+	struct endpoint *e = c->server->owner;
+	const struct hmsg *m = &c->parse.msg;
+	const char *id = hmsg_find(m, "Attempt-Id");
+	const char *expected = hmsg_find(m, "Expect-Replica");
+	struct run *r;
+
+	if (!id || !expected || strcmp(expected, e->id)) {
+		reply(c, 421, "{}");
+		return;
+	}
+	if (e->draining)
+		e->seen++;
+	r = run_of(id);
+	r->times++;
+	r->once = !strncmp(hmsg_url(m), "/u/", 3) ||
+		  !strncmp(hmsg_url(m), "/o/", 3);
+	r->endpoint = (int)(e - w.endpoints);
+	if (e->mute)
+		return; /* it runs, and no answer comes */
+	if (strstr(e->service, "llm"))
+		start_stream(e, c, id);
+	else
+		answer_plain(e, c, id);
+}
+
+static void endpoint_gone(struct hsc *c)
+{
+	struct stream *s = c->request;
+
+	if (!s)
+		return;
+	cds_list_del(&s->node);
+	free(s);
+}
+
+static void no_fault(struct hsc *c, enum hsc_fault f, struct buf *out)
+{
+	(void)c;
+	(void)f;
+	buf_str(out, "HTTP/1.1 400 X\r\nContent-Length: 0\r\n\r\n");
+}
+
+static void limits(struct hsc_server *s, struct hsc_limits *out)
+{
+	(void)s;
+	*out = (struct hsc_limits){ 65536, 1u << 22, 5000, 5000, 60000 };
+}
+
+static const struct hsc_vtable endpoint_vtable = { endpoint_request,
+						   endpoint_gone, no_fault,
+						   limits };
+
+static void open_endpoint(const char *service)
+{
+	struct endpoint *e = &w.endpoints[w.nr_endpoints++];
+	struct sockaddr_in addr;
+
+	ioc_address("127.0.0.1:0", &addr, NULL);
+	hsc_server_open(&e->server, w.loop, &addr, &endpoint_vtable, e, NULL);
+	snprintf(e->id, sizeof(e->id), "i-%d", w.nr_endpoints);
+	e->service = service;
+	register_endpoint(e);
+}
+
+static void stream_step(struct stream *s)
+{
+	BUF_AUTO event = BUF_INIT;
+	BUF_AUTO out = BUF_INIT;
+
+	if (s->at->break_streams && s->next == s->last / 2) {
+		/* In the middle of an event. */
+		hmsg_put_chunk(&out, "id: 999\nda", 10);
+		hsc_write(s->conn, out.data, out.len);
+		cds_list_del(&s->node);
+		s->conn->request = NULL;
+		hsc_cut(s->conn);
+		free(s);
+		return;
+	}
+	buf_fmt(&event, "id: %d\ndata: piece %d\n\n", s->next, s->next);
+	hmsg_put_chunk(&out, event.data, event.len);
+	if (s->next == s->last)
+		hmsg_put_chunk(&out, "", 0);
+	hsc_write(s->conn, out.data, out.len);
+	s->due_ms = now_ms() + w.gap_ms;
+	if (s->next++ < s->last)
+		return;
+	cds_list_del(&s->node);
+	s->conn->request = NULL;
+	hsc_done(s->conn, false);
+	free(s);
+}
+
+/* ---- Faults and what was seen ---- */
+
+static struct endpoint *asked_endpoint(const char *url)
+{
+	char id[32] = "";
+	int i;
+
+	hmsg_query(url, "id", id, sizeof(id));
+	for (i = 0; i < w.nr_endpoints; i++) {
+		if (!strcmp(w.endpoints[i].id, id))
+			return &w.endpoints[i];
+	}
+	return NULL;
+}
+
+static void seen(struct hsc *c)
+{
+	BUF_AUTO out = BUF_INIT;
+	int i, twice = 0, once = 0, late = 0, per[MAX_ENDPOINTS] = { 0 };
+
+	for (i = 0; i < w.nr_runs; i++) {
+		once += w.runs[i].once;
+		twice += w.runs[i].once && w.runs[i].times > 1;
+		per[w.runs[i].endpoint]++;
+	}
+	for (i = 0; i < w.nr_endpoints; i++)
+		late += (int)w.endpoints[i].seen;
+	buf_fmt(&out,
+		"runs %d once %d once_twice %d to_leaving %d usage %d usage_twice %d "
+		"orders %d wrong_fence %d revision %lld\n",
+		w.nr_runs, once, twice, late, w.nr_usage, w.usage_twice,
+		w.nr_scale, w.wrong_fence, (long long)w.revision);
+	for (i = 0; i < w.nr_endpoints; i++)
+		buf_fmt(&out, "%s %s %d\n", w.endpoints[i].id,
+			w.endpoints[i].service, per[i]);
+	for (i = 0; i < w.nr_usage; i++)
+		buf_fmt(&out, "usage %s\n", w.usage[i]);
+	reply(c, 200, out.data);
+}
+
+static void on_test(struct hsc *c, const char *url)
+{
+	struct endpoint *e = asked_endpoint(url);
+	char number[32] = "0", key[200] = "";
+
+	if (!strncmp(url, "/test/seen", 10)) {
+		seen(c);
+		return;
+	}
+	if (!strncmp(url, "/test/put", 9)) {
+		hmsg_query(url, "key", key, sizeof(key));
+		write_text(key, buf_cstr(&c->body));
+	} else if (!strncmp(url, "/test/down", 10)) {
+		hmsg_query(url, "ms", number, sizeof(number));
+		w.down_until_ms = now_ms() + atoll(number);
+	} else if (!strncmp(url, "/test/forget", 12)) {
+		w.forgotten = w.revision;
+	} else if (e && !strncmp(url, "/test/drain", 11)) {
+		e->draining = true;
+		register_endpoint(e);
+	} else if (e && !strncmp(url, "/test/fail", 10)) {
+		e->fail = true;
+	} else if (e && !strncmp(url, "/test/mute", 10)) {
+		e->mute = true;
+	} else if (e && !strncmp(url, "/test/heal", 10)) {
+		e->fail = e->mute = e->break_streams = false;
+	} else if (e && !strncmp(url, "/test/break", 11)) {
+		e->break_streams = true;
+	} else {
+		reply(c, 404, "{}");
+		return;
+	}
+	reply(c, 200, "{}");
+}
+
+/* ---- The server ---- */
+
+static void on_call(struct hsc *c)
+{
+	const char *url = hmsg_url(&c->parse.msg);
+	JSN_AUTO *o = NULL;
+	struct lease *l;
+
+	if (!strncmp(url, "/test/", 6)) {
+		on_test(c, url);
+		return;
+	}
+	if (now_ms() < w.down_until_ms) {
+		reply(c, 503, "{}");
+		return;
+	}
+	o = c->body.len ? jsn_parse(c->body.data, c->body.len) : NULL;
+	l = find_lease(strrchr(url, '/') ? atoll(strrchr(url, '/') + 1) : 0);
+	if (!strncmp(url, "/v1/kv-key", 10))
+		on_get(c, url);
+	else if (!strncmp(url, "/v1/kv-range", 12))
+		on_range(c, url);
+	else if (!strncmp(url, "/v1/kv-watch", 12))
+		on_watch(c, url);
+	else if (!strncmp(url, "/v1/kv-txn", 10))
+		on_txn(c, o);
+	else if (!strcmp(url, "/v1/kv-lease"))
+		on_lease(c, o);
+	else if (!strncmp(url, "/v1/kv-keep/", 12) && l) {
+		l->until_ms = now_ms() + l->ttl_ms;
+		reply(c, 200, "{}");
+	} else if (!strncmp(url, "/v1/kv-lease-end/", 17) && l) {
+		end_lease(l);
+		reply(c, 200, "{}");
+	} else if (!strcmp(url, "/usage"))
+		on_usage(c);
+	else if (!strcmp(url, "/scale"))
+		on_scale(c);
+	else
+		reply(c, 404, "{}");
+}
+
+static void call_gone(struct hsc *c)
+{
+	struct watcher *v = c->request;
+
+	if (!v)
+		return;
+	cds_list_del(&v->node);
+	free(v);
+}
+
+static const struct hsc_vtable vtable = { on_call, call_gone, no_fault,
+					  limits };
+
+static void on_tick(struct ev_loop *loop, ev_timer *t, int revents)
+{
+	const int64_t now = now_ms();
+	struct watcher *v, *vn;
+	struct stream *s, *sn;
+	int i;
+
+	(void)loop;
+	(void)t;
+	(void)revents;
+	cds_list_for_each_entry_safe(v, vn, &w.watchers, node) {
+		if (now >= v->until_ms)
+			answer_watcher(v, true);
+	}
+	cds_list_for_each_entry_safe(s, sn, &w.streams, node) {
+		if (now >= s->due_ms)
+			stream_step(s);
+	}
+	for (i = 0; i < w.nr_leases; i++) {
+		if (now >= w.leases[i].until_ms && now >= w.down_until_ms)
+			end_lease(&w.leases[i]);
+	}
+}
+
+int main(int argc, char **argv)
+{
+	struct sockaddr_in addr;
+	char address[32];
+	int i, endpoints = 2;
+
+	w.gap_ms = 10;
+	for (i = 1; i + 1 < argc; i += 2) {
+		if (!strcmp(argv[i], "--endpoints"))
+			endpoints = atoi(argv[i + 1]);
+		else if (!strcmp(argv[i], "--gap"))
+			w.gap_ms = atoi(argv[i + 1]);
+	}
+	signal(SIGPIPE, SIG_IGN);
+	w.loop = ev_default_loop(EVFLAG_AUTO);
+	CDS_INIT_LIST_HEAD(&w.watchers);
+	CDS_INIT_LIST_HEAD(&w.streams);
+	ioc_address("127.0.0.1:0", &addr, NULL);
+	if (hsc_server_open(&w.server, w.loop, &addr, &vtable, NULL, NULL))
+		return 71;
+	for (i = 0; i < endpoints && i < MAX_ENDPOINTS / 2; i++) {
+		open_endpoint("llm");
+		open_endpoint("app");
+	}
+	hsc_server_address(&w.server, address, sizeof(address));
+	printf("ready %s\n", address);
+	fflush(stdout);
+	ev_timer_init(&w.tick, on_tick, 0.005, 0.005);
+	ev_timer_start(w.loop, &w.tick);
+	ev_run(w.loop, 0);
+	return 0;
+}
--- /dev/null
+++ b/tests/test_conf.c
@@ -0,0 +1,115 @@
+/* Settings of an entry: the example works, wrong ones get one clear line. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "base/buf.h"
+#include "edge/conf.h"
+#include "support/unit.h"
+
+static int load(const char *text, struct conf *c, struct err *e)
+{
+	char path[] = "/tmp/marldock-conf-XXXXXX";
+	const int fd = mkstemp(path);
+	int r;
+
+	CU_ASSERT_EQUAL(write(fd, text, strlen(text)), (ssize_t)strlen(text));
+	close(fd);
+	r = conf_load(path, c, e);
+	unlink(path);
+	return r;
+}
+
+static void read_example(struct buf *out)
+{
+	char room[4096];
+	FILE *f = fopen("examples/edge.json", "r");
+	size_t n;
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(f);
+	n = fread(room, 1, sizeof(room), f);
+	buf_add(out, room, n);
+	fclose(f);
+}
+
+static void example_works(void)
+{
+	struct err e = ERR_INIT;
+	struct conf c;
+
+	CU_ASSERT_EQUAL(conf_load("examples/edge.json", &c, &e), 0);
+	CU_ASSERT_STRING_EQUAL(c.zone, "north");
+	CU_ASSERT_EQUAL(c.first_port, 7600);
+	CU_ASSERT(c.cloud.usage && c.cloud.scaling);
+	CU_ASSERT(c.first_start && c.bounds.strict_revoke);
+	CU_ASSERT_DOUBLE_EQUAL(c.bounds.retry_ratio, 0.2, 1e-9);
+}
+
+/* Replaces `from` in the example and expects an error that names `word`. */
+static void expect_error(const char *from, const char *to, const char *word)
+{
+	BUF_AUTO text = BUF_INIT;
+	BUF_AUTO changed = BUF_INIT;
+	struct err e = ERR_INIT;
+	struct conf c;
+	const char *at;
+
+	read_example(&text);
+	at = strstr(text.data, from);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(at);
+	buf_add(&changed, text.data, (size_t)(at - text.data));
+	buf_str(&changed, to);
+	buf_str(&changed, at + strlen(from));
+	CU_ASSERT_EQUAL(load(changed.data, &c, &e), -1);
+	CU_ASSERT_PTR_NOT_NULL(strstr(e.text, word));
+	CU_ASSERT_PTR_NULL(strchr(e.text, '\n'));
+}
+
+static void wrong_settings_name_their_field(void)
+{
+	expect_error("\"zone\": \"north\"", "\"zoen\": \"north\"", "zoen");
+	expect_error("\"zone\": \"north\",", "", "zone");
+	expect_error("7600,", "\"x\",", "first_internal_port");
+	expect_error("7600,", "99999999,", "first_internal_port");
+	expect_error("\"grace_s\": 8", "\"grace_s\": -1", "grace_s");
+	expect_error("127.0.0.1:8224", "127.0.0.1", "IP:PORT");
+	expect_error("127.0.0.1:8225", "1.2.3:8225", "bad IP");
+	expect_error("127.0.0.1:8226", "127.0.0.1:70000", "bad port");
+}
+
+static void unknown_duties_are_left_to_others(void)
+{
+	BUF_AUTO text = BUF_INIT;
+	struct err e = ERR_INIT;
+	struct conf c;
+	char *at;
+
+	read_example(&text);
+	at = strstr(text.data, "scaling");
+	memcpy(at, "another", 7);
+	CU_ASSERT_EQUAL(load(text.data, &c, &e), 0);
+	CU_ASSERT(c.cloud.usage && !c.cloud.scaling);
+}
+
+static void missing_and_empty_files_are_errors(void)
+{
+	struct err e = ERR_INIT;
+	struct conf c;
+
+	CU_ASSERT_EQUAL(conf_load("/nonexistent/x", &c, &e), -1);
+	CU_ASSERT_PTR_NOT_NULL(strstr(e.text, "/nonexistent/x"));
+	CU_ASSERT_EQUAL(load("", &c, &e), -1);
+	CU_ASSERT_EQUAL(load("{} trailing", &c, &e), -1);
+}
+
+static const struct unit_test tests[] = {
+	{ "the example works", example_works },
+	{ "wrong settings name their field", wrong_settings_name_their_field },
+	{ "unknown duties are left to others",
+	  unknown_duties_are_left_to_others },
+	{ "missing and empty files are errors",
+	  missing_and_empty_files_are_errors },
+};
+
+UNIT_MAIN("conf", tests)
--- a/tests/test_evs.c
+++ b/tests/test_evs.c
@@ -44,7 +44,7 @@
 		CU_ASSERT_EQUAL(s.last_id, 12);
 		CU_ASSERT_FALSE(evs_torn(&s));
 		CU_ASSERT_EQUAL(out.len, all.len);
-		CU_ASSERT_EQUAL(memcmp(out.data, all.data, all.len), 0);
+		CU_ASSERT_STRING_EQUAL(buf_cstr(&out), buf_cstr(&all));
 		evs_free(&s);
 	}
 }
--- /dev/null
+++ b/tests/test_platform.c
@@ -0,0 +1,453 @@
+/* The adapter: what comes off the wire, what goes onto it, bad bytes. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/hsh.h"
+#include "base/jsn.h"
+#include "base/rnd.h"
+#include "pf_wire.h"
+#include "support/unit.h"
+
+static const char document[] =
+	"{\"version\":7,\"routes\":["
+	"{\"name\":\"r1\",\"host\":\"a.example\",\"prefix\":\"/x/\","
+	"\"routeKind\":\"streaming\",\"timeoutMs\":12000,\"goalMs\":1200,"
+	"\"priority\":1,\"split\":[{\"service\":\"s1\",\"weight\":90},"
+	"{\"service\":\"s2\",\"weight\":10}],\"maxAttempts\":2,"
+	"\"affinity\":true,\"resumable\":true,\"gapTargetMs\":500,"
+	"\"new\":1},"
+	"{\"name\":\"r2\",\"host\":\"a.example\",\"prefix\":\"/y/\","
+	"\"routeKind\":\"unsafe\",\"timeoutMs\":800,\"service\":\"s2\","
+	"\"anonymous\":true}],"
+	"\"services\":[{\"name\":\"s1\",\"maxConns\":360,"
+	"\"engine\":{\"slots\":64,\"kvCapacity\":500000,\"moves\":true},"
+	"\"scaling\":{\"min\":1,\"max\":6,\"bootS\":4.0,\"spotPrice\":0.2,"
+	"\"zonePrices\":{\"z1\":1.0,\"z2\":0.8}}},{\"name\":\"s2\"}],"
+	"\"limits\":{\"maxHeaderBytes\":100,\"maxBodyBytes\":200,"
+	"\"headerTimeoutMs\":300,\"idleTimeoutMs\":400},"
+	"\"tenants\":[{\"name\":\"t1\",\"apiKeys\":[\"k1\",\"k2\"],"
+	"\"priority\":0,\"unit\":\"tokens\",\"uncachedTokens\":200,"
+	"\"ratePerS\":1000,\"burst\":500}]}";
+
+static void configuration_is_decoded_once(void)
+{
+	struct err e = ERR_INIT;
+	struct cfg *c = pf_wire()->config(document, strlen(document), &e);
+	const struct cfg_route *r;
+	const struct cfg_account *a;
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(c);
+	r = cfg_route(c, "a.example", "/x/1");
+	CU_ASSERT_PTR_NOT_NULL_FATAL(r);
+	CU_ASSERT_EQUAL(r->kind, CFG_STREAM);
+	CU_ASSERT_EQUAL(r->objective_ms, 1200);
+	CU_ASSERT_EQUAL(r->nr_shares, 2);
+	CU_ASSERT_EQUAL(r->max_endpoints, 2);
+	CU_ASSERT(r->resumable && r->cached && !r->anonymous);
+	r = cfg_route(c, "a.example", "/y/1");
+	CU_ASSERT_EQUAL(r->kind, CFG_ONCE);
+	CU_ASSERT_EQUAL(r->max_endpoints, 1);
+	CU_ASSERT_STRING_EQUAL(r->shares[0].service, "s2");
+	CU_ASSERT(r->anonymous);
+	CU_ASSERT_EQUAL(cfg_service(c, "s1")->scaling.boot_ms, 4000);
+	CU_ASSERT_EQUAL(cfg_service(c, "s1")->scaling.nr_prices, 2);
+	CU_ASSERT(cfg_service(c, "s1")->engine.moves);
+	CU_ASSERT_FALSE(cfg_service(c, "s2")->has_engine);
+	a = cfg_account(c, "k2");
+	CU_ASSERT_STRING_EQUAL(a->name, "t1");
+	CU_ASSERT(a->by_tokens && a->has_priority);
+	CU_ASSERT_EQUAL(c->limits.idle_ms, 400);
+	cfg_put(c);
+}
+
+static void unreadable_configuration_is_refused(void)
+{
+	static const char odd[] =
+		"{\"version\":1,\"routes\":[{\"routeKind\":\"odd\"}]}";
+	static const char *const bad[] = { "", "{", "[]", "null", odd };
+	size_t i;
+
+	for (i = 0; i < sizeof(bad) / sizeof(bad[0]); i++) {
+		struct err e = ERR_INIT;
+
+		CU_ASSERT_PTR_NULL(
+			pf_wire()->config(bad[i], strlen(bad[i]), &e));
+		CU_ASSERT(err_is(&e));
+	}
+}
+
+static void endpoints_are_decoded(void)
+{
+	static const char ready[] =
+		"{\"service\":\"s1\",\"address\":\"10.0.0.1:80\",\"zone\":\"z1\","
+		"\"slots\":64,\"state\":\"ready\",\"coldLeftMs\":5,\"seqNo\":4}";
+	static const char leaving[] =
+		"{\"service\":\"s1\",\"address\":\"10.0.0.1:80\",\"zone\":\"z1\","
+		"\"state\":\"draining\",\"spot\":true,\"leaves_ms\":2500}";
+	struct flt_info info;
+	struct err e = ERR_INIT;
+	const struct wire *w = pf_wire();
+
+	CU_ASSERT_EQUAL(
+		w->endpoint("servers/i-1", ready, strlen(ready), &info, &e), 0);
+	CU_ASSERT_STRING_EQUAL(info.id, "i-1");
+	CU_ASSERT_FALSE(info.draining);
+	CU_ASSERT_EQUAL(info.leaves_ms, -1);
+	CU_ASSERT_EQUAL(w->endpoint("servers/i-1", leaving, strlen(leaving),
+				    &info, &e),
+			0);
+	CU_ASSERT(info.draining && info.reclaimable);
+	CU_ASSERT_EQUAL(info.leaves_ms, 2500);
+	CU_ASSERT_EQUAL(w->endpoint("servers/i-1", "{}", 2, &info, &e), -1);
+	CU_ASSERT_EQUAL(w->endpoint("servers/i-1", "x", 1, &info, &e), -1);
+}
+
+/* ---- Requests ---- */
+
+static int no_op_head(struct hparse *p)
+{
+	(void)p;
+	return 0;
+}
+
+static void no_op_body(struct hparse *p, const char *data, size_t len)
+{
+	(void)p;
+	(void)data;
+	(void)len;
+}
+
+static void stop_at_end(struct hparse *p)
+{
+	p->stop = true;
+}
+
+static const struct hparse_vtable parse_vtable = { no_op_head, no_op_body,
+						   stop_at_end };
+
+static void parse(struct hparse *p, bool request, const char *text)
+{
+	size_t used;
+
+	hparse_init(p, request, 0, &parse_vtable, NULL);
+	hparse_feed(p, text, strlen(text), &used);
+}
+
+#define HEAD                                                        \
+	"POST /x/1?q=2 HTTP/1.1\r\nHost: A.Example:8080\r\n"        \
+	"Attempt-Id: abc123\r\nDeadline-Ms: 12000\r\nModel: m\r\n"  \
+	"Token-Count: 17000,120\r\n"                                \
+	"Prefix-Hash: 5c1e:9000,91bd:4300,e440:3700\r\n"            \
+	"Authorization: Bearer k1\r\nTenant: forged\r\nHold: 9\r\n" \
+	"Kv-From: 1.2.3.4:5/6\r\nExpect-Replica: forged\r\n"        \
+	"X-Own: 1\r\nConnection: keep-alive, Attempt-Id\r\n"        \
+	"Content-Length: 4\r\n\r\nbody"
+
+static void attempt_is_decoded(void)
+{
+	struct hparse p;
+	struct attempt a;
+	struct err e = ERR_INIT;
+
+	parse(&p, true, HEAD);
+	CU_ASSERT_EQUAL(pf_wire()->attempt(&p.msg, &a, &e), 0);
+	CU_ASSERT_STRING_EQUAL(a.id, "abc123");
+	CU_ASSERT_STRING_EQUAL(a.host, "a.example");
+	CU_ASSERT_STRING_EQUAL(a.key, "k1");
+	CU_ASSERT_EQUAL(a.deadline_ms, 12000);
+	CU_ASSERT_EQUAL(a.resume_after, -1);
+	CU_ASSERT_EQUAL(a.prompt_tokens, 17000);
+	CU_ASSERT_EQUAL(a.shared_tokens, 13300);
+	CU_ASSERT_EQUAL(a.shared_part, hsh_bytes("5c1e:9000,91bd:4300", 19, 0));
+	hparse_free(&p);
+}
+
+static void wrong_heads_are_refused(void)
+{
+	static const char *const bad[] = {
+		"GET / HTTP/1.1\r\nHost: a\r\n\r\n",
+		"GET / HTTP/1.1\r\nAttempt-Id: 1\r\n\r\n",
+		"GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\nAttempt-Id: 1\r\n\r\n",
+		"GET / HTTP/1.1\r\nHost: a\r\nAttempt-Id: 1\r\n"
+		"Attempt-Id: 2\r\n\r\n",
+		"GET / HTTP/1.1\r\nHost: a\r\nAttempt-Id: 1\r\n"
+		"Deadline-Ms: soon\r\n\r\n",
+		"GET / HTTP/1.1\r\nHost: a\r\nAttempt-Id: 1\r\n"
+		"Deadline-Ms: -5\r\n\r\n",
+		"GET / HTTP/1.1\r\nHost: a\r\nAttempt-Id: 1\r\n"
+		"Token-Count: 1e999,2\r\n\r\n",
+		"GET / HTTP/1.1\r\nHost: a\r\nAttempt-Id: 1\r\n"
+		"Authorization: Bearer a\r\nAuthorization: Bearer b\r\n\r\n",
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(bad) / sizeof(bad[0]); i++) {
+		struct err e = ERR_INIT;
+		struct attempt a;
+		struct hparse p;
+
+		parse(&p, true, bad[i]);
+		CU_ASSERT_EQUAL(pf_wire()->attempt(&p.msg, &a, &e), -1);
+		CU_ASSERT(err_is(&e));
+		hparse_free(&p);
+	}
+}
+
+/*
+ * What only the system sets is not taken from a caller: an account, a place
+ * in an endpoint's memory, the endpoint itself; and the key stays here.
+ */
+static void forged_headers_do_not_pass(void)
+{
+	const struct forward f = { "i-7", "t1", 900, 3, 12 };
+	BUF_AUTO body = BUF_INIT;
+	BUF_AUTO out = BUF_INIT;
+	struct hparse p;
+	struct attempt a;
+
+	parse(&p, true, HEAD);
+	pf_wire()->attempt(&p.msg, &a, NULL);
+	buf_str(&body, "body");
+	pf_wire()->forward(&p.msg, &body, &a, &f, &out);
+	CU_ASSERT_EQUAL(strncmp(out.data, "POST /x/1?q=2 HTTP/1.1\r\n", 24), 0);
+	CU_ASSERT_PTR_NULL(strstr(out.data, "forged"));
+	CU_ASSERT_PTR_NULL(strstr(out.data, "Hold"));
+	CU_ASSERT_PTR_NULL(strstr(out.data, "Kv-From"));
+	CU_ASSERT_PTR_NULL(strstr(out.data, "k1"));
+	CU_ASSERT_PTR_NULL(strstr(out.data, "Connection"));
+	CU_ASSERT_PTR_NOT_NULL(strstr(out.data, "Attempt-Id: abc123\r\n"));
+	CU_ASSERT_PTR_NOT_NULL(strstr(out.data, "Tenant: t1\r\n"));
+	CU_ASSERT_PTR_NOT_NULL(strstr(out.data, "Expect-Replica: i-7\r\n"));
+	CU_ASSERT_PTR_NOT_NULL(strstr(out.data, "Deadline-Ms: 900\r\n"));
+	CU_ASSERT_PTR_NOT_NULL(strstr(out.data, "Last-Event-Id: 12\r\n"));
+	CU_ASSERT_PTR_NOT_NULL(strstr(out.data, "X-Own: 1\r\n"));
+	CU_ASSERT_PTR_NOT_NULL(strstr(out.data, "\r\n\r\nbody"));
+	hparse_free(&p);
+}
+
+static void answers_are_told_apart(void)
+{
+	struct attempt a = { .id = "abc" };
+	struct hparse p;
+	struct reply r;
+
+	parse(&p, false,
+	      "HTTP/1.1 200 OK\r\nAttempt-Id: abc\r\nReplica-Seal: s\r\n"
+	      "Content-Type: text/event-stream\r\nContent-Length: 0\r\n\r\n");
+	pf_wire()->reply(&p.msg, &a, &r);
+	CU_ASSERT(r.echoed && r.sealed && r.events);
+	CU_ASSERT_FALSE(r.other || r.not_run || r.misdirected);
+	hparse_free(&p);
+	parse(&p, false,
+	      "HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+	pf_wire()->reply(&p.msg, &a, &r);
+	CU_ASSERT(r.not_run && !r.other && !r.echoed);
+	hparse_free(&p);
+	parse(&p, false, "HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n");
+	pf_wire()->reply(&p.msg, &a, &r);
+	CU_ASSERT(r.not_run && r.misdirected);
+	hparse_free(&p);
+	parse(&p, false,
+	      "HTTP/1.1 200 X\r\nAttempt-Id: zz\r\n"
+	      "Content-Length: 0\r\n\r\n");
+	pf_wire()->reply(&p.msg, &a, &r);
+	CU_ASSERT(r.other && !r.echoed);
+	hparse_free(&p);
+}
+
+static void own_answers_say_when_to_come_back(void)
+{
+	BUF_AUTO out = BUF_INIT;
+
+	pf_wire()->own_answer(503, "abc", "no \"room\"", 250, true, &out);
+	CU_ASSERT_EQUAL(strncmp(out.data, "HTTP/1.1 503 ", 13), 0);
+	CU_ASSERT_PTR_NOT_NULL(strstr(out.data, "Retry-After: 0.250\r\n"));
+	CU_ASSERT_PTR_NOT_NULL(strstr(out.data, "Connection: close\r\n"));
+	CU_ASSERT_PTR_NOT_NULL(strstr(out.data, "no \\\"room\\\""));
+	buf_reset(&out);
+	pf_wire()->own_answer(404, NULL, "no", -1, false, &out);
+	CU_ASSERT_PTR_NULL(strstr(out.data, "Retry-After"));
+}
+
+static void lookups_are_known_and_answered(void)
+{
+	const char *const addresses[] = { "1.1.1.1:1", "2.2.2.2:2" };
+	BUF_AUTO out = BUF_INIT;
+	struct hparse p;
+
+	parse(&p, true, "GET /v1/resolve?name=x HTTP/1.1\r\nHost: a\r\n\r\n");
+	CU_ASSERT(pf_wire()->is_lookup(&p.msg));
+	CU_ASSERT_FALSE(pf_wire()->is_ready_check(&p.msg));
+	hparse_free(&p);
+	parse(&p, true, "GET /v1/resolver HTTP/1.1\r\nHost: a\r\n\r\n");
+	CU_ASSERT_FALSE(pf_wire()->is_lookup(&p.msg));
+	hparse_free(&p);
+	pf_wire()->lookup_answer(addresses, 2, 2, &out);
+	CU_ASSERT_PTR_NOT_NULL(
+		strstr(out.data, "{\"addresses\":[\"1.1.1.1:1\",\"2.2.2.2:2\"],"
+				 "\"ttlS\":2}"));
+}
+
+/* ---- The store ---- */
+
+static void store_calls_are_encoded(void)
+{
+	const struct sto_codec *c = pf_wire()->store;
+	struct sto_call call = { .kind = STO_WATCH,
+				 .key = "a b/",
+				 .revision = 41,
+				 .wait_ms = 1500 };
+	BUF_AUTO out = BUF_INIT;
+
+	c->encode(&call, "store", &out);
+	CU_ASSERT_EQUAL(strncmp(out.data,
+				"GET /v1/kv-watch?prefix=a%20b/&after=41&"
+				"waitMs=1500 HTTP/1.1\r\n",
+				61),
+			0);
+	buf_reset(&out);
+	memset(&call, 0, sizeof(call));
+	call.kind = STO_WRITE;
+	call.nr_conditions = 1;
+	call.conditions[0] = (struct sto_condition){ "k", 0 };
+	call.nr_rows = 2;
+	call.rows[0] = (struct sto_row){ "k", "node-1", 6, 77 };
+	call.rows[1] = (struct sto_row){ "old", NULL, 0, 0 };
+	c->encode(&call, "store", &out);
+	CU_ASSERT_PTR_NOT_NULL(strstr(
+		out.data, "{\"expectedRev\":[{\"key\":\"k\",\"revision\":0}],"
+			  "\"writes\":[{\"key\":\"k\",\"value\":\"bm9kZS0x\","
+			  "\"lease\":77}],\"deletes\":[\"old\"]}"));
+}
+
+static void store_answers_are_decoded(void)
+{
+	static const char page[] =
+		"{\"items\":[{\"key\":\"a\",\"value\":\"bm9kZS0x\","
+		"\"revision\":4}],\"morePages\":true,\"currentRev\":530}";
+	static const char events[] =
+		"{\"events\":[{\"key\":\"a\",\"revision\":9,\"deleted\":true}],"
+		"\"currentRev\":9}";
+	static const char torn[] =
+		"{\"items\":[{\"key\":\"a\",\"value\":\"%%%\"}]}";
+	const struct sto_codec *c = pf_wire()->store;
+	struct sto_answer a;
+
+	memset(&a, 0, sizeof(a));
+	c->decode(STO_LIST, 200, page, strlen(page), &a);
+	CU_ASSERT_EQUAL(a.outcome, STO_OK);
+	CU_ASSERT_EQUAL(a.revision, 530);
+	CU_ASSERT(a.more);
+	CU_ASSERT_EQUAL_FATAL(a.nr_items, 1);
+	CU_ASSERT_STRING_EQUAL(a.items[0].value, "node-1");
+	CU_ASSERT_EQUAL(a.items[0].len, 6);
+	sto_answer_free(&a);
+	memset(&a, 0, sizeof(a));
+	c->decode(STO_WATCH, 200, events, strlen(events), &a);
+	CU_ASSERT_EQUAL_FATAL(a.nr_items, 1);
+	CU_ASSERT_PTR_NULL(a.items[0].value);
+	sto_answer_free(&a);
+	memset(&a, 0, sizeof(a));
+	c->decode(STO_LIST, 200, torn, strlen(torn), &a);
+	CU_ASSERT_EQUAL(a.outcome, STO_BAD);
+	sto_answer_free(&a);
+}
+
+static void store_outcomes_are_told_apart(void)
+{
+	static const struct {
+		int status;
+		enum sto_outcome want;
+	} cases[] = {
+		{ 404, STO_ABSENT },	   { 412, STO_CONFLICT },
+		{ 410, STO_HISTORY_LOST }, { 429, STO_BUSY },
+		{ 503, STO_BUSY },	   { 500, STO_BAD },
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct sto_answer a;
+
+		memset(&a, 0, sizeof(a));
+		pf_wire()->store->decode(STO_GET, cases[i].status, "{}", 2, &a);
+		CU_ASSERT_EQUAL(a.outcome, cases[i].want);
+		sto_answer_free(&a);
+	}
+}
+
+/* ---- Duties ---- */
+
+static void duty_calls_are_encoded(void)
+{
+	const struct usage_total t[] = { { "t1", 12 }, { "t2", 3 } };
+	const struct wire_duty d = { "edge-1", 12 };
+	BUF_AUTO counts = BUF_INIT;
+	BUF_AUTO out = BUF_INIT;
+
+	pf_wire()->usage_counts(t, 2, &counts);
+	pf_wire()->usage(&d, 355, counts.data, &out);
+	CU_ASSERT_PTR_NOT_NULL(strstr(out.data, "POST /usage HTTP/1.1\r\n"));
+	CU_ASSERT_PTR_NOT_NULL(strstr(out.data, "Duty-Holder: edge-1\r\n"
+						"Fencing-Token: 12\r\n"));
+	CU_ASSERT_PTR_NOT_NULL(
+		strstr(out.data,
+		       "{\"windowNo\":355,\"counts\":{\"t1\":12,\"t2\":3}}"));
+	buf_reset(&out);
+	pf_wire()->scale(&d, "s", "z", true, 4, &out);
+	CU_ASSERT_PTR_NOT_NULL(strstr(
+		out.data, "{\"service\":\"s\",\"zone\":\"z\",\"desired\":4,"
+			  "\"spot\":true}"));
+}
+
+/* Bytes that are altered at random are decoded or refused, never worse. */
+static void altered_bytes_do_no_harm(void)
+{
+	const struct wire *w = pf_wire();
+	struct rnd rnd;
+	int round;
+
+	rnd_seed(&rnd, 21);
+	for (round = 0; round < 3000; round++) {
+		BUF_AUTO text = BUF_INIT;
+		struct sto_answer a;
+		struct flt_info info;
+		struct err e = ERR_INIT;
+		struct cfg *c;
+		unsigned k;
+
+		buf_add(&text, document, strlen(document));
+		for (k = 0; k < 1 + rnd_below(&rnd, 6); k++)
+			text.data[rnd_below(&rnd, (uint32_t)text.len)] =
+				(char)rnd_below(&rnd, 256);
+		c = w->config(text.data, text.len, &e);
+		CU_ASSERT(c != NULL || err_is(&e));
+		cfg_put(c);
+		w->endpoint("servers/x", text.data, text.len, &info, &e);
+		memset(&a, 0, sizeof(a));
+		w->store->decode((enum sto_kind)(round % 7), 200, text.data,
+				 text.len, &a);
+		sto_answer_free(&a);
+	}
+}
+
+static const struct unit_test tests[] = {
+	{ "the configuration is decoded once", configuration_is_decoded_once },
+	{ "an unreadable configuration is refused",
+	  unreadable_configuration_is_refused },
+	{ "endpoints are decoded", endpoints_are_decoded },
+	{ "an attempt is decoded", attempt_is_decoded },
+	{ "wrong heads are refused", wrong_heads_are_refused },
+	{ "forged headers do not pass", forged_headers_do_not_pass },
+	{ "answers are told apart", answers_are_told_apart },
+	{ "own answers say when to come back",
+	  own_answers_say_when_to_come_back },
+	{ "look-ups are known and answered", lookups_are_known_and_answered },
+	{ "store calls are encoded", store_calls_are_encoded },
+	{ "store answers are decoded", store_answers_are_decoded },
+	{ "store outcomes are told apart", store_outcomes_are_told_apart },
+	{ "duty calls are encoded", duty_calls_are_encoded },
+	{ "altered bytes do no harm", altered_bytes_do_no_harm },
+};
+
+UNIT_MAIN("platform", tests)
