The need of replicas begins with what is there; own counts are told first

Cause: a new holder of the duties planned for four busy replicas whatever the deployment's size; on the larger deployments it gave up most of sixty at the start. Counts of dead processes could crowd out an entry's own in a record.

Change: a third of what a new holder finds counts as needed until load shows; own counts are written first.

--- a/lib/edge/edge_duty.c
+++ b/lib/edge/edge_duty.c
@@ -61,7 +61,8 @@
 	size_t nr_orders;
 	struct ordered *order; /* under way */
 	int order_number;
-	double need; /* endpoints that the load keeps busy, smoothed */
+	double need; /* endpoints that the load keeps busy, smoothed; 0: new */
+	bool loaded; /* some load was seen */
 	int status;
 };
 
@@ -392,6 +393,13 @@
  */
 #define MIN_NEED 4.0
 
+/*
+ * Of the endpoints that a new holder finds, one in so many is taken to be
+ * needed, until the load shows: both of today's deployments start with three
+ * times what a calm day keeps busy.
+ */
+#define START_PART 3.0
+
 /*
  * The need falls by this part of the difference at each look, and rises at
  * once: an order that is taken back costs a cache. About 13 s at 50 ms.
@@ -469,6 +477,28 @@
 	return true;
 }
 
+/*
+ * The need rises at once and falls slowly. A new holder begins with what is
+ * there: it knows nothing of the load before.
+ */
+static void follow_load(struct edge_duty *d, double load,
+			const struct scale_zone *z, size_t n)
+{
+	int usable = 0;
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		usable += z[i].firm + z[i].spot;
+	if (!d->need)
+		d->need = usable / START_PART;
+	if (load > 0)
+		d->loaded = true;
+	if (load > d->need)
+		d->need = load;
+	else if (d->loaded)
+		d->need += (load - d->need) * NEED_DECAY;
+}
+
 static void plan_service(struct edge_duty *d, const struct cfg_service *s,
 			 int64_t now)
 {
@@ -480,12 +510,10 @@
 		.spot_price = s->scaling.spot_price,
 		.now_ms = now,
 	};
-	const double load = load_of(d->en, s->name);
 	size_t i;
 
-	d->need = load > d->need ? load
-				 : d->need + (load - d->need) * NEED_DECAY;
-	in.idle = !d->need;
+	follow_load(d, load_of(d->en, s->name), zones, n);
+	in.idle = d->en->conf->first_start && !d->loaded;
 	in.need = d->need < MIN_NEED ? MIN_NEED : d->need;
 	scale_plan(&in, zones, n);
 	/* What is added goes before what is taken away. */
@@ -561,6 +589,8 @@
 	/* A new holder orders what is wanted, whatever was ordered before. */
 	if (!en->lead.mine) {
 		d->nr_orders = 0;
+		d->need = 0;
+		d->loaded = false;
 		if (!d->calling)
 			d->step = STEP_IDLE;
 		return;
--- a/lib/edge/edge_peer.c
+++ b/lib/edge/edge_peer.c
@@ -76,21 +76,13 @@
 	return false;
 }
 
-static void say_count(uint64_t source, int64_t window, const char *account,
-		      int64_t runs, void *arg)
+static void add_count(struct gsp_record *r, uint64_t source, int64_t window,
+		      const char *account, int64_t runs)
 {
-	struct edge *en = arg;
-	struct gsp_record *r = &en->said;
 	struct gsp_count *c;
 
 	if (r->nr_counts == GSP_COUNTS)
 		return;
-	/*
-	 * What a dead process counted is passed on: an entry that started
-	 * after its death may be the one that reports.
-	 */
-	if (source != en->source && tells_itself(en, source))
-		return;
 	c = &r->counts[r->nr_counts++];
 	c->source = source;
 	c->window = window;
@@ -98,10 +90,34 @@
 	str_copy(c->account, account, GSP_NAME);
 }
 
+static void say_own(uint64_t source, int64_t window, const char *account,
+		    int64_t runs, void *arg)
+{
+	struct edge *en = arg;
+
+	if (source == en->source)
+		add_count(&en->said, source, window, account, runs);
+}
+
+/*
+ * What a dead process counted is passed on: an entry that started after its
+ * death may be the one that reports.
+ */
+static void say_of_the_dead(uint64_t source, int64_t window,
+			    const char *account, int64_t runs, void *arg)
+{
+	struct edge *en = arg;
+
+	if (source != en->source && !tells_itself(en, source))
+		add_count(&en->said, source, window, account, runs);
+}
+
 static void fill_record(struct edge *en, struct gsp_record *r, int64_t now)
 {
 	const int64_t true_now = truth_now(&en->truth, now);
 	const int64_t age = force_age(&en->force, now);
+	const int64_t from =
+		usage_window(&en->usage, true_now) - TOLD_WINDOWS + 1;
 
 	memset(r, 0, offsetof(struct gsp_record, demands));
 	str_copy(r->name, en->conf->name, GSP_NAME);
@@ -115,9 +131,9 @@
 	r->fresh_age_ms = age == INT64_MAX ? -1 : age;
 	say_demands(en, r, now);
 	say_loads(en, r);
-	usage_each(&en->usage,
-		   usage_window(&en->usage, true_now) - TOLD_WINDOWS + 1,
-		   say_count, en);
+	/* Our own first: nobody else tells them. */
+	usage_each(&en->usage, from, say_own, en);
+	usage_each(&en->usage, from, say_of_the_dead, en);
 }
 
 static void send_to(struct edge *en, const struct prs_peer *p, int64_t now)
--- a/lib/edge/edge_store.c
+++ b/lib/edge/edge_store.c
@@ -1,5 +1,6 @@
 /* What the store says: configuration, endpoints, entries, duties; and our
  * own registration there. */
+#include <assert.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -315,6 +316,7 @@
 			(struct ranked){ hsh_str(p->info.name, RANK_SEED), p };
 	}
 	watchers = feed_watchers(n);
+	assert(watchers);
 	qsort(all, n, sizeof(all[0]), order_ranked);
 	for (i = 0; i < n && i < watchers; i++) {
 		if (!all[i].peer)
