Small requests do not wait for the debt of large ones

Ruled out: more of the slack (limits were overrun with 0.6 of it).

Change: requests below a tenth of the account's mean are admitted down to a debt of four usual ones; a test of the pattern.

--- a/lib/limit/acct.c
+++ b/lib/limit/acct.c
@@ -85,6 +85,15 @@
 	return all > 0 ? mine / all : even;
 }
 
+/* Of each request's size, so much goes into the mean. */
+#define MEAN_PART 0.05
+
+/* A request below this part of the mean is small. */
+#define SMALL_PART 0.1
+
+/* Small ones are admitted down to a debt of so many usual requests. */
+#define SMALL_DEBT 4.0
+
 /*
  * A bucket is not full at the start of the process: what the process before
  * it let through in this window is not known.
@@ -116,6 +125,16 @@
 		a->level = most;
 }
 
+/*
+ * The level above which a request of that size is admitted. A plain call of
+ * 200 tokens does not wait for the debt of a prompt of 17,000: those calls
+ * are a hundredth of an account's tokens, and were refused as often.
+ */
+static double lowest_level(const struct acct *a, double amount)
+{
+	return amount < a->mean * SMALL_PART ? -a->mean * SMALL_DEBT : 0;
+}
+
 bool acct_admit(struct acct_table *t, struct acct *a, double rate, double burst,
 		double amount, int64_t now, int64_t *after_ms)
 {
@@ -126,13 +145,14 @@
 	a->burst = burst;
 	advance(t, a, now);
 	a->demand += amount * 1000 / DEMAND_MS;
+	a->mean += (amount - a->mean) * MEAN_PART;
 	if (rate <= 0)
 		return true;
 	/*
 	 * Whatever is left admits the next request whole: one that is larger
 	 * than this entry's share of a small limit must pass once in a while.
 	 */
-	if (a->level > 0) {
+	if (a->level > lowest_level(a, amount)) {
 		a->level -= amount;
 		return true;
 	}
--- a/lib/limit/acct.h
+++ b/lib/limit/acct.h
@@ -23,6 +23,7 @@
 	double level;  /* may be below zero: the last one admitted was big */
 	double demand; /* of callers here, a second, fading */
 	double others; /* demand at other entries, as last told */
+	double mean;   /* amount of a request, fading */
 	double rate, burst; /* in force, over all entries */
 	int64_t at_ms;	    /* of level and demand */
 	bool fresh;	    /* not filled yet */
--- a/tests/test_acct.c
+++ b/tests/test_acct.c
@@ -210,6 +210,38 @@
 	close_sim(&s);
 }
 
+/*
+ * The pattern: an account sends six times its limit, long prompts and plain
+ * calls. The calls are a hundredth of the tokens; refusing them in the same
+ * proportion saves nothing and fails callers who ask for little.
+ */
+static void small_requests_do_not_wait_for_large_ones(void)
+{
+	const struct acct_slack slack = { 0.1, SLACK, 8 };
+	struct acct_table t;
+	struct acct *a;
+	struct rnd rnd;
+	int64_t now, after;
+	int small = 0, refused_small = 0, large = 0, refused_large = 0;
+
+	acct_init(&t, &slack);
+	rnd_seed(&rnd, 8);
+	a = acct_get(&t, "x", 0);
+	for (now = 0; now < 20000; now += 10) {
+		const bool is_small = rnd_below(&rnd, 3) == 0;
+		const bool ok = acct_admit(&t, a, 150000, 150000,
+					   is_small ? 200 : 15000, now, &after);
+
+		small += is_small;
+		large += !is_small;
+		refused_small += is_small && !ok;
+		refused_large += !is_small && !ok;
+	}
+	CU_ASSERT(refused_large > large / 2);
+	CU_ASSERT(refused_small < small / 50);
+	acct_free(&t);
+}
+
 static void no_rate_means_no_limit(void)
 {
 	const struct acct_slack slack = { 0.1, 0, 8 };
@@ -273,6 +305,8 @@
 	  restart_of_all_entries_gives_nothing_away },
 	{ "usual demand is admitted", usual_demand_is_admitted },
 	{ "overload uses the limit", overload_uses_the_limit },
+	{ "small requests do not wait for large ones",
+	  small_requests_do_not_wait_for_large_ones },
 	{ "no rate means no limit", no_rate_means_no_limit },
 	{ "a refund gives back", refund_gives_back },
 	{ "repeats stay below the budget", repeats_stay_below_the_budget },
