--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,7 @@
 
 # The entry on the platform needs only these, and no more of the libraries.
 EDGE_DIRS = io store duty fleet stream edge
-EDGE_SRC = $(foreach d,$(EDGE_DIRS),$(wildcard lib/$(d)/*.c)) \
+EDGE_SRC = $(filter-out lib/edge/explain.c,$(foreach d,$(EDGE_DIRS),$(wildcard lib/$(d)/*.c))) \
 	$(wildcard platform/*.c) programs/edge.c \
 	$(addprefix lib/base/,buf.c clk.c err.c hsh.c jlog.c jsn.c met.c rnd.c) \
 	lib/config/cfg.c lib/config/force.c lib/limit/acct.c lib/limit/again.c \
@@ -47,7 +47,8 @@
 .PHONY: all help install-deps demo check soak bench capacity format \
 	format-check lint clean
 
-all: $(PROGRAM_BIN) $(BUILD)/bin/marldock-edge $(STANDINS)
+all: $(PROGRAM_BIN) $(BUILD)/bin/marldock-edge \
+	$(BUILD)/bin/marldock-explain $(STANDINS)
 
 .PHONY: edge
 edge: $(BUILD)/bin/marldock-edge
--- a/lib/edge/edge_req.c
+++ b/lib/edge/edge_req.c
@@ -96,6 +96,9 @@
 	jlog_int(en->log, "retry_ms", retry_ms);
 	jlog_int(en->log, "held_ms", edge_now(en) - r->arrived_ms);
 	if (r->cfg) {
+		jlog_str(en->log, "route", r->route ? r->route->name : "");
+		jlog_str(en->log, "account",
+			 r->account ? r->account->name : "");
 		jlog_int(en->log, "config", r->cfg->version);
 		jlog_int(en->log, "config_age_ms",
 			 force_age(&en->force, edge_now(en)));
@@ -122,6 +125,12 @@
 		edge_req_answer(r, 503, otherwise, COME_BACK_LATER_MS);
 		return;
 	}
+	jlog_begin(en->log, JLOG_INFO, "confirming");
+	jlog_str(en->log, "id", r->a.id);
+	jlog_str(en->log, "else", otherwise);
+	jlog_int(en->log, "config_age_ms",
+		 force_age(&en->force, edge_now(en)));
+	jlog_end(en->log);
 	r->wait = EDGE_WAIT_VERIFY;
 	cds_list_add_tail(&r->wait_node, &en->verifying);
 	ev_timer_stop(en->loop, &r->again);
--- a/tests/test_acct.c
+++ b/tests/test_acct.c
@@ -41,6 +41,7 @@
 	struct rnd rnd;
 	double rate, burst;
 	double offered, admitted;
+	bool silent; /* nobody hears of anybody */
 };
 
 static void start_entry(struct sim *s, int i, bool first)
@@ -94,7 +95,7 @@
 	int64_t now;
 
 	for (now = from; now < to; now++) {
-		if (now % TELL_MS == 0)
+		if (now % TELL_MS == 0 && !s->silent)
 			exchange(s, now);
 		due += x * s->rate / 1000;
 		while (due > 0) {
@@ -174,14 +175,42 @@
 		close_sim(&s);
 		for (i = 0; i < ENTRIES; i++)
 			start_entry(&s, i, false);
-		/* The first datagrams come after some hundred milliseconds. */
-		play(&s, 9601, 9790, 6, 0);
-		play(&s, 9790, 18000, 6, 0);
+		/* The first datagrams come after the first registrations. */
+		s.silent = true;
+		play(&s, 9600, 10600, 6, 0);
+		s.silent = false;
+		play(&s, 10600, 18000, 6, 0);
 		CU_ASSERT(worst_window() < bound(&s));
 		close_sim(&s);
 	}
 }
 
+/* The twin that does not count unheard entries, with full buckets. */
+static void twin_without_unheard_entries_is_caught(void)
+{
+	unsigned seed, over = 0;
+	int i;
+
+	for (seed = 1; seed <= 8; seed++) {
+		struct sim s;
+
+		open_sim(&s, 155000, 155000, seed);
+		play(&s, 0, 9000, 6, 0);
+		close_sim(&s);
+		for (i = 0; i < ENTRIES; i++) {
+			start_entry(&s, i, true);
+			s.t[i].unheard = 0;
+		}
+		s.silent = true;
+		play(&s, 9600, 10600, 6, 0);
+		s.silent = false;
+		play(&s, 10600, 18000, 6, 0);
+		over += worst_window() >= bound(&s);
+		close_sim(&s);
+	}
+	CU_ASSERT(over > 0);
+}
+
 /* An account within its limit is not refused, wherever its callers are. */
 static void usual_demand_is_admitted(void)
 {
@@ -303,6 +332,8 @@
 	{ "the sum stays below the limit", sum_stays_below_the_limit },
 	{ "a restart of all entries gives nothing away",
 	  restart_of_all_entries_gives_nothing_away },
+	{ "the twin without unheard entries is caught",
+	  twin_without_unheard_entries_is_caught },
 	{ "usual demand is admitted", usual_demand_is_admitted },
 	{ "overload uses the limit", overload_uses_the_limit },
 	{ "small requests do not wait for large ones",
--- a/tests/test_cfg.c
+++ b/tests/test_cfg.c
@@ -159,7 +159,117 @@
 	force_free(&f);
 }
 
+/* ---- Keys taken away, on schedules ---- */
+
+#define NODES 4
+#define REVOKE 5000
+
+/* Each version has exactly one key: its own number. */
+struct entry {
+	struct force f;
+	int64_t stamp[NODES];	 /* our stamp that the peer echoes */
+	int64_t stamp_at[NODES]; /* when the peer got it */
+	int64_t frozen_till;
+	bool cut; /* from the store */
+};
+
+struct sched {
+	struct entry e[NODES];
+	int64_t acked[64]; /* when each version was accepted */
+	int version;
+	struct rnd rnd;
+	unsigned broken;
+};
+
+static void one_step(struct sched *s, int64_t now, bool twin)
+{
+	const int a = (int)rnd_below(&s->rnd, NODES);
+	const int b = (int)rnd_below(&s->rnd, NODES);
+	struct entry *x = &s->e[a];
+	int64_t delay;
+
+	if (now < x->frozen_till)
+		return;
+	/* A reading that is answered late, as of a moment on the way. */
+	if (!x->cut && !rnd_below(&s->rnd, 20)) {
+		delay = rnd_below(&s->rnd, 300);
+		force_offer(&x->f, make(s->version, 0, NULL), now - delay);
+	}
+	if (a == b || now < s->e[b].frozen_till || !s->e[b].f.cfg)
+		return;
+	/* We tell b our stamp; its word with our stamp comes back. */
+	if (rnd_below(&s->rnd, 2)) {
+		x->stamp[b] = now;
+		x->stamp_at[b] = now;
+	} else if (x->stamp[b]) {
+		const int64_t age = force_age(&s->e[b].f, now);
+		const int64_t at =
+			twin ? now
+			     : x->stamp[b] + (now - x->stamp_at[b]) - age;
+
+		if (age != INT64_MAX)
+			force_confirm(&x->f, s->e[b].f.cfg->version, at);
+	}
+	/* A request with the key of the version in force arrives. */
+	if (x->f.cfg && force_covers(&x->f, now, REVOKE)) {
+		const int64_t next = x->f.cfg->version + 1;
+
+		s->broken += next <= s->version &&
+			     now - s->acked[next] > REVOKE;
+	}
+}
+
+static unsigned revocations(uint64_t seed, bool twin)
+{
+	struct sched s;
+	int64_t now;
+	int i;
+
+	memset(&s, 0, sizeof(s));
+	rnd_seed(&s.rnd, seed);
+	s.version = 1;
+	for (now = 1000; now < 60000; now += 10) {
+		if (!rnd_below(&s.rnd, 400) && s.version < 63)
+			s.acked[++s.version] = now;
+		i = (int)rnd_below(&s.rnd, NODES);
+		if (!rnd_below(&s.rnd, 300))
+			s.e[i].cut = !s.e[i].cut;
+		if (!rnd_below(&s.rnd, 500))
+			s.e[i].frozen_till =
+				now + 500 + rnd_below(&s.rnd, 7000);
+		for (i = 0; i < 3; i++)
+			one_step(&s, now, twin);
+	}
+	for (i = 0; i < NODES; i++)
+		force_free(&s.e[i].f);
+	return s.broken;
+}
+
+static void revoked_keys_stop_on_every_schedule(void)
+{
+	unsigned broken = 0;
+	uint64_t seed;
+
+	for (seed = 1; seed <= 200; seed++)
+		broken += revocations(seed, false);
+	CU_ASSERT_EQUAL(broken, 0);
+}
+
+/* The twin takes a peer's word as fresh whatever its age. */
+static void twin_without_ages_is_caught(void)
+{
+	unsigned broken = 0;
+	uint64_t seed;
+
+	for (seed = 1; seed <= 50; seed++)
+		broken += revocations(seed, true) > 0;
+	CU_ASSERT(broken > 0);
+}
+
 static const struct unit_test tests[] = {
+	{ "revoked keys stop on every schedule",
+	  revoked_keys_stop_on_every_schedule },
+	{ "the twin without ages is caught", twin_without_ages_is_caught },
 	{ "longest prefix like the naive scan",
 	  longest_prefix_like_the_naive_scan },
 	{ "keys name their account", keys_name_their_account },
--- /dev/null
+++ b/tests/test_explain.c
@@ -0,0 +1,106 @@
+/* From an id to its cause, on lines as entries write them. */
+#include <stdio.h>
+#include <string.h>
+
+#include "edge/explain.h"
+#include "support/unit.h"
+
+#define AT(ms, instance, event, rest)                                   \
+	"{\"time\":\"2026-01-11T12:26:50." ms "Z\",\"level\":\"info\"," \
+	"\"instance\":\"" instance "\",\"event\":\"" event "\"," rest "}"
+
+static const char *const lines[] = {
+	/* As a collector may hand them over: mixed, with a prefix. */
+	"edge-2 | " AT("900", "edge-2", "cut",
+		       "\"id\":\"r2\",\"why\":\"endpoint broke off\","
+		       "\"events\":7,\"held_ms\":800"),
+	AT("100", "edge-2", "send", "\"id\":\"r2\",\"endpoint\":\"i-7\""),
+	AT("850", "edge-2", "endpoint",
+	   "\"endpoint\":\"i-7\",\"change\":\"draining\""),
+	AT("890", "edge-2", "send_ended",
+	   "\"id\":\"r2\",\"endpoint\":\"i-7\",\"outcome\":\"endpoint broke "
+	   "off\",\"status\":200"),
+	AT("300", "edge-1", "store_away", "\"why\":\"unknown\""),
+	AT("400", "edge-1", "answer",
+	   "\"id\":\"r1\",\"status\":503,\"why\":\"keys not confirmed\","
+	   "\"config_age_ms\":5100"),
+	AT("450", "edge-3", "store_back", "\"why\":\"ok\""),
+	AT("500", "edge-1", "send_ended",
+	   "\"id\":\"r3\",\"endpoint\":\"i-9\",\"outcome\":\"endpoint silent\""),
+	AT("510", "edge-1", "answer",
+	   "\"id\":\"r3\",\"status\":504,\"why\":\"out of time\""),
+	AT("520", "edge-1", "passed", "\"id\":\"r4\",\"status\":200"),
+	AT("530", "edge-1", "send", "\"id\":\"r5\",\"endpoint\":\"i-9\""),
+	"not a line of ours",
+	"",
+};
+
+static bool tell(const char *id, struct buf *out)
+{
+	struct explain *x = explain_create(id);
+	bool found;
+	size_t i;
+
+	for (i = 0; i < sizeof(lines) / sizeof(lines[0]); i++)
+		explain_line(x, lines[i]);
+	CU_ASSERT_EQUAL(explain_unread(x), 1);
+	found = explain_tell(x, out);
+	explain_free(x);
+	return found;
+}
+
+static void refused_request(void)
+{
+	BUF_AUTO out = BUF_INIT;
+
+	CU_ASSERT(tell("r1", &out));
+	CU_ASSERT_PTR_NOT_NULL(strstr(out.data, "cause: keys not confirmed\n"));
+	CU_ASSERT_PTR_NOT_NULL(strstr(out.data, "store_away why=unknown"));
+	CU_ASSERT_PTR_NULL(strstr(out.data, "store_back"));
+}
+
+static void cut_stream(void)
+{
+	BUF_AUTO out = BUF_INIT;
+	const char *send, *end;
+
+	CU_ASSERT(tell("r2", &out));
+	send = strstr(out.data, "edge-2 send endpoint=i-7");
+	end = strstr(out.data, "edge-2 cut");
+	CU_ASSERT(send && end && send < end);
+	CU_ASSERT_PTR_NOT_NULL(strstr(out.data, "deciding: "));
+	CU_ASSERT_PTR_NOT_NULL(
+		strstr(out.data, "cause: endpoint i-7: endpoint broke off\n"));
+	CU_ASSERT_PTR_NOT_NULL(strstr(out.data, "change=draining"));
+}
+
+static void timed_out_request(void)
+{
+	BUF_AUTO out = BUF_INIT;
+
+	CU_ASSERT(tell("r3", &out));
+	CU_ASSERT_PTR_NOT_NULL(
+		strstr(out.data, "cause: endpoint i-9: endpoint silent\n"));
+}
+
+static void passed_unknown_and_unfinished(void)
+{
+	BUF_AUTO out = BUF_INIT;
+	BUF_AUTO none = BUF_INIT;
+	BUF_AUTO open = BUF_INIT;
+
+	CU_ASSERT(tell("r4", &out));
+	CU_ASSERT_PTR_NOT_NULL(strstr(out.data, "the answer was passed"));
+	CU_ASSERT_FALSE(tell("r9", &none));
+	CU_ASSERT(tell("r5", &open));
+	CU_ASSERT_PTR_NOT_NULL(strstr(open.data, "no end: "));
+}
+
+static const struct unit_test tests[] = {
+	{ "a refused request", refused_request },
+	{ "a cut stream", cut_stream },
+	{ "a timed-out request", timed_out_request },
+	{ "passed, unknown and unfinished", passed_unknown_and_unfinished },
+};
+
+UNIT_MAIN("explain", tests)
--- a/tests/test_rq.c
+++ b/tests/test_rq.c
@@ -61,6 +61,9 @@
 	w->told = true;
 }
 
+/* A broken twin takes a connection that broke for "not run". */
+static bool broken_twin;
+
 static enum rq_step apply(struct rq *r, struct world *w, enum event e)
 {
 	switch (e) {
@@ -72,7 +75,8 @@
 	case LOST_LAST:
 		w->under_way = false;
 		w->ran++;
-		return rq_lost(r, e == LOST);
+		return broken_twin ? rq_refused(r, e == LOST)
+				   : rq_lost(r, e == LOST);
 	case GOOD:
 		w->under_way = false;
 		w->ran++;
@@ -142,7 +146,7 @@
 	}
 }
 
-static void all_sequences_keep_the_rules(void)
+static void explore_all(void)
 {
 	static const struct cfg_route routes[] = {
 		{ .kind = CFG_IDEMPOTENT, .max_endpoints = 1 },
@@ -164,10 +168,23 @@
 		rq_sent(&r);
 		explore(r, w, 12);
 	}
+}
+
+static void all_sequences_keep_the_rules(void)
+{
+	explore_all();
 	CU_ASSERT_EQUAL(broken, 0);
 	CU_ASSERT(sequences > 1000);
 }
 
+static void twin_that_trusts_broken_connections_is_caught(void)
+{
+	broken_twin = true;
+	explore_all();
+	broken_twin = false;
+	CU_ASSERT(broken > 0);
+}
+
 /*
  * Symptom: a transfer ran twice. Sequence: the endpoint's connection broke
  * after the request had left; it was sent to another one. Cause: taking a
@@ -257,6 +274,8 @@
 
 static const struct unit_test tests[] = {
 	{ "all sequences keep the rules", all_sequences_keep_the_rules },
+	{ "the twin that trusts broken connections is caught",
+	  twin_that_trusts_broken_connections_is_caught },
 	{ "a lost call is not repeated", lost_call_is_not_repeated },
 	{ "a refused call is sent again", refused_call_is_sent_again },
 	{ "time up while sent promises nothing",
