--- a/scripts/days.sh
+++ b/scripts/days.sh
@@ -41,6 +41,11 @@
 		>"$out" 2>&1
 	grep -E "^$name +[0-9]" "$out" | head -1 | sed "s|^|$(basename "$site" .toml) |"
 	grep -A12 -iE 'wrong, on|broken:' "$out" | head -14 >"$out.why"
+	# A day whose trouble found no target shows nothing.
+	sed -n '/^what happened/,/^$/p' "$out" |
+		grep -E '(node_|herd_|core_|kill_|replace_|roll_|srv_|release|scale_|reset_|after_)' |
+		grep -E '(_[a-z]+|release)( \([a-z_ ]*\))? *$' |
+		sed "s|^|$(basename "$site" .toml) $name: NO TARGET |" >>"$out.why"
 }
 
 seed=7
