Histograms of times on the metrics address

Cause: on-call engineers were promised latency histograms; only counters were served, and the deploy file named no metrics address.

--- a/lib/base/met.h
+++ b/lib/base/met.h
@@ -9,6 +9,7 @@
 
 #include <stdatomic.h>
 #include <stddef.h>
+#include <stdint.h>
 
 #include "base/buf.h"
 
@@ -16,6 +17,21 @@
 
 typedef atomic_llong met_value;
 
+/*
+ * A histogram of times in milliseconds, in the buckets of met_bounds_ms and
+ * one beyond; registered and printed like the counters.
+ */
+#define MET_BUCKETS 12
+#define MET_HISTOGRAMS 8
+extern const int met_bounds_ms[MET_BUCKETS];
+
+struct met_histogram {
+	const char *name;
+	const char *help;
+	met_value buckets[MET_BUCKETS + 1]; /* each alone, not summed up */
+	met_value sum_ms;
+};
+
 struct met {
 	struct {
 		const char *name;
@@ -24,6 +40,8 @@
 		met_value value;
 	} rows[MET_MAX];
 	size_t count;
+	struct met_histogram histograms[MET_HISTOGRAMS];
+	size_t nr_histograms;
 };
 
 /* Registers a counter; `name` and `help` must be literals. */
@@ -50,6 +68,10 @@
 	return atomic_load_explicit(v, memory_order_relaxed);
 }
 
+struct met_histogram *met_histogram(struct met *m, const char *name,
+				    const char *help);
+void met_observe(struct met_histogram *h, int64_t ms);
+
 /* Appends the text exposition format. */
 void met_print(struct met *m, struct buf *out);
 
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -67,6 +67,13 @@
 				      "version of the configuration in force");
 	x->endpoints = met_gauge(m, "endpoints", "endpoints known");
 	x->entries = met_gauge(m, "entries", "entries known, with this one");
+	x->first_event_ms =
+		met_histogram(m, "first_event_ms",
+			      "from a request's arrival to its first event");
+	x->answer_ms = met_histogram(m, "answer_ms",
+				     "from a request's arrival to its end");
+	x->endpoint_ms =
+		met_histogram(m, "endpoint_ms", "from a send to its end");
 }
 
 /* ---- Leaving ---- */
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -38,9 +38,9 @@
 	met_value *requests, *passed, *refused, *failed, *cut, *gone, *denied;
 	met_value *sends, *resends, *resumes, *not_run, *lost;
 	met_value *store_calls, *store_failures, *refreshes;
-	met_value *opened, *reused;
 	met_value *usage_reports, *scale_orders;
 	met_value *lines_dropped, *config_version, *endpoints, *entries;
+	struct met_histogram *first_event_ms, *answer_ms, *endpoint_ms;
 };
 
 struct edge_budget {
--- a/lib/edge/edge_send.c
+++ b/lib/edge/edge_send.c
@@ -97,6 +97,7 @@
 	struct edge *en = r->en;
 	const int64_t now = edge_now(en);
 
+	met_observe(en->m.endpoint_ms, now - r->sent_ms);
 	jlog_begin(en->log, JLOG_INFO, "send_ended");
 	jlog_str(en->log, "id", r->a.id);
 	jlog_str(en->log, "endpoint", r->endpoint->info.id);
@@ -254,8 +255,11 @@
 	if (!n)
 		return;
 	if (!r->first_ms || r->prefill_tokens > 0) {
-		if (!r->first_ms)
+		if (!r->first_ms) {
 			r->first_ms = edge_now(en);
+			met_observe(en->m.first_event_ms,
+				    r->first_ms - r->arrived_ms);
+		}
 		first_event_seen(r);
 		count_run(r, truth_now(&en->truth, edge_now(en)));
 	}
@@ -283,6 +287,7 @@
 	const int64_t now = edge_now(en);
 
 	met_inc(en->m.passed);
+	met_observe(en->m.answer_ms, now - r->arrived_ms);
 	jlog_begin(en->log, JLOG_INFO, "passed");
 	jlog_str(en->log, "id", r->a.id);
 	jlog_int(en->log, "status", r->reply.status);
--- a/scripts/edge_test.sh
+++ b/scripts/edge_test.sh
@@ -67,6 +67,9 @@
 expect "metrics" eval \
 	"curl -s http://$(address 1 peers)/metrics | grep -q '^marldock_answers_passed_total [1-9]'"
 
+expect "histograms of times" eval \
+	"curl -s http://$(address 1 peers)/metrics | grep -q '^marldock_answer_ms_count [1-9]'"
+
 # ---- Configuration ----
 put_document 3 '"k2"'
 expect "a key that was taken away is refused" answers 401 3 taken /l/x
--- a/tests/test_base.c
+++ b/tests/test_base.c
@@ -290,7 +290,29 @@
 				       "marldock_x_total 3\n");
 }
 
+static void histograms_sum_up(void)
+{
+	static struct met m;
+	struct met_histogram *h = met_histogram(&m, "t_ms", "a time");
+	BUF_AUTO out = BUF_INIT;
+
+	met_observe(h, 5);
+	met_observe(h, 6);
+	met_observe(h, 99999);
+	met_print(&m, &out);
+	CU_ASSERT_PTR_NOT_NULL(strstr(out.data, "marldock_t_ms histogram\n"));
+	CU_ASSERT_PTR_NOT_NULL(strstr(out.data, "t_ms_bucket{le=\"5\"} 1\n"));
+	CU_ASSERT_PTR_NOT_NULL(strstr(out.data, "t_ms_bucket{le=\"10\"} 2\n"));
+	CU_ASSERT_PTR_NOT_NULL(
+		strstr(out.data, "t_ms_bucket{le=\"12000\"} 2\n"));
+	CU_ASSERT_PTR_NOT_NULL(
+		strstr(out.data, "t_ms_bucket{le=\"+Inf\"} 3\n"));
+	CU_ASSERT_PTR_NOT_NULL(strstr(out.data, "t_ms_sum 100010\n"));
+	CU_ASSERT_PTR_NOT_NULL(strstr(out.data, "t_ms_count 3\n"));
+}
+
 static const struct unit_test tests[] = {
+	{ "histograms sum up", histograms_sum_up },
 	{ "json errors have positions", json_errors },
 	{ "json comments and defaults", json_comments },
 	{ "document errors", document_errors },
