The process test waits for the version before it is overwritten

Traced: the test saw version 4 at entry 1 and overwrote it at once with one that cannot be read; entry 2 was in the 250 ms between two watches, and the stand-in, like a store with one value a key, tells an overwritten write to nobody. Shown by putting versions 3, 4 and a broken 5 within that pause: all entries stay at 3, three times of three; without the pause all have 4.

Ruled out: the entry going back, or losing a version it had (the lines show none); they answer 503, not confirmed, in that case, which is right.

Change: the test waits until entry 2 serves version 4 (one check more); lines of a process that was restarted are kept, so that the last checks see them.

--- a/scripts/edge_cluster.sh
+++ b/scripts/edge_cluster.sh
@@ -22,6 +22,9 @@
 # start_edge N [FIRST_START]
 start_edge() {
 	edge_settings "$1" "$2" >"$DIR/edge-$1.json"
+	# The lines of the process before are kept.
+	[ -s "$DIR/edge-$1.out" ] &&
+		mv "$DIR/edge-$1.out" "$DIR/edge-$1-before-$(date +%s%N).out"
 	: >"$DIR/edge-$1.out"
 	start "edge-$1" "$BIN/marldock-edge" -s "$DIR/edge-$1.json"
 	wait_for grep -q '"event":"start"' "$DIR/edge-$1.out"
--- a/scripts/edge_test.sh
+++ b/scripts/edge_test.sh
@@ -77,6 +77,8 @@
 expect "the other one works" is "$(request 3 kept-1 /l/x)" 200
 put_document 4 '"k2"' ',{"name":"more","host":"t.example","prefix":"/m/","routeKind":"safe","timeoutMs":1500,"service":"app","maxAttempts":2}'
 expect "a route that was added is served" answers 200 1 more /m/x
+# The next version overwrites this one: entry 2 must have seen it before.
+expect "at the other entries too" answers 200 2 more-too /m/x
 put_document 5 'broken'
 expect "a version that cannot be read is logged" \
 	wait_for grep -q '"event":"store_value_unreadable"' "$DIR/edge-2.out"
@@ -146,7 +148,7 @@
 # ---- Duties ----
 RUNS=$(seen usage)
 expect "usage is reported" [ "$RUNS" -gt 0 ]
-HOLDER=$(grep -l '"event":"usage_report"' "$DIR"/edge-*.out | tail -1)
+HOLDER=$(grep -l '"event":"usage_report"' "$DIR"/edge-[0-9].out | tail -1)
 HOLDER=$(basename "$HOLDER" .out)
 kill -9 "$(pid_of "$HOLDER")" 2>/dev/null
 start_edge "${HOLDER#edge-}" false
