Code that nobody calls is gone from the entry and its HTTP calls

Cause: reading the whole change once more. htc_peer_trim, htc_on_kept, htc_pause and edge_duty_close had no caller; the wait for an endpoint was never entered, so its half of on_again was unreachable; one field was never read.

Change: those are taken out; what is left of the wait is one flag.

--- a/lib/edge/edge_duty.c
+++ b/lib/edge/edge_duty.c
@@ -297,14 +297,6 @@
 	htc_peer_init(&d->cloud, en->loop, en->clk, &addr, &cloud_limits);
 }
 
-void edge_duty_close(struct edge *en)
-{
-	buf_free(&en->duty->counts);
-	edge_scale_forget(en->duty);
-	free(en->duty);
-	en->duty = NULL;
-}
-
 void edge_duty_tick(struct edge *en, int64_t now)
 {
 	struct edge_duty *d = en->duty;
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -81,8 +81,7 @@
 	int64_t follow_after_ms;	/* no entry is followed before */
 	struct force force;
 	bool refreshing;
-	int64_t refresh_ms;    /* when the last one was started */
-	int64_t store_back_ms; /* the store's last return, 0: never away */
+	int64_t refresh_ms;		/* when the last one was started */
 	struct cds_list_head verifying; /* of edge_req.wait_node */
 	struct edge_lease lease;
 
@@ -111,13 +110,6 @@
 	int64_t stop_ms; /* when SIGTERM came */
 };
 
-/* What an attempt of a caller waits for. */
-enum edge_wait {
-	EDGE_WAIT_NONE,
-	EDGE_WAIT_VERIFY,   /* the newest configuration */
-	EDGE_WAIT_ENDPOINT, /* an endpoint that can take it */
-};
-
 struct edge_req {
 	struct cds_list_head node;	/* in edge.requests */
 	struct cds_list_head wait_node; /* in edge.verifying */
@@ -129,14 +121,14 @@
 	const struct cfg_service *service;
 	struct attempt a;
 	struct rq rq;
-	enum edge_wait wait;
+	bool waiting;  /* in edge.verifying, for the newest configuration */
 	bool verified; /* the configuration was asked for since it came */
 	int64_t arrived_ms;
 	int64_t until_ms; /* deadline and route's time-out */
 	int64_t sent_true_ms;
 	int64_t sent_ms;
 	ev_timer timer; /* until_ms */
-	ev_timer again; /* the next look for an endpoint */
+	ev_timer again; /* the wait for the configuration is over */
 	double charged; /* of the account's limit */
 
 	struct flt_endpoint *endpoint; /* of the send under way */
@@ -204,7 +196,6 @@
 
 /* ---- edge_duty.c ---- */
 void edge_duty_open(struct edge *en);
-void edge_duty_close(struct edge *en);
 void edge_duty_tick(struct edge *en, int64_t now);
 void edge_duty_count(struct edge_req *r, int64_t true_ms);
 
--- a/lib/edge/edge_req.c
+++ b/lib/edge/edge_req.c
@@ -45,7 +45,7 @@
 	ev_timer_stop(en->loop, &r->timer);
 	ev_timer_stop(en->loop, &r->again);
 	edge_send_stop(r);
-	if (r->wait == EDGE_WAIT_VERIFY)
+	if (r->waiting)
 		cds_list_del(&r->wait_node);
 	cds_list_del(&r->node);
 	cfg_put(r->cfg);
@@ -130,7 +130,7 @@
 	jlog_str(en->log, "else", otherwise);
 	jlog_int(en->log, "config_age_ms", force_age(&en->force, edge_now(en)));
 	jlog_end(en->log);
-	r->wait = EDGE_WAIT_VERIFY;
+	r->waiting = true;
 	cds_list_add_tail(&r->wait_node, &en->verifying);
 	ev_timer_stop(en->loop, &r->again);
 	ev_timer_set(&r->again, (double)VERIFY_WAIT_MS / 1000, 0);
@@ -337,7 +337,7 @@
 	CDS_INIT_LIST_HEAD(&en->verifying);
 	cds_list_for_each_entry_safe(r, next, &all, wait_node) {
 		cds_list_del(&r->wait_node);
-		r->wait = EDGE_WAIT_NONE;
+		r->waiting = false;
 		r->verified = true;
 		ev_timer_stop(en->loop, &r->again);
 		admit(r);
@@ -350,15 +350,10 @@
 
 	(void)revents;
 	ev_timer_stop(loop, t);
-	if (r->wait == EDGE_WAIT_VERIFY) {
-		cds_list_del(&r->wait_node);
-		r->wait = EDGE_WAIT_NONE;
-		r->verified = true;
-		admit(r);
-		return;
-	}
-	r->wait = EDGE_WAIT_NONE;
-	edge_send(r);
+	cds_list_del(&r->wait_node);
+	r->waiting = false;
+	r->verified = true;
+	admit(r);
 }
 
 static void on_time_up(struct ev_loop *loop, ev_timer *t, int revents)
--- a/lib/io/htc.c
+++ b/lib/io/htc.c
@@ -37,7 +37,6 @@
 	struct htc_conn *conn;
 	int64_t until_ms; /* 0: no bound */
 	bool no_body;
-	bool kept;
 	bool answered; /* the head was given to the owner */
 };
 
@@ -310,17 +309,6 @@
 	return idle < k->keep_ms && idle < max_idle_ms;
 }
 
-void htc_peer_trim(struct htc_peer *p)
-{
-	const int64_t now = clk_boot_ms(p->clk);
-	struct htc_conn *k, *next;
-
-	cds_list_for_each_entry_safe(k, next, &p->idle, node) {
-		if (!fit(k, now, INT64_MAX))
-			conn_free(k, false);
-	}
-}
-
 /* The connection used last is the least likely to be closing. */
 static struct htc_conn *take_idle(struct htc_peer *p, int fresh_ms)
 {
@@ -379,7 +367,6 @@
 	c->owner = owner;
 	c->conn = k;
 	c->no_body = no_body;
-	c->kept = kept;
 	c->until_ms = total_ms ? clk_boot_ms(p->clk) + total_ms : 0;
 	k->call = c;
 	k->wire_len = wire->len;
@@ -420,13 +407,3 @@
 {
 	return c->conn->io->sent > c->conn->sent_at;
 }
-
-bool htc_on_kept(const struct htc_call *c)
-{
-	return c->kept;
-}
-
-void htc_pause(struct htc_call *c, bool paused)
-{
-	ioc_pause(c->conn->io, paused);
-}
--- a/lib/io/htc.h
+++ b/lib/io/htc.h
@@ -67,9 +67,6 @@
 /* Closes idle connections. No call may be under way. */
 void htc_peer_close(struct htc_peer *p);
 
-/* Closes idle connections that are no longer fit for use. */
-void htc_peer_trim(struct htc_peer *p);
-
 /*
  * Starts a call. `wire` is the whole request, taken over (left empty).
  * `fresh_ms`: use kept connections only if idle for less (0: the default).
@@ -92,10 +89,4 @@
 /* True once a byte of the request may have reached the peer. */
 bool htc_sent(const struct htc_call *c);
 
-/* True if the call runs on a connection that served another one before. */
-bool htc_on_kept(const struct htc_call *c);
-
-/* Stops or restarts reading of the answer. */
-void htc_pause(struct htc_call *c, bool paused);
-
 #endif
