The duty of a former boot is taken over at once

Cause: after all entries were killed at once the key of the dead holder stood until its lease ran out, and its entry stayed away for the time of a lease: for five seconds nobody ordered endpoints while two zones were reclaimed.

Change: a key that names this entry in a boot before this one is written anew under the condition of its revision. Nobody else has acted since, or it would name another; the fence rises, and the settling time holds as ever.

--- a/lib/duty/lead.c
+++ b/lib/duty/lead.c
@@ -19,12 +19,14 @@
 	l->not_before_ms = now + l->stay_away_ms;
 }
 
-void lead_seen(struct lead *l, bool mine, int64_t revision, int64_t now)
+void lead_seen(struct lead *l, enum lead_whose whose, int64_t revision,
+	       int64_t now)
 {
 	if (l->mine && revision < l->fence)
 		return;
 	l->taken = true;
-	if (!mine) {
+	l->former = whose == LEAD_FORMER ? revision : 0;
+	if (whose != LEAD_MINE) {
 		step_down(l, now);
 		return;
 	}
@@ -42,6 +44,7 @@
 	if (l->taken)
 		l->vacant_ms = now;
 	l->taken = false;
+	l->former = 0;
 	step_down(l, now);
 }
 
@@ -50,10 +53,17 @@
 	return place < 0 ? LEAD_OTHERS_MS : (int64_t)place * LEAD_STEP_MS;
 }
 
+static bool due(const struct lead *l, int place, int64_t now)
+{
+	if (l->former)
+		return now >= l->former_ms;
+	return !l->taken && now >= l->not_before_ms &&
+	       now >= l->vacant_ms + turn_of(place);
+}
+
 bool lead_try(struct lead *l, int place, int64_t lease_until, int64_t now)
 {
-	if (l->taken || l->trying || now < l->not_before_ms ||
-	    now < l->vacant_ms + turn_of(place))
+	if (l->trying || !due(l, place, now))
 		return false;
 	if (now >= lease_until - LEAD_MARGIN_MS)
 		return false;
@@ -61,11 +71,17 @@
 	return true;
 }
 
+int64_t lead_expected(const struct lead *l)
+{
+	return l->former;
+}
+
 void lead_tried(struct lead *l, bool taken, int64_t revision, int64_t now)
 {
 	l->trying = false;
+	l->former_ms = now + LEAD_AGAIN_MS;
 	if (taken)
-		lead_seen(l, true, revision, now);
+		lead_seen(l, LEAD_MINE, revision, now);
 	else if (l->not_before_ms < now + LEAD_AGAIN_MS)
 		l->not_before_ms = now + LEAD_AGAIN_MS;
 }
--- a/lib/duty/lead.h
+++ b/lib/duty/lead.h
@@ -41,6 +41,13 @@
 /* At the very first start entries hear of each other within this time. */
 #define LEAD_MEET_MS 700
 
+/* Whom the store's key names. */
+enum lead_whose {
+	LEAD_OTHERS, /* another entry */
+	LEAD_MINE,   /* this boot */
+	LEAD_FORMER, /* this entry, in a boot before this one, which is dead */
+};
+
 struct lead {
 	int64_t stay_away_ms;  /* after holding, or after the start */
 	bool taken;	       /* the key stands, as far as we know */
@@ -49,7 +56,9 @@
 	int64_t since_ms;      /* we hold it */
 	int64_t not_before_ms; /* no attempt to take it before */
 	int64_t vacant_ms;     /* nobody holds it since, as far as we know */
-	bool trying;	       /* a write to take it is under way */
+	int64_t former;	   /* revision that our former boot wrote; 0: none */
+	int64_t former_ms; /* it is not tried again before */
+	bool trying;	   /* a write to take it is under way */
 };
 
 /*
@@ -58,20 +67,27 @@
  */
 void lead_init(struct lead *l, int64_t away_ms, int64_t now_ms);
 
-/* The store's key, as seen: its revision and whether it names this boot. */
-void lead_seen(struct lead *l, bool mine, int64_t revision, int64_t now_ms);
+/* The store's key, as seen: its revision and whom it names. */
+void lead_seen(struct lead *l, enum lead_whose whose, int64_t revision,
+	       int64_t now_ms);
 
 /* The key was gone at `revision`. Words older than our own write are late. */
 void lead_vacant(struct lead *l, int64_t revision, int64_t now_ms);
 
 /*
- * True if the key should be written now, under the condition that it does
- * not stand. `place`: ours among those that should hold it, from 0; -1: none.
+ * True if the key should be written now, under the condition that its
+ * revision is still lead_expected(). A key that our former boot left is taken
+ * over at once: nobody else has acted since, or it would name another. When
+ * all entries were killed at once nobody ordered endpoints for five seconds
+ * without that, and the lease had to run out first. `place`: ours among those that should hold it, from 0; -1: none.
  * `lease_until_ms`: our lease is known to run until then.
  */
 bool lead_try(struct lead *l, int place, int64_t lease_until_ms,
 	      int64_t now_ms);
 
+/* The revision that the key must have when it is written; 0: none stands. */
+int64_t lead_expected(const struct lead *l);
+
 /* The write ended: `taken` with its revision, or not (or unknown: then the
  * key itself will show). */
 void lead_tried(struct lead *l, bool taken, int64_t revision, int64_t now_ms);
--- a/lib/edge/edge_lease.c
+++ b/lib/edge/edge_lease.c
@@ -170,11 +170,13 @@
 	if (!en->conf->cloud.address[0] || !en->lease.registered ||
 	    en->stopping || !en->mirror.whole)
 		return;
-	if (en->lead.taken || !lead_try(&en->lead, edge_watch_place(en, now),
-					en->lease.until_ms, now))
+	if ((en->lead.taken && !en->lead.former) ||
+	    !lead_try(&en->lead, edge_watch_place(en, now), en->lease.until_ms,
+		      now))
 		return;
 	edge_lease_holder(en, mine, sizeof(mine));
-	c.conditions[0] = (struct sto_condition){ EDGE_DUTY_KEY, 0 };
+	c.conditions[0] = (struct sto_condition){ EDGE_DUTY_KEY,
+						  lead_expected(&en->lead) };
 	c.rows[0] = (struct sto_row){ EDGE_DUTY_KEY, mine, strlen(mine),
 				      en->lease.id };
 	met_inc(en->m.store_calls);
--- a/lib/edge/edge_store.c
+++ b/lib/edge/edge_store.c
@@ -144,16 +144,27 @@
 	jlog_end(en->log);
 }
 
+static enum lead_whose whose_duty(const struct edge *en, const char *value,
+				  size_t len)
+{
+	char mine[128];
+
+	edge_lease_holder(en, mine, sizeof(mine));
+	if (strlen(mine) == len && !memcmp(mine, value, len))
+		return LEAD_MINE;
+	if (!strcmp(en->duty_holder, en->conf->name))
+		return LEAD_FORMER;
+	return LEAD_OTHERS;
+}
+
 static void take_duty(struct edge *en, const char *value, size_t len,
 		      int64_t revision)
 {
-	char mine[128];
 	const bool was = en->lead.mine;
 
 	edge_lease_entry(value, len, en->duty_holder, sizeof(en->duty_holder));
-	edge_lease_holder(en, mine, sizeof(mine));
-	lead_seen(&en->lead, strlen(mine) == len && !memcmp(mine, value, len),
-		  revision, edge_now(en));
+	lead_seen(&en->lead, whose_duty(en, value, len), revision,
+		  edge_now(en));
 	if (was == en->lead.mine)
 		return;
 	jlog_begin(en->log, JLOG_INFO, "duty");
--- a/tests/test_duties.c
+++ b/tests/test_duties.c
@@ -22,6 +22,7 @@
 	int64_t frozen_till; /* it does nothing before */
 	int64_t renewal;     /* answer under way, asked then; 0: none */
 	int64_t watch_at;    /* its watch catches up then; 0: it is up */
+	int boot;	     /* rises with each start */
 	bool down;
 };
 
@@ -35,6 +36,7 @@
 struct world {
 	struct node nodes[NODES];
 	int holder; /* in the store; -1: none */
+	int holder_boot;
 	int64_t fence, lease_end, revision;
 	struct cloud cloud;
 	int64_t margin; /* of the broken twin: 0 */
@@ -74,13 +76,20 @@
 	}
 }
 
+static enum lead_whose whose(const struct world *w, const struct node *x, int n)
+{
+	if (w->holder != n)
+		return LEAD_OTHERS;
+	return w->holder_boot == x->boot ? LEAD_MINE : LEAD_FORMER;
+}
+
 /* A frozen node's watch catches up when it wakes. */
 static void catch_up(struct world *w, struct node *x, int n, int64_t now)
 {
 	if (w->holder < 0)
 		lead_vacant(&x->lead, w->revision, now);
 	else
-		lead_seen(&x->lead, w->holder == n, w->fence, now);
+		lead_seen(&x->lead, whose(w, x, n), w->fence, now);
 }
 
 static void renew(struct world *w, struct node *x, int n, int64_t now,
@@ -108,14 +117,17 @@
 	}
 	if (x->down) {
 		x->down = false;
+		x->boot++;
 		lead_init(&x->lead, AWAY, now);
 		catch_up(w, x, n, now);
 	}
 	if (lead_try(&x->lead, n, now + LEASE, now)) {
-		const bool free_now = w->holder < 0;
+		const int64_t stands = w->holder < 0 ? 0 : w->fence;
+		const bool free_now = lead_expected(&x->lead) == stands;
 
 		if (free_now) {
 			w->holder = n;
+			w->holder_boot = x->boot;
 			w->fence = ++w->revision;
 			w->lease_end = now + LEASE;
 			x->until = now + LEASE;
@@ -212,7 +224,7 @@
 	CU_ASSERT_FALSE(lead_try(&l, 0, 10000, AWAY));
 	lead_tried(&l, true, 50, AWAY);
 	lead_vacant(&l, 49, AWAY + 1);
-	lead_seen(&l, false, 40, AWAY + 2);
+	lead_seen(&l, LEAD_OTHERS, 40, AWAY + 2);
 	CU_ASSERT(l.mine);
 	CU_ASSERT_FALSE(lead_may_act(&l, 20000, AWAY + 10));
 	CU_ASSERT(lead_may_act(&l, 20000, AWAY + LEAD_SETTLE_MS));
@@ -224,6 +236,36 @@
 	CU_ASSERT(lead_try(&l, 0, 20000, 9000 + AWAY));
 }
 
+/*
+ * Symptom: for five seconds after all entries were killed at once nobody
+ * ordered endpoints, while zones of them were reclaimed. Sequence: the key of
+ * the dead holder stood until its lease ran out, and the entry that had held
+ * it stayed away as a former holder. Cause: a key that names a dead boot of
+ * this entry taken for another's.
+ */
+static void duty_of_a_former_boot_is_taken_over(void)
+{
+	struct lead l;
+
+	lead_init(&l, AWAY, 0);
+	lead_seen(&l, LEAD_FORMER, 40, 100);
+	CU_ASSERT(lead_try(&l, -1, 20000, 100));
+	CU_ASSERT_EQUAL(lead_expected(&l), 40);
+	lead_tried(&l, true, 41, 110);
+	CU_ASSERT(l.mine);
+	CU_ASSERT_EQUAL(l.fence, 41);
+	CU_ASSERT_FALSE(lead_may_act(&l, 20000, 110));
+	CU_ASSERT(lead_may_act(&l, 20000, 110 + LEAD_SETTLE_MS));
+
+	/* Another one holds it, or held it since: as before. */
+	lead_init(&l, AWAY, 0);
+	lead_seen(&l, LEAD_OTHERS, 40, 100);
+	CU_ASSERT_FALSE(lead_try(&l, 0, 20000, 200));
+	lead_vacant(&l, 45, 300);
+	CU_ASSERT_FALSE(lead_try(&l, 0, 20000, 300));
+	CU_ASSERT_EQUAL(lead_expected(&l), 0);
+}
+
 /* ---- Usage ---- */
 
 /*
@@ -248,7 +290,7 @@
 		taken_ms = 0;
 		for (i = 0; i < MANY; i++) {
 			lead_init(&all[i], AWAY, -AWAY);
-			lead_seen(&all[i], false, 5, 0);
+			lead_seen(&all[i], LEAD_OTHERS, 5, 0);
 			lead_vacant(&all[i], 6, 1000);
 		}
 		/* Those that rank before `first` are dead. */
@@ -257,7 +299,7 @@
 				const int place = i < RANKED ? i : -1;
 
 				if (taken_ms && now >= taken_ms + SEEN_AFTER_MS)
-					lead_seen(&all[i], false, 7, now);
+					lead_seen(&all[i], LEAD_OTHERS, 7, now);
 				if (!lead_try(&all[i], place, now + LEASE, now))
 					continue;
 				tries++;
@@ -589,6 +631,8 @@
 	{ "the twin without a margin is caught",
 	  twin_without_margin_is_caught },
 	{ "late words do not depose", late_words_do_not_depose },
+	{ "the duty of a former boot is taken over",
+	  duty_of_a_former_boot_is_taken_over },
 	{ "few try to take a vacant duty", few_try_to_take_a_vacant_duty },
 	{ "counts of the dead stay", counts_of_the_dead_stay },
 	{ "jumps of the clock are not time", jumps_of_the_clock_are_not_time },
