A stream handed on is tested with real processes

The stand-in stops and copies a run, and goes on from its copy once. The test: an endpoint is drained in the middle of a stream that may run once, and breaks off; the stream is whole, in order, and its run was copied.

--- a/scripts/edge_test.sh
+++ b/scripts/edge_test.sh
@@ -118,6 +118,26 @@
 expect "resumed streams are whole and in order" is "$(wc -l <"$DIR/torn")" 0
 platform_test 'heal?id=i-1' >/dev/null
 
+# Symptom: a stream that may run once is cut when its endpoint is taken away.
+# Sequence: the endpoint leaves, and breaks off in the middle of the answer.
+# Cause: nothing but its own end was waited for. It is handed to another one.
+platform_test 'gap?ms=150' >/dev/null
+request 1 move-1 /o/x -d hello >"$DIR/move.status" &
+CALL=$!
+wait_for grep -q '"event":"send","id":"move-1"' "$DIR/edge-1.out"
+FROM=$(grep '"event":"send","id":"move-1"' "$DIR/edge-1.out" |
+	sed 's/.*"endpoint":"\([^"]*\)".*/\1/')
+sleep 0.3 # it begins
+platform_test "drain?id=$FROM" >/dev/null
+platform_test "break?id=$FROM" >/dev/null
+wait $CALL
+expect "a stream on a leaving endpoint is finished" \
+	is "$(cat "$DIR/move.status")" 200
+expect "whole and in order, too" whole_stream
+expect "its run was copied to another one" \
+	grep -q '"event":"move","id":"move-1".*"outcome":"copied"' "$DIR/edge-1.out"
+platform_test 'gap?ms=10' >/dev/null
+
 # ---- Leaving, dying ----
 request 2 term-1 /s/x -d hello >"$DIR/term.status" &
 CALL=$!
--- a/tests/standin/platform.c
+++ b/tests/standin/platform.c
@@ -21,6 +21,7 @@
 #define MAX_RUNS 20000
 #define MAX_ENDPOINTS 32
 #define HISTORY 4096
+#define MAX_COPIES 64
 
 struct item {
 	char key[200];
@@ -55,8 +56,15 @@
 	char prefix[200];
 };
 
+/* Memory of a run that was stopped and copied. */
+struct copy {
+	char id[80]; /* of the attempt */
+	bool used;
+};
+
 struct stream {
 	struct cds_list_head node;
+	char id[80];
 	struct hsc *conn;
 	struct endpoint *at;
 	int next, last;
@@ -83,6 +91,8 @@
 	struct endpoint endpoints[MAX_ENDPOINTS];
 	int nr_endpoints;
 	struct cds_list_head watchers, streams;
+	struct copy copies[MAX_COPIES];
+	int nr_copies;
 	int64_t down_until_ms;
 	int gap_ms;
 	int nr_usage, nr_scale, wrong_fence, usage_twice;
@@ -464,6 +474,7 @@
 
 	put_head(&out, 200, id, true);
 	hsc_write(c, out.data, out.len);
+	str_copy(s->id, id, sizeof(s->id));
 	s->conn = c;
 	s->at = e;
 	s->next = after ? atoi(after) + 1 : 1;
@@ -489,22 +500,91 @@
 	hsc_done(c, false);
 }
 
+/* Ends a stream without its end. */
+static void cut_stream(struct stream *s)
+{
+	cds_list_del(&s->node);
+	s->conn->request = NULL;
+	hsc_cut(s->conn);
+	free(s);
+}
+
+/* A run is stopped, and its memory copied. */
+static void move_run(struct endpoint *e, struct hsc *c)
+{
+	JSN_AUTO *o = jsn_parse(buf_cstr(&c->body), c->body.len);
+	const char *id = jsn_str(o, "id", "");
+	struct stream *s;
+	char text[80];
+
+	cds_list_for_each_entry(s, &w.streams, node) {
+		if (s->at != e || strcmp(s->id, id))
+			continue;
+		if (w.nr_copies == MAX_COPIES || !jsn_bool(o, "last", false))
+			break;
+		str_copy(w.copies[w.nr_copies].id, id,
+			 sizeof(w.copies[0].id));
+		snprintf(text, sizeof(text),
+			 "{\"handle\":\"h-%d\",\"created\":%d}", w.nr_copies++,
+			 s->next - 1);
+		cut_stream(s);
+		reply(c, 200, text);
+		return;
+	}
+	reply(c, 404, "{}");
+}
+
+/* True if the request names a copy of its own run that was not used yet. */
+static bool take_copy(const char *from, const char *id)
+{
+	const char *handle = strstr(from, "/h-");
+	const int n = handle ? atoi(handle + 3) : w.nr_copies;
+
+	if (n >= w.nr_copies || w.copies[n].used ||
+	    strcmp(w.copies[n].id, id))
+		return false;
+	w.copies[n].used = true;
+	return true;
+}
+
+static void refuse_copy(struct hsc *c)
+{
+	BUF_AUTO out = BUF_INIT;
+
+	hmsg_put_status(&out, 503);
+	hmsg_put(&out, "Not-Executed", "1");
+	hmsg_put_int(&out, "Content-Length", 0);
+	hmsg_put_end(&out);
+	hsc_write(c, out.data, out.len);
+	hsc_done(c, false);
+}
+
 static void endpoint_request(struct hsc *c)
 {
 	struct endpoint *e = c->server->owner;
 	const struct hmsg *m = &c->parse.msg;
 	const char *id = hmsg_find(m, "Attempt-Id");
 	const char *expected = hmsg_find(m, "Expect-Replica");
+	const char *copy = hmsg_find(m, "Kv-From");
 	struct run *r;
 
+	if (!strcmp(hmsg_url(m), "/v1/kv-move")) {
+		move_run(e, c);
+		return;
+	}
 	if (!id || !expected || strcmp(expected, e->id)) {
 		reply(c, 421, "{}");
 		return;
 	}
 	if (e->draining)
 		e->seen++;
+	if (copy && !take_copy(copy, id)) {
+		refuse_copy(c);
+		return;
+	}
 	r = run_of(id);
-	r->times++;
+	/* From its copy it is the same run. */
+	r->times += !copy;
 	r->once = !strncmp(hmsg_url(m), "/u/", 3) ||
 		  !strncmp(hmsg_url(m), "/o/", 3);
 	r->endpoint = (int)(e - w.endpoints);
@@ -564,10 +644,7 @@
 		/* In the middle of an event. */
 		hmsg_put_chunk(&out, "id: 999\nda", 10);
 		hsc_write(s->conn, out.data, out.len);
-		cds_list_del(&s->node);
-		s->conn->request = NULL;
-		hsc_cut(s->conn);
-		free(s);
+		cut_stream(s);
 		return;
 	}
 	buf_fmt(&event, "id: %d\ndata: piece %d\n\n", s->next, s->next);
@@ -639,6 +716,9 @@
 	} else if (!strncmp(url, "/test/down", 10)) {
 		hmsg_query(url, "ms", number, sizeof(number));
 		w.down_until_ms = now_ms() + atoll(number);
+	} else if (!strncmp(url, "/test/gap", 9)) {
+		hmsg_query(url, "ms", number, sizeof(number));
+		w.gap_ms = atoi(number);
 	} else if (!strncmp(url, "/test/forget", 12)) {
 		w.forgotten = w.revision;
 	} else if (e && !strncmp(url, "/test/drain", 11)) {
