--- a/tests/standin/platform.c
+++ b/tests/standin/platform.c
@@ -522,8 +522,7 @@
 			continue;
 		if (w.nr_copies == MAX_COPIES || !jsn_bool(o, "last", false))
 			break;
-		str_copy(w.copies[w.nr_copies].id, id,
-			 sizeof(w.copies[0].id));
+		str_copy(w.copies[w.nr_copies].id, id, sizeof(w.copies[0].id));
 		snprintf(text, sizeof(text),
 			 "{\"handle\":\"h-%d\",\"created\":%d}", w.nr_copies++,
 			 s->next - 1);
@@ -540,8 +539,7 @@
 	const char *handle = strstr(from, "/h-");
 	const int n = handle ? atoi(handle + 3) : w.nr_copies;
 
-	if (n >= w.nr_copies || w.copies[n].used ||
-	    strcmp(w.copies[n].id, id))
+	if (n >= w.nr_copies || w.copies[n].used || strcmp(w.copies[n].id, id))
 		return false;
 	w.copies[n].used = true;
 	return true;
