A fault soak of real processes behind proxies

Three entries reach the store, and callers the entries, through proxies that delay, hold one or both ways, and reset; entries are killed, frozen, told to stop and killed while they leave; the store goes away, its history is lost, endpoints fail and break off. Faults overlap. Checked from what callers were told and endpoints ran: at most once, "not run" true, streams whole and in order, fences and reports, and that every start succeeded. A short run with two seeds is part of make check, make fault-soak takes fresh ones.

--- a/Makefile
+++ b/Makefile
@@ -130,6 +130,12 @@
 		UNIT_SEEDS=$(SEEDS) $(BUILD)/tests/test_$$t || exit 1; done
 	$(BUILD)/tests/fuzz_edge $$(($(SEEDS) * 10))
 
+SOAK_SECONDS = 10
+SOAK_SEEDS = $(shell shuf -i 1000-999999 -n 10)
+.PHONY: fault-soak
+fault-soak: all
+	BIN=$(BUILD)/bin scripts/fault_soak.sh $(SOAK_SECONDS) $(SOAK_SEEDS)
+
 bench: all $(BENCHES)
 	scripts/bench.sh $(BUILD)
 
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -40,6 +40,9 @@
 	add process_test $?
 	BIN=$BUILD/bin scripts/edge_test.sh >"$OUT" 2>&1
 	add edge_test $?
+	# A short run; seeds that ever failed are to be added here.
+	BIN=$BUILD/bin scripts/fault_soak.sh 4 1 2 >"$OUT" 2>&1
+	add fault_soak $?
 fi
 rm -f "$OUT"
 echo "$passed passed, $failed failed"
--- /dev/null
+++ b/scripts/fault_soak.sh
@@ -0,0 +1,166 @@
+#!/bin/bash
+# A randomized soak of the entry as real processes: entries reach the store
+# and callers the entries through proxies that delay, hold and reset; entries
+# are killed, frozen, stopped in order and started again; the store goes away;
+# endpoints fail, break off and leave. Faults overlap. What callers and the
+# stand-ins saw is checked against the promises.
+# Usage: fault_soak.sh SECONDS SEED...
+cd "$(dirname "$0")/.." || exit 1
+. scripts/cluster.sh
+. scripts/edge_cluster.sh
+trap cluster_stop EXIT
+SECONDS_EACH=$1
+shift
+EDGES=3
+CALLERS=4
+BASE=$DIR
+
+# proxy NAME TO: starts a proxy, prints its address.
+proxy() {
+	echo pass >"$DIR/$1.mode"
+	start "$1" "$BIN/standin-proxy" --to "$2" --mode "$DIR/$1.mode"
+	PROXY=$(ready "$1")
+}
+
+mode() { echo "$2" >"$DIR/$1.mode"; }
+
+# Each caller asks entry after entry, by way of the proxies, and notes what
+# it was told: ID PATH STATUS EVENTS LAST.
+caller() {
+	local k=$1 n=0 id path at status
+	RANDOM=$((SEED * 100 + k))
+	while [ ! -e "$DIR/stop" ]; do
+		n=$((n + 1))
+		id=c$k-$n
+		case $((RANDOM % 4)) in
+		0) path=/l/x ;;
+		1) path=/u/x ;;
+		2) path=/s/x ;;
+		3) path=/o/x ;;
+		esac
+		at=$(cat "$DIR/front-$((RANDOM % EDGES + 1))" 2>/dev/null)
+		status=$(curl -s -m 8 -o "$DIR/body-$k" -w '%{http_code}' \
+			-H 'Host: t.example' -H "Attempt-Id: $id" \
+			-H 'Deadline-Ms: 6000' -H 'Authorization: Bearer k1' \
+			-d hello "http://$at$path"; echo ":$?")
+		printf '%s %s %s %s %s\n' "$id" "$path" "$status" \
+			"$(grep -c '^id: ' "$DIR/body-$k" 2>/dev/null)" \
+			"$(grep '^id: ' "$DIR/body-$k" 2>/dev/null | sort -u | wc -l)" \
+			>>"$DIR/told-$k"
+		rm -f "$DIR/body-$k"
+	done
+}
+
+# front N: callers reach entry N by this proxy, also after its next start.
+front() {
+	FRONT_OF[$1]=front-$1-$(date +%s%N)
+	proxy "${FRONT_OF[$1]}" "$(address "$1" callers)"
+	echo "$PROXY" >"$DIR/front-$1"
+}
+
+again() {
+	PLATFORM=${STORE_OF[$1]} start_edge "$1" false
+	front "$1"
+}
+
+# for_a_while SECONDS COMMAND...: ends what was begun, in the background, so
+# that faults overlap.
+for_a_while() {
+	local wait=$1
+	shift
+	{ sleep "$wait"; "$@"; } >/dev/null 2>&1 &
+	PIDS="$PIDS $!"
+}
+
+# One fault.
+fault() {
+	local n=$((RANDOM % EDGES + 1)) e=$((RANDOM % 6 + 1)) pid
+	local modes=(delay up down silent reset)
+	local m=${modes[$((RANDOM % 5))]}
+	pid=$(pid_of "edge-$n")
+	case $((RANDOM % 9)) in
+	0) echo "kill edge-$n"; kill -9 "$pid"; sleep 0.3; again "$n" ;;
+	1) echo "stop edge-$n, and kill it while it leaves"; kill -TERM "$pid"
+		sleep 1.5; kill -9 "$pid"; sleep 0.3; again "$n" ;;
+	2) echo "freeze edge-$n"; kill -STOP "$pid"
+		for_a_while 2 kill -CONT "$pid" ;;
+	3) echo "store $m edge-$n"; mode "store-$n" "$m"
+		for_a_while 1.5 mode "store-$n" pass ;;
+	4) echo "front $m edge-$n"; mode "${FRONT_OF[$n]}" "$m"
+		for_a_while 1 mode "${FRONT_OF[$n]}" pass ;;
+	5) echo "store down"; platform_test 'down?ms=1500' >/dev/null ;;
+	6) echo "fail i-$e"; platform_test "fail?id=i-$e" >/dev/null
+		for_a_while 1 platform_test "heal?id=i-$e" ;;
+	7) echo "break i-$e"; platform_test "break?id=i-$e" >/dev/null
+		for_a_while 1 platform_test "heal?id=i-$e" ;;
+	8) echo "forget history"; platform_test forget >/dev/null
+		VERSION=$((VERSION + 2)); put_document $VERSION '"k1","k2"' ;;
+	esac
+}
+
+# Promises, from what callers were told and the endpoints ran.
+check() {
+	local told=$DIR/told
+	cat "$DIR"/told-* >"$told"
+	platform_test runs >"$DIR/runs"
+	expect "$SEED: every start of an entry succeeded" \
+		[ -z "$(cat "$DIR"/edge-*.log)" ]
+	expect "$SEED: something was served" \
+		[ "$(grep -c ' 200:0 ' "$told")" -gt 10 ]
+	expect "$SEED: nothing ran twice that may run once" \
+		[ "$(seen once_twice)" = 0 ]
+	expect "$SEED: no fence went back" [ "$(seen wrong_fence)" = 0 ]
+	expect "$SEED: no window was reported in two ways" \
+		[ "$(seen usage_twice)" = 0 ]
+	awk '$2 ~ /[so]/ && $2 != "/l/x" && $2 != "/u/x" && $3 == "200:0" &&
+		($4 != 20 || $5 != 20)' "$told" >"$DIR/torn"
+	expect "$SEED: streams that ended are whole and in order" \
+		[ ! -s "$DIR/torn" ]
+	awk 'NR == FNR { ran[$1] = 1; next }
+		($3 ~ /^(503|429|408|421):/) && ($1 in ran)' \
+		"$DIR/runs" <(grep -E ' /[uo]/x ' "$told") >"$DIR/false"
+	expect "$SEED: told not run, and not run" [ ! -s "$DIR/false" ]
+	expect "$SEED: no entry ended by itself" \
+		[ -z "$(grep -lE 'Sanitizer|Assertion' "$DIR"/*.log)" ]
+}
+
+soak() {
+	local i end
+	DIR=$BASE/$SEED
+	mkdir "$DIR"
+	PIDS= VERSION=2
+	STORE_OF=() FRONT_OF=()
+	RANDOM=$SEED
+	start platform "$BIN/standin-platform" --endpoints 3
+	STORE=$(ready platform) || return 1
+	for i in $(seq 1 $EDGES); do
+		proxy "store-$i" "$STORE"
+		PLATFORM=$PROXY
+		start_edge "$i"
+		STORE_OF[$i]=$PROXY
+		front "$i"
+	done
+	PLATFORM=$STORE
+	put_document $VERSION '"k1","k2"'
+	for i in $(seq 1 $CALLERS); do
+		caller "$i" &
+		PIDS="$PIDS $!"
+	done
+	end=$((SECONDS + SECONDS_EACH))
+	while [ $SECONDS -lt $end ]; do
+		fault >>"$DIR/faults"
+		sleep "0.$((RANDOM % 8))"
+	done
+	: >"$DIR/stop"
+	sleep 9
+	check
+	echo "seed $SEED: $(wc -l <"$DIR/faults") faults," \
+		"$(wc -l <"$DIR/told") calls," \
+		"$(grep -c ' 200:0 ' "$DIR/told") served"
+	cluster_stop
+}
+
+declare -A STORE_OF FRONT_OF
+for SEED in "$@"; do soak; done
+echo "fault_soak: $PASSED passed, $FAILED failed"
+[ "$FAILED" = 0 ]
--- a/tests/standin/platform.c
+++ b/tests/standin/platform.c
@@ -699,6 +699,17 @@
 	reply(c, 200, out.data);
 }
 
+/* A line for each attempt that ran: its id, and how often. */
+static void list_runs(struct hsc *c)
+{
+	BUF_AUTO out = BUF_INIT;
+	int i;
+
+	for (i = 0; i < w.nr_runs; i++)
+		buf_fmt(&out, "%s %d\n", w.runs[i].id, w.runs[i].times);
+	reply(c, 200, buf_cstr(&out));
+}
+
 static void on_test(struct hsc *c, const char *url)
 {
 	struct endpoint *e = asked_endpoint(url);
@@ -708,6 +719,10 @@
 		seen(c);
 		return;
 	}
+	if (!strncmp(url, "/test/runs", 10)) {
+		list_runs(c);
+		return;
+	}
 	if (!strncmp(url, "/test/put", 9)) {
 		hmsg_query(url, "key", key, sizeof(key));
 		write_text(key, buf_cstr(&c->body));
