--- a/lib/duty/lead.h
+++ b/lib/duty/lead.h
@@ -79,7 +79,9 @@
  * revision is still lead_expected(). A key that our former boot left is taken
  * over at once: nobody else has acted since, or it would name another. When
  * all entries were killed at once nobody ordered endpoints for five seconds
- * without that, and the lease had to run out first. `place`: ours among those that should hold it, from 0; -1: none.
+ * without that: the lease had to run out first.
+ *
+ * `place`: ours among those that should hold it, from 0; -1: none.
  * `lease_until_ms`: our lease is known to run until then.
  */
 bool lead_try(struct lead *l, int place, int64_t lease_until_ms,
--- a/lib/edge/edge_lease.c
+++ b/lib/edge/edge_lease.c
@@ -11,7 +11,7 @@
  * renewal counts as a tenth of a read.
  */
 #define LEASE_MS 3000
-#define RENEW_MS 1200
+#define RENEW_MS 900
 #define LEASE_RETRY_MS 250
 
 void edge_lease_holder(const struct edge *en, char *out, size_t size)
--- a/lib/edge/edge_move.c
+++ b/lib/edge/edge_move.c
@@ -9,7 +9,7 @@
  * A reclaimed endpoint was seen to go from 0.5 s after we knew of it. Some
  * streams end within this time by themselves; what is left has the rest for
  * its copy, which takes 7 to 13 ms for a prompt of 17,000 tokens, one after
- * the other. With 700 ms a third of the streams were cut before.
+ * the other.
  */
 #define MOVE_AFTER_MS 250
 
