A send that is given up never leaves its call behind

Cause, found by reading the change: when the copy of a stopped run could not be used (its endpoint began to leave meanwhile) and the source's stream had not closed yet, the request was freed with its call still open; the call would have gone on to freed memory.

Change: ending a send and stopping it were two functions that differed in that one cancelled the call; one of them is left, and it always does. Nothing else ends differently: elsewhere the call is over by then.

--- a/lib/edge/edge_send.c
+++ b/lib/edge/edge_send.c
@@ -73,26 +73,24 @@
 	r->prefill_tokens = 0;
 }
 
-/* The send under way is over, however it ended. */
-static void release_endpoint(struct edge_req *r)
+/*
+ * The send under way is over, however it ended. A call that is still open is
+ * cancelled: a stream whose run was stopped may be given up before it closed,
+ * and its call would go on to a request that is gone.
+ */
+void edge_send_stop(struct edge_req *r)
 {
 	if (!r->endpoint)
 		return;
+	if (r->call)
+		htc_cancel(r->call);
+	r->call = NULL;
 	edge_move_stop(r);
 	memset(&r->hand, 0, sizeof(r->hand));
 	first_event_seen(r);
 	r->endpoint->running--;
 	flt_unref(&r->en->fleet, r->endpoint);
 	r->endpoint = NULL;
-	r->call = NULL;
-}
-
-void edge_send_stop(struct edge_req *r)
-{
-	if (r->call)
-		htc_cancel(r->call);
-	r->call = NULL;
-	release_endpoint(r);
 }
 
 static void log_outcome(struct edge_req *r, const char *outcome, int status)
@@ -192,7 +190,7 @@
 	flt_note(r->endpoint, o, edge_now(r->en));
 	log_outcome(r, why, r->reply.status);
 	tried(r);
-	release_endpoint(r);
+	edge_send_stop(r);
 	edge_step(r, rq_refused(&r->rq, may_send_again(r)), why);
 }
 
@@ -204,7 +202,7 @@
 	if (!r->streaming)
 		count_run(r, r->sent_true_ms);
 	tried(r);
-	release_endpoint(r);
+	edge_send_stop(r);
 	edge_step(r, rq_lost(&r->rq, may_send_again(r)), why);
 }
 
@@ -318,7 +316,7 @@
 	flt_note(r->endpoint, FLT_GOOD, edge_now(r->en));
 	log_outcome(r, "complete", r->reply.status);
 	log_passed(r);
-	release_endpoint(r);
+	edge_send_stop(r);
 	hsc_write(c, out.data, out.len);
 	edge_req_free(r);
 	hsc_done(c, last);
@@ -352,7 +350,7 @@
 	if (!no_body)
 		buf_add(&out, r->body.data, r->body.len);
 	log_passed(r);
-	release_endpoint(r);
+	edge_send_stop(r);
 	hsc_write(c, out.data, out.len);
 	edge_req_free(r);
 	hsc_done(c, last);
@@ -382,7 +380,7 @@
 		pass_answer(r);
 		return;
 	}
-	release_endpoint(r);
+	edge_send_stop(r);
 	edge_step(r, step, "endpoint failed");
 }
 
