--- a/lib/base/fade.h
+++ b/lib/base/fade.h
@@ -15,11 +15,18 @@
 	int64_t at_ms;
 };
 
+/* The part that is left at `now_ms` of what counted whole at `at_ms`. */
+static inline double fade_left(double constant_ms, int64_t at_ms,
+			       int64_t now_ms)
+{
+	return exp(-(double)(now_ms - at_ms) / constant_ms);
+}
+
 /* The value at `now_ms`, not before the last addition. */
 static inline double fade_at(const struct fade *f, double constant_ms,
 			     int64_t now_ms)
 {
-	return f->value * exp(-(double)(now_ms - f->at_ms) / constant_ms);
+	return f->value * fade_left(constant_ms, f->at_ms, now_ms);
 }
 
 static inline void fade_add(struct fade *f, double amount, double constant_ms,
--- a/lib/fleet/flt.c
+++ b/lib/fleet/flt.c
@@ -1,10 +1,10 @@
 #include "fleet/flt.h"
 
 #include <assert.h>
-#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/fade.h"
 #include "base/hsh.h"
 
 /*
@@ -171,7 +171,7 @@
 
 static double fading(const struct flt_endpoint *e, int64_t now)
 {
-	return exp(-(double)(now - e->faded_ms) / FADE_MS);
+	return fade_left(FADE_MS, e->faded_ms, now);
 }
 
 static void strike(struct flt_endpoint *e, int64_t now)
--- a/lib/limit/acct.c
+++ b/lib/limit/acct.c
@@ -1,11 +1,11 @@
 #include "limit/acct.h"
 
 #include <assert.h>
-#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "base/buf.h"
+#include "base/fade.h"
 
 /*
  * Demand fades with this time constant: long enough to see several requests
@@ -79,7 +79,7 @@
 
 double acct_demand(const struct acct *a, int64_t now)
 {
-	return a->demand * exp(-(double)(now - a->at_ms) / DEMAND_MS);
+	return a->demand * fade_left(DEMAND_MS, a->at_ms, now);
 }
 
 /*
