Starts of an endpoint are told apart; entries of other writers name none

Cause: an endpoint may start again under the id it had, holding nothing; its facts (draining, failures, prompt parts, peers' reports) were those of the former start. And an entry in the list that lacked a field, or had a state nobody names, was filled in with defaults and used.

Change: the moment of the start is decoded (born); it is part of the endpoint's hash, and another moment under the same id is another endpoint. All eight fields of an entry must be there, of their types; an entry without sense takes its id out of use, is counted and logged.

The sample entries of test_platform had no slots, version or count: the list has them always, so the samples are whole now and their absence is a case that must be refused (stricter than before).

--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -57,6 +57,9 @@
 			      "sends whose outcome is unknown");
 	x->store_calls =
 		met_counter(m, "store_calls_total", "calls to the store");
+	x->entries_unreadable =
+		met_counter(m, "endpoint_entries_unreadable_total",
+			    "endpoints' entries in the store without sense");
 	x->store_failures = met_counter(m, "store_failures_total",
 					"calls to the store that failed");
 	x->refreshes = met_counter(m, "config_checks_total",
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -49,6 +49,7 @@
 	met_value *sends, *resends, *resumes, *not_run, *lost;
 	met_value *store_calls, *store_failures, *refreshes;
 	met_value *usage_reports, *scale_orders;
+	met_value *entries_unreadable; /* of endpoints, in the store */
 	met_value *lines_dropped, *config_version, *endpoints, *entries;
 	struct met_histogram *first_event_ms, *answer_ms, *endpoint_ms;
 };
--- a/lib/edge/edge_store.c
+++ b/lib/edge/edge_store.c
@@ -106,13 +106,18 @@
 static void take_endpoint(struct edge *en, const char *key, const char *value,
 			  size_t len)
 {
-	static const char *const words[] = { NULL, "new", "draining", "back" };
+	static const char *const words[] = { NULL, "new", "draining", "back",
+					     "restarted" };
 	struct err e = ERR_INIT;
 	struct flt_info info;
 	struct flt_endpoint *ep;
 	enum flt_news news;
 
 	if (en->wire->endpoint(key, value, len, &info, &e)) {
+		/* Whoever wrote it: the key names no endpoint now. */
+		flt_unnamed(&en->fleet,
+			    key + strlen(en->wire->endpoint_prefix));
+		met_inc(en->m.entries_unreadable);
 		log_unreadable(en, key, e.text);
 		return;
 	}
--- a/lib/fleet/flt.c
+++ b/lib/fleet/flt.c
@@ -94,7 +94,7 @@
 
 	assert(e);
 	e->info = *info;
-	e->hash = hsh_str(info->id, 0);
+	e->hash = hsh_str(info->id, (uint64_t)info->born_ms);
 	e->since_ms = now;
 	e->faded_ms = now;
 	e->refs = 1;
@@ -109,7 +109,11 @@
 	struct flt_endpoint *e = flt_find(f, info->id);
 
 	*news = FLT_SAME;
-	if (!e) {
+	if (e && e->info.born_ms != info->born_ms) {
+		drop(f, e);
+		e = add(f, info, now);
+		*news = FLT_RESTARTED;
+	} else if (!e) {
 		e = add(f, info, now);
 		*news = FLT_NEW;
 	} else if (e->missing_ms) {
@@ -119,12 +123,21 @@
 	e->missing_ms = 0;
 	if (info->draining && !e->drain_ms) {
 		e->drain_ms = now;
-		if (*news != FLT_NEW)
+		if (*news == FLT_SAME || *news == FLT_BACK)
 			*news = FLT_DRAINING;
 	}
 	return e;
 }
 
+bool flt_unnamed(struct flt *f, const char *id)
+{
+	struct flt_endpoint *e = flt_find(f, id);
+
+	if (e)
+		drop(f, e);
+	return e != NULL;
+}
+
 struct flt_endpoint *flt_unlisted(struct flt *f, const char *id,
 				  int64_t store_back, int64_t now)
 {
--- a/lib/fleet/flt.h
+++ b/lib/fleet/flt.h
@@ -6,6 +6,11 @@
  * the list is gone at once while the store is well; in the seconds around an
  * outage of the store its entry may have lapsed although it lives, and it is
  * used on until it had time to come back.
+ *
+ * An endpoint is one start of a process, told by its id and the moment of its
+ * start. One that starts again under its old id holds nothing of before: with
+ * the old one's facts requests would be sent there for prompt parts that it
+ * has to read anew, or not at all since it "drains".
  */
 #ifndef FLT_H
 #define FLT_H
@@ -25,7 +30,8 @@
 
 /* What the list says of an endpoint. */
 struct flt_info {
-	char id[FLT_NAME]; /* new at each start of the endpoint */
+	char id[FLT_NAME]; /* may be used again by a later start */
+	int64_t born_ms;   /* when it started, since 1970; 0: not stated */
 	char service[FLT_NAME];
 	char address[32]; /* IP:PORT */
 	char zone[FLT_NAME];
@@ -39,7 +45,7 @@
 struct flt_endpoint {
 	struct cds_list_head node; /* in flt.endpoints */
 	struct flt_info info;
-	uint64_t hash;	    /* of the id, for rendezvous and peers' reports */
+	uint64_t hash; /* of id and start, for rendezvous and peers' reports */
 	int64_t since_ms;   /* first seen */
 	int64_t drain_ms;   /* first seen draining; 0: not */
 	int64_t missing_ms; /* first missing from the list; 0: listed */
@@ -75,12 +81,20 @@
 enum flt_news {
 	FLT_SAME,
 	FLT_NEW,
-	FLT_DRAINING, /* it is seen leaving for the first time */
-	FLT_BACK,     /* its entry had lapsed */
+	FLT_DRAINING,  /* it is seen leaving for the first time */
+	FLT_BACK,      /* its entry had lapsed */
+	FLT_RESTARTED, /* another start under the same id: all facts are new */
 };
 struct flt_endpoint *flt_listed(struct flt *f, const struct flt_info *info,
 				int64_t now_ms, enum flt_news *news);
 
+/*
+ * The entry of this id names no endpoint any more: it cannot be read. Whoever
+ * used it stops at once; a readable entry brings it back as a new one.
+ * Returns true if the id was known.
+ */
+bool flt_unnamed(struct flt *f, const char *id);
+
 /*
  * The list has lost this id. `store_back_ms`: when the store last came back
  * from being away; 0: it was not. An endpoint that was seen draining is gone
--- a/tests/standin/platform.c
+++ b/tests/standin/platform.c
@@ -435,7 +435,8 @@
 	snprintf(key, sizeof(key), "servers/%s", e->id);
 	snprintf(text, sizeof(text),
 		 "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"north\","
-		 "\"slots\":8,\"state\":\"%s\",\"seqNo\":1}",
+		 "\"version\":\"v1\",\"slots\":8,\"state\":\"%s\","
+		 "\"coldLeftMs\":0,\"seqNo\":1}",
 		 e->service, address, e->draining ? "draining" : "ready");
 	write_text(key, text);
 }
--- a/tests/test_flt.c
+++ b/tests/test_flt.c
@@ -51,6 +51,80 @@
 	flt_free(&f);
 }
 
+static struct flt_endpoint *list_start(struct flt *f, const char *id,
+				       int64_t born, enum flt_news *news)
+{
+	struct flt_info info = { .slots = 64, .leaves_ms = -1 };
+
+	str_copy(info.id, id, sizeof(info.id));
+	str_copy(info.service, "llm", sizeof(info.service));
+	str_copy(info.address, "127.0.0.1:1", sizeof(info.address));
+	info.born_ms = born;
+	return flt_listed(f, &info, 100, news);
+}
+
+/*
+ * Symptom: after a crash an endpoint got no requests for its whole life, or
+ * those whose prompt parts it was believed to hold. Sequence: it drains or
+ * fails, dies, and starts again under its old id before the list drops the
+ * id. Cause: the facts of one start were kept for the next.
+ */
+static void another_start_under_the_same_id_begins_anew(void)
+{
+	struct flt f;
+	struct flt_endpoint *old, *e;
+	enum flt_news news;
+	uint64_t hash;
+
+	flt_init(&f, NULL);
+	old = list_start(&f, "a", 1000, &news);
+	CU_ASSERT_EQUAL(news, FLT_NEW);
+	hash = old->hash;
+	flt_ref(old); /* a request is under way there */
+	old->running = 1;
+	old->drain_ms = 50;
+	flt_note(old, FLT_UNREACHABLE, 90);
+	e = list_start(&f, "a", 1000, &news);
+	CU_ASSERT_PTR_EQUAL(e, old);
+	CU_ASSERT_EQUAL(news, FLT_SAME);
+	e = list_start(&f, "a", 2000, &news);
+	CU_ASSERT_EQUAL(news, FLT_RESTARTED);
+	CU_ASSERT_PTR_NOT_EQUAL(e, old);
+	CU_ASSERT(old->gone);
+	CU_ASSERT(flt_usable(e, 100));
+	CU_ASSERT_EQUAL(e->running, 0);
+	CU_ASSERT(flt_fail_rate(e, 100) == 0);
+	/* Prompt parts and peers' reports go by the hash. */
+	CU_ASSERT_NOT_EQUAL(e->hash, hash);
+	CU_ASSERT_EQUAL(f.count, 1);
+	CU_ASSERT_PTR_EQUAL(flt_find(&f, "a"), e);
+	flt_unref(&f, old);
+	flt_free(&f);
+}
+
+/*
+ * Symptom: requests went to an address that no endpoint's entry named.
+ * Sequence: another writer overwrites an endpoint's entry with bytes that
+ * cannot be read. Cause: the last good entry was used on.
+ */
+static void unreadable_entry_names_no_endpoint(void)
+{
+	struct flt f;
+	struct flt_endpoint *e;
+	enum flt_news news;
+
+	flt_init(&f, NULL);
+	list_start(&f, "a", 1000, &news);
+	e = list_start(&f, "b", 1000, &news);
+	CU_ASSERT(flt_unnamed(&f, "a"));
+	CU_ASSERT_FALSE(flt_unnamed(&f, "a"));
+	CU_ASSERT_PTR_NULL(flt_find(&f, "a"));
+	CU_ASSERT(flt_usable(e, 100));
+	list_start(&f, "a", 1000, &news);
+	CU_ASSERT_EQUAL(news, FLT_NEW);
+	flt_free(&f);
+}
+
 static void unlisted_is_gone_while_the_store_is_well(void)
 {
 	struct flt f;
@@ -324,6 +398,10 @@
 
 static const struct unit_test tests[] = {
 	{ "draining is final", draining_is_final },
+	{ "another start under the same id begins anew",
+	  another_start_under_the_same_id_begins_anew },
+	{ "an unreadable entry names no endpoint",
+	  unreadable_entry_names_no_endpoint },
 	{ "unlisted is gone while the store is well",
 	  unlisted_is_gone_while_the_store_is_well },
 	{ "lapsed entries have time to come back",
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -81,10 +81,13 @@
 {
 	static const char ready[] =
 		"{\"service\":\"s1\",\"address\":\"10.0.0.1:80\",\"zone\":\"z1\","
-		"\"slots\":64,\"state\":\"ready\",\"coldLeftMs\":5,\"seqNo\":4}";
+		"\"version\":\"v1\",\"slots\":64,\"state\":\"ready\","
+		"\"coldLeftMs\":5,\"seqNo\":4}";
 	static const char leaving[] =
 		"{\"service\":\"s1\",\"address\":\"10.0.0.1:80\",\"zone\":\"z1\","
-		"\"state\":\"draining\",\"spot\":true,\"leaves_ms\":2500}";
+		"\"version\":\"v1\",\"slots\":64,\"state\":\"draining\","
+		"\"coldLeftMs\":0,\"seqNo\":4,"
+		"\"spot\":true,\"leaves_ms\":2500}";
 	struct flt_info info;
 	struct err e = ERR_INIT;
 	const struct wire *w = pf_wire();
@@ -103,6 +106,74 @@
 	CU_ASSERT_EQUAL(w->endpoint("servers/i-1", "x", 1, &info, &e), -1);
 }
 
+/* Pieces of an endpoint's entry. */
+#define SERVICE "\"service\":\"s1\","
+#define ADDRESS "\"address\":\"10.0.0.1:80\","
+#define ZONE "\"zone\":\"z1\","
+#define STATE "\"state\":\"ready\","
+#define SLOTS "\"slots\":6,"
+#define REST "\"version\":\"v1\",\"coldLeftMs\":0,\"seqNo\":4"
+#define ENTRY(first, others) "{" first others "}"
+
+/*
+ * Symptom: requests were sent to an address that no endpoint had announced.
+ * Sequence: something else writes an entry into the list: a field is missing
+ * or of another type, the state is one we do not know. Cause: what was
+ * missing was filled in, and any unknown state was taken for leaving.
+ */
+static void entries_of_other_writers_name_no_endpoint(void)
+{
+	/* Each but the first six is a whole entry with one field wrong. */
+	static const char *const bad[] = {
+		"[]",
+		"null",
+		"\"ready\"",
+		"",
+		"\xff\xfe",
+		"{}",
+		ENTRY("", ADDRESS ZONE STATE SLOTS REST),
+		ENTRY("\"service\":7,", ADDRESS ZONE STATE SLOTS REST),
+		ENTRY("\"service\":\"\",", ADDRESS ZONE STATE SLOTS REST),
+		ENTRY(SERVICE, ZONE STATE SLOTS REST),
+		ENTRY(SERVICE,
+		      "\"address\":[\"10.0.0.1:80\"]," ZONE STATE SLOTS REST),
+		ENTRY(SERVICE,
+		      "\"address\":\"nowhere\"," ZONE STATE SLOTS REST),
+		ENTRY(SERVICE, ADDRESS STATE SLOTS REST),
+		ENTRY(SERVICE, ADDRESS "\"zone\":{}," STATE SLOTS REST),
+		ENTRY(SERVICE, ADDRESS ZONE SLOTS REST),
+		ENTRY(SERVICE,
+		      ADDRESS ZONE "\"state\":\"warming\"," SLOTS REST),
+		ENTRY(SERVICE, ADDRESS ZONE "\"state\":true," SLOTS REST),
+		ENTRY(SERVICE, ADDRESS ZONE STATE REST),
+		ENTRY(SERVICE, ADDRESS ZONE STATE "\"slots\":\"many\"," REST),
+		ENTRY(SERVICE, ADDRESS ZONE STATE "\"slots\":-4," REST),
+		ENTRY(SERVICE,
+		      ADDRESS ZONE STATE SLOTS "\"coldLeftMs\":0,\"seqNo\":4"),
+		ENTRY(SERVICE, ADDRESS ZONE STATE SLOTS
+		      "\"version\":\"v1\",\"seqNo\":4"),
+		ENTRY(SERVICE, ADDRESS ZONE STATE SLOTS
+		      "\"version\":\"v1\",\"coldLeftMs\":0"),
+		ENTRY(SERVICE,
+		      ADDRESS ZONE STATE SLOTS "\"born\":\"now\"," REST),
+		ENTRY(SERVICE, ADDRESS ZONE STATE SLOTS "\"born\":1.5," REST),
+	};
+	static const char good[] = ENTRY(SERVICE, ADDRESS ZONE STATE SLOTS
+					 "\"born\":1790000000123," REST);
+	struct flt_info info;
+	struct err e = ERR_INIT;
+	const struct wire *w = pf_wire();
+	size_t i;
+
+	for (i = 0; i < sizeof(bad) / sizeof(bad[0]); i++)
+		CU_ASSERT_EQUAL(w->endpoint("servers/i-1", bad[i],
+					    strlen(bad[i]), &info, &e),
+				-1);
+	CU_ASSERT_EQUAL(
+		w->endpoint("servers/i-1", good, strlen(good), &info, &e), 0);
+	CU_ASSERT_EQUAL(info.born_ms, 1790000000123);
+}
+
 /* ---- Requests ---- */
 
 static int no_op_head(struct hparse *p)
@@ -436,6 +507,8 @@
 	{ "an unreadable configuration is refused",
 	  unreadable_configuration_is_refused },
 	{ "endpoints are decoded", endpoints_are_decoded },
+	{ "entries of other writers name no endpoint",
+	  entries_of_other_writers_name_no_endpoint },
 	{ "an attempt is decoded", attempt_is_decoded },
 	{ "wrong heads are refused", wrong_heads_are_refused },
 	{ "forged headers do not pass", forged_headers_do_not_pass },
