Each mechanism that decides can be switched off in the settings

Change: policy.NAME for eleven mechanisms, checked, documented, changed by SIGHUP; all are on by default.

--- a/lib/duty/scale.c
+++ b/lib/duty/scale.c
@@ -153,7 +153,9 @@
 {
 	if (in->spot_price <= 0)
 		return 0;
-	return (int)ceil(in->need * SPOT_COVER / sqrt(in->spot_price));
+	return (int)ceil(in->need * (in->price_cover
+					     ? SPOT_COVER / sqrt(in->spot_price)
+					     : 1));
 }
 
 static void place_spot(const struct scale_input *in, struct scale_zone *z,
@@ -203,7 +205,7 @@
 	int sum = 0, most = 0;
 	size_t i;
 
-	if (!none_to_be_had(in, z, n))
+	if (!in->loss_cover || !none_to_be_had(in, z, n))
 		return 0;
 	for (i = 0; i < n; i++) {
 		sum += z[i].spot;
--- a/lib/duty/scale.h
+++ b/lib/duty/scale.h
@@ -34,6 +34,9 @@
 	int firm_least;	   /* that stay: not below this (see scale_ease) */
 	double spot_price; /* as part of the price; 0: none to be had */
 	int64_t now_ms;
+	bool price_cover; /* more reclaimable ones than needed, by price */
+	bool loss_cover;  /* stand by for the next loss while none are had */
+	bool ease;	  /* those that stay leave one after the other */
 };
 
 /* How many endpoints the load keeps busy, carried from look to look. */
--- a/lib/edge/conf.c
+++ b/lib/edge/conf.c
@@ -90,6 +90,19 @@
 	JSN_END,
 };
 
+#define SWITCH(name)                                                   \
+	{                                                              \
+#name, JSN_BOOL, AT(policy.name), 0, 0, 0, NULL, true, \
+			JSN_ANY, NULL, NULL, 0, 0                      \
+	}
+
+static const struct jsn_field policy_fields[] = {
+	SWITCH(affinity),     SWITCH(learn),	     SWITCH(told_models),
+	SWITCH(mean_reports), SWITCH(avoid_failing), SWITCH(urgency),
+	SWITCH(moves),	      SWITCH(price_cover),   SWITCH(loss_cover),
+	SWITCH(ease),	      SWITCH(carry_plan),    JSN_END,
+};
+
 static const struct jsn_field fields[] = {
 	TEXT("name", name),
 	TEXT("zone", zone),
@@ -103,6 +116,7 @@
 	OBJECT("cloud", cloud_fields, true),
 	OBJECT("limits", limit_fields, true),
 	OBJECT("bounds", bound_fields, true),
+	OBJECT("policy", policy_fields, true),
 	REAL("list_ttl_s", list_ttl_s, 0.1, 3600, "s"),
 	JSN_END,
 };
@@ -131,6 +145,17 @@
 	c->bounds.usage_late_s = 10;
 	c->bounds.strict_revoke = true;
 	c->list_ttl_s = 2;
+	c->policy.affinity = true;
+	c->policy.learn = true;
+	c->policy.told_models = true;
+	c->policy.mean_reports = true;
+	c->policy.avoid_failing = true;
+	c->policy.urgency = true;
+	c->policy.moves = true;
+	c->policy.price_cover = true;
+	c->policy.loss_cover = true;
+	c->policy.ease = true;
+	c->policy.carry_plan = true;
 }
 
 static int check_address(const char *path, const char *text, const char *field,
--- a/lib/edge/conf.h
+++ b/lib/edge/conf.h
@@ -59,6 +59,24 @@
 		bool strict_revoke;
 	} bounds;
 	double list_ttl_s;
+	/*
+	 * Mechanisms that decide, each of which can be switched off: to see
+	 * what it is worth, or while it is suspected of a fault. No promise
+	 * rests on one of them.
+	 */
+	struct {
+		bool affinity;
+		bool learn;
+		bool told_models;
+		bool mean_reports;
+		bool avoid_failing;
+		bool urgency;
+		bool moves;
+		bool price_cover;
+		bool loss_cover;
+		bool ease;
+		bool carry_plan;
+	} policy;
 };
 
 /* Reads and checks a file. Returns 0, or -1 with one clear line. */
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -150,6 +150,7 @@
 	/* Bounds change at once; addresses hold until the next start. */
 	en->conf_now.bounds = c.bounds;
 	en->conf_now.list_ttl_s = c.list_ttl_s;
+	en->conf_now.policy = c.policy;
 	log_event(en, "reloaded");
 }
 
--- a/lib/edge/edge_learn.c
+++ b/lib/edge/edge_learn.c
@@ -49,6 +49,8 @@
 	if (r->rq.at_copy || r->rq.started)
 		return;
 	note_error(r, took);
+	if (!r->en->conf->policy.learn)
+		return;
 	svc_first_seen(r->model, &r->at, took, r->sure);
 	log_moved(r->en, r->model);
 }
@@ -58,14 +60,17 @@
 	const int64_t now = edge_now(r->en);
 	const double took = (double)(now - r->sent_ms);
 
-	if (!r->streaming) {
+	if (!r->streaming)
 		note_error(r, took);
-	} else if (r->sends == 1 && r->events.events > 1) {
+	if (!r->en->conf->policy.learn)
+		return;
+	/* Of a resumed stream the first part ran elsewhere. */
+	if (r->streaming && r->sends > 1)
+		return;
+	if (r->streaming && r->events.events > 1)
 		svc_pace_seen(r->model, r->at.running,
 			      (double)(now - r->first_ms) /
 				      (double)(r->events.events - 1));
-	}
-	if (r->sends == 1 || !r->streaming)
-		svc_run_seen(r->model, &r->at, took);
+	svc_run_seen(r->model, &r->at, took);
 	log_moved(r->en, r->model);
 }
--- a/lib/edge/edge_move.c
+++ b/lib/edge/edge_move.c
@@ -195,6 +195,8 @@
 {
 	struct edge_req *r, *next;
 
+	if (!en->conf->policy.moves)
+		return;
 	cds_list_for_each_entry_safe(r, next, &en->requests, node) {
 		if (should_move(r, now))
 			start(r);
--- a/lib/edge/edge_peer.c
+++ b/lib/edge/edge_peer.c
@@ -226,6 +226,8 @@
 	const struct cfg *c = en->force.cfg;
 	size_t i;
 
+	if (!en->conf->policy.told_models)
+		return;
 	for (i = 0; c && i < c->nr_services; i++) {
 		if (hsh_str(c->services[i].name, 0) == told->service)
 			svc_adopt(edge_model(en, c->services[i].name), told);
@@ -303,7 +305,10 @@
  */
 static void smooth_loads(struct edge *en, int64_t now)
 {
-	const double left = fade_left(TOLD_LOAD_MS, en->smoothed_ms, now);
+	const double left =
+		en->conf->policy.mean_reports
+			? fade_left(TOLD_LOAD_MS, en->smoothed_ms, now)
+			: 0;
 	struct flt_endpoint *e;
 
 	en->smoothed_ms = now;
--- a/lib/edge/edge_scale.c
+++ b/lib/edge/edge_scale.c
@@ -55,7 +55,9 @@
 	str_copy(row->service, service, sizeof(row->service));
 	row->eased_ms = now;
 	/* The holder before left its plan in the store: it is gone on with. */
-	before = carry_row(&d->en->plan, service, false);
+	before = d->en->conf->policy.carry_plan
+			 ? carry_row(&d->en->plan, service, false)
+			 : NULL;
 	if (before) {
 		row->need = before->need;
 		row->firm_held = before->firm_held;
@@ -304,9 +306,10 @@
 
 	for (i = 0; i < n; i++)
 		wanted += zones[i].want_firm;
-	d->firm_held = in->idle ? wanted
-				: scale_ease(d->firm_held, wanted,
-					     in->now_ms - d->eased_ms);
+	d->firm_held = in->idle || !in->ease
+			       ? wanted
+			       : scale_ease(d->firm_held, wanted,
+					    in->now_ms - d->eased_ms);
 	d->eased_ms = in->now_ms;
 	in->firm_least = (int)d->firm_held;
 	if (in->firm_least > wanted)
@@ -323,6 +326,9 @@
 		.max = s->scaling.max,
 		.spot_price = s->scaling.spot_price,
 		.now_ms = now,
+		.price_cover = d->en->conf->policy.price_cover,
+		.loss_cover = d->en->conf->policy.loss_cover,
+		.ease = d->en->conf->policy.ease,
 	};
 	struct edge_scaled *row = scaled_of(d, s->name, now);
 	size_t i;
--- a/lib/edge/edge_send.c
+++ b/lib/edge/edge_send.c
@@ -452,7 +452,7 @@
 			      ? r->account->priority
 			      : r->route->priority;
 
-	if (!r->service->has_engine)
+	if (!r->service->has_engine || !r->en->conf->policy.urgency)
 		return -1;
 	return p < 0 ? 0 : p > 4 ? 9 : 1 + 2 * p;
 }
@@ -465,7 +465,10 @@
 		.model = edge_model(en, r->service->name),
 		.zone = en->conf->zone,
 		.engine = r->service->has_engine,
-		.prefix = r->route->cached ? r->a.shared_part : 0,
+		.prefix = en->conf->policy.affinity && r->route->cached
+				  ? r->a.shared_part
+				  : 0,
+		.ignore_failures = !en->conf->policy.avoid_failing,
 		.shared_tokens = r->a.shared_tokens,
 		.own_tokens = r->a.prompt_tokens - r->a.shared_tokens,
 		.now_ms = edge_now(en),
--- a/lib/route/pick.c
+++ b/lib/route/pick.c
@@ -108,7 +108,8 @@
 		r->wait_ms = svc_answer_ms(q->model, &r->at);
 		cost = r->wait_ms;
 	}
-	cost += flt_fail_rate(e, q->now_ms) * FAILURE_COST_MS;
+	if (!q->ignore_failures)
+		cost += flt_fail_rate(e, q->now_ms) * FAILURE_COST_MS;
 	if (strcmp(e->info.zone, q->zone))
 		cost += OTHER_ZONE_MS;
 	return cost;
--- a/lib/route/pick.h
+++ b/lib/route/pick.h
@@ -32,6 +32,7 @@
 	int64_t now_ms;
 	const struct flt_endpoint *excluded[PICK_MAX_EXCLUDED];
 	unsigned nr_excluded;
+	bool ignore_failures;
 	struct parts *parts; /* where shared parts were sent lately */
 };
 
--- a/tests/test_conf.c
+++ b/tests/test_conf.c
@@ -92,6 +92,34 @@
 	CU_ASSERT(c.cloud.usage && !c.cloud.scaling);
 }
 
+/* All mechanisms are on unless a file says otherwise, each by itself. */
+static void mechanisms_are_switched_one_by_one(void)
+{
+	static const char from[] = "\"first_internal_port\":";
+	static const char off[] = "\"policy\": {\"moves\": false}, ";
+	BUF_AUTO text = BUF_INIT;
+	BUF_AUTO changed = BUF_INIT;
+	struct err e = ERR_INIT;
+	struct conf c;
+	const char *at;
+
+	read_example(&text);
+	CU_ASSERT_EQUAL(load(text.data, &c, &e), 0);
+	CU_ASSERT(c.policy.moves && c.policy.affinity && c.policy.learn);
+	at = strstr(text.data, from);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(at);
+	buf_add(&changed, text.data, (size_t)(at - text.data));
+	buf_str(&changed, off);
+	buf_str(&changed, at);
+	CU_ASSERT_EQUAL(load(changed.data, &c, &e), 0);
+	CU_ASSERT(!c.policy.moves && c.policy.affinity && c.policy.learn);
+	expect_error(from,
+		     "\"policy\": {\"move\": false}, \"first_port\":", "move");
+	expect_error(from,
+		     "\"policy\": {\"moves\": 0}, \"first_internal_port\":",
+		     "moves");
+}
+
 static void missing_and_empty_files_are_errors(void)
 {
 	struct err e = ERR_INIT;
@@ -110,6 +138,8 @@
 	  unknown_duties_are_left_to_others },
 	{ "missing and empty files are errors",
 	  missing_and_empty_files_are_errors },
+	{ "mechanisms are switched one by one",
+	  mechanisms_are_switched_one_by_one },
 };
 
 UNIT_MAIN("conf", tests)
--- a/tests/test_duties.c
+++ b/tests/test_duties.c
@@ -390,6 +390,9 @@
 static void cheap_ones_spread_over_all_zones(void)
 {
 	struct scale_input in = {
+		.price_cover = true,
+		.loss_cover = true,
+		.ease = true,
 		.min = 1,
 		.max = 6,
 		.need = 4,
@@ -420,6 +423,9 @@
 static void those_that_stay_wait_for_the_granted_ones(void)
 {
 	struct scale_input in = {
+		.price_cover = true,
+		.loss_cover = true,
+		.ease = true,
 		.min = 1,
 		.max = 6,
 		.need = 4,
@@ -456,6 +462,9 @@
 static void those_that_stay_leave_one_after_the_other(void)
 {
 	struct scale_input in = {
+		.price_cover = true,
+		.loss_cover = true,
+		.ease = true,
 		.min = 1,
 		.max = 30,
 		.need = 30,
@@ -488,6 +497,9 @@
 static void shortage_is_covered_by_ones_that_stay(void)
 {
 	struct scale_input in = {
+		.price_cover = true,
+		.loss_cover = true,
+		.ease = true,
 		.min = 1,
 		.max = 6,
 		.need = 4,
@@ -646,6 +658,9 @@
 static void last_zone_may_go_as_well(void)
 {
 	const struct scale_input in = {
+		.price_cover = true,
+		.loss_cover = true,
+		.ease = true,
 		.min = 1,
 		.max = 30,
 		.need = 15,
@@ -685,6 +700,9 @@
 	rnd_seed(&rnd, 6);
 	for (round = 0; round < 5000; round++) {
 		struct scale_input in = {
+			.price_cover = true,
+			.loss_cover = true,
+			.ease = true,
 			.min = (int)rnd_below(&rnd, 3),
 			.max = 3 + (int)rnd_below(&rnd, 5),
 			.need = rnd_unit(&rnd) * 30,
