--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -160,7 +160,7 @@
 	struct svc_state at;   /* the endpoint when the request was sent */
 	double expected_ms; /* the first event or answer was expected after */
 	bool sure;	    /* that at.read_tokens must be read */
-	const struct flt_endpoint *tried[EDGE_EXCLUDED];
+	struct flt_endpoint *tried[EDGE_EXCLUDED]; /* referenced */
 	unsigned nr_tried;
 	unsigned sends;
 	struct reply reply;
--- a/lib/edge/edge_req.c
+++ b/lib/edge/edge_req.c
@@ -48,6 +48,8 @@
 	ev_timer_stop(en->loop, &r->timer);
 	ev_timer_stop(en->loop, &r->again);
 	edge_send_stop(r);
+	while (r->nr_tried)
+		flt_unref(&en->fleet, r->tried[--r->nr_tried]);
 	if (r->waiting)
 		cds_list_del(&r->wait_node);
 	cds_list_del(&r->node);
@@ -191,6 +193,26 @@
 	return r->a.prompt_tokens + r->a.output_tokens;
 }
 
+/* What decided that a request is over its account's limit here. */
+static void log_over_limit(const struct edge_req *r, const struct acct *a,
+			   double amount, int64_t after_ms)
+{
+	struct edge *en = r->en;
+
+	jlog_begin(en->log, JLOG_INFO, "over_limit");
+	jlog_str(en->log, "id", r->a.id);
+	jlog_str(en->log, "account", a->name);
+	jlog_num(en->log, "amount", amount);
+	jlog_num(en->log, "level", a->level);
+	jlog_num(en->log, "share", acct_share(&en->accounts, a));
+	jlog_num(en->log, "rate", a->rate);
+	jlog_num(en->log, "demand", a->demand);
+	jlog_num(en->log, "demand_elsewhere", a->others);
+	jlog_int(en->log, "told_ms", en->accounts.told_ms);
+	jlog_int(en->log, "after_ms", after_ms);
+	jlog_end(en->log);
+}
+
 /* True if the account's limit has room, and is charged. */
 static bool within_limit(struct edge_req *r, int64_t *after_ms)
 {
@@ -202,8 +224,10 @@
 		return true;
 	a = acct_get(&en->accounts, r->account->name, edge_now(en));
 	if (!acct_admit(&en->accounts, a, r->account->rate, r->account->burst,
-			amount, edge_now(en), after_ms))
+			amount, edge_now(en), after_ms)) {
+		log_over_limit(r, a, amount, *after_ms);
 		return false;
+	}
 	if (r->account->rate > 0)
 		r->charged = amount;
 	return true;
--- a/lib/edge/edge_send.c
+++ b/lib/edge/edge_send.c
@@ -180,8 +180,11 @@
 
 static void tried(struct edge_req *r)
 {
-	if (r->nr_tried < EDGE_EXCLUDED)
-		r->tried[r->nr_tried++] = r->endpoint;
+	if (r->nr_tried == EDGE_EXCLUDED)
+		return;
+	/* Another endpoint in its memory must not count as tried. */
+	flt_ref(r->endpoint);
+	r->tried[r->nr_tried++] = r->endpoint;
 }
 
 static void not_run(struct edge_req *r, enum flt_outcome o, const char *why)
--- a/lib/limit/acct.c
+++ b/lib/limit/acct.c
@@ -87,7 +87,7 @@
  * that, entries that all start at once would each take the whole limit until
  * they hear of each other.
  */
-static double share_of(const struct acct_table *t, const struct acct *a)
+double acct_share(const struct acct_table *t, const struct acct *a)
 {
 	const double even = 1.0 / t->entries;
 	const double floor = a->rate * FLOOR_PART * even;
@@ -134,7 +134,7 @@
 static void advance(struct acct_table *t, struct acct *a, int64_t now)
 {
 	const double dt = (double)(now - a->at_ms);
-	const double share = share_of(t, a);
+	const double share = acct_share(t, a);
 	const double most = burst_of(t, a) * share;
 
 	a->demand = acct_demand(a, now);
@@ -179,7 +179,7 @@
 		a->level -= amount;
 		return true;
 	}
-	fill = rate_of(t, a) * share_of(t, a);
+	fill = rate_of(t, a) * acct_share(t, a);
 	*after_ms = fill > 0 ? (int64_t)(-a->level * 1000 / fill) + 1 : 1000;
 	return false;
 }
--- a/lib/limit/acct.h
+++ b/lib/limit/acct.h
@@ -62,6 +62,9 @@
 /* An admitted request was not run after all. */
 void acct_refund(struct acct *a, double amount);
 
+/* Our part of the account's limit, by what we and the others are asked. */
+double acct_share(const struct acct_table *t, const struct acct *a);
+
 /* The demand here, a second, faded to now. */
 double acct_demand(const struct acct *a, int64_t now_ms);
 
--- a/lib/member/gsp.c
+++ b/lib/member/gsp.c
@@ -1,5 +1,6 @@
 #include "member/gsp.h"
 
+#include <math.h>
 #include <rpc/rpc.h>
 #include <string.h>
 
@@ -154,6 +155,23 @@
 	return n;
 }
 
+/* A rate that is no number would make every sum with it none. */
+static bool rates_sound(const struct gsp_record *r)
+{
+	unsigned i;
+
+	for (i = 0; i < r->nr_demands; i++) {
+		if (!isfinite(r->demands[i].per_s) || r->demands[i].per_s < 0)
+			return false;
+	}
+	for (i = 0; i < r->nr_services; i++) {
+		if (!isfinite(r->services[i].reads_per_s) ||
+		    r->services[i].reads_per_s < 0)
+			return false;
+	}
+	return isfinite(r->requests_per_s) && r->requests_per_s >= 0;
+}
+
 bool gsp_decode(struct gsp_record *r, const char *in, size_t len)
 {
 	XDR x;
@@ -163,5 +181,5 @@
 	xdrmem_create(&x, (char *)in, (u_int)len, XDR_DECODE);
 	ok = xdr_record(&x, r);
 	xdr_destroy(&x);
-	return ok && r->name[0];
+	return ok && r->name[0] && rates_sound(r);
 }
--- a/tests/test_prs.c
+++ b/tests/test_prs.c
@@ -1,4 +1,5 @@
 /* What entries tell each other: encoding, echoes, who counts. */
+#include <math.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -25,6 +26,19 @@
 	r->demands[0].per_s = 1234.5;
 	r->nr_loads = 2;
 	r->loads[1] = (struct gsp_load){ 99, 3, 5000 };
+	r->nr_services = 1;
+	r->services[0].reads_per_s = 152000;
+	r->services[0].told = (struct svc_told){
+		.service = 42,
+		.samples = 200,
+		.first = { 40, 16.5, 12, 3 },
+		.first_off = 20,
+		.pace_samples = 90,
+		.pace = { 25, 2 },
+		.pace_off = 4,
+		.run_ms = 1150,
+		.run_seen = 50,
+	};
 	r->nr_counts = 1;
 	r->counts[0].source = 5;
 	r->counts[0].window = 355;
@@ -47,6 +61,12 @@
 	CU_ASSERT_DOUBLE_EQUAL(heard.demands[0].per_s, 1234.5, 0.001);
 	CU_ASSERT_EQUAL(heard.counts[0].runs, 17);
 	CU_ASSERT_EQUAL(heard.counts[0].source, 5);
+	CU_ASSERT_EQUAL(heard.nr_services, 1);
+	CU_ASSERT_EQUAL(heard.services[0].told.service, 42);
+	CU_ASSERT_DOUBLE_EQUAL(heard.services[0].reads_per_s, 152000, 1);
+	CU_ASSERT_DOUBLE_EQUAL(heard.services[0].told.first[SVC_READ_MS], 16.5,
+			       0.001);
+	CU_ASSERT_DOUBLE_EQUAL(heard.services[0].told.run_ms, 1150, 0.01);
 }
 
 /* Datagrams that are cut, altered or not ours are refused or decode whole. */
@@ -70,11 +90,36 @@
 		if (!gsp_decode(&heard, bad, n))
 			continue;
 		CU_ASSERT(heard.nr_counts <= GSP_COUNTS);
+		CU_ASSERT(heard.nr_services <= GSP_SERVICES);
 		CU_ASSERT(strlen(heard.name) < GSP_NAME);
 	}
 	CU_ASSERT_FALSE(gsp_decode(&heard, "", 0));
 }
 
+/*
+ * Symptom: the number of endpoints ordered was no number. Sequence: one bit
+ * of a datagram flips, and a rate in it becomes "not a number". Cause: it was
+ * added to the others' rates.
+ */
+static void rates_that_are_no_numbers_are_refused(void)
+{
+	char bytes[GSP_MAX_BYTES];
+	size_t n;
+
+	fill(&said, "edge-1", 4);
+	said.services[0].reads_per_s = NAN;
+	n = gsp_encode(&said, bytes, sizeof(bytes));
+	CU_ASSERT_FALSE(gsp_decode(&heard, bytes, n));
+	fill(&said, "edge-1", 4);
+	said.demands[0].per_s = INFINITY;
+	n = gsp_encode(&said, bytes, sizeof(bytes));
+	CU_ASSERT_FALSE(gsp_decode(&heard, bytes, n));
+	fill(&said, "edge-1", 4);
+	said.services[0].reads_per_s = -1;
+	n = gsp_encode(&said, bytes, sizeof(bytes));
+	CU_ASSERT_FALSE(gsp_decode(&heard, bytes, n));
+}
+
 /* A full record still fits into a datagram, or is not sent. */
 static void full_record_is_bounded(void)
 {
@@ -84,6 +129,7 @@
 	fill(&said, "edge-1", 4);
 	said.nr_loads = GSP_LOADS;
 	said.nr_counts = GSP_COUNTS;
+	said.nr_services = GSP_SERVICES;
 	for (i = 0; i < GSP_COUNTS; i++)
 		str_copy(said.counts[i].account, "account", GSP_NAME);
 	CU_ASSERT(gsp_encode(&said, bytes, sizeof(bytes)) > 0);
@@ -212,6 +258,8 @@
 	{ "heard is not told its counts", heard_is_not_told_its_counts },
 	{ "heard entries outlive their registration",
 	  heard_entries_outlive_their_registration },
+	{ "rates that are no numbers are refused",
+	  rates_that_are_no_numbers_are_refused },
 };
 
 UNIT_MAIN("prs", tests)
