Comments say what holds: the plan record, the switches, the cost of a run

Reading the change as a newcomer: a promise does rest on policy.moves (streams on endpoints that leave), the plan record's worth is what was measured here, and the part that a running request counts for has its source. No behaviour is changed.

--- a/lib/duty/carry.h
+++ b/lib/duty/carry.h
@@ -2,9 +2,12 @@
  * carry: what the holder of the duties plans with, as it stands in the store
  * for the next holder.
  *
- * Without it each new holder starts from a guess: with four holders in a day
- * each ordered twenty endpoints where sixteen stood and took them back a
- * second later, all with empty prompt caches.
+ * Without it each new holder starts from a guess: where that is high it orders
+ * endpoints and takes them back a second later, all with empty prompt caches;
+ * where it is low it sends away endpoints that are needed. The log shows it as
+ * orders right after a change of holder. On a day on which four holders fall
+ * the record gives callers 0.005 of the day (standard error 0.003, 8 pairs);
+ * where the guess is near the need it gives nothing.
  */
 #ifndef CARRY_H
 #define CARRY_H
--- a/lib/edge/conf.h
+++ b/lib/edge/conf.h
@@ -61,7 +61,8 @@
 	double list_ttl_s;
 	/*
 	 * Mechanisms that decide, each of which can be switched off: to see
-	 * what it is worth, or while it is suspected of a fault. No promise
+	 * what it is worth, or while it is suspected of a fault. Without
+	 * `moves` streams on endpoints that leave may be cut; no other promise
 	 * rests on one of them.
 	 */
 	struct {
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -201,7 +201,7 @@
 
 /* The model of the service, made on first use. */
 struct svc *edge_model(struct edge *en, const char *service);
-/* The first event, or the whole answer, of the send under way is there. */
+/* The first event of the send under way is there. */
 void edge_learn_first(struct edge_req *r);
 /* The send under way ended well. */
 void edge_learn_end(struct edge_req *r);
--- a/lib/route/pick.c
+++ b/lib/route/pick.c
@@ -7,7 +7,8 @@
 /*
  * A long prompt delays those that run beside it: the engine reads a chunk
  * between two steps. Each running request counts for this part of the time
- * in which a usual prompt is read.
+ * in which a usual prompt is read: 6 of 52 ms, the best of 2, 4, 6 and 10 ms on
+ * the two deployments on which it was measured.
  */
 #define RUN_PART 0.115
 
