--- a/tests/test_conf.c
+++ b/tests/test_conf.c
@@ -46,21 +46,28 @@
 	CU_ASSERT_DOUBLE_EQUAL(c.bounds.retry_ratio, 0.2, 1e-9);
 }
 
-/* Replaces `from` in the example and expects an error that names `word`. */
-static void expect_error(const char *from, const char *to, const char *word)
+/* The example with the first `from` replaced. */
+static void changed_example(const char *from, const char *to, struct buf *out)
 {
 	BUF_AUTO text = BUF_INIT;
-	BUF_AUTO changed = BUF_INIT;
-	struct err e = ERR_INIT;
-	struct conf c;
 	const char *at;
 
 	read_example(&text);
 	at = strstr(text.data, from);
 	CU_ASSERT_PTR_NOT_NULL_FATAL(at);
-	buf_add(&changed, text.data, (size_t)(at - text.data));
-	buf_str(&changed, to);
-	buf_str(&changed, at + strlen(from));
+	buf_add(out, text.data, (size_t)(at - text.data));
+	buf_str(out, to);
+	buf_str(out, at + strlen(from));
+}
+
+/* Replaces `from` in the example and expects an error that names `word`. */
+static void expect_error(const char *from, const char *to, const char *word)
+{
+	BUF_AUTO changed = BUF_INIT;
+	struct err e = ERR_INIT;
+	struct conf c;
+
+	changed_example(from, to, &changed);
 	CU_ASSERT_EQUAL(load(changed.data, &c, &e), -1);
 	CU_ASSERT_PTR_NOT_NULL(strstr(e.text, word));
 	CU_ASSERT_PTR_NULL(strchr(e.text, '\n'));
@@ -96,21 +103,18 @@
 static void mechanisms_are_switched_one_by_one(void)
 {
 	static const char from[] = "\"first_internal_port\":";
-	static const char off[] = "\"policy\": {\"moves\": false}, ";
 	BUF_AUTO text = BUF_INIT;
 	BUF_AUTO changed = BUF_INIT;
 	struct err e = ERR_INIT;
 	struct conf c;
-	const char *at;
 
 	read_example(&text);
 	CU_ASSERT_EQUAL(load(text.data, &c, &e), 0);
 	CU_ASSERT(c.policy.moves && c.policy.affinity && c.policy.learn);
-	at = strstr(text.data, from);
-	CU_ASSERT_PTR_NOT_NULL_FATAL(at);
-	buf_add(&changed, text.data, (size_t)(at - text.data));
-	buf_str(&changed, off);
-	buf_str(&changed, at);
+	changed_example(from,
+			"\"policy\": {\"moves\": false}, "
+			"\"first_internal_port\":",
+			&changed);
 	CU_ASSERT_EQUAL(load(changed.data, &c, &e), 0);
 	CU_ASSERT(!c.policy.moves && c.policy.affinity && c.policy.learn);
 	expect_error(from,
