Logs say how old the list of endpoints was, and which answers were slow

Cause: the record of the incident cannot tell whether an entry that sent work to a leaving endpoint was behind a large answer of its own, behind repeated reads, or followed an entry that was blind itself.

Change: lines send and endpoint carry the age of the list; a line store_answer for answers that came 300 ms late or have 64 KB (call, way, time, bytes, age of the list); a gauge of that age. No decision changes.

--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -74,6 +74,9 @@
 				      "version of the configuration in force");
 	x->endpoints = met_gauge(m, "endpoints", "endpoints known");
 	x->entries = met_gauge(m, "entries", "entries known, with this one");
+	x->list_age_ms =
+		met_gauge(m, "endpoint_list_age_ms",
+			  "since the list of endpoints was last complete");
 	x->first_event_ms =
 		met_histogram(m, "first_event_ms",
 			      "from a request's arrival to its first event");
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -53,6 +53,7 @@
 	met_value *usage_reports, *scale_orders;
 	met_value *entries_unreadable; /* of endpoints, in the store */
 	met_value *lines_dropped, *config_version, *endpoints, *entries;
+	met_value *list_age_ms;
 	struct met_histogram *first_event_ms, *answer_ms, *endpoint_ms;
 	struct met_histogram *prediction_error_ms;
 };
@@ -93,6 +94,7 @@
 	struct feed feed;
 	struct cds_list_head followers; /* of edge_follower */
 	int64_t follow_after_ms;	/* no entry is followed before */
+	int64_t listed_ms; /* when the list of endpoints was last complete */
 	struct force force;
 	int64_t behind_ms; /* a newer version is told of since; 0: none */
 	bool refreshing;
@@ -216,6 +218,8 @@
 void edge_store_open(struct edge *en, const struct sockaddr_in *addr);
 void edge_store_tick(struct edge *en, int64_t now);
 void edge_refresh(struct edge *en);
+/* How long ago the list of endpoints was complete; -1: it never was. */
+int64_t edge_list_age(const struct edge *en, int64_t now);
 #define EDGE_DUTY_KEY "md/duty"
 #define EDGE_USAGE_PREFIX "md/usage/"
 #define EDGE_PLAN_KEY "md/plan"
--- a/lib/edge/edge_send.c
+++ b/lib/edge/edge_send.c
@@ -496,6 +496,7 @@
 	jlog_int(en->log, "config", r->cfg->version);
 	jlog_int(en->log, "config_age_ms", force_age(&en->force, now));
 	jlog_str(en->log, "endpoint", p->endpoint->info.id);
+	jlog_int(en->log, "list_age_ms", edge_list_age(en, now));
 	jlog_str(en->log, "zone", p->endpoint->info.zone);
 	jlog_int(en->log, "candidates", p->candidates);
 	jlog_int(en->log, "wait_ms", (int64_t)p->wait_ms);
--- a/lib/edge/edge_store.c
+++ b/lib/edge/edge_store.c
@@ -52,6 +52,13 @@
 #define FOLLOW_REST_MS 2000
 #define FOLLOW_ONCE_MS 200
 
+/*
+ * Answers of the store that are logged: those that came this late, or have
+ * so many bytes. Neither happens more than a few times a second.
+ */
+#define SLOW_ANSWER_MS 300
+#define LARGE_ANSWER (64u << 10)
+
 /* ---- Keys ---- */
 
 static void log_config(struct edge *en, const struct cfg *c, int64_t revision)
@@ -100,6 +107,8 @@
 	jlog_bool(en->log, "reclaimable", e->info.reclaimable);
 	jlog_int(en->log, "leaves_ms", e->info.leaves_ms);
 	jlog_int(en->log, "running", e->running);
+	/* How long a change may have waited to be seen. */
+	jlog_int(en->log, "list_age_ms", edge_list_age(en, edge_now(en)));
 	jlog_end(en->log);
 }
 
@@ -247,6 +256,8 @@
 	mir_page(&en->mirror,
 		 a->nr_items ? a->items[a->nr_items - 1].key : NULL, a->more,
 		 a->revision, now);
+	if (!a->more)
+		en->listed_ms = now;
 }
 
 static void apply_changes(struct edge *en, const struct sto_answer *a)
@@ -280,6 +291,7 @@
 		 a->raw, a->raw_len);
 	apply_changes(en, a);
 	mir_watched(&en->mirror, a->nr_items > 0, a->revision, now);
+	en->listed_ms = now;
 	edge_inner_feed(en, now);
 }
 
@@ -302,6 +314,7 @@
 	}
 	apply_changes(en, a);
 	mir_watched(&en->mirror, false, a->revision, now);
+	en->listed_ms = now;
 }
 
 static bool follow(struct edge *en, int64_t now)
@@ -433,6 +446,31 @@
 	jlog_end(en->log);
 }
 
+static void on_traced(void *arg, const struct sto_trace *t)
+{
+	struct edge *en = arg;
+
+	if (t->late_ms < SLOW_ANSWER_MS && t->bytes < LARGE_ANSWER)
+		return;
+	jlog_begin(en->log, JLOG_INFO, "store_answer");
+	jlog_str(en->log, "call", sto_kind_name(t->kind));
+	jlog_str(en->log, "outcome", sto_outcome_name(t->outcome));
+	jlog_str(en->log, "way",
+		 t->following ? "followed"
+		 : t->direct  ? "direct"
+			      : "relayed");
+	jlog_int(en->log, "took_ms", t->took_ms);
+	jlog_int(en->log, "late_ms", t->late_ms);
+	jlog_int(en->log, "bytes", (int64_t)t->bytes);
+	jlog_int(en->log, "list_age_ms", edge_list_age(en, edge_now(en)));
+	jlog_end(en->log);
+}
+
+int64_t edge_list_age(const struct edge *en, int64_t now)
+{
+	return en->listed_ms ? now - en->listed_ms : -1;
+}
+
 static void log_gone(struct flt_endpoint *e, void *arg)
 {
 	log_endpoint(arg, e, "gone");
@@ -443,6 +481,7 @@
 	en->store = sto_create(en->loop, en->clk, en->wire->store, addr,
 			       on_store, en);
 	sto_set_detour(en->store, detour, en);
+	sto_set_trace(en->store, on_traced, en);
 	mir_init(&en->mirror, &mirror_vtable, en);
 }
 
--- a/lib/store/sto.c
+++ b/lib/store/sto.c
@@ -49,6 +49,8 @@
 	void *told_arg;
 	sto_detour detour;
 	void *detour_arg;
+	sto_traced traced;
+	void *traced_arg;
 	bool direct_ok;
 	int64_t rest_until_ms; /* the direct way is not used before */
 	int64_t rest_ms;       /* the last rest */
@@ -64,6 +66,7 @@
 	sto_done done;
 	void *arg;
 	int64_t asked_ms;
+	int wait_ms; /* of a watch */
 	bool direct;
 	bool following; /* says nothing of the store itself */
 	int status;
@@ -82,6 +85,15 @@
 	return names[o];
 }
 
+const char *sto_kind_name(enum sto_kind k)
+{
+	static const char *const names[] = {
+		"get", "list", "watch", "write", "lease", "keep", "end",
+	};
+
+	return names[k];
+}
+
 void sto_answer_free(struct sto_answer *a)
 {
 	size_t i;
@@ -138,6 +150,12 @@
 	s->detour_arg = arg;
 }
 
+void sto_set_trace(struct sto *s, sto_traced traced, void *arg)
+{
+	s->traced = traced;
+	s->traced_arg = arg;
+}
+
 bool sto_direct_ok(const struct sto *s)
 {
 	return s->direct_ok;
@@ -241,8 +259,27 @@
 	tell(p, good, sto_outcome_name(o));
 }
 
+static void trace(const struct pending *p, enum sto_outcome o)
+{
+	const struct sto *s = p->s;
+	const int64_t took = clk_boot_ms(s->clk) - p->asked_ms;
+	const struct sto_trace t = {
+		.kind = p->kind,
+		.outcome = o,
+		.direct = p->direct,
+		.following = p->following,
+		.took_ms = took,
+		.late_ms = took - p->wait_ms,
+		.bytes = p->body.len,
+	};
+
+	if (s->traced)
+		s->traced(s->traced_arg, &t);
+}
+
 static void finish(struct pending *p, struct sto_answer *a)
 {
+	trace(p, a->outcome);
 	a->asked_ms = p->asked_ms;
 	a->raw = buf_cstr(&p->body);
 	a->raw_len = p->body.len;
@@ -332,6 +369,8 @@
 	p->done = done;
 	p->arg = arg;
 	p->asked_ms = clk_boot_ms(s->clk);
+	if (call->kind == STO_WATCH)
+		p->wait_ms = call->wait_ms;
 	to = choose(s, &p->direct);
 	s->codec->encode(call, s->host, &wire);
 	if (htc_start(to, &wire, 0, false, time_for(call, p->direct),
@@ -377,6 +416,7 @@
 	p->done = done;
 	p->arg = arg;
 	p->asked_ms = clk_boot_ms(s->clk);
+	p->wait_ms = wait_ms;
 	p->following = true;
 	buf_fmt(&wire,
 		"GET " FOLLOW_PATH "?after=%lld&wait=%d HTTP/1.1\r\n"
--- a/lib/store/sto.h
+++ b/lib/store/sto.h
@@ -159,6 +159,25 @@
  */
 int64_t sto_back_ms(const struct sto *s);
 
+/* How a call ended, for the log. */
+struct sto_trace {
+	enum sto_kind kind;
+	enum sto_outcome outcome;
+	bool direct;	/* straight to the store, not through another entry */
+	bool following; /* asked of the entry whose watch is followed */
+	int64_t took_ms;
+	int64_t late_ms; /* beyond the time that it was asked to wait */
+	size_t bytes;	 /* of the body, as far as it came */
+};
+
+typedef void (*sto_traced)(void *arg, const struct sto_trace *t);
+
+/* Each call that ends is told, before its `done`. */
+void sto_set_trace(struct sto *s, sto_traced traced, void *arg);
+
+/* The word for logs. */
+const char *sto_kind_name(enum sto_kind k);
+
 /*
  * Hands on a request that another entry could not send itself, as it is.
  * `done` gets status and body; status 0: no answer, and whether it was sent.
