A test of a large configuration on a slow way to the store: it fails

With six entries and a link of 200 KB a second a version of 300 KB never comes into force, and an endpoint's leaving that is written while it is read is never learned: the one watch that brings both is given up after its time, each read of the version after 0.9 s.

A listed test that passes fails the check.

--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -8,12 +8,33 @@
 export TSAN_OPTIONS="suppressions=$PWD/tests/tsan.supp"
 passed=0 failed=0
 
+# known_red NAME: its line in KNOWN-RED.txt ("TEST | CAUSE | ISSUE"), if any.
+known_red() { grep "^$1 | " KNOWN-RED.txt 2>/dev/null; }
+
+# add_red NAME CODE LINE: of a listed program the failures are passed over and
+# printed; one that passes must come off the list.
+add_red() {
+	if [ "$2" = 0 ]; then
+		echo "$1 passes: to be taken off KNOWN-RED.txt"
+		failed=$((failed + 1))
+		return
+	fi
+	echo "$3"
+	echo "known red: $(known_red "$1")"
+	[ -z "$3" ] ||
+		passed=$((passed + $(echo "$3" | sed 's/.*: \([0-9]*\) passed.*/\1/')))
+}
+
 # add: takes the program's line "NAME: N passed, N failed"; a program that
 # ended without one has failed.
 add() {
 	local name=$1 code=$2 line
 	line=$(grep -E ': [0-9]+ passed, [0-9]+ failed$' "$OUT" | tail -1)
 	grep -vE ': [0-9]+ passed, [0-9]+ failed$' "$OUT"
+	if known_red "$name" >/dev/null; then
+		add_red "$name" "$code" "$line"
+		return
+	fi
 	if [ -z "$line" ]; then
 		echo "$name: ended with $code and no result"
 		failed=$((failed + 1))
@@ -40,6 +61,8 @@
 	add process_test $?
 	BIN=$BUILD/bin scripts/edge_test.sh >"$OUT" 2>&1
 	add edge_test $?
+	BIN=$BUILD/bin scripts/slow_link_test.sh >"$OUT" 2>&1
+	add slow_link_test $?
 	# A short run; seeds that ever failed are to be added here.
 	BIN=$BUILD/bin scripts/fault_soak.sh 4 1 2 >"$OUT" 2>&1
 	add fault_soak $?
--- a/scripts/edge_cluster.sh
+++ b/scripts/edge_cluster.sh
@@ -55,8 +55,11 @@
 
 # put_document VERSION KEYS [MORE_ROUTES]
 put_document() {
-	sed "s|%VERSION%|$1|; s|%KEYS%|$2|; s|%ROUTES%|$3|" \
-		tests/standin/document.json >"$DIR/document.json"
+	# As a script file: many routes are too long for an argument.
+	printf 's|%%VERSION%%|%s|; s|%%KEYS%%|%s|; s|%%ROUTES%%|%s|\n' \
+		"$1" "$2" "$3" >"$DIR/document.sed"
+	sed -f "$DIR/document.sed" tests/standin/document.json \
+		>"$DIR/document.json"
 	curl -s -o /dev/null --data-binary @"$DIR/document.json" \
 		"http://$PLATFORM/test/put?key=op/config"
 }
@@ -65,6 +68,8 @@
 	curl -s "http://$PLATFORM/test/$1"
 }
 
+is() { [ "$1" = "$2" ]; }
+
 # seen NAME: a count of what the stand-in saw.
 seen() {
 	platform_test seen | head -1 | tr ' ' '\n' | grep -A1 "^$1$" | tail -1
--- a/scripts/edge_test.sh
+++ b/scripts/edge_test.sh
@@ -6,8 +6,6 @@
 . scripts/edge_cluster.sh
 trap cluster_stop EXIT
 
-is() { [ "$1" = "$2" ]; }
-
 # answers STATUS N ID PATH...: waits until a request gets this status.
 answers() {
 	local want=$1 n=$2 id=$3 path=$4 i
