--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 EDGE_SRC = $(filter-out lib/edge/explain.c,$(foreach d,$(EDGE_DIRS),$(wildcard lib/$(d)/*.c))) \
 	$(wildcard platform/*.c) programs/edge.c \
 	$(addprefix lib/base/,buf.c clk.c err.c hsh.c jlog.c jsn.c met.c rnd.c) \
-	lib/config/cfg.c lib/config/force.c lib/limit/acct.c lib/limit/again.c \
+	lib/config/cfg.c lib/config/force.c lib/config/vfy.c lib/limit/acct.c lib/limit/again.c \
 	lib/member/gsp.c lib/member/named.c lib/member/prs.c \
 	lib/member/rank.c lib/request/rq.c lib/route/parts.c \
 	lib/route/pick.c
@@ -122,7 +122,7 @@
 tests-bin: $(TESTS) $(FUZZERS)
 
 SEEDS = 20000
-SOAKED = cfg duties mir acct
+SOAKED = cfg duties mir acct vfy
 soak: $(BUILD)/tests/test_soak $(SOAKED:%=$(BUILD)/tests/test_%) \
 	$(BUILD)/tests/fuzz_edge
 	$(BUILD)/tests/test_soak $(SEEDS)
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -228,7 +228,6 @@
 	CDS_INIT_LIST_HEAD(&en->requests);
 	CDS_INIT_LIST_HEAD(&en->verifying);
 	CDS_INIT_LIST_HEAD(&en->followers);
-	feed_init(&en->feed);
 	register_metrics(en);
 	force_init(&en->force);
 	flt_init(&en->fleet, edge_unlink);
--- a/lib/edge/edge_inner.c
+++ b/lib/edge/edge_inner.c
@@ -63,19 +63,13 @@
 
 /* ---- Entries that follow our watch ---- */
 
-/*
- * What our watch brings is passed on only while our own way to the store
- * worked this lately: a leader that is cut off would leave its followers
- * blind beside a store that they can reach.
- */
-#define FEED_TRUST_MS 1300
-
 /* An answer without changes. */
 #define NOTHING_NEW "{\"events\":[],\"currentRev\":%lld}"
 
 struct edge_follower {
 	struct cds_list_head node; /* in edge.followers */
 	struct hsc *conn;
+	struct edge_watch *watch; /* which it follows */
 	int64_t after;
 	int64_t until_ms;
 };
@@ -98,17 +92,17 @@
 }
 
 /* True if the follower has its answer. */
-static bool try_follower(struct edge *en, struct edge_follower *f, int64_t now)
+static bool try_follower(struct edge_follower *f, int64_t now)
 {
+	const int64_t upto = f->watch->feed.upto;
 	const struct feed_part *part;
 	char nothing[64];
 
-	if (en->stopping || !en->mirror.whole ||
-	    now - sto_direct_good_ms(en->store) > FEED_TRUST_MS) {
+	if (!edge_watch_leads(f->watch, now)) {
 		answer_follower(f, 503, "", 0);
 		return true;
 	}
-	switch (feed_after(&en->feed, f->after, &part)) {
+	switch (feed_after(&f->watch->feed, f->after, &part)) {
 	case FEED_GAP:
 		/* What it lacks is not here: it asks the store once. */
 		answer_follower(f, 404, "", 0);
@@ -121,7 +115,8 @@
 	}
 	if (now < f->until_ms)
 		return false;
-	snprintf(nothing, sizeof(nothing), NOTHING_NEW, (long long)f->after);
+	snprintf(nothing, sizeof(nothing), NOTHING_NEW,
+		 (long long)(upto > f->after ? upto : f->after));
 	answer_follower(f, 200, nothing, strlen(nothing));
 	return true;
 }
@@ -131,23 +126,24 @@
 	struct edge_follower *f, *next;
 
 	cds_list_for_each_entry_safe(f, next, &en->followers, node) {
-		try_follower(en, f, now);
+		try_follower(f, now);
 	}
 }
 
-static void add_follower(struct edge *en, struct hsc *c, int64_t after,
-			 int wait_ms)
+static void add_follower(struct edge *en, struct hsc *c, unsigned lane,
+			 int64_t after, int wait_ms)
 {
 	struct edge_follower *f = calloc(1, sizeof(*f));
 	const int64_t now = edge_now(en);
 
 	assert(f);
 	f->conn = c;
+	f->watch = &en->watches[lane];
 	f->after = after;
 	f->until_ms = now + wait_ms;
 	c->request = f;
 	cds_list_add_tail(&f->node, &en->followers);
-	try_follower(en, f, now);
+	try_follower(f, now);
 }
 
 static struct edge_follower *find_follower(struct edge *en, const struct hsc *c)
@@ -186,13 +182,14 @@
 {
 	struct edge *en = c->server->owner;
 	const char *url = hmsg_url(&c->parse.msg);
+	unsigned lane;
 	int64_t after;
 	int wait_ms;
 
 	if (!strcmp(url, "/metrics"))
 		serve_metrics(en, c);
-	else if (sto_is_follow(url, &after, &wait_ms))
-		add_follower(en, c, after, wait_ms);
+	else if (sto_is_follow(url, &lane, &after, &wait_ms))
+		add_follower(en, c, lane, after, wait_ms);
 	else
 		relay(en, c);
 }
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -13,6 +13,7 @@
 #include "base/met.h"
 #include "base/rnd.h"
 #include "config/force.h"
+#include "config/vfy.h"
 #include "duty/carry.h"
 #include "duty/lead.h"
 #include "duty/scale.h"
@@ -72,6 +73,28 @@
 	bool registered; /* the entry's key is written under this lease */
 };
 
+/*
+ * The store's keys that are read and watched, each kind by itself. An answer
+ * comes whole or not at all, so what is urgent and small is not asked for
+ * together with what may be large: an endpoint's leaving would be learned
+ * with the last byte of a configuration. That is read apart (edge_config.c).
+ */
+enum edge_keys {
+	EDGE_ENDPOINTS,
+	EDGE_OWN, /* entries, the duties' holder and plan */
+	EDGE_NR_KEYS,
+};
+
+struct edge_watch {
+	struct edge *en;
+	const char *prefix;
+	int wait_ms; /* of a watch */
+	struct mir mirror;
+	struct feed feed;
+	int64_t follow_after_ms; /* no entry is followed before */
+	int64_t complete_ms;	 /* when all was known last; 0: never */
+};
+
 struct edge {
 	struct ev_loop *loop;
 	const struct clk *clk;
@@ -90,15 +113,11 @@
 	struct cds_list_head requests; /* of edge_req */
 
 	struct sto *store;
-	struct mir mirror;
-	struct feed feed;
+	struct edge_watch watches[EDGE_NR_KEYS];
 	struct cds_list_head followers; /* of edge_follower */
-	int64_t follow_after_ms;	/* no entry is followed before */
-	int64_t listed_ms; /* when the list of endpoints was last complete */
 	struct force force;
-	int64_t behind_ms; /* a newer version is told of since; 0: none */
-	bool refreshing;
-	int64_t refresh_ms;		/* when the last one was started */
+	struct vfy vfy;
+	int watch_place; /* among the entries that watch the store; -1 */
 	struct cds_list_head verifying; /* of edge_req.wait_node */
 	struct edge_lease lease;
 
@@ -214,16 +233,29 @@
 /* The copy is there and the stream has stopped. */
 void edge_move_on(struct edge_req *r);
 
-/* ---- edge_store.c: what the store says, freshness ---- */
+/* ---- edge_store.c: what the store says ---- */
+extern const struct mir_vtable edge_keys_vtable; /* arg: struct edge */
 void edge_store_open(struct edge *en, const struct sockaddr_in *addr);
 void edge_store_tick(struct edge *en, int64_t now);
-void edge_refresh(struct edge *en);
+/* Logs that the value of a key makes no sense. */
+void edge_unreadable(struct edge *en, const char *key, const char *why);
 /* How long ago the list of endpoints was complete; -1: it never was. */
 int64_t edge_list_age(const struct edge *en, int64_t now);
+#define EDGE_OWN_PREFIX "md/"
 #define EDGE_DUTY_KEY "md/duty"
 #define EDGE_USAGE_PREFIX "md/usage/"
 #define EDGE_PLAN_KEY "md/plan"
 
+/* ---- edge_watch.c: following the store's keys ---- */
+void edge_watch_open(struct edge *en);
+void edge_watch_tick(struct edge *en, int64_t now);
+/* True if others may rely on what our watch of these keys brings. */
+bool edge_watch_leads(const struct edge_watch *w, int64_t now);
+
+/* ---- edge_config.c: the configuration in force ---- */
+/* Asks the store if it is time to, or if a request waits for it. */
+void edge_config_tick(struct edge *en, int64_t now);
+
 /* ---- edge_lease.c: registration, holding the duties ---- */
 #define EDGE_ENTRY_PREFIX "md/entry/"
 void edge_lease_tick(struct edge *en, int64_t now);
@@ -242,6 +274,8 @@
 /* ---- edge_peer.c: other entries ---- */
 int edge_peer_open(struct edge *en, struct err *e);
 void edge_peer_tick(struct edge *en, int64_t now);
+/* Tells all the others at once, not in rounds: what cannot wait. */
+void edge_peer_tell_all(struct edge *en, int64_t now);
 /* Sum up what the others told. */
 void edge_peer_demands(struct edge *en, int64_t now);
 void edge_peer_loads(struct edge *en, int64_t now);
--- a/lib/edge/edge_lease.c
+++ b/lib/edge/edge_lease.c
@@ -168,7 +168,7 @@
 			      .nr_rows = 1 };
 
 	if (!en->conf->cloud.address[0] || !en->lease.registered ||
-	    en->stopping || !en->mirror.whole)
+	    en->stopping || !en->watches[EDGE_OWN].mirror.whole)
 		return;
 	if ((en->lead.taken && !en->lead.former) ||
 	    !lead_try(&en->lead, edge_watch_place(en, now), en->lease.until_ms,
--- a/lib/edge/edge_peer.c
+++ b/lib/edge/edge_peer.c
@@ -218,6 +218,16 @@
 	en->next_peer = (en->next_peer + want) % n;
 }
 
+void edge_peer_tell_all(struct edge *en, int64_t now)
+{
+	const struct prs_peer *p;
+
+	fill_record(en, &en->said, now);
+	edge_mark_keepers(en, now);
+	cds_list_for_each_entry(p, &en->prs.peers, node)
+		send_to(en, p, now);
+}
+
 /* ---- What we hear ---- */
 
 /* Of services that the configuration names, so that others cost nothing. */
@@ -368,6 +378,7 @@
 void edge_peer_tick(struct edge *en, int64_t now)
 {
 	tell_round(en, now);
+	en->watch_place = edge_watch_place(en, now);
 	edge_peer_demands(en, now);
 	edge_peer_loads(en, now);
 	compare_clocks(en, now);
--- a/lib/edge/edge_req.c
+++ b/lib/edge/edge_req.c
@@ -140,7 +140,7 @@
 	ev_timer_stop(en->loop, &r->again);
 	ev_timer_set(&r->again, (double)VERIFY_WAIT_MS / 1000, 0);
 	ev_timer_start(en->loop, &r->again);
-	edge_refresh(en);
+	edge_config_tick(en, edge_now(en));
 }
 
 /* True if the configuration was the newest shortly before the request. */
--- a/lib/edge/edge_store.c
+++ b/lib/edge/edge_store.c
@@ -1,4 +1,5 @@
-/* What the store says: configuration, endpoints, entries, duties. */
+/* What the store says of endpoints, entries and duties, and what is logged of
+ * its answers. */
 #include <assert.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -8,50 +9,6 @@
 #include "base/jsn.h"
 #include "edge/edge_internal.h"
 
-/*
- * The configuration is confirmed this often, by one entry for all: the first
- * of those that watch the store asks and tells the others. The bound is that
- * of revoked keys, of which it leaves more than half.
- */
-#define REFRESH_MS 1200
-
-/*
- * The second of them asks so much later, and so on: by then it has heard of
- * the first one's word, if that lives.
- */
-#define REFRESH_STEP_MS 300
-
-/*
- * The others ask so much later, spread over the second figure. Telling all
- * of a hundred entries takes 0.6 s; when all asked by the clock alone, half
- * of them had asked before they heard: 1,200 calls in 50 s on 84 entries.
- */
-#define REFRESH_OTHERS_MS 1000
-#define REFRESH_SPREAD_MS 600
-#define REFRESH_RETRY_MS 300
-
-/*
- * Datagrams tell of a new version before the watch brings it: it is waited
- * for so long, then the store is asked. Without the wait each entry of 84
- * asked at each change.
- */
-#define BEHIND_WAIT_MS 600
-
-/*
- * Following another entry's watch: it answers at least this often, and with
- * so much more time it counts as lost. Together with FEED_TRUST_MS a follower
- * is blind for less than the two seconds in which leaves must be acted on.
- */
-#define FOLLOW_WAIT_MS 900
-#define FOLLOW_EXTRA_MS 400
-
-/*
- * After a lost leader the store is watched directly for so long; after one
- * that had not what we lacked, for the time in which one watch brings it.
- */
-#define FOLLOW_REST_MS 2000
-#define FOLLOW_ONCE_MS 200
-
 /*
  * Answers of the store that are logged: those that came this late, or have
  * so many bytes. Neither happens more than a few times a second.
@@ -61,19 +18,7 @@
 
 /* ---- Keys ---- */
 
-static void log_config(struct edge *en, const struct cfg *c, int64_t revision)
-{
-	met_set(en->m.config_version, c->version);
-	jlog_begin(en->log, JLOG_INFO, "config_in_force");
-	jlog_int(en->log, "config", c->version);
-	jlog_int(en->log, "revision", revision);
-	jlog_int(en->log, "routes", (int64_t)c->nr_routes);
-	jlog_int(en->log, "accounts", (int64_t)c->nr_accounts);
-	jlog_int(en->log, "keys", (int64_t)c->nr_keys);
-	jlog_end(en->log);
-}
-
-static void log_unreadable(struct edge *en, const char *key, const char *why)
+void edge_unreadable(struct edge *en, const char *key, const char *why)
 {
 	jlog_begin(en->log, JLOG_ERROR, "store_value_unreadable");
 	jlog_str(en->log, "key", key);
@@ -81,21 +26,6 @@
 	jlog_end(en->log);
 }
 
-/* The last good version stays in force if this one cannot be read. */
-static void take_config(struct edge *en, const char *value, size_t len,
-			int64_t revision, int64_t asked_ms)
-{
-	struct err e = ERR_INIT;
-	struct cfg *c = en->wire->config(value, len, &e);
-
-	if (!c) {
-		log_unreadable(en, en->wire->config_key, e.text);
-		return;
-	}
-	if (force_offer(&en->force, c, asked_ms))
-		log_config(en, en->force.cfg, revision);
-}
-
 static void log_endpoint(struct edge *en, const struct flt_endpoint *e,
 			 const char *what)
 {
@@ -127,7 +57,7 @@
 		flt_unnamed(&en->fleet,
 			    key + strlen(en->wire->endpoint_prefix));
 		met_inc(en->m.entries_unreadable);
-		log_unreadable(en, key, e.text);
+		edge_unreadable(en, key, e.text);
 		return;
 	}
 	ep = flt_listed(&en->fleet, &info, edge_now(en), &news);
@@ -149,7 +79,7 @@
 	str_copy(info.callers, jsn_str(o, "callers", ""), sizeof(info.callers));
 	str_copy(info.peers, jsn_str(o, "peers", ""), sizeof(info.peers));
 	if (!prs_registered(&en->prs, &info, edge_now(en))) {
-		log_unreadable(en, key, "no address of the entry");
+		edge_unreadable(en, key, "no address of the entry");
 		return;
 	}
 	edge_peer_demands(en, edge_now(en));
@@ -197,9 +127,7 @@
 {
 	struct edge *en = arg;
 
-	if (!strcmp(key, en->wire->config_key))
-		take_config(en, value, len, revision, 0);
-	else if (begins(key, en->wire->endpoint_prefix))
+	if (begins(key, en->wire->endpoint_prefix))
 		take_endpoint(en, key, value, len);
 	else if (begins(key, EDGE_ENTRY_PREFIX))
 		take_entry(en, key, value, len);
@@ -207,7 +135,7 @@
 		take_duty(en, value, len, revision);
 	else if (!strcmp(key, EDGE_PLAN_KEY) &&
 		 !carry_decode(value, len, &en->plan))
-		log_unreadable(en, key, "no plan");
+		edge_unreadable(en, key, "no plan");
 }
 
 static void on_gone(void *arg, const char *key, int64_t revision)
@@ -232,187 +160,7 @@
 	}
 }
 
-static const struct mir_vtable mirror_vtable = { on_put, on_gone };
-
-/* ---- The mirror's calls ---- */
-
-static void on_listed(void *arg, struct sto_answer *a)
-{
-	struct edge *en = arg;
-	const int64_t now = edge_now(en);
-	size_t i;
-
-	if (a->outcome != STO_OK) {
-		met_inc(en->m.store_failures);
-		mir_failed(&en->mirror, now);
-		return;
-	}
-	for (i = 0; i < a->nr_items; i++) {
-		if (a->items[i].value)
-			mir_item(&en->mirror, a->items[i].key,
-				 a->items[i].value, a->items[i].len,
-				 a->items[i].revision);
-	}
-	mir_page(&en->mirror,
-		 a->nr_items ? a->items[a->nr_items - 1].key : NULL, a->more,
-		 a->revision, now);
-	if (!a->more)
-		en->listed_ms = now;
-}
-
-static void apply_changes(struct edge *en, const struct sto_answer *a)
-{
-	size_t i;
-
-	for (i = 0; i < a->nr_items; i++)
-		mir_event(&en->mirror, a->items[i].key, a->items[i].value,
-			  a->items[i].len, a->items[i].revision);
-}
-
-static void on_watched(void *arg, struct sto_answer *a)
-{
-	struct edge *en = arg;
-	const int64_t now = edge_now(en);
-
-	if (a->outcome == STO_HISTORY_LOST) {
-		jlog_begin(en->log, JLOG_WARN, "store_history_lost");
-		jlog_int(en->log, "revision", en->mirror.revision);
-		jlog_end(en->log);
-		feed_clear(&en->feed);
-		mir_history_lost(&en->mirror, now);
-		return;
-	}
-	if (a->outcome != STO_OK) {
-		met_inc(en->m.store_failures);
-		mir_failed(&en->mirror, now);
-		return;
-	}
-	feed_add(&en->feed, en->mirror.revision, a->revision, a->nr_items > 0,
-		 a->raw, a->raw_len);
-	apply_changes(en, a);
-	mir_watched(&en->mirror, a->nr_items > 0, a->revision, now);
-	en->listed_ms = now;
-	edge_inner_feed(en, now);
-}
-
-/* ---- Following another entry's watch ---- */
-
-static void on_followed(void *arg, struct sto_answer *a)
-{
-	struct edge *en = arg;
-	const int64_t now = edge_now(en);
-
-	if (a->outcome != STO_OK) {
-		/* The store itself is asked, at once: once if the leader has
-		 * not what we lack, else for a while. */
-		en->follow_after_ms = now + (a->outcome == STO_ABSENT
-						     ? FOLLOW_ONCE_MS
-						     : FOLLOW_REST_MS);
-		mir_failed(&en->mirror, now);
-		en->mirror.due_ms = now;
-		return;
-	}
-	apply_changes(en, a);
-	mir_watched(&en->mirror, false, a->revision, now);
-	en->listed_ms = now;
-}
-
-static bool follow(struct edge *en, int64_t now)
-{
-	const struct prs_peer *p;
-
-	if (now < en->follow_after_ms || en->stopping)
-		return false;
-	p = edge_leader(en, now);
-	if (!p)
-		return false;
-	/*
-	 * Our own feed stands still from here on: an entry that still follows
-	 * us must not take that for "nothing new".
-	 */
-	feed_clear(&en->feed);
-	sto_follow(en->store, &p->addr, en->mirror.revision, FOLLOW_WAIT_MS,
-		   FOLLOW_EXTRA_MS, on_followed, en);
-	return true;
-}
-
-static void mirror_tick(struct edge *en, int64_t now)
-{
-	struct sto_call c = { .key = "" };
-
-	switch (mir_next(&en->mirror, now)) {
-	case MIR_NONE:
-		return;
-	case MIR_LIST:
-		c.kind = STO_LIST;
-		c.after = en->mirror.after;
-		break;
-	case MIR_WATCH:
-		if (follow(en, now))
-			return;
-		c.kind = STO_WATCH;
-		c.revision = en->mirror.revision;
-		c.wait_ms = MIR_WATCH_MS;
-		break;
-	}
-	met_inc(en->m.store_calls);
-	sto_call(en->store, &c, c.kind == STO_LIST ? on_listed : on_watched,
-		 en);
-}
-
-/* ---- Freshness of the configuration ---- */
-
-static void on_refreshed(void *arg, struct sto_answer *a)
-{
-	struct edge *en = arg;
-
-	en->refreshing = false;
-	if (a->outcome == STO_OK && a->nr_items && a->items[0].value)
-		take_config(en, a->items[0].value, a->items[0].len,
-			    a->items[0].revision, a->asked_ms);
-	else
-		met_inc(en->m.store_failures);
-	edge_req_verified(en);
-}
-
-void edge_refresh(struct edge *en)
-{
-	struct sto_call c = { .kind = STO_GET, .key = en->wire->config_key };
-
-	if (en->refreshing)
-		return;
-	en->refreshing = true;
-	en->refresh_ms = edge_now(en);
-	met_inc(en->m.refreshes);
-	met_inc(en->m.store_calls);
-	sto_call(en->store, &c, on_refreshed, en);
-}
-
-/* The age at which we ask. */
-static int64_t refresh_age(struct edge *en, int64_t now)
-{
-	const int place = edge_watch_place(en, now);
-
-	if (place >= 0)
-		return REFRESH_MS + place * REFRESH_STEP_MS;
-	return REFRESH_MS + REFRESH_OTHERS_MS +
-	       (int64_t)(en->source % REFRESH_SPREAD_MS);
-}
-
-static void refresh_tick(struct edge *en, int64_t now)
-{
-	const int64_t age = force_age(&en->force, now);
-
-	if (!force_behind(&en->force))
-		en->behind_ms = 0;
-	else if (!en->behind_ms)
-		en->behind_ms = now;
-	if (now - en->refresh_ms < REFRESH_RETRY_MS)
-		return;
-	if ((en->behind_ms && now - en->behind_ms >= BEHIND_WAIT_MS) ||
-	    (age >= REFRESH_MS && age >= refresh_age(en, now)))
-		edge_refresh(en);
-}
+const struct mir_vtable edge_keys_vtable = { on_put, on_gone };
 
 /* ---- Life ---- */
 
@@ -468,7 +216,9 @@
 
 int64_t edge_list_age(const struct edge *en, int64_t now)
 {
-	return en->listed_ms ? now - en->listed_ms : -1;
+	const int64_t at = en->watches[EDGE_ENDPOINTS].complete_ms;
+
+	return at ? now - at : -1;
 }
 
 static void log_gone(struct flt_endpoint *e, void *arg)
@@ -482,13 +232,13 @@
 			       on_store, en);
 	sto_set_detour(en->store, detour, en);
 	sto_set_trace(en->store, on_traced, en);
-	mir_init(&en->mirror, &mirror_vtable, en);
+	edge_watch_open(en);
 }
 
 void edge_store_tick(struct edge *en, int64_t now)
 {
-	mirror_tick(en, now);
-	refresh_tick(en, now);
+	edge_watch_tick(en, now);
+	edge_config_tick(en, now);
 	edge_lease_tick(en, now);
 	flt_expire(&en->fleet, now, log_gone, en);
 }
--- /dev/null
+++ b/lib/edge/edge_watch.c
@@ -0,0 +1,219 @@
+/* Following the store's keys: by a watch of our own, or by that of another
+ * entry. */
+#include <assert.h>
+
+#include "edge/edge_internal.h"
+
+/*
+ * A watch waits so long for a change. A channel that fell silent, and a
+ * history that was dropped under a silent watch, are noticed within it and
+ * the bound on a call (0.9 s). Endpoints that leave get no new work after two
+ * seconds; who else serves callers is known from datagrams, too.
+ */
+#define ENDPOINTS_WAIT_MS 1000
+#define OWN_WAIT_MS 2000
+
+/*
+ * Following another entry's watch: it answers at least this often, and with
+ * so much more time it counts as lost.
+ */
+#define FOLLOW_WAIT_MS 900
+#define FOLLOW_EXTRA_MS 400
+
+/*
+ * After a lost leader the store is watched directly for so long; after one
+ * that had not what we lacked, for the time in which one watch brings it.
+ */
+#define FOLLOW_REST_MS 2000
+#define FOLLOW_ONCE_MS 200
+
+/*
+ * What our watch brings is passed on only while our own way to the store
+ * worked this lately: a leader that is cut off would leave its followers
+ * blind beside a store that they can reach.
+ */
+#define TRUST_WAY_MS 1300
+
+/*
+ * And only while the watch itself answered this lately, beyond its wait: other
+ * calls may succeed while it is held up, and its followers would be told that
+ * nothing has changed. It pauses 0.4 s between answers.
+ */
+#define TRUST_WATCH_MS 900
+
+/* ---- The calls ---- */
+
+static void complete(struct edge_watch *w, int64_t now)
+{
+	w->complete_ms = now;
+}
+
+static void failed(struct edge_watch *w, int64_t now)
+{
+	met_inc(w->en->m.store_failures);
+	mir_failed(&w->mirror, now);
+}
+
+static void on_listed(void *arg, struct sto_answer *a)
+{
+	struct edge_watch *w = arg;
+	const int64_t now = edge_now(w->en);
+	size_t i;
+
+	if (a->outcome != STO_OK) {
+		failed(w, now);
+		return;
+	}
+	for (i = 0; i < a->nr_items; i++) {
+		if (a->items[i].value)
+			mir_item(&w->mirror, a->items[i].key, a->items[i].value,
+				 a->items[i].len, a->items[i].revision);
+	}
+	mir_page(&w->mirror, a->nr_items ? a->items[a->nr_items - 1].key : NULL,
+		 a->more, a->revision, now);
+	if (!a->more)
+		complete(w, now);
+}
+
+static void apply_changes(struct edge_watch *w, const struct sto_answer *a)
+{
+	size_t i;
+
+	for (i = 0; i < a->nr_items; i++)
+		mir_event(&w->mirror, a->items[i].key, a->items[i].value,
+			  a->items[i].len, a->items[i].revision);
+}
+
+static void on_watched(void *arg, struct sto_answer *a)
+{
+	struct edge_watch *w = arg;
+	struct edge *en = w->en;
+	const int64_t now = edge_now(en);
+
+	if (a->outcome == STO_HISTORY_LOST) {
+		jlog_begin(en->log, JLOG_WARN, "store_history_lost");
+		jlog_str(en->log, "keys", w->prefix);
+		jlog_int(en->log, "revision", w->mirror.revision);
+		jlog_end(en->log);
+		feed_clear(&w->feed);
+		mir_history_lost(&w->mirror, now);
+		return;
+	}
+	if (a->outcome != STO_OK) {
+		failed(w, now);
+		return;
+	}
+	feed_add(&w->feed, w->mirror.revision, a->revision, a->nr_items > 0,
+		 a->raw, a->raw_len);
+	apply_changes(w, a);
+	mir_watched(&w->mirror, a->nr_items > 0, a->revision, now);
+	complete(w, now);
+	edge_inner_feed(en, now);
+}
+
+/* ---- Following another entry's watch ---- */
+
+static void on_followed(void *arg, struct sto_answer *a)
+{
+	struct edge_watch *w = arg;
+	const int64_t now = edge_now(w->en);
+
+	if (a->outcome != STO_OK) {
+		/* The store itself is asked, at once: once if the leader has
+		 * not what we lack, else for a while. */
+		w->follow_after_ms = now + (a->outcome == STO_ABSENT
+						    ? FOLLOW_ONCE_MS
+						    : FOLLOW_REST_MS);
+		mir_failed(&w->mirror, now);
+		w->mirror.due_ms = now;
+		return;
+	}
+	apply_changes(w, a);
+	mir_watched(&w->mirror, false, a->revision, now);
+	complete(w, now);
+}
+
+static bool follow(struct edge_watch *w, int64_t now)
+{
+	struct edge *en = w->en;
+	const struct prs_peer *p;
+
+	if (now < w->follow_after_ms || en->stopping)
+		return false;
+	p = edge_leader(en, now);
+	if (!p)
+		return false;
+	/*
+	 * Our own feed stands still from here on: an entry that still follows
+	 * us must not take that for "nothing new".
+	 */
+	feed_clear(&w->feed);
+	sto_follow(en->store, (unsigned)(w - en->watches), &p->addr,
+		   w->mirror.revision, FOLLOW_WAIT_MS, FOLLOW_EXTRA_MS,
+		   on_followed, w);
+	return true;
+}
+
+bool edge_watch_leads(const struct edge_watch *w, int64_t now)
+{
+	const struct edge *en = w->en;
+
+	return !en->stopping && w->mirror.whole &&
+	       now - sto_direct_good_ms(en->store) <= TRUST_WAY_MS &&
+	       now - w->complete_ms <= w->wait_ms + TRUST_WATCH_MS;
+}
+
+/* ---- Life ---- */
+
+static void open_watch(struct edge *en, enum edge_keys keys, const char *prefix,
+		       int wait_ms)
+{
+	struct edge_watch *w = &en->watches[keys];
+
+	w->en = en;
+	w->prefix = prefix;
+	w->wait_ms = wait_ms;
+	feed_init(&w->feed);
+	mir_init(&w->mirror, &edge_keys_vtable, en);
+}
+
+void edge_watch_open(struct edge *en)
+{
+	static_assert(EDGE_NR_KEYS <= STO_LANES, "each is followed by itself");
+
+	open_watch(en, EDGE_ENDPOINTS, en->wire->endpoint_prefix,
+		   ENDPOINTS_WAIT_MS);
+	open_watch(en, EDGE_OWN, EDGE_OWN_PREFIX, OWN_WAIT_MS);
+}
+
+static void watch_tick(struct edge_watch *w, int64_t now)
+{
+	struct sto_call c = { .key = w->prefix };
+
+	switch (mir_next(&w->mirror, now)) {
+	case MIR_NONE:
+		return;
+	case MIR_LIST:
+		c.kind = STO_LIST;
+		c.after = w->mirror.after;
+		break;
+	case MIR_WATCH:
+		if (follow(w, now))
+			return;
+		c.kind = STO_WATCH;
+		c.revision = w->mirror.revision;
+		c.wait_ms = w->wait_ms;
+		break;
+	}
+	met_inc(w->en->m.store_calls);
+	sto_call(w->en->store, &c, c.kind == STO_LIST ? on_listed : on_watched,
+		 w);
+}
+
+void edge_watch_tick(struct edge *en, int64_t now)
+{
+	unsigned i;
+
+	for (i = 0; i < EDGE_NR_KEYS; i++)
+		watch_tick(&en->watches[i], now);
+}
--- a/lib/io/htc.c
+++ b/lib/io/htc.c
@@ -398,6 +398,12 @@
 	free(c);
 }
 
+void htc_extend(struct htc_call *c, int ms)
+{
+	c->until_ms = clk_boot_ms(c->conn->peer->clk) + ms;
+	arm_call(c->conn);
+}
+
 void *htc_owner(const struct htc_call *c)
 {
 	return c->owner;
--- a/lib/io/htc.h
+++ b/lib/io/htc.h
@@ -84,6 +84,12 @@
  */
 void htc_cancel(struct htc_call *c);
 
+/*
+ * The call is bounded anew: it may last `ms` from now. For calls whose bound
+ * is on the peer's silence, not on how long a large answer takes.
+ */
+void htc_extend(struct htc_call *c, int ms);
+
 void *htc_owner(const struct htc_call *c);
 
 /* True once a byte of the request may have reached the peer. */
--- a/lib/store/feed.c
+++ b/lib/store/feed.c
@@ -27,38 +27,31 @@
 void feed_add(struct feed *f, int64_t from, int64_t to, bool any,
 	      const char *body, size_t len)
 {
-	struct feed_part *p = &f->parts[f->next];
+	struct feed_part *p;
 
-	if (to > f->upto)
-		f->upto = to;
+	/* What came before does not reach up to this watch. */
+	if (from != f->upto) {
+		feed_clear(f);
+		f->quiet = from;
+	}
+	f->upto = to;
 	if (!any)
 		return;
 	if (len > FEED_MAX_BYTES) {
 		/* Nobody who is behind it gets anything here. */
 		feed_clear(f);
-		f->upto = to;
+		f->upto = f->quiet = to;
 		return;
 	}
+	p = &f->parts[f->next];
 	f->next = (f->next + 1) % FEED_KEPT;
 	buf_free(&p->body);
-	p->from = from;
+	p->from = f->quiet;
 	p->to = to;
+	f->quiet = to;
 	buf_add(&p->body, body, len);
 }
 
-/* The end of the newest part; where none is kept, what is known. */
-static int64_t last_change(const struct feed *f)
-{
-	int64_t last = 0;
-	unsigned i;
-
-	for (i = 0; i < FEED_KEPT; i++) {
-		if (f->parts[i].to > last)
-			last = f->parts[i].to;
-	}
-	return last ? last : f->upto;
-}
-
 enum feed_answer feed_after(const struct feed *f, int64_t revision,
 			    const struct feed_part **part)
 {
@@ -79,8 +72,7 @@
 	*part = best;
 	if (best)
 		return FEED_PART;
-	/* Nothing changed between the last part and what is known. */
-	return revision >= last_change(f) ? FEED_WAIT : FEED_GAP;
+	return revision >= f->quiet ? FEED_WAIT : FEED_GAP;
 }
 
 unsigned feed_watchers(unsigned n)
--- a/lib/store/feed.h
+++ b/lib/store/feed.h
@@ -37,13 +37,19 @@
 struct feed {
 	struct feed_part parts[FEED_KEPT];
 	unsigned next;
-	int64_t upto; /* the last revision that is known */
+	/*
+	 * No watched key changed after `quiet` up to `upto`. The store's
+	 * revision rises with keys that are not watched, too: between the end
+	 * of one part and the beginning of the next there is no gap.
+	 */
+	int64_t quiet;
+	int64_t upto; /* the last revision that is known; 0: none */
 };
 
 void feed_init(struct feed *f);
 void feed_free(struct feed *f);
 
-/* A return of the watch; `any`: it had changes. */
+/* A return of the watch from revision `from`; `any`: it had changes. */
 void feed_add(struct feed *f, int64_t from, int64_t to, bool any,
 	      const char *body, size_t len);
 
@@ -52,7 +58,7 @@
 
 enum feed_answer {
 	FEED_PART, /* *part has changes after that revision */
-	FEED_WAIT, /* nothing since */
+	FEED_WAIT, /* nothing since, up to feed.upto */
 	FEED_GAP,  /* not known here: ask the store */
 };
 
--- a/lib/store/mir.h
+++ b/lib/store/mir.h
@@ -15,14 +15,6 @@
 #include <stddef.h>
 #include <stdint.h>
 
-/*
- * A watch waits so long: a channel that fell silent, and a history that was
- * dropped under a silent watch, are noticed within it and half a second. A
- * machine counts as in touch three seconds after a cut of its links heals,
- * and must know by then what happened meanwhile.
- */
-#define MIR_WATCH_MS 2000
-
 /*
  * After a watch brought something, so long passes before the next: changes
  * come in flocks, and each return of a watch is a priced call.
--- a/lib/store/sto.c
+++ b/lib/store/sto.c
@@ -5,13 +5,25 @@
 #include <string.h>
 
 /*
- * Bounds on calls. The store answers in some 8 ms, and 70 times that on its
- * slow days; a call that is lost must leave time for another one within the
- * two seconds in which a change has to be in force.
+ * Bounds on the store's silence, not on the whole of an answer. The store
+ * answers in some 8 ms, and 70 times that on its slow days; a call that is
+ * lost must leave time for another one within the two seconds in which a
+ * change has to be in force.
+ *
+ * A large answer on a slow link lasts longer: a megabyte takes 0.9 s at 10
+ * Mbit/s when nothing else is on the link. Given up on the way it would be
+ * asked for anew, straight and through other entries, and each of those takes
+ * its part of the link from the others: none ends, the store counts as away
+ * though it answers, and the entries' bytes are a multiple of the answer.
  */
 #define CALL_MS 900
 #define CONNECT_MS 400
-#define WATCH_EXTRA_MS 500
+
+/*
+ * An answer that trickles is given up after that all the same: the largest,
+ * of 1.4 MB, takes 1.2 s at 10 Mbit/s, and there may be a few at a time.
+ */
+#define ANSWER_MS 12000
 
 /* A call that is relayed may be a watch that waits. */
 #define RELAY_WAIT_MS 2000
@@ -22,8 +34,12 @@
  */
 #define AWAY_MS 1500
 
-/* A detour takes one more round trip. */
+/*
+ * A detour takes one more round trip, and the entry on it passes an answer on
+ * when it has it whole: nothing comes while it reads.
+ */
 #define DETOUR_EXTRA_MS 100
+#define DETOUR_READ_MS 1200
 
 /*
  * After a failure the direct way is left alone for so long, doubled up to
@@ -42,8 +58,10 @@
 	struct htc_peer direct;
 	struct htc_peer around; /* the entry of the present detour */
 	bool around_set;
-	struct htc_peer leader; /* the entry whose watch is followed */
-	bool leader_set;
+	struct {
+		struct htc_peer leader; /* the entry whose watch is followed */
+		bool set;
+	} lanes[STO_LANES];
 	char host[32];
 	sto_told told;
 	void *told_arg;
@@ -136,11 +154,15 @@
 
 void sto_free(struct sto *s)
 {
+	unsigned i;
+
 	htc_peer_close(&s->direct);
 	if (s->around_set)
 		htc_peer_close(&s->around);
-	if (s->leader_set)
-		htc_peer_close(&s->leader);
+	for (i = 0; i < STO_LANES; i++) {
+		if (s->lanes[i].set)
+			htc_peer_close(&s->lanes[i].leader);
+	}
 	free(s);
 }
 
@@ -302,8 +324,11 @@
 static void on_body(struct htc_call *call, const char *data, size_t len)
 {
 	struct pending *p = htc_owner(call);
+	const int64_t left =
+		p->asked_ms + p->wait_ms + ANSWER_MS - clk_boot_ms(p->s->clk);
 
 	buf_add(&p->body, data, len);
+	htc_extend(call, left < CALL_MS ? (int)left : CALL_MS);
 }
 
 static void on_end(struct htc_call *call)
@@ -349,11 +374,15 @@
 
 static int time_for(const struct sto_call *call, bool direct)
 {
+	const bool reads = call->kind == STO_GET || call->kind == STO_LIST ||
+			   call->kind == STO_WATCH;
 	int ms = CALL_MS;
 
 	if (call->kind == STO_WATCH)
-		ms = call->wait_ms + WATCH_EXTRA_MS;
-	return direct ? ms : ms + DETOUR_EXTRA_MS;
+		ms += call->wait_ms;
+	if (direct)
+		return ms;
+	return ms + DETOUR_EXTRA_MS + (reads ? DETOUR_READ_MS : 0);
 }
 
 void sto_call(struct sto *s, const struct sto_call *call, sto_done done,
@@ -383,12 +412,18 @@
 
 #define FOLLOW_PATH "/feed"
 
-bool sto_is_follow(const char *url, int64_t *revision, int *wait_ms)
+bool sto_is_follow(const char *url, unsigned *lane, int64_t *revision,
+		   int *wait_ms)
 {
 	char number[24];
 
 	if (strncmp(url, FOLLOW_PATH "?", strlen(FOLLOW_PATH) + 1))
 		return false;
+	if (!hmsg_query(url, "lane", number, sizeof(number)))
+		return false;
+	*lane = (unsigned)strtoul(number, NULL, 10);
+	if (*lane >= STO_LANES)
+		return false;
 	if (!hmsg_query(url, "after", number, sizeof(number)))
 		return false;
 	*revision = strtoll(number, NULL, 10);
@@ -403,11 +438,13 @@
 	return s->direct_good_ms;
 }
 
-void sto_follow(struct sto *s, const struct sockaddr_in *to, int64_t revision,
-		int wait_ms, int extra_ms, sto_done done, void *arg)
+void sto_follow(struct sto *s, unsigned lane, const struct sockaddr_in *to,
+		int64_t revision, int wait_ms, int extra_ms, sto_done done,
+		void *arg)
 {
 	struct pending *p = calloc(1, sizeof(*p));
-	struct htc_peer *at = point_at(s, &s->leader, &s->leader_set, to);
+	struct htc_peer *at =
+		point_at(s, &s->lanes[lane].leader, &s->lanes[lane].set, to);
 	struct buf wire = BUF_INIT;
 
 	assert(p);
@@ -419,9 +456,9 @@
 	p->wait_ms = wait_ms;
 	p->following = true;
 	buf_fmt(&wire,
-		"GET " FOLLOW_PATH "?after=%lld&wait=%d HTTP/1.1\r\n"
+		"GET " FOLLOW_PATH "?lane=%u&after=%lld&wait=%d HTTP/1.1\r\n"
 		"Host: entry\r\n\r\n",
-		(long long)revision, wait_ms);
+		lane, (long long)revision, wait_ms);
 	if (at &&
 	    htc_start(at, &wire, 0, false, wait_ms + extra_ms, &call_vtable, p))
 		return;
@@ -434,6 +471,8 @@
 struct relay {
 	sto_relayed done;
 	void *arg;
+	int64_t until_ms; /* however it trickles */
+	const struct clk *clk;
 	int status;
 	struct buf body;
 };
@@ -449,8 +488,10 @@
 static void relay_body(struct htc_call *call, const char *data, size_t len)
 {
 	struct relay *r = htc_owner(call);
+	const int64_t left = r->until_ms - clk_boot_ms(r->clk);
 
 	buf_add(&r->body, data, len);
+	htc_extend(call, left < CALL_MS ? (int)left : CALL_MS);
 }
 
 static void relay_finish(struct relay *r, int status, bool sent)
@@ -482,7 +523,9 @@
 	assert(r);
 	r->done = done;
 	r->arg = arg;
-	if (!htc_start(&s->direct, wire, 0, false,
-		       RELAY_WAIT_MS + WATCH_EXTRA_MS, &relay_vtable, r))
+	r->clk = s->clk;
+	r->until_ms = clk_boot_ms(s->clk) + RELAY_WAIT_MS + ANSWER_MS;
+	if (!htc_start(&s->direct, wire, 0, false, RELAY_WAIT_MS + CALL_MS,
+		       &relay_vtable, r))
 		relay_finish(r, 0, false);
 }
--- a/lib/store/sto.h
+++ b/lib/store/sto.h
@@ -128,13 +128,17 @@
 
 /*
  * Asks another entry for what its watch brought after a revision; it answers
- * within `wait_ms`, or counts as lost after `extra_ms` more.
+ * within `wait_ms`, or counts as lost after `extra_ms` more. Keys that are
+ * watched apart are followed on lanes of their own: 0 to STO_LANES - 1.
  */
-void sto_follow(struct sto *s, const struct sockaddr_in *to, int64_t revision,
-		int wait_ms, int extra_ms, sto_done done, void *arg);
+#define STO_LANES 2
+void sto_follow(struct sto *s, unsigned lane, const struct sockaddr_in *to,
+		int64_t revision, int wait_ms, int extra_ms, sto_done done,
+		void *arg);
 
 /* The path of that call, and reading what it asks. */
-bool sto_is_follow(const char *url, int64_t *revision, int *wait_ms);
+bool sto_is_follow(const char *url, unsigned *lane, int64_t *revision,
+		   int *wait_ms);
 
 /* When the direct way last worked; 0: never. */
 int64_t sto_direct_good_ms(const struct sto *s);
--- a/tests/standin/platform.c
+++ b/tests/standin/platform.c
@@ -140,16 +140,19 @@
 static void send_pieces(void)
 {
 	struct sending *s, *next;
-	size_t n = 0, piece;
+	size_t n = 0, share, piece;
 
 	cds_list_for_each_entry(s, &w.sendings, node)
 		n++;
+	if (!n)
+		return;
+	share = (size_t)(w.bytes_per_s * TICK_S) / n + 1;
 	cds_list_for_each_entry_safe(s, next, &w.sendings, node) {
 		struct hsc *c = s->conn;
 
-		piece = (size_t)(w.bytes_per_s * TICK_S) / n + 1;
-		if (!w.bytes_per_s || piece > s->out.len - s->sent)
-			piece = s->out.len - s->sent;
+		piece = s->out.len - s->sent;
+		if (w.bytes_per_s && piece > share)
+			piece = share;
 		hsc_write(c, s->out.data + s->sent, piece);
 		s->sent += piece;
 		if (s->sent < s->out.len)
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -268,6 +268,7 @@
 	bool sent;
 	struct buf body;
 	const char *skip; /* answers with this header value are passed over */
+	int extend_ms; /* each piece of the body bounds the call anew; 0: not */
 };
 
 static bool c_head(struct htc_call *h, const struct hmsg *m)
@@ -284,7 +285,11 @@
 
 static void c_body(struct htc_call *h, const char *data, size_t len)
 {
-	buf_add(&((struct call *)htc_owner(h))->body, data, len);
+	struct call *c = htc_owner(h);
+
+	buf_add(&c->body, data, len);
+	if (c->extend_ms)
+		htc_extend(h, c->extend_ms);
 }
 
 static void c_end(struct htc_call *h)
@@ -494,6 +499,40 @@
 	hsc_server_close(&p.server);
 }
 
+/*
+ * Symptom: a large answer on a slow link never arrives, though the peer sends
+ * it all the while. Sequence: it takes longer than the bound on the call, is
+ * given up and asked for anew. Cause: the bound was on the whole answer. It is
+ * on silence: pieces that come keep the call, and it ends when none do.
+ */
+static void slow_answer_is_not_a_silent_peer(void)
+{
+	struct htc_peer to;
+	struct peer p;
+	struct call c;
+	int i;
+
+	open_peer(&p, NULL);
+	htc_peer_init(&to, loop, clk_real(), &p.addr, &call_limits);
+	start(&to, &c, 400);
+	c.extend_ms = 400;
+	turn(0.03);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(p.held);
+	hsc_write(p.held, OK(8, "a"), strlen(OK(8, "a")));
+	for (i = 0; i < 6; i++) {
+		turn(0.1);
+		hsc_write(p.held, "b", 1);
+	}
+	turn(0.03);
+	CU_ASSERT_EQUAL(c.failures, 0);
+	CU_ASSERT_EQUAL(c.body.len, 7);
+	turn(0.6);
+	CU_ASSERT_EQUAL(c.failures, 1);
+	CU_ASSERT_EQUAL(c.why, HTC_LATE);
+	buf_free(&c.body);
+	hsc_server_close(&p.server);
+}
+
 /* A caller that leaves stops the work at the endpoint. */
 static void cancelled_call_is_seen_by_the_peer(void)
 {
@@ -729,6 +768,8 @@
 	{ "an unframed answer ends with its connection",
 	  unframed_answer_ends_with_its_connection },
 	{ "a refused connection is not sent", refused_connection_is_not_sent },
+	{ "slow answer is not a silent peer",
+	  slow_answer_is_not_a_silent_peer },
 	{ "a silent peer is given up", silent_peer_is_given_up },
 	{ "a cancelled call is seen by the peer",
 	  cancelled_call_is_seen_by_the_peer },
--- a/tests/test_mir.c
+++ b/tests/test_mir.c
@@ -257,6 +257,35 @@
 	feed_free(&f);
 }
 
+/*
+ * Symptom: of 83 entries each asked the store every two seconds beside the
+ * entry that it followed; 1,300 calls more in a minute.
+ * Sequence: a change of a watched key; changes of other keys, by which the
+ * store's revision rises; one of a watched key again. A follower that had the
+ * first one was told that what it lacks is not known here.
+ * Cause: a part was taken to begin where the last empty answer ended.
+ */
+static void other_keys_make_no_gap(void)
+{
+	const struct feed_part *part;
+	struct feed f;
+
+	feed_init(&f);
+	feed_add(&f, 10, 14, false, "", 0);
+	CU_ASSERT_EQUAL(feed_after(&f, 10, &part), FEED_WAIT);
+	CU_ASSERT_EQUAL(feed_after(&f, 9, &part), FEED_GAP);
+	feed_add(&f, 14, 20, true, "a", 1);
+	CU_ASSERT_EQUAL(feed_after(&f, 10, &part), FEED_PART);
+	feed_add(&f, 20, 30, false, "", 0);
+	feed_add(&f, 30, 33, true, "b", 1);
+	CU_ASSERT_EQUAL(feed_after(&f, 20, &part), FEED_PART);
+	CU_ASSERT_EQUAL(part->to, 33);
+	CU_ASSERT_EQUAL(feed_after(&f, 25, &part), FEED_PART);
+	CU_ASSERT_EQUAL(feed_after(&f, 33, &part), FEED_WAIT);
+	CU_ASSERT_EQUAL(feed_after(&f, 9, &part), FEED_GAP);
+	feed_free(&f);
+}
+
 /*
  * Symptom: a large configuration was in force late at entries with narrow
  * links. Sequence: it came by the watch of one entry, which sent it to each
@@ -296,6 +325,7 @@
 	  followers_get_all_changes_or_none },
 	{ "a feed that stands still is a gap",
 	  feed_that_stands_still_is_a_gap },
+	{ "other keys make no gap", other_keys_make_no_gap },
 	{ "watchers are few", watchers_are_few },
 	{ "schedules end with the store", schedules_end_with_the_store },
 	{ "the watch begins at the first page",
--- /dev/null
+++ b/tests/test_vfy.c
@@ -0,0 +1,241 @@
+/* When and how the store is asked whether the configuration is the newest. */
+#include "base/rnd.h"
+#include "config/vfy.h"
+#include "support/unit.h"
+
+#define NEVER INT64_MAX
+
+static enum vfy_call next(struct vfy *v, int place, int64_t age, int64_t now)
+{
+	const struct vfy_state s = { .place = place, .age_ms = age };
+	int wait_ms;
+
+	return vfy_next(v, &s, now, &wait_ms);
+}
+
+static void begins_with_the_whole(void)
+{
+	struct vfy v = { 0 };
+
+	CU_ASSERT_EQUAL(next(&v, -1, NEVER, 10), VFY_READ);
+	CU_ASSERT_EQUAL(next(&v, -1, NEVER, 5000), VFY_NONE); /* under way */
+	vfy_failed(&v);
+	CU_ASSERT_EQUAL(next(&v, -1, NEVER, 10 + VFY_RETRY_MS - 1), VFY_NONE);
+	CU_ASSERT_EQUAL(next(&v, -1, NEVER, 10 + VFY_RETRY_MS), VFY_READ);
+	vfy_brought(&v, 7, true, 1000);
+	CU_ASSERT_EQUAL(next(&v, 0, 20, 1000), VFY_CHANGES);
+}
+
+static void the_first_one_waits_for_a_change(void)
+{
+	struct vfy_state s = { .place = 0, .age_ms = 50 };
+	struct vfy v = { .revision = 7, .revision_ms = 1000, .in_force = true };
+	int wait_ms;
+
+	CU_ASSERT_EQUAL(vfy_next(&v, &s, 1000, &wait_ms), VFY_CHANGES);
+	CU_ASSERT_EQUAL(wait_ms, VFY_WAIT_MS);
+	CU_ASSERT_EQUAL(vfy_unchanged(&v, 9, 2010),
+			1000 + VFY_WAIT_MS - VFY_NOTICE_MS);
+	/* Overdue, or wanted by a request: at once. */
+	s.age_ms = VFY_AGE_MS;
+	CU_ASSERT_EQUAL(vfy_next(&v, &s, 2500, &wait_ms), VFY_CHANGES);
+	CU_ASSERT_EQUAL(wait_ms, 0);
+	CU_ASSERT_EQUAL(vfy_unchanged(&v, 9, 2508), 2500);
+	s.age_ms = 50;
+	s.wanted = true;
+	CU_ASSERT_EQUAL(vfy_next(&v, &s, 2510, &wait_ms), VFY_CHANGES);
+	CU_ASSERT_EQUAL(wait_ms, 0);
+}
+
+static void others_ask_only_when_they_hear_nothing(void)
+{
+	struct vfy_state s = { .place = -1, .age_ms = VFY_AGE_MS };
+	struct vfy v = { .revision = 7, .revision_ms = 1000, .in_force = true };
+	int wait_ms;
+
+	CU_ASSERT_EQUAL(next(&v, 1, VFY_AGE_MS, 2000), VFY_NONE);
+	CU_ASSERT_EQUAL(vfy_next(&v, &s, 2000, &wait_ms), VFY_NONE);
+	s.behind = true;
+	CU_ASSERT_EQUAL(vfy_next(&v, &s, 2000, &wait_ms), VFY_CHANGES);
+	vfy_brought(&v, 9, true, 2010);
+	s.behind = false;
+	s.age_ms = VFY_AGE_MS + VFY_OTHERS_MS + VFY_SPREAD_MS;
+	CU_ASSERT_EQUAL(vfy_next(&v, &s, 4000, &wait_ms), VFY_CHANGES);
+	vfy_brought(&v, 9, true, 4010);
+	CU_ASSERT_EQUAL(next(&v, 1, VFY_AGE_MS + VFY_STEP_MS, 6000),
+			VFY_CHANGES);
+}
+
+/*
+ * Symptom: an entry of narrow link got several times the bytes of a version,
+ * and had it late. Sequence: requests and other entries' words asked for it
+ * while it was being read. Cause: each question began a reading of its own.
+ */
+static void one_reading_at_a_time(void)
+{
+	struct vfy_state s = { .place = -1, .age_ms = NEVER };
+	struct vfy v = { 0 };
+	int wait_ms;
+
+	CU_ASSERT_EQUAL(vfy_next(&v, &s, 10, &wait_ms), VFY_READ);
+	s.behind = s.wanted = true;
+	CU_ASSERT_EQUAL(vfy_next(&v, &s, 5000, &wait_ms), VFY_NONE);
+}
+
+/*
+ * Symptom: a key that was taken away by a version which the entry cannot read
+ * is honoured for ever. Sequence: that version is written, then nothing
+ * changes. Cause: "no change since" was taken for "what is in force is the
+ * newest".
+ */
+static void an_unreadable_version_is_not_confirmed(void)
+{
+	struct vfy v = { .revision = 7, .revision_ms = 1000, .in_force = true };
+
+	CU_ASSERT_EQUAL(next(&v, 0, 100, 1000), VFY_CHANGES);
+	vfy_brought(&v, 8, false, 1010);
+	CU_ASSERT_EQUAL(next(&v, 0, VFY_AGE_MS, 3000), VFY_CHANGES);
+	CU_ASSERT_EQUAL(vfy_unchanged(&v, 8, 3010), 0);
+	CU_ASSERT_EQUAL(next(&v, 0, VFY_AGE_MS, 4000), VFY_CHANGES);
+	vfy_brought(&v, 9, true, 4010);
+	CU_ASSERT_EQUAL(next(&v, 0, 100, 5000), VFY_CHANGES);
+	CU_ASSERT(vfy_unchanged(&v, 9, 6010) > 0);
+}
+
+static void lost_history_is_read_anew_at_once(void)
+{
+	struct vfy v = { .revision = 7, .revision_ms = 1000, .in_force = true };
+
+	CU_ASSERT_EQUAL(next(&v, 0, 100, 1000), VFY_CHANGES);
+	vfy_history_lost(&v);
+	CU_ASSERT_EQUAL(next(&v, 0, 100, 1001), VFY_READ);
+	vfy_brought(&v, 20, true, 1010);
+	/* The store may have dropped what is older: not asked in vain. */
+	CU_ASSERT_EQUAL(next(&v, -1, NEVER, 1011 + VFY_HISTORY_MS), VFY_READ);
+}
+
+/* ---- Schedules ---- */
+
+/* A waiting watch may see a change so much later; below VFY_NOTICE_MS. */
+#define NOTICE_MS 60
+
+/* A store whose version changes, and one entry that asks it. */
+struct world {
+	struct vfy v;
+	struct rnd r;
+	int64_t now, revision, version, written_ms;
+	int64_t held;		     /* in force at the entry; 0: none */
+	int64_t outdated_ms;	     /* when `held` stopped to be the newest */
+	int64_t fresh_ms;	     /* the newest confirmation */
+	enum vfy_call call;	     /* under way */
+	int64_t reply_ms, arrive_ms; /* the answer leaves, and arrives */
+	int wait_ms;
+	int64_t told, told_revision; /* what the answer says */
+};
+
+static void write_version(struct world *w)
+{
+	if (w->held == w->version)
+		w->outdated_ms = w->now;
+	w->version++;
+	w->revision++;
+	w->written_ms = w->now;
+}
+
+static void ask(struct world *w, uint64_t seed)
+{
+	const struct vfy_state s = {
+		.place = seed % 3 ? 0 : -1,
+		.age_ms = w->fresh_ms ? w->now - w->fresh_ms : NEVER,
+		.wanted = !rnd_below(&w->r, 300),
+	};
+
+	w->call = vfy_next(&w->v, &s, w->now, &w->wait_ms);
+	w->reply_ms = w->now + w->wait_ms + (int64_t)rnd_below(&w->r, 20);
+	w->arrive_ms = 0;
+}
+
+/* The answer leaves the store once its wait is over, or there is a change. */
+static void reply(struct world *w)
+{
+	const bool unnoticed = w->wait_ms && w->now - w->written_ms < NOTICE_MS;
+
+	w->told = unnoticed ? w->version - 1 : w->version;
+	if (w->now < w->reply_ms && w->told == w->held)
+		return;
+	w->told_revision = w->revision;
+	w->arrive_ms = w->now + (int64_t)rnd_below(&w->r, 40);
+}
+
+static void arrive(struct world *w)
+{
+	const bool same = w->call == VFY_CHANGES && w->told == w->held;
+	int64_t at = w->v.asked_ms;
+
+	w->call = VFY_NONE;
+	if (!rnd_below(&w->r, 10)) {
+		vfy_failed(&w->v);
+		return;
+	}
+	if (same) {
+		at = vfy_unchanged(&w->v, w->told_revision, w->now);
+	} else {
+		w->held = w->told;
+		vfy_brought(&w->v, w->told_revision, true, w->now);
+		if (w->held != w->version)
+			w->outdated_ms = w->written_ms;
+	}
+	if (at > w->fresh_ms)
+		w->fresh_ms = at;
+}
+
+/* Moments at which a version counted as the newest after it was not. */
+static int run(uint64_t seed)
+{
+	struct world w = { .now = 1, .revision = 1, .version = 1 };
+	int wrong = 0;
+
+	rnd_seed(&w.r, seed);
+	for (; w.now < 60000; w.now += 5) {
+		w.revision += !rnd_below(&w.r, 50); /* other keys */
+		if (!rnd_below(&w.r, 400) && w.now - w.written_ms > 500)
+			write_version(&w);
+		if (w.call == VFY_NONE)
+			ask(&w, seed);
+		else if (!w.arrive_ms)
+			reply(&w);
+		else if (w.now >= w.arrive_ms)
+			arrive(&w);
+		wrong += w.held && w.held != w.version &&
+			 w.fresh_ms > w.outdated_ms;
+	}
+	return wrong;
+}
+
+static void confirmed_is_what_was_the_newest(void)
+{
+	const unsigned long seeds = unit_seeds(200);
+	unsigned long wrong = 0, i;
+
+	for (i = 0; i < seeds; i++)
+		wrong += (unsigned long)run(i);
+	CU_ASSERT_EQUAL(wrong, 0);
+	unit_report("confirming the configuration", seeds, wrong);
+}
+
+static const struct unit_test tests[] = {
+	{ "begins with the whole", begins_with_the_whole },
+	{ "the first one waits for a change",
+	  the_first_one_waits_for_a_change },
+	{ "others ask only when they hear nothing",
+	  others_ask_only_when_they_hear_nothing },
+	{ "one reading at a time", one_reading_at_a_time },
+	{ "an unreadable version is not confirmed",
+	  an_unreadable_version_is_not_confirmed },
+	{ "lost history is read anew, at once",
+	  lost_history_is_read_anew_at_once },
+	{ "confirmed is what was the newest",
+	  confirmed_is_what_was_the_newest },
+};
+
+UNIT_MAIN("vfy", tests)
