--- a/lib/edge/edge_watch.c
+++ b/lib/edge/edge_watch.c
@@ -5,12 +5,15 @@
 #include "edge/edge_internal.h"
 
 /*
- * A watch waits so long for a change. A channel that fell silent, and a
- * history that was dropped under a silent watch, are noticed within it and
- * the bound on a call (0.9 s). Endpoints that leave get no new work after two
- * seconds; who else serves callers is known from datagrams, too.
+ * A watch waits so long for a change. That it is held up, or its channel
+ * silent, is noticed only after it. For endpoints it is a third of the time
+ * after which one that leaves must get no new work: with the pause between
+ * two watches, the trust in it (below) and the question that a follower then
+ * asks the store itself, the list is 1.6 s old at most where two are allowed,
+ * and 2 s where three are. Of the entries there is word by datagrams, too.
  */
-#define ENDPOINTS_WAIT_MS 1000
+#define ENDPOINTS_WAIT_PART 3
+#define ENDPOINTS_WAIT_MIN_MS 300
 #define OWN_WAIT_MS 2000
 
 /*
@@ -34,13 +37,6 @@
  */
 #define TRUST_WAY_MS 1300
 
-/*
- * And only while the watch itself answered this lately, beyond its wait: other
- * calls may succeed while it is held up, and its followers would be told that
- * nothing has changed. It pauses 0.4 s between answers.
- */
-#define TRUST_WATCH_MS 900
-
 /* ---- The calls ---- */
 
 static void complete(struct edge_watch *w, int64_t now)
@@ -160,7 +156,7 @@
 
 	return !en->stopping && w->mirror.whole &&
 	       now - sto_direct_good_ms(en->store) <= TRUST_WAY_MS &&
-	       now - w->complete_ms <= w->wait_ms + TRUST_WATCH_MS;
+	       feed_alive(w->complete_ms, w->wait_ms, now);
 }
 
 /* ---- Life ---- */
@@ -177,12 +173,21 @@
 	mir_init(&w->mirror, &edge_keys_vtable, en);
 }
 
+static int endpoints_wait(const struct edge *en)
+{
+	const int ms = (int)en->conf->bounds.drain_ms / ENDPOINTS_WAIT_PART;
+
+	if (ms < ENDPOINTS_WAIT_MIN_MS)
+		return ENDPOINTS_WAIT_MIN_MS;
+	return ms > OWN_WAIT_MS ? OWN_WAIT_MS : ms;
+}
+
 void edge_watch_open(struct edge *en)
 {
 	static_assert(EDGE_NR_KEYS <= STO_LANES, "each is followed by itself");
 
 	open_watch(en, EDGE_ENDPOINTS, en->wire->endpoint_prefix,
-		   ENDPOINTS_WAIT_MS);
+		   endpoints_wait(en));
 	open_watch(en, EDGE_OWN, EDGE_OWN_PREFIX, OWN_WAIT_MS);
 }
 
--- a/lib/store/feed.c
+++ b/lib/store/feed.c
@@ -75,6 +75,11 @@
 	return revision >= f->quiet ? FEED_WAIT : FEED_GAP;
 }
 
+bool feed_alive(int64_t answered_ms, int wait_ms, int64_t now)
+{
+	return answered_ms && now - answered_ms <= wait_ms + FEED_ALIVE_MS;
+}
+
 unsigned feed_watchers(unsigned n)
 {
 	const unsigned k = (n + ENTRIES_EACH - 1) / ENTRIES_EACH;
--- a/lib/store/feed.h
+++ b/lib/store/feed.h
@@ -65,6 +65,20 @@
 enum feed_answer feed_after(const struct feed *f, int64_t revision,
 			    const struct feed_part **part);
 
+/*
+ * A feed is relied on only while its watch answered this lately, beyond its
+ * wait: while the watch is held up other calls to the store may succeed, and
+ * followers would be told that nothing has changed. A watch pauses 0.4 s
+ * between answers (MIR_PACE_MS).
+ */
+#define FEED_ALIVE_MS 700
+
+/*
+ * True if a watch that waits `wait_ms`, and last answered at `answered_ms`
+ * (0: never), is not held up.
+ */
+bool feed_alive(int64_t answered_ms, int wait_ms, int64_t now_ms);
+
 /*
  * Which entries watch the store: of `n` entries these many, two at least, so
  * that one can go without the others noticing.
--- a/tests/test_mir.c
+++ b/tests/test_mir.c
@@ -311,6 +311,29 @@
 	feed_free(&f);
 }
 
+/*
+ * Symptom: all followers of one entry learn late that an endpoint leaves.
+ * Sequence: its watch is held up, and it answers them "nothing new" meanwhile.
+ * Cause: it relied on other calls of its own that succeeded. A leaving that is
+ * written when the watch stops must be known to followers within two seconds:
+ * they are turned away in time to ask the store itself.
+ */
+static void a_feed_that_is_held_up_leads_nobody(void)
+{
+	const int64_t answered = 5000;
+	const int wait_ms = 667; /* a third of two seconds */
+	const int64_t tick_ms = 200, ask_ms = 50;
+	int64_t now = answered;
+
+	while (feed_alive(answered, wait_ms, now))
+		now += tick_ms;
+	CU_ASSERT(now + ask_ms - answered < 2000);
+	/* In its usual pace it is relied on. */
+	CU_ASSERT(feed_alive(answered, wait_ms,
+			     answered + MIR_PACE_MS + wait_ms + 200));
+	CU_ASSERT_FALSE(feed_alive(0, wait_ms, 100));
+}
+
 static void watchers_are_few(void)
 {
 	CU_ASSERT_EQUAL(feed_watchers(1), 2);
@@ -326,6 +349,8 @@
 	{ "a feed that stands still is a gap",
 	  feed_that_stands_still_is_a_gap },
 	{ "other keys make no gap", other_keys_make_no_gap },
+	{ "a feed that is held up leads nobody",
+	  a_feed_that_is_held_up_leads_nobody },
 	{ "watchers are few", watchers_are_few },
 	{ "schedules end with the store", schedules_end_with_the_store },
 	{ "the watch begins at the first page",
