A dropped endpoint leaves from the moment in which it is dropped

Cause: one that was dropped for a restart, or because its entry could not be read, had never been missing, and the time since then counted from zero: its streams were handed on at once, also those that end within the quarter of a second for which others are given.

Change: dropping notes the moment.

--- a/lib/edge/edge_store.c
+++ b/lib/edge/edge_store.c
@@ -54,8 +54,8 @@
 
 	if (en->wire->endpoint(key, value, len, &info, &e)) {
 		/* Whoever wrote it: the key names no endpoint now. */
-		flt_unnamed(&en->fleet,
-			    key + strlen(en->wire->endpoint_prefix));
+		flt_unnamed(&en->fleet, key + strlen(en->wire->endpoint_prefix),
+			    edge_now(en));
 		met_inc(en->m.entries_unreadable);
 		edge_unreadable(en, key, e.text);
 		return;
--- a/lib/fleet/flt.c
+++ b/lib/fleet/flt.c
@@ -48,11 +48,14 @@
 	free(e);
 }
 
-static void drop(struct flt *f, struct flt_endpoint *e)
+static void drop(struct flt *f, struct flt_endpoint *e, int64_t now)
 {
 	cds_list_del(&e->node);
 	f->count--;
 	e->gone = true;
+	/* Requests under way ask since when it is leaving. */
+	if (!e->missing_ms)
+		e->missing_ms = now;
 	flt_unref(f, e);
 }
 
@@ -61,7 +64,7 @@
 	struct flt_endpoint *e, *next;
 
 	cds_list_for_each_entry_safe(e, next, &f->endpoints, node) {
-		drop(f, e);
+		drop(f, e, 0); /* nobody asks any more */
 	}
 }
 
@@ -110,7 +113,7 @@
 
 	*news = FLT_SAME;
 	if (e && e->info.born_ms != info->born_ms) {
-		drop(f, e);
+		drop(f, e, now);
 		e = add(f, info, now);
 		*news = FLT_RESTARTED;
 	} else if (!e) {
@@ -129,12 +132,12 @@
 	return e;
 }
 
-bool flt_unnamed(struct flt *f, const char *id)
+bool flt_unnamed(struct flt *f, const char *id, int64_t now)
 {
 	struct flt_endpoint *e = flt_find(f, id);
 
 	if (e)
-		drop(f, e);
+		drop(f, e, now);
 	return e != NULL;
 }
 
@@ -161,7 +164,7 @@
 		if (!e->missing_ms || now < e->hold_ms)
 			continue;
 		told(e, arg);
-		drop(f, e);
+		drop(f, e, now);
 	}
 }
 
--- a/lib/fleet/flt.h
+++ b/lib/fleet/flt.h
@@ -94,7 +94,7 @@
  * used it stops at once; a readable entry brings it back as a new one.
  * Returns true if the id was known.
  */
-bool flt_unnamed(struct flt *f, const char *id);
+bool flt_unnamed(struct flt *f, const char *id, int64_t now_ms);
 
 /*
  * The list has lost this id. `store_back_ms`: when the store last came back
--- a/tests/test_flt.c
+++ b/tests/test_flt.c
@@ -116,8 +116,8 @@
 	flt_init(&f, NULL);
 	list_start(&f, "a", 1000, &news);
 	e = list_start(&f, "b", 1000, &news);
-	CU_ASSERT(flt_unnamed(&f, "a"));
-	CU_ASSERT_FALSE(flt_unnamed(&f, "a"));
+	CU_ASSERT(flt_unnamed(&f, "a", 100));
+	CU_ASSERT_FALSE(flt_unnamed(&f, "a", 100));
 	CU_ASSERT_PTR_NULL(flt_find(&f, "a"));
 	CU_ASSERT(flt_usable(e, 100));
 	list_start(&f, "a", 1000, &news);
@@ -125,6 +125,33 @@
 	flt_free(&f);
 }
 
+/*
+ * Symptom: the streams on an endpoint are handed on in the moment in which its
+ * entry becomes unreadable, also those that end by themselves just after.
+ * Sequence: it was listed as ready until then, and is dropped. Cause: it was
+ * never missing, and "since never" was taken for "since long".
+ */
+static void dropped_endpoint_leaves_from_that_moment(void)
+{
+	struct flt_endpoint *e, *before;
+	enum flt_news news;
+	struct flt f;
+
+	flt_init(&f, NULL);
+	e = list(&f, "a", "z1", false, 50000);
+	flt_ref(e);
+	CU_ASSERT(flt_unnamed(&f, "a", 60000));
+	CU_ASSERT_EQUAL(flt_leaving_for(e, 60100), 100);
+	flt_unref(&f, e);
+	before = list_start(&f, "b", 7, &news);
+	flt_ref(before);
+	list_start(&f, "b", 8, &news);
+	CU_ASSERT_EQUAL(news, FLT_RESTARTED);
+	CU_ASSERT_EQUAL(flt_leaving_for(before, before->since_ms + 20), 20);
+	flt_unref(&f, before);
+	flt_free(&f);
+}
+
 static void unlisted_is_gone_while_the_store_is_well(void)
 {
 	struct flt f;
@@ -438,6 +465,8 @@
 	  another_start_under_the_same_id_begins_anew },
 	{ "an unreadable entry names no endpoint",
 	  unreadable_entry_names_no_endpoint },
+	{ "a dropped endpoint leaves from that moment",
+	  dropped_endpoint_leaves_from_that_moment },
 	{ "unlisted is gone while the store is well",
 	  unlisted_is_gone_while_the_store_is_well },
 	{ "lapsed entries have time to come back",
