Answers in a file of their own; a version knows its services' pace

Change: edge_answer.c; cfg_seal sums the pause up in the service, with a test; carry_find beside carry_row; two tests name all fields. No decision changes.

--- a/lib/config/cfg.c
+++ b/lib/config/cfg.c
@@ -90,8 +90,36 @@
 		      ((const struct cfg_key *)b)->text);
 }
 
+static struct cfg_service *find_service(const struct cfg *c, const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < c->nr_services; i++) {
+		if (!strcmp(c->services[i].name, name))
+			return &c->services[i];
+	}
+	return NULL;
+}
+
+/* The pace that a service must keep is that of its most demanding route. */
+static void keep_shortest_gap(struct cfg *c, const struct cfg_route *r)
+{
+	struct cfg_service *s;
+	size_t k;
+
+	for (k = 0; r->gap_ms > 0 && k < r->nr_shares; k++) {
+		s = find_service(c, r->shares[k].service);
+		if (s && (!s->gap_ms || r->gap_ms < s->gap_ms))
+			s->gap_ms = r->gap_ms;
+	}
+}
+
 void cfg_seal(struct cfg *c)
 {
+	size_t i;
+
+	for (i = 0; i < c->nr_routes; i++)
+		keep_shortest_gap(c, &c->routes[i]);
 	if (c->nr_routes)
 		qsort(c->routes, c->nr_routes, sizeof(*c->routes),
 		      order_routes);
@@ -139,11 +167,5 @@
 
 const struct cfg_service *cfg_service(const struct cfg *c, const char *name)
 {
-	size_t i;
-
-	for (i = 0; i < c->nr_services; i++) {
-		if (!strcmp(c->services[i].name, name))
-			return &c->services[i];
-	}
-	return NULL;
+	return find_service(c, name);
 }
--- a/lib/config/cfg.h
+++ b/lib/config/cfg.h
@@ -64,6 +64,7 @@
 	char *name;
 	char *health_path;
 	int max_connections; /* that an endpoint takes from all entries */
+	int gap_ms; /* the shortest that its routes allow; 0: none stated */
 	bool has_engine;
 	struct cfg_engine engine;
 	bool has_scaling;
@@ -109,7 +110,7 @@
 /* An empty configuration with one reference; fill it, then cfg_seal it. */
 struct cfg *cfg_create(void);
 
-/* Sorts routes and keys for look-ups. */
+/* Sorts routes and keys for look-ups, and sums routes up in services. */
 void cfg_seal(struct cfg *c);
 
 struct cfg *cfg_ref(struct cfg *c);
--- a/lib/duty/carry.c
+++ b/lib/duty/carry.c
@@ -11,16 +11,25 @@
 /* No plan asks for more: a figure beyond is no plan of ours. */
 #define MOST_NEED 100000.0
 
-struct carry_row *carry_row(struct carry *c, const char *service, bool make)
+const struct carry_row *carry_find(const struct carry *c, const char *service)
 {
-	struct carry_row *row;
 	size_t i;
 
 	for (i = 0; i < c->nr_rows; i++) {
 		if (!strcmp(c->rows[i].service, service))
 			return &c->rows[i];
 	}
-	if (!make || c->nr_rows == CARRY_SERVICES)
+	return NULL;
+}
+
+struct carry_row *carry_row(struct carry *c, const char *service)
+{
+	const struct carry_row *found = carry_find(c, service);
+	struct carry_row *row;
+
+	if (found)
+		return &c->rows[found - c->rows];
+	if (c->nr_rows == CARRY_SERVICES)
 		return NULL;
 	row = &c->rows[c->nr_rows++];
 	memset(row, 0, sizeof(*row));
@@ -56,7 +65,7 @@
 
 	if (!*name || strlen(name) >= SCALE_NAME)
 		return false;
-	row = carry_row(out, name, true);
+	row = carry_row(out, name);
 	if (!row)
 		return false;
 	row->need.need = jsn_dbl(o, "need", -1);
@@ -99,8 +108,7 @@
 		return true;
 	for (i = 0; i < now->nr_rows; i++) {
 		a = &now->rows[i];
-		/* Only looks a row up: the record is not changed. */
-		b = carry_row((struct carry *)written, a->service, false);
+		b = carry_find(written, a->service);
 		if (!b || differs(a->need.need, b->need.need) ||
 		    differs(a->need.usual, b->need.usual))
 			return true;
--- a/lib/duty/carry.h
+++ b/lib/duty/carry.h
@@ -31,8 +31,11 @@
 	size_t nr_rows;
 };
 
-/* The row of a service, made if there is room; NULL: there is none. */
-struct carry_row *carry_row(struct carry *c, const char *service, bool make);
+/* The row of a service; NULL: there is none. */
+const struct carry_row *carry_find(const struct carry *c, const char *service);
+
+/* The same, made if there is room; NULL: there is none. */
+struct carry_row *carry_row(struct carry *c, const char *service);
 
 void carry_encode(const struct carry *c, struct buf *out);
 
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -194,6 +194,8 @@
 	bool said_last; /* the head said that the connection closes */
 	bool counted;	/* in the usage */
 	int64_t first_ms;
+	int64_t event_ms; /* the last event was passed on; 0: none yet */
+	int64_t pause_ms; /* the longest between two events */
 };
 
 /* ---- edge_req.c: admission ---- */
@@ -206,14 +208,25 @@
 /* True if the service's budget has a repeat left; `spend` takes it. */
 bool edge_may_repeat(struct edge_req *r, bool spend);
 
-/* ---- edge_send.c: to an endpoint and back ---- */
+/* ---- edge_send.c: to an endpoint ---- */
 void edge_send(struct edge_req *r);
-void edge_send_stop(struct edge_req *r);
-void edge_step(struct edge_req *r, enum rq_step step, const char *why);
 void edge_unlink(struct flt_endpoint *e);
 /* The run was copied: the request goes on at `to`, from that copy. */
 void edge_send_moved(struct edge_req *r, struct flt_endpoint *to,
 		     const char *handle);
+
+/* ---- edge_answer.c: what comes back, and what is done next ---- */
+/* When to come back after endpoints were full: a request's time or two. */
+#define EDGE_FULL_RETRY_MS 500
+extern const struct htc_vtable edge_answer_vtable; /* owner: edge_req */
+/* The send under way is over, however it ended. */
+void edge_send_stop(struct edge_req *r);
+void edge_step(struct edge_req *r, enum rq_step step, const char *why);
+/* Nothing of the prompt is left to be read at the endpoint. */
+void edge_first_event_seen(struct edge_req *r);
+/* The endpoint did not run it: it goes elsewhere, or is refused. */
+void edge_not_run(struct edge_req *r, enum flt_outcome o, const char *why);
+void edge_log_outcome(struct edge_req *r, const char *outcome, int status);
 /* The run was stopped, and there is no copy; or it had come to its end. */
 void edge_send_lost(struct edge_req *r, const char *why);
 void edge_send_finished(struct edge_req *r);
--- a/lib/edge/edge_scale.c
+++ b/lib/edge/edge_scale.c
@@ -56,7 +56,7 @@
 	row->eased_ms = now;
 	/* The holder before left its plan in the store: it is gone on with. */
 	before = d->en->conf->policy.carry_plan
-			 ? carry_row(&d->en->plan, service, false)
+			 ? carry_find(&d->en->plan, service)
 			 : NULL;
 	if (before) {
 		row->need = before->need;
@@ -188,32 +188,12 @@
 	return sum;
 }
 
-/* The shortest of the pauses that the service's routes allow; 0: none. */
-static double pause_of(const struct cfg *c, const char *service)
-{
-	const struct cfg_route *r;
-	double pause = 0;
-	size_t i, k;
-
-	for (i = 0; i < c->nr_routes; i++) {
-		r = &c->routes[i];
-		for (k = 0; k < r->nr_shares; k++) {
-			if (r->gap_ms > 0 &&
-			    (pause <= 0 || r->gap_ms < pause) &&
-			    !strcmp(r->shares[k].service, service))
-				pause = r->gap_ms;
-		}
-	}
-	return pause;
-}
-
 /* Endpoints that the load keeps busy, as far as it is known. */
 static double load_of(struct edge *en, const struct cfg_service *s,
 		      const struct edge_at_work *w)
 {
 	const struct svc *m = edge_model(en, s->name);
-	const double fit =
-		svc_runs_fit(m, w->slots, pause_of(en->force.cfg, s->name));
+	const double fit = svc_runs_fit(m, w->slots, s->gap_ms);
 
 	const struct svc_load load = {
 		.reads_per_s = reads_per_s(en, m, edge_now(en)),
@@ -403,7 +383,7 @@
 	for (i = 0; i < d->nr_scaled; i++) {
 		if (!d->scaled[i].need.loaded)
 			continue;
-		row = carry_row(&plan, d->scaled[i].service, true);
+		row = carry_row(&plan, d->scaled[i].service);
 		if (!row)
 			break;
 		row->need = d->scaled[i].need;
--- a/tests/fuzz/fuzz_edge.c
+++ b/tests/fuzz/fuzz_edge.c
@@ -88,7 +88,7 @@
 /* 1 if what is sent on does not read as the request that was taken. */
 static unsigned round_trip(const char *data, size_t len, unsigned *taken)
 {
-	const struct forward f = { "i-1", "ours", 500, 3, -1 };
+	const struct forward f = { "i-1", "ours", 500, 3, -1, NULL };
 	struct reader first, second;
 	struct attempt a;
 	struct err e = ERR_INIT;
--- a/tests/test_cfg.c
+++ b/tests/test_cfg.c
@@ -102,6 +102,37 @@
  * Symptom: a route that was just removed served again. Sequence: version 7
  * came by the watch, then the late answer of a reading with version 5.
  */
+static struct cfg_share *share_of(const char *service)
+{
+	struct cfg_share *s = calloc(1, sizeof(*s));
+
+	s->service = mem_dup(service);
+	s->weight = 1;
+	return s;
+}
+
+static void service_keeps_the_pace_of_its_most_demanding_route(void)
+{
+	static const char *const services[] = { "llm", "llm", "llm", "app" };
+	static const int gaps[] = { 600, 400, 0, 0 };
+	struct cfg *c = make(1, 4, NULL);
+	size_t i;
+
+	c->services = calloc(2, sizeof(*c->services));
+	c->services[0].name = mem_dup("llm");
+	c->services[1].name = mem_dup("app");
+	c->nr_services = 2;
+	for (i = 0; i < 4; i++) {
+		c->routes[i].shares = share_of(services[i]);
+		c->routes[i].nr_shares = 1;
+		c->routes[i].gap_ms = gaps[i];
+	}
+	cfg_seal(c);
+	CU_ASSERT_EQUAL(cfg_service(c, "llm")->gap_ms, 400);
+	CU_ASSERT_EQUAL(cfg_service(c, "app")->gap_ms, 0);
+	cfg_put(c);
+}
+
 static void version_never_goes_back(void)
 {
 	struct force f;
@@ -273,6 +304,8 @@
 	{ "longest prefix like the naive scan",
 	  longest_prefix_like_the_naive_scan },
 	{ "keys name their account", keys_name_their_account },
+	{ "a service keeps the pace of its most demanding route",
+	  service_keeps_the_pace_of_its_most_demanding_route },
 	{ "the version never goes back", version_never_goes_back },
 	{ "freshness is of the version in force",
 	  freshness_is_of_the_version_in_force },
--- a/tests/test_duties.c
+++ b/tests/test_duties.c
@@ -560,7 +560,7 @@
 static void the_plan_outlives_its_holder(void)
 {
 	struct carry before = { .nr_rows = 0 }, after;
-	struct carry_row *row = carry_row(&before, "llm", true);
+	struct carry_row *row = carry_row(&before, "llm");
 	BUF_AUTO text = BUF_INIT;
 	struct scale_need guess = { 0 };
 	int i;
@@ -571,8 +571,8 @@
 	carry_encode(&before, &text);
 	CU_ASSERT(carry_decode(text.data, text.len, &after));
 	CU_ASSERT_FALSE(carry_differs(&after, &before));
-	row = carry_row(&after, "llm", false);
-	CU_ASSERT_PTR_NOT_NULL_FATAL(row);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(carry_find(&after, "llm"));
+	row = carry_row(&after, "llm");
 	CU_ASSERT_DOUBLE_EQUAL(row->firm_held, 1.5, 0.01);
 	/* No load seen yet: the carried plan stands, a guess does not. */
 	scale_look(&row->need, 0, 20, 20);
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -271,7 +271,7 @@
  */
 static void forged_headers_do_not_pass(void)
 {
-	const struct forward f = { "i-7", "t1", 900, 3, 12 };
+	const struct forward f = { "i-7", "t1", 900, 3, 12, NULL };
 	BUF_AUTO body = BUF_INIT;
 	BUF_AUTO out = BUF_INIT;
 	struct hparse p;
