marldock-explain losses: what callers lost, by route, reason and second

Cause: on-call engineers have logs only; the way from an id to its cause was there, the sum over all requests was not.

Not in it: worth, attempts of one caller that belong together, late streams by what stood before them.

--- a/programs/explain.c
+++ b/programs/explain.c
@@ -1,10 +1,12 @@
-/* marldock-explain: from a request's id to the cause of its answer. */
+/* marldock-explain: from a request's id to the cause of its answer; and what
+ * callers lost in all, by reason. */
 #include <argp.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "edge/explain.h"
+#include "edge/losses.h"
 
 /* A log line is below 2 KB; longer ones are no lines of ours. */
 #define MAX_LINE 65536
@@ -37,20 +39,36 @@
 	}
 }
 
-static void read_lines(struct explain *x, FILE *f)
+/* Where lines go: to one request's story, or to the table. */
+struct sink {
+	void (*line)(void *to, const char *line);
+	void *to;
+};
+
+static void to_explain(void *to, const char *line)
+{
+	explain_line(to, line);
+}
+
+static void to_losses(void *to, const char *line)
+{
+	losses_line(to, line);
+}
+
+static void read_lines(const struct sink *s, FILE *f)
 {
 	static char line[MAX_LINE];
 
 	while (fgets(line, sizeof(line), f))
-		explain_line(x, line);
+		s->line(s->to, line);
 }
 
-static int read_files(struct explain *x, const struct options *o)
+static int read_files(const struct sink *s, const struct options *o)
 {
 	int i;
 
 	if (!o->nr_files)
-		read_lines(x, stdin);
+		read_lines(s, stdin);
 	for (i = 0; i < o->nr_files; i++) {
 		FILE *f = fopen(o->files[i], "r");
 
@@ -60,32 +78,48 @@
 				o->files[i]);
 			return -1;
 		}
-		read_lines(x, f);
+		read_lines(s, f);
 		fclose(f);
 	}
 	return 0;
 }
 
-int main(int argc, char **argv)
+static void say_unread(size_t n)
 {
-	static const struct argp argp = {
-		NULL,
-		parse,
-		"ID [FILE...]",
-		"Puts the log lines of all entries on a request in order and "
-		"names the deciding one. Without files: standard input.",
-		NULL,
-		NULL,
-		NULL,
-	};
-	struct options o = { NULL, NULL, 0 };
+	if (n)
+		fprintf(stderr, "marldock-explain: %zu lines not readable\n",
+			n);
+}
+
+static int tell_losses(const struct options *o)
+{
+	struct losses *l = losses_create();
+	const struct sink s = { to_losses, l };
+	BUF_AUTO out = BUF_INIT;
+	size_t n;
+
+	if (read_files(&s, o)) {
+		losses_free(l);
+		return 2;
+	}
+	n = losses_tell(l, &out);
+	if (n)
+		fputs(out.data, stdout);
+	else
+		fprintf(stderr, "marldock-explain: no line on a request\n");
+	say_unread(losses_unread(l));
+	losses_free(l);
+	return n ? 0 : 1;
+}
+
+static int tell_request(const struct options *o)
+{
+	struct explain *x = explain_create(o->id);
+	const struct sink s = { to_explain, x };
 	BUF_AUTO out = BUF_INIT;
-	struct explain *x;
 	bool found;
 
-	argp_parse(&argp, argc, argv, 0, NULL, &o);
-	x = explain_create(o.id);
-	if (read_files(x, &o)) {
+	if (read_files(&s, o)) {
 		explain_free(x);
 		return 2;
 	}
@@ -93,10 +127,29 @@
 	if (found)
 		fputs(out.data, stdout);
 	else
-		fprintf(stderr, "marldock-explain: no line on %s\n", o.id);
-	if (explain_unread(x))
-		fprintf(stderr, "marldock-explain: %zu lines not readable\n",
-			explain_unread(x));
+		fprintf(stderr, "marldock-explain: no line on %s\n", o->id);
+	say_unread(explain_unread(x));
 	explain_free(x);
 	return found ? 0 : 1;
 }
+
+int main(int argc, char **argv)
+{
+	static const struct argp argp = {
+		NULL,
+		parse,
+		"ID [FILE...]\nlosses [FILE...]",
+		"Puts the log lines of all entries on a request in order and "
+		"names the deciding one; or adds up what callers lost, by "
+		"route, reason and second. Without files: standard input.",
+		NULL,
+		NULL,
+		NULL,
+	};
+	struct options o = { NULL, NULL, 0 };
+
+	argp_parse(&argp, argc, argv, 0, NULL, &o);
+	if (!strcmp(o.id, "losses"))
+		return tell_losses(&o);
+	return tell_request(&o);
+}
