The fault soak sends large versions over a slow way to the store

Cause: its stand-ins answered at once whatever the size, as did all stand-ins when endpoints that left went unseen behind a large version.

Change: one more fault, a version of 150 KB over 200 KB a second for three seconds, overlapping with the others; one more promise checked at the end, that the newest version is the one in force at every entry.

--- a/scripts/edge_cluster.sh
+++ b/scripts/edge_cluster.sh
@@ -64,6 +64,15 @@
 		"http://$PLATFORM/test/put?key=op/config"
 }
 
+# many_routes N: for put_document; 1,600 of them are some 300 KB as the store
+# gives them.
+many_routes() {
+	local i
+	for i in $(seq 1 "$1"); do
+		printf ',{"name":"more-%s","host":"t.example","prefix":"/more-%s/","routeKind":"safe","timeoutMs":1500,"service":"app","maxAttempts":2}' "$i" "$i"
+	done
+}
+
 platform_test() {
 	curl -s "http://$PLATFORM/test/$1"
 }
--- a/scripts/fault_soak.sh
+++ b/scripts/fault_soak.sh
@@ -2,8 +2,9 @@
 # A randomized soak of the entry as real processes: entries reach the store
 # and callers the entries through proxies that delay, hold and reset; entries
 # are killed, frozen, stopped in order and started again; the store goes away;
-# endpoints fail, break off and leave. Faults overlap. What callers and the
-# stand-ins saw is checked against the promises.
+# endpoints fail, break off and leave; large versions come while the way to the
+# store is slow. Faults overlap. What callers and the stand-ins saw is checked
+# against the promises.
 # Usage: fault_soak.sh SECONDS SEED...
 cd "$(dirname "$0")/.." || exit 1
 . scripts/cluster.sh
@@ -72,13 +73,24 @@
 	PIDS="$PIDS $!"
 }
 
+next_version() {
+	VERSION=$((VERSION + 2))
+	put_document $VERSION '"k1","k2"' "$1"
+}
+
+# The newest version is the last one that came into force at entry N.
+newest_in_force() {
+	is "$(grep -o '"event":"config_in_force","config":[0-9]*' \
+		"$DIR/edge-$1.out" | tail -1 | sed 's/.*://')" "$VERSION"
+}
+
 # One fault.
 fault() {
 	local n=$((RANDOM % EDGES + 1)) e=$((RANDOM % 6 + 1)) pid
 	local modes=(delay up down silent reset)
 	local m=${modes[$((RANDOM % 5))]}
 	pid=$(pid_of "edge-$n")
-	case $((RANDOM % 9)) in
+	case $((RANDOM % 10)) in
 	0) echo "kill edge-$n"; kill -9 "$pid"; sleep 0.3; again "$n" ;;
 	1) echo "stop edge-$n, and kill it while it leaves"; kill -TERM "$pid"
 		sleep 1.5; kill -9 "$pid"; sleep 0.3; again "$n" ;;
@@ -94,7 +106,11 @@
 	7) echo "break i-$e"; platform_test "break?id=i-$e" >/dev/null
 		for_a_while 1 platform_test "heal?id=i-$e" ;;
 	8) echo "forget history"; platform_test forget >/dev/null
-		VERSION=$((VERSION + 2)); put_document $VERSION '"k1","k2"' ;;
+		next_version ;;
+	9) echo "large version on a slow link"
+		platform_test 'link?bytes=200000' >/dev/null
+		next_version "$(many_routes 800)"
+		for_a_while 3 platform_test 'link?bytes=0' ;;
 	esac
 }
 
@@ -120,6 +136,8 @@
 		($3 ~ /^(503|429|408|421):/) && ($1 in ran)' \
 		"$DIR/runs" <(grep -E ' /[uo]/x ' "$told") >"$DIR/false"
 	expect "$SEED: told not run, and not run" [ ! -s "$DIR/false" ]
+	expect "$SEED: the newest version is in force everywhere" \
+		eval 'newest_in_force 1 && newest_in_force 2 && newest_in_force 3'
 	expect "$SEED: no entry ended by itself" \
 		[ -z "$(grep -lE 'Sanitizer|Assertion' "$DIR"/*.log)" ]
 }
--- a/scripts/slow_link_test.sh
+++ b/scripts/slow_link_test.sh
@@ -19,16 +19,9 @@
 trap cluster_stop EXIT
 
 LINK=${LINK:-200000}   # bytes a second, of the store's answers in all
-ROUTES=${ROUTES:-1600} # some 300 KB as the store gives them
+ROUTES=${ROUTES:-1600}
 LEAVING=i-4
 
-many_routes() {
-	local i
-	for i in $(seq 1 "$ROUTES"); do
-		printf ',{"name":"more-%s","host":"t.example","prefix":"/more-%s/","routeKind":"safe","timeoutMs":1500,"service":"app","maxAttempts":2}' "$i" "$i"
-	done
-}
-
 # line_of N PATTERN: number of the first such line of entry N's log.
 line_of() {
 	grep -n "$2" "$DIR/edge-$1.out" | head -1 | cut -d: -f1
@@ -61,8 +54,7 @@
 TOLD=$(seen config_told)
 
 platform_test "link?bytes=$LINK" >/dev/null
-many_routes >"$DIR/routes"
-put_document 3 '"k1"' "$(cat "$DIR/routes")"
+put_document 3 '"k1"' "$(many_routes "$ROUTES")"
 wait_for read_begun "$TOLD"
 platform_test "drain?id=$LEAVING" >/dev/null
 expect "the leaving is known everywhere" wait_for everywhere leaving_known
