--- a/Makefile
+++ b/Makefile
@@ -93,6 +93,8 @@
 	@mkdir -p $(@D)
 	$(CC) -o $@ $(filter %.o,$^) $(LIB) $(LDLIBS)
 
+$(BUILD)/bin/standin-platform: $(BUILD)/tests/support/slow_link.o
+
 $(BUILD)/tests/test_%: $(BUILD)/tests/test_%.o $(TEST_LIB_OBJ) $(LIB)
 	@mkdir -p $(@D)
 	$(CC) -o $@ $(filter %.o,$^) $(LIB) $(LDLIBS)
--- a/tests/standin/platform.c
+++ b/tests/standin/platform.c
@@ -16,6 +16,7 @@
 #include "base/clk.h"
 #include "base/jsn.h"
 #include "io/hsc.h"
+#include "support/slow_link.h"
 
 #define MAX_KEYS 256
 #define MAX_RUNS 20000
@@ -73,14 +74,6 @@
 	int64_t due_ms;
 };
 
-/* An answer that goes out piece by piece, on a slow link. */
-struct sending {
-	struct cds_list_head node;
-	struct hsc *conn;
-	struct buf out;
-	size_t sent;
-};
-
 static struct {
 	struct ev_loop *loop;
 	struct hsc_server server;
@@ -100,9 +93,9 @@
 	int nr_runs;
 	struct endpoint endpoints[MAX_ENDPOINTS];
 	int nr_endpoints;
-	struct cds_list_head watchers, streams, sendings;
-	int bytes_per_s; /* of the store's answers in all; 0: no bound */
-	int config_told; /* times that a configuration was in an answer */
+	struct cds_list_head watchers, streams;
+	struct slow_link link; /* of the store's answers */
+	int config_told;       /* times that a configuration was in an answer */
 	struct copy copies[MAX_COPIES];
 	int nr_copies;
 	int64_t down_until_ms;
@@ -118,50 +111,6 @@
 	return clk_boot_ms(clk_real());
 }
 
-/* Takes over `out`. */
-static void send_slowly(struct hsc *c, struct buf *out)
-{
-	struct sending *s = calloc(1, sizeof(*s));
-
-	s->conn = c;
-	s->out = *out;
-	*out = (struct buf)BUF_INIT;
-	cds_list_add_tail(&s->node, &w.sendings);
-}
-
-static void end_sending(struct sending *s)
-{
-	cds_list_del(&s->node);
-	buf_free(&s->out);
-	free(s);
-}
-
-/* All answers under way share the link. */
-static void send_pieces(void)
-{
-	struct sending *s, *next;
-	size_t n = 0, share, piece;
-
-	cds_list_for_each_entry(s, &w.sendings, node)
-		n++;
-	if (!n)
-		return;
-	share = (size_t)(w.bytes_per_s * TICK_S) / n + 1;
-	cds_list_for_each_entry_safe(s, next, &w.sendings, node) {
-		struct hsc *c = s->conn;
-
-		piece = s->out.len - s->sent;
-		if (w.bytes_per_s && piece > share)
-			piece = share;
-		hsc_write(c, s->out.data + s->sent, piece);
-		s->sent += piece;
-		if (s->sent < s->out.len)
-			continue;
-		end_sending(s);
-		hsc_done(c, false);
-	}
-}
-
 static void reply(struct hsc *c, int status, const char *body)
 {
 	BUF_AUTO out = BUF_INIT;
@@ -171,9 +120,9 @@
 	hmsg_put_int(&out, "Content-Length", (int64_t)strlen(body));
 	hmsg_put_end(&out);
 	buf_str(&out, body);
-	if (w.bytes_per_s && c->server == &w.server &&
+	if (w.link.bytes_per_s && c->server == &w.server &&
 	    !strncmp(hmsg_url(&c->parse.msg), "/v1/", 4)) {
-		send_slowly(c, &out);
+		slow_link_send(&w.link, c, &out);
 		return;
 	}
 	hsc_write(c, out.data, out.len);
@@ -800,7 +749,7 @@
 		w.gap_ms = atoi(number);
 	} else if (!strncmp(url, "/test/link", 10)) {
 		hmsg_query(url, "bytes", number, sizeof(number));
-		w.bytes_per_s = atoi(number);
+		w.link.bytes_per_s = atoi(number);
 	} else if (!strncmp(url, "/test/forget", 12)) {
 		w.forgotten = w.revision;
 	} else if (e && !strncmp(url, "/test/drain", 11)) {
@@ -866,12 +815,8 @@
 static void call_gone(struct hsc *c)
 {
 	struct watcher *v = c->request;
-	struct sending *s, *next;
 
-	cds_list_for_each_entry_safe(s, next, &w.sendings, node) {
-		if (s->conn == c)
-			end_sending(s);
-	}
+	slow_link_gone(&w.link, c);
 	if (!v)
 		return;
 	cds_list_del(&v->node);
@@ -899,7 +844,7 @@
 		if (now >= s->due_ms)
 			stream_step(s);
 	}
-	send_pieces();
+	slow_link_tick(&w.link, TICK_S);
 	for (i = 0; i < w.nr_leases; i++) {
 		if (now >= w.leases[i].until_ms && now >= w.down_until_ms)
 			end_lease(&w.leases[i]);
@@ -923,7 +868,7 @@
 	w.loop = ev_default_loop(EVFLAG_AUTO);
 	CDS_INIT_LIST_HEAD(&w.watchers);
 	CDS_INIT_LIST_HEAD(&w.streams);
-	CDS_INIT_LIST_HEAD(&w.sendings);
+	slow_link_init(&w.link);
 	ioc_address("127.0.0.1:0", &addr, NULL);
 	if (hsc_server_open(&w.server, w.loop, &addr, &vtable, NULL, NULL))
 		return 71;
