zip: bytes that go to many entries in fewer bytes

Cause: the changes of fifty endpoints that start or leave together are more than may be passed on to followers, and 280 of them read those from the store.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 PKGS = json-c libtirpc libcurl log4c libcrypto liburcu-bp cunit
 CFLAGS = $(CSTD) $(WARN) $(OPT) -Ilib -Iplatform -Itests -Ibench $(shell pkg-config --cflags $(PKGS))
 LDLIBS = $(shell pkg-config --libs $(PKGS)) -lcivetweb -lev -lhttp_parser \
-	-lxxhash -lpthread -lm
+	-lxxhash -lz -lpthread -lm
 
 ifneq ($(SAN),)
 BUILD = build-$(SAN)
@@ -21,14 +21,14 @@
 EDGE_DIRS = io store duty fleet model stream edge
 EDGE_SRC = $(filter-out lib/edge/explain.c lib/edge/losses.c,$(foreach d,$(EDGE_DIRS),$(wildcard lib/$(d)/*.c))) \
 	$(wildcard platform/*.c) programs/edge.c \
-	$(addprefix lib/base/,buf.c clk.c err.c hsh.c jlog.c jsn.c met.c rnd.c) \
+	$(addprefix lib/base/,buf.c clk.c err.c hsh.c jlog.c jsn.c met.c rnd.c zip.c) \
 	lib/config/cfg.c lib/config/force.c lib/config/vfy.c lib/limit/acct.c lib/limit/again.c \
 	lib/member/gsp.c lib/member/named.c lib/member/prs.c \
 	lib/member/rank.c lib/request/rq.c lib/route/parts.c \
 	lib/route/pick.c
 EDGE_OBJ = $(EDGE_SRC:%.c=$(BUILD)/%.o)
 EDGE_PKGS = json-c libtirpc libcrypto liburcu-bp
-EDGE_LIBS = $(shell pkg-config --libs $(EDGE_PKGS)) -lev -lhttp_parser -lxxhash -lm
+EDGE_LIBS = $(shell pkg-config --libs $(EDGE_PKGS)) -lev -lhttp_parser -lxxhash -lz -lm
 
 LIB_SRC = $(wildcard lib/*/*.c) $(wildcard platform/*.c)
 LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o)
--- a/scripts/install-deps.sh
+++ b/scripts/install-deps.sh
@@ -3,7 +3,7 @@
 set -e
 PKGS="gcc make pkg-config liburcu-dev libcivetweb-dev liblog4c-dev
 libcunit1-dev libtirpc-dev libjson-c-dev libxxhash-dev libssl-dev
-libcurl4-openssl-dev libev-dev libhttp-parser-dev uthash-dev clang-format clang-tidy curl"
+libcurl4-openssl-dev libev-dev libhttp-parser-dev uthash-dev zlib1g-dev clang-format clang-tidy curl"
 missing=
 for p in $PKGS; do
 	dpkg-query -W -f='${Status}' "$p" 2>/dev/null |
--- a/tests/test_base.c
+++ b/tests/test_base.c
@@ -10,6 +10,7 @@
 #include "config/set.h"
 #include "net/sse.h"
 #include "platform/engine.h"
+#include "base/zip.h"
 #include "support/unit.h"
 
 struct sample {
@@ -311,6 +312,36 @@
 	CU_ASSERT_PTR_NOT_NULL(strstr(out.data, "t_ms_count 3\n"));
 }
 
+/* What an entry sends to many others comes back as it was, or not at all. */
+static void packed_bytes_come_back(void)
+{
+	BUF_AUTO plain = BUF_INIT;
+	BUF_AUTO packed = BUF_INIT;
+	BUF_AUTO back = BUF_INIT;
+	int i;
+
+	for (i = 0; i < 60; i++)
+		buf_fmt(&plain, "{\"key\":\"e%d\",\"state\":\"ready\"},", i);
+	CU_ASSERT_FALSE(zip_is_packed(plain.data, plain.len));
+	CU_ASSERT_FALSE(zip_is_packed("", 0));
+	CU_ASSERT_FATAL(zip_pack(plain.data, plain.len, &packed));
+	CU_ASSERT(packed.len < plain.len / 4);
+	CU_ASSERT(zip_is_packed(packed.data, packed.len));
+	CU_ASSERT(zip_unpack(packed.data, packed.len, plain.len, &back));
+	CU_ASSERT_EQUAL(back.len, plain.len);
+	CU_ASSERT_FALSE(memcmp(back.data, plain.data, plain.len));
+	buf_reset(&back);
+	CU_ASSERT_FALSE(
+		zip_unpack(packed.data, packed.len, plain.len - 1, &back));
+	CU_ASSERT_FALSE(
+		zip_unpack(packed.data, packed.len / 2, plain.len, &back));
+	packed.data[packed.len / 2] ^= 0x55;
+	CU_ASSERT_FALSE(zip_unpack(packed.data, packed.len, plain.len, &back));
+	CU_ASSERT_EQUAL(back.len, 0);
+	/* What would grow is left as it is. */
+	CU_ASSERT_FALSE(zip_pack("ab", 2, &back));
+}
+
 static const struct unit_test tests[] = {
 	{ "histograms sum up", histograms_sum_up },
 	{ "json errors have positions", json_errors },
@@ -323,6 +354,7 @@
 	{ "engine events", engine_events },
 	{ "engine orders", engine_orders },
 	{ "metrics text", metrics_text },
+	{ "packed bytes come back", packed_bytes_come_back },
 };
 
 UNIT_MAIN("base", tests)
