An entry keeps the watcher that it follows when others change

Cause: which of ten watchers an entry follows was counted off by the remainder, so that one more or one less moved nearly all of 285 entries, and each asked the store once for what its new watcher had not kept.

Change: rank_of_key, by rendezvous.

--- a/lib/edge/edge_rank.c
+++ b/lib/edge/edge_rank.c
@@ -55,7 +55,7 @@
 		return NULL;
 	n = watchers(en);
 	assert(n);
-	return en->ranking.rows[en->source % n].entry;
+	return rank_of_key(&en->ranking, n, en->source)->entry;
 }
 
 /* ---- Counts of usage ---- */
--- a/lib/member/rank.c
+++ b/lib/member/rank.c
@@ -52,6 +52,22 @@
 	qsort(r->rows, r->n, sizeof(r->rows[0]), by_weight);
 }
 
+const struct rank_row *rank_of_key(const struct rank *r, size_t n, uint64_t key)
+{
+	const struct rank_row *best = &r->rows[0];
+	uint64_t most = hsh_rendezvous(key, best->weight), weight;
+	size_t i;
+
+	for (i = 1; i < n; i++) {
+		weight = hsh_rendezvous(key, r->rows[i].weight);
+		if (weight <= most)
+			continue;
+		best = &r->rows[i];
+		most = weight;
+	}
+	return best;
+}
+
 void rank_spread(struct rank *r)
 {
 	size_t i;
--- a/lib/member/rank.h
+++ b/lib/member/rank.h
@@ -42,6 +42,14 @@
 /* The best first. */
 void rank_sort(struct rank *r);
 
+/*
+ * Which of the first `n` rows, 1 at least, stands for `key`. When one of them
+ * goes or another one joins, only the keys that it had or gets change: counted
+ * off by the remainder instead, all of them would.
+ */
+const struct rank_row *rank_of_key(const struct rank *r, size_t n,
+				   uint64_t key);
+
 /*
  * The best of each zone first, then the second of each, and so on: a zone
  * that is lost takes no more than its part of those in front.
--- a/tests/test_rank.c
+++ b/tests/test_rank.c
@@ -143,6 +143,45 @@
 	CU_ASSERT_EQUAL(one.n, RANK_MAX);
 }
 
+/*
+ * Symptom: each time one of ten watchers of the store went, nearly all of 285
+ * entries asked the store once. Sequence: the watchers are ranked anew, and
+ * each entry follows another one, which has not kept what it lacks. Cause: the
+ * watcher was counted off by the remainder.
+ */
+static void few_keys_move_when_one_goes(void)
+{
+	enum {
+		WATCHERS = 10,
+		KEYS = 1000
+	};
+	const struct rank_row *before;
+	unsigned moved = 0, had = 0;
+	uint64_t key;
+	char name[16];
+	int i;
+
+	rank_init(&one, RANK_WATCH);
+	rank_init(&other, RANK_WATCH);
+	for (i = 0; i < WATCHERS; i++) {
+		snprintf(name, sizeof(name), "e%d", i);
+		rank_add(&one, name, "z", &one.rows[i]);
+	}
+	rank_sort(&one);
+	memcpy(other.rows, one.rows + 1, (WATCHERS - 1) * sizeof(one.rows[0]));
+	other.n = WATCHERS - 1;
+	for (key = 1; key <= KEYS; key++) {
+		before = rank_of_key(&one, one.n, key);
+		if (before == &one.rows[0])
+			had++;
+		else
+			moved += before->entry !=
+				 rank_of_key(&other, other.n, key)->entry;
+	}
+	CU_ASSERT_EQUAL(moved, 0);
+	CU_ASSERT(had > KEYS / WATCHERS / 2 && had < KEYS * 2 / WATCHERS);
+}
+
 /* The pattern: a small fleet, a large one that is idle, the target's peak. */
 static void as_many_are_named_as_the_load_needs(void)
 {
@@ -163,6 +202,7 @@
 	{ "purposes rank differently", purposes_rank_differently },
 	{ "zones take turns", zones_take_turns },
 	{ "more than fit are left out", more_than_fit_are_left_out },
+	{ "few keys move when one goes", few_keys_move_when_one_goes },
 	{ "as many are named as the load needs",
 	  as_many_are_named_as_the_load_needs },
 };
