--- a/lib/config/vfy.h
+++ b/lib/config/vfy.h
@@ -13,6 +13,11 @@
  * hear of it, or hear of a newer version than theirs. One call is under way
  * at a time: a large version on a slow link is read once, not side by side
  * with itself.
+ *
+ * A version never changes, so whoever has it may hand it on: an entry that
+ * does not watch the store asks the one that it follows for a version that it
+ * heard of, and the store only if that one has not got it. That a version is
+ * the newest is not learned that way.
  */
 #ifndef VFY_H
 #define VFY_H
@@ -53,6 +58,14 @@
 /* After a call that brought nothing. */
 #define VFY_RETRY_MS 300
 
+/*
+ * While the store has no configuration at all, the first entry asks this
+ * often and the others hear of it from that one. It is so at the very first
+ * start, when 295 entries asked four times each until there was one.
+ */
+#define VFY_ABSENT_MS 2500
+#define VFY_ABSENT_OTHERS_MS 4000
+
 /*
  * Changes since a revision are asked for only if it was current so lately:
  * the store keeps some 20 s of history and may drop it sooner, and a question
@@ -60,10 +73,19 @@
  */
 #define VFY_HISTORY_MS 8000
 
+/*
+ * The entry that is followed is asked for a version so long after it was
+ * heard of, spread over the second figure: by then it has read it itself, and
+ * some thirty followers do not come to it in one moment.
+ */
+#define VFY_PEER_MS 100
+#define VFY_PEER_SPREAD_MS 200
+
 enum vfy_call {
 	VFY_NONE,
 	VFY_READ,    /* read the configuration */
 	VFY_CHANGES, /* ask for changes of it since `revision` */
+	VFY_PEER,    /* ask the entry that is followed for the version named */
 };
 
 struct vfy {
@@ -73,6 +95,9 @@
 	int64_t revision;    /* changes up to it are known; 0: nothing is */
 	int64_t revision_ms; /* when it was current */
 	bool in_force;	     /* the version at that revision is in force here */
+	bool absent;	     /* the store had none */
+	int64_t behind_ms;   /* since a newer version was named; 0: none */
+	int64_t peer_asked;  /* the version last asked of another entry */
 };
 
 /* What the entry knows when it decides. */
@@ -81,6 +106,8 @@
 	int64_t age_ms;	 /* of the last confirmation */
 	bool behind;	 /* a newer version than that in force was named */
 	bool wanted;	 /* a request waits for a confirmation */
+	int64_t named;	 /* the newest version that was named; 0: none */
+	bool follows;	 /* there is an entry to ask for it */
 	uint64_t spread; /* ours, to ask at another moment than the others */
 };
 
@@ -106,4 +133,10 @@
 
 void vfy_failed(struct vfy *v);
 
+/* The other entry has not got the version: the store is asked at once. */
+void vfy_peer_failed(struct vfy *v);
+
+/* The store answered that it has no configuration. */
+void vfy_absent(struct vfy *v);
+
 #endif
--- a/lib/duty/lead.h
+++ b/lib/duty/lead.h
@@ -38,8 +38,12 @@
 /* After a try that did not succeed: by then the holder's key is seen. */
 #define LEAD_AGAIN_MS 900
 
-/* At the very first start entries hear of each other within this time. */
-#define LEAD_MEET_MS 700
+/*
+ * At the very first start entries hear of each other within this time: they
+ * ask who is registered after 0.7 s, and tell all in turn in 0.6 s, busy as
+ * they are. Tried sooner, most of 295 took themselves for the first one.
+ */
+#define LEAD_MEET_MS 2500
 
 /* Whom the store's key names. */
 enum lead_whose {
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -25,6 +25,30 @@
 #define LEAVE_MIN_MS 2500
 #define LEAVE_MARGIN_MS 400
 
+/* Each call is priced, so an operator must see which kind has grown. */
+static void register_store_metrics(struct met *m, struct edge_metrics *x)
+{
+	static const char *const names[STO_KINDS] = {
+		[STO_GET] = "store_gets_total",
+		[STO_LIST] = "store_lists_total",
+		[STO_WATCH] = "store_watches_total",
+		[STO_WRITE] = "store_writes_total",
+		[STO_LEASE] = "store_leases_total",
+		[STO_KEEP] = "store_renewals_total",
+		[STO_END] = "store_lease_ends_total",
+	};
+	int i;
+
+	for (i = 0; i < STO_KINDS; i++)
+		x->store_calls[i] = met_counter(
+			m, names[i], "calls of this kind to the store");
+	x->store_followed =
+		met_counter(m, "store_followed_total",
+			    "questions to an entry that watches the store");
+	x->store_relayed = met_counter(m, "store_relayed_total",
+				       "calls passed on for other entries");
+}
+
 static void register_metrics(struct edge *en)
 {
 	struct met *m = &en->met;
@@ -55,8 +79,7 @@
 				 "sends that endpoints did not run");
 	x->lost = met_counter(m, "sends_lost_total",
 			      "sends whose outcome is unknown");
-	x->store_calls =
-		met_counter(m, "store_calls_total", "calls to the store");
+	register_store_metrics(m, x);
 	x->entries_unreadable =
 		met_counter(m, "endpoint_entries_unreadable_total",
 			    "endpoints' entries in the store without sense");
@@ -222,6 +245,7 @@
 	};
 	const int64_t now = edge_now(en);
 
+	en->start_ms = now;
 	en->boot = rnd_secret() | 1;
 	en->source = en->boot ^ hsh_str(c->name, 0);
 	rnd_seed(&en->rnd, en->boot);
--- a/lib/edge/edge_config.c
+++ b/lib/edge/edge_config.c
@@ -1,6 +1,14 @@
 /* The configuration: reading it, and confirming that it is the newest. */
+#include "base/zip.h"
 #include "edge/edge_internal.h"
 
+/*
+ * Another entry is given so long to have the version, and its answer so much
+ * longer. Both are taken from the time in which a change must be in force.
+ */
+#define PEER_WAIT_MS 200
+#define PEER_EXTRA_MS 200
+
 /* ---- Versions ---- */
 
 static void log_config(struct edge *en, const struct cfg *c, int64_t revision)
@@ -60,17 +68,57 @@
 	return NULL;
 }
 
+/*
+ * Keeps what was read for the entries that follow us, in the form in which a
+ * watch of the store brings it. What is larger than the changes that are
+ * passed on each of them reads from the store (see FEED_MAX_BYTES).
+ */
+static void keep_copy(struct edge *en, const struct sto_answer *a,
+		      bool from_watch)
+{
+	const bool packed = zip_is_packed(a->raw, a->raw_len);
+	BUF_AUTO body = BUF_INIT;
+
+	buf_reset(&en->copy.body);
+	en->copy.version = en->force.cfg->version;
+	if (from_watch)
+		buf_add(&body, a->raw, a->raw_len);
+	else
+		buf_fmt(&body, "{\"events\":[%s],\"currentRev\":%lld}", a->raw,
+			(long long)a->revision);
+	if (packed || !zip_pack(body.data, body.len, &en->copy.body))
+		buf_add(&en->copy.body, body.data, body.len);
+	if (en->copy.body.len > FEED_MAX_BYTES)
+		buf_free(&en->copy.body);
+	edge_inner_feed(en, edge_now(en));
+}
+
+/* `at_ms`: when it was the newest version; 0: that is not known. */
+static void brought(struct edge *en, const struct sto_answer *a,
+		    const struct sto_item *it, int64_t at_ms, bool from_watch)
+{
+	const bool in_force = take_config(en, it, at_ms);
+
+	if (in_force)
+		keep_copy(en, a, from_watch);
+	vfy_brought(&en->vfy, a->revision, in_force, edge_now(en));
+}
+
 static void on_read(void *arg, struct sto_answer *a)
 {
 	struct edge *en = arg;
 	const struct sto_item *it = find_config(en, a);
 
+	if (a->outcome == STO_ABSENT) {
+		vfy_absent(&en->vfy);
+		edge_req_verified(en);
+		return;
+	}
 	if (a->outcome != STO_OK || !it) {
 		failed(en);
 		return;
 	}
-	vfy_brought(&en->vfy, a->revision, take_config(en, it, a->asked_ms),
-		    edge_now(en));
+	brought(en, a, it, a->asked_ms, false);
 	edge_req_verified(en);
 }
 
@@ -95,20 +143,43 @@
 		return;
 	}
 	if (it)
-		vfy_brought(&en->vfy, a->revision,
-			    take_config(en, it, a->asked_ms), edge_now(en));
+		brought(en, a, it, a->asked_ms, true);
 	else
 		confirm(en, vfy_unchanged(&en->vfy, a->revision, edge_now(en)));
 	edge_req_verified(en);
 }
 
+/* ---- Versions from another entry ---- */
+
+static void on_handed(void *arg, struct sto_answer *a)
+{
+	struct edge *en = arg;
+	const struct sto_item *it = find_config(en, a);
+
+	if (a->outcome == STO_OK && it)
+		brought(en, a, it, 0, true);
+	else
+		vfy_peer_failed(&en->vfy);
+	edge_config_tick(en, edge_now(en));
+}
+
+static void ask_peer(struct edge *en, const struct prs_peer *p)
+{
+	sto_follow(en->store, EDGE_CONFIG_LANE, &p->addr, en->force.wanted,
+		   PEER_WAIT_MS, PEER_EXTRA_MS, on_handed, en);
+}
+
 void edge_config_tick(struct edge *en, int64_t now)
 {
+	const struct prs_peer *leader =
+		force_behind(&en->force) ? edge_leader(en, now) : NULL;
 	const struct vfy_state s = {
 		.place = en->watch_place,
 		.age_ms = force_age(&en->force, now),
 		.behind = force_behind(&en->force),
 		.wanted = !cds_list_empty(&en->verifying),
+		.named = en->force.wanted,
+		.follows = leader != NULL,
 		.spread = en->source,
 	};
 	struct sto_call c = { .key = en->wire->config_key,
@@ -117,8 +188,11 @@
 
 	if (call == VFY_NONE)
 		return;
+	if (call == VFY_PEER) {
+		ask_peer(en, leader);
+		return;
+	}
 	c.kind = call == VFY_READ ? STO_GET : STO_WATCH;
 	met_inc(en->m.refreshes);
-	met_inc(en->m.store_calls);
 	sto_call(en->store, &c, call == VFY_READ ? on_read : on_changes, en);
 }
--- a/lib/edge/edge_duty.c
+++ b/lib/edge/edge_duty.c
@@ -178,7 +178,6 @@
 	const struct sto_call c = { .kind = STO_GET, .key = key };
 
 	report_key(key, sizeof(key), d->window);
-	met_inc(d->en->m.store_calls);
 	sto_call(d->en->store, &c, on_read_back, d);
 }
 
@@ -220,7 +219,6 @@
 	c.rows[0] = (struct sto_row){ key, d->counts.data, d->counts.len, 0 };
 	c.rows[1] = (struct sto_row){ old, NULL, 0, 0 };
 	d->step = STEP_WRITING;
-	met_inc(en->m.store_calls);
 	sto_call(en->store, &c, on_written, d);
 }
 
--- a/lib/edge/edge_inner.c
+++ b/lib/edge/edge_inner.c
@@ -57,7 +57,7 @@
 	buf_add(&wire, c->body.data, c->body.len);
 	r->conn = c;
 	c->request = r;
-	met_inc(en->m.store_calls);
+	met_inc(en->m.store_relayed);
 	sto_relay(en->store, &wire, on_relayed, r);
 }
 
@@ -69,8 +69,8 @@
 struct edge_follower {
 	struct cds_list_head node; /* in edge.followers */
 	struct hsc *conn;
-	struct edge_watch *watch; /* which it follows */
-	int64_t after;
+	struct edge_watch *watch; /* which it follows; NULL: a version */
+	int64_t after;		  /* revision, or the version it wants */
 	int64_t until_ms;
 };
 
@@ -91,8 +91,21 @@
 	hsc_done(c, false);
 }
 
-/* True if the follower has its answer. */
-static bool try_follower(struct edge_follower *f, int64_t now)
+/* An entry that wants a version of the configuration. */
+static void try_version(struct edge *en, struct edge_follower *f, int64_t now)
+{
+	const struct buf *body = &en->copy.body;
+
+	if (en->copy.version < f->after && now < f->until_ms)
+		return;
+	if (en->copy.version >= f->after && body->len)
+		answer_follower(f, 200, body->data, body->len);
+	else
+		answer_follower(f, 404, "", 0);
+}
+
+/* Answers the follower if there is something to say, or its time is over. */
+static void try_follower(struct edge_follower *f, int64_t now)
 {
 	const int64_t upto = f->watch->feed.upto;
 	const struct feed_part *part;
@@ -100,25 +113,45 @@
 
 	if (!edge_watch_leads(f->watch, now)) {
 		answer_follower(f, 503, "", 0);
-		return true;
+		return;
+	}
+	/*
+	 * We follow another entry ourselves: who waits here would learn late,
+	 * and by a feed that stands still learn nothing.
+	 */
+	if (f->watch->following) {
+		answer_follower(f, 404, "", 0);
+		return;
 	}
 	switch (feed_after(&f->watch->feed, f->after, &part)) {
 	case FEED_GAP:
 		/* What it lacks is not here: it asks the store once. */
 		answer_follower(f, 404, "", 0);
-		return true;
+		return;
 	case FEED_PART:
 		answer_follower(f, 200, part->body.data, part->body.len);
-		return true;
+		return;
 	case FEED_WAIT:
 		break;
 	}
 	if (now < f->until_ms)
-		return false;
+		return;
+	/* "Nothing new" is for the store to say, since we watch it again. */
+	if (!f->watch->direct) {
+		answer_follower(f, 404, "", 0);
+		return;
+	}
 	snprintf(nothing, sizeof(nothing), NOTHING_NEW,
 		 (long long)(upto > f->after ? upto : f->after));
 	answer_follower(f, 200, nothing, strlen(nothing));
-	return true;
+}
+
+static void try_answer(struct edge *en, struct edge_follower *f, int64_t now)
+{
+	if (f->watch)
+		try_follower(f, now);
+	else
+		try_version(en, f, now);
 }
 
 void edge_inner_feed(struct edge *en, int64_t now)
@@ -126,7 +159,7 @@
 	struct edge_follower *f, *next;
 
 	cds_list_for_each_entry_safe(f, next, &en->followers, node) {
-		try_follower(f, now);
+		try_answer(en, f, now);
 	}
 }
 
@@ -138,12 +171,12 @@
 
 	assert(f);
 	f->conn = c;
-	f->watch = &en->watches[lane];
+	f->watch = lane < EDGE_NR_KEYS ? &en->watches[lane] : NULL;
 	f->after = after;
 	f->until_ms = now + wait_ms;
 	c->request = f;
 	cds_list_add_tail(&f->node, &en->followers);
-	try_follower(f, now);
+	try_answer(en, f, now);
 }
 
 static struct edge_follower *find_follower(struct edge *en, const struct hsc *c)
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -50,7 +50,8 @@
 	met_value *requests, *passed, *refused, *failed, *cut, *gone, *denied;
 	met_value *moves, *moves_failed;
 	met_value *sends, *resends, *resumes, *not_run, *lost;
-	met_value *store_calls, *store_failures, *refreshes;
+	met_value *store_calls[STO_KINDS], *store_followed, *store_relayed;
+	met_value *store_failures, *refreshes;
 	met_value *usage_reports, *scale_orders;
 	met_value *entries_unreadable; /* of endpoints, in the store */
 	met_value *lines_dropped, *config_version, *endpoints, *entries;
@@ -85,12 +86,18 @@
 	EDGE_NR_KEYS,
 };
 
+/* Beside these, the lane on which versions of the configuration are handed on. */
+#define EDGE_CONFIG_LANE EDGE_NR_KEYS
+
 struct edge_watch {
 	struct edge *en;
 	const char *prefix;
 	int wait_ms; /* of a watch */
 	struct mir mirror;
 	struct feed feed;
+	bool asked;		 /* the store was watched since the start */
+	bool following;		 /* the last call asked another entry */
+	bool direct;		 /* the last answer was the store's own */
 	int64_t follow_after_ms; /* no entry is followed before */
 	int64_t complete_ms;	 /* when all was known last; 0: never */
 };
@@ -106,6 +113,7 @@
 	struct met met;
 	struct edge_metrics m;
 	struct rnd rnd;
+	int64_t start_ms;
 	uint64_t boot;	 /* of this process */
 	uint64_t source; /* hash of name and boot: whose counts these are */
 
@@ -116,6 +124,10 @@
 	struct edge_watch watches[EDGE_NR_KEYS];
 	struct cds_list_head followers; /* of edge_follower */
 	struct force force;
+	struct {
+		struct buf body; /* as an answer of a watch; empty: too large */
+		int64_t version;
+	} copy; /* of the configuration, for entries that follow us */
 	struct vfy vfy;
 	int watch_place; /* among the entries that watch the store; -1 */
 	struct cds_list_head verifying; /* of edge_req.wait_node */
@@ -281,7 +293,7 @@
 
 /* ---- edge_inner.c: the internal listener ---- */
 extern const struct hsc_vtable edge_inner_vtable;
-/* Answers the entries that follow our watch. */
+/* Answers the entries that follow our watch, or wait for a version. */
 void edge_inner_feed(struct edge *en, int64_t now);
 
 /* ---- edge_peer.c: other entries ---- */
--- a/lib/edge/edge_lease.c
+++ b/lib/edge/edge_lease.c
@@ -71,7 +71,6 @@
 	c.rows[0] =
 		(struct sto_row){ key, value.data, value.len, en->lease.id };
 	en->lease.calling = true;
-	met_inc(en->m.store_calls);
 	sto_call(en->store, &c, on_registered, en);
 }
 
@@ -122,7 +121,6 @@
 	}
 	c.kind = en->lease.id ? STO_KEEP : STO_LEASE;
 	en->lease.calling = true;
-	met_inc(en->m.store_calls);
 	sto_call(en->store, &c, en->lease.id ? on_kept : on_leased, en);
 }
 
@@ -179,7 +177,6 @@
 						  lead_expected(&en->lead) };
 	c.rows[0] = (struct sto_row){ EDGE_DUTY_KEY, mine, strlen(mine),
 				      en->lease.id };
-	met_inc(en->m.store_calls);
 	sto_call(en->store, &c, on_duty_taken, en);
 }
 
--- a/lib/edge/edge_scale.c
+++ b/lib/edge/edge_scale.c
@@ -368,7 +368,6 @@
 		(struct sto_condition){ EDGE_DUTY_KEY, en->lead.fence };
 	c.rows[0] = (struct sto_row){ EDGE_PLAN_KEY, value.data, value.len, 0 };
 	d->writing_plan = true;
-	met_inc(en->m.store_calls);
 	sto_call(en->store, &c, on_plan_written, d);
 }
 
--- a/lib/edge/edge_store.c
+++ b/lib/edge/edge_store.c
@@ -198,6 +198,8 @@
 {
 	struct edge *en = arg;
 
+	met_inc(t->following ? en->m.store_followed
+			     : en->m.store_calls[t->kind]);
 	if (t->late_ms < SLOW_ANSWER_MS && t->bytes < LARGE_ANSWER)
 		return;
 	jlog_begin(en->log, JLOG_INFO, "store_answer");
--- a/lib/edge/edge_watch.c
+++ b/lib/edge/edge_watch.c
@@ -2,6 +2,7 @@
  * entry. */
 #include <assert.h>
 
+#include "base/zip.h"
 #include "edge/edge_internal.h"
 
 /*
@@ -37,6 +38,14 @@
  */
 #define TRUST_WAY_MS 1300
 
+/*
+ * What is passed on is packed from this size on: below it a change is a
+ * packet anyway. When fifty endpoints start or leave together, their changes
+ * are more than may be passed on as they are, and 280 followers would each
+ * read them from the store.
+ */
+#define PACK_BYTES 1024
+
 /* ---- The calls ---- */
 
 static void failed(struct edge_watch *w, int64_t now)
@@ -75,6 +84,21 @@
 			  a->items[i].len, a->items[i].revision);
 }
 
+/* For those that follow us, in as few bytes as they come to. */
+static void pass_on(struct edge_watch *w, const struct sto_answer *a)
+{
+	BUF_AUTO packed = BUF_INIT;
+	const bool any = a->nr_items > 0;
+
+	if (any && a->raw_len >= PACK_BYTES &&
+	    zip_pack(a->raw, a->raw_len, &packed))
+		feed_add(&w->feed, w->mirror.revision, a->revision, any,
+			 packed.data, packed.len);
+	else
+		feed_add(&w->feed, w->mirror.revision, a->revision, any, a->raw,
+			 a->raw_len);
+}
+
 static void on_watched(void *arg, struct sto_answer *a)
 {
 	struct edge_watch *w = arg;
@@ -94,8 +118,8 @@
 		failed(w, now);
 		return;
 	}
-	feed_add(&w->feed, w->mirror.revision, a->revision, a->nr_items > 0,
-		 a->raw, a->raw_len);
+	pass_on(w, a);
+	w->direct = true;
 	apply_changes(w, a);
 	mir_watched(&w->mirror, a->nr_items > 0, a->revision, now);
 	w->complete_ms = now;
@@ -119,6 +143,10 @@
 		w->mirror.due_ms = now;
 		return;
 	}
+	/* Kept for the time when we watch the store and others follow us. */
+	feed_add(&w->feed, w->mirror.revision, a->revision, a->nr_items > 0,
+		 a->raw, a->raw_len);
+	w->direct = false;
 	apply_changes(w, a);
 	mir_watched(&w->mirror, false, a->revision, now);
 	w->complete_ms = now;
@@ -134,11 +162,7 @@
 	p = edge_leader(en, now);
 	if (!p)
 		return false;
-	/*
-	 * Our own feed stands still from here on: an entry that still follows
-	 * us must not take that for "nothing new".
-	 */
-	feed_clear(&w->feed);
+	w->following = true;
 	sto_follow(en->store, (unsigned)(w - en->watches), &p->addr,
 		   w->mirror.revision, FOLLOW_WAIT_MS, FOLLOW_EXTRA_MS,
 		   on_followed, w);
@@ -179,17 +203,35 @@
 
 void edge_watch_open(struct edge *en)
 {
-	static_assert(EDGE_NR_KEYS <= STO_LANES, "each is followed by itself");
+	static_assert(EDGE_CONFIG_LANE < STO_LANES,
+		      "each is followed by itself");
 
 	open_watch(en, EDGE_ENDPOINTS, en->wire->endpoint_prefix,
 		   endpoints_wait(en));
 	open_watch(en, EDGE_OWN, EDGE_OWN_PREFIX, OWN_WAIT_MS);
 }
 
+static bool may_watch(const struct edge_watch *w, int64_t now)
+{
+	const struct edge *en = w->en;
+	const struct feed_start s = {
+		.since_ms = now - en->start_ms,
+		.first = en->conf->first_start,
+		.others = en->prs.count,
+		.entries = w == &en->watches[EDGE_OWN],
+		.asked = w->asked,
+	};
+
+	return feed_may_watch(&s);
+}
+
 static void watch_tick(struct edge_watch *w, int64_t now)
 {
 	struct sto_call c = { .key = w->prefix };
 
+	if (w->mirror.state == MIR_WATCH && !may_watch(w, now))
+		return;
+
 	switch (mir_next(&w->mirror, now)) {
 	case MIR_NONE:
 		return;
@@ -201,11 +243,12 @@
 		if (follow(w, now))
 			return;
 		c.kind = STO_WATCH;
+		w->asked = true;
+		w->following = false;
 		c.revision = w->mirror.revision;
 		c.wait_ms = w->wait_ms;
 		break;
 	}
-	met_inc(w->en->m.store_calls);
 	sto_call(w->en->store, &c, c.kind == STO_LIST ? on_listed : on_watched,
 		 w);
 }
--- a/lib/store/feed.c
+++ b/lib/store/feed.c
@@ -80,6 +80,15 @@
 	return answered_ms && now - answered_ms <= wait_ms + FEED_ALIVE_MS;
 }
 
+bool feed_may_watch(const struct feed_start *s)
+{
+	if (!s->first && !s->others)
+		return true;
+	if (s->entries && !s->asked)
+		return s->since_ms >= FEED_MEET_MS;
+	return s->since_ms >= FEED_SETTLE_MS;
+}
+
 unsigned feed_watchers(unsigned n)
 {
 	const unsigned k = (n + ENTRIES_EACH - 1) / ENTRIES_EACH;
--- a/lib/store/feed.h
+++ b/lib/store/feed.h
@@ -23,8 +23,8 @@
 #define FEED_KEPT 32
 
 /*
- * Changes of more bytes are not passed on: the asker reads them from the
- * store. Sent to 28 followers over a link of 10 Mbit/s, as many bytes take 0.4
+ * Changes of more bytes, packed, are not passed on: the asker reads them from
+ * the store. Sent to 28 followers over a link of 10 Mbit/s, as many bytes take 0.4
  * s; more would hold up what comes after them.
  */
 #define FEED_MAX_BYTES 16384
@@ -79,6 +79,33 @@
  */
 bool feed_alive(int64_t answered_ms, int wait_ms, int64_t now_ms);
 
+/*
+ * An entry that has just started has read all keys. Who else started with it
+ * it asks once after the first of these times, in which all have registered;
+ * then it tells and hears the others, and from the second time on it follows
+ * one that watches the store.
+ *
+ * What it buys: when each watched the store until it had heard of the others,
+ * and had an answer for every few registrations, 295 entries that started
+ * together made 16 calls each; so they make 8, however many they are.
+ */
+#define FEED_MEET_MS 700
+#define FEED_SETTLE_MS 2000
+
+struct feed_start {
+	int64_t since_ms; /* since this entry started */
+	bool first;	  /* it is the very first start of all */
+	size_t others;	  /* entries that it knows */
+	bool entries;	  /* the keys are those that tell of entries */
+	bool asked;	  /* they were watched since the start */
+};
+
+/*
+ * True if the keys may be watched now. An entry that knows no other one, and
+ * not at the very first start, may be the only one: it does not wait.
+ */
+bool feed_may_watch(const struct feed_start *s);
+
 /*
  * Which entries watch the store: of `n` entries these many, two at least, so
  * that one can go without the others noticing.
--- a/lib/store/sto.c
+++ b/lib/store/sto.c
@@ -4,6 +4,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/zip.h"
+
 /*
  * Bounds on the store's silence, not on the whole of an answer. The store
  * answers in some 8 ms, and 70 times that on its slow days; a call that is
@@ -48,6 +50,9 @@
 #define DIRECT_REST_MS 700
 #define DIRECT_REST_MAX_MS 2800
 
+/* A watch brings at most as much as a page of the store: 1 MB, in base64. */
+#define UNPACKED_MAX (2u << 20)
+
 /* The store keeps idle connections longer than this. */
 #define IDLE_MS 8000
 
@@ -331,14 +336,37 @@
 	htc_extend(call, left < CALL_MS ? (int)left : CALL_MS);
 }
 
+static void decode(const struct pending *p, const struct buf *body,
+		   struct sto_answer *a)
+{
+	p->s->codec->decode(p->kind, p->status, buf_cstr(body), body->len, a);
+}
+
+/*
+ * A followed entry sends many changes packed. What cannot be unpacked is
+ * decoded as it is, and makes no sense then.
+ */
+static void decode_followed(const struct pending *p, struct sto_answer *a)
+{
+	BUF_AUTO plain = BUF_INIT;
+
+	if (zip_is_packed(buf_cstr(&p->body), p->body.len) &&
+	    zip_unpack(p->body.data, p->body.len, UNPACKED_MAX, &plain))
+		decode(p, &plain, a);
+	else
+		decode(p, &p->body, a);
+}
+
 static void on_end(struct htc_call *call)
 {
 	struct pending *p = htc_owner(call);
 	struct sto_answer a;
 
 	memset(&a, 0, sizeof(a));
-	p->s->codec->decode(p->kind, p->status, buf_cstr(&p->body), p->body.len,
-			    &a);
+	if (p->following)
+		decode_followed(p, &a);
+	else
+		decode(p, &p->body, &a);
 	finish(p, &a);
 }
 
@@ -412,7 +440,7 @@
 
 #define FOLLOW_PATH "/feed"
 
-bool sto_is_follow(const char *url, unsigned *lane, int64_t *revision,
+bool sto_is_follow(const char *url, unsigned *lane, int64_t *after,
 		   int *wait_ms)
 {
 	char number[24];
@@ -426,7 +454,7 @@
 		return false;
 	if (!hmsg_query(url, "after", number, sizeof(number)))
 		return false;
-	*revision = strtoll(number, NULL, 10);
+	*after = strtoll(number, NULL, 10);
 	if (!hmsg_query(url, "wait", number, sizeof(number)))
 		return false;
 	*wait_ms = (int)strtol(number, NULL, 10);
@@ -439,7 +467,7 @@
 }
 
 void sto_follow(struct sto *s, unsigned lane, const struct sockaddr_in *to,
-		int64_t revision, int wait_ms, int extra_ms, sto_done done,
+		int64_t after, int wait_ms, int extra_ms, sto_done done,
 		void *arg)
 {
 	struct pending *p = calloc(1, sizeof(*p));
@@ -458,7 +486,7 @@
 	buf_fmt(&wire,
 		"GET " FOLLOW_PATH "?lane=%u&after=%lld&wait=%d HTTP/1.1\r\n"
 		"Host: entry\r\n\r\n",
-		lane, (long long)revision, wait_ms);
+		lane, (long long)after, wait_ms);
 	if (at &&
 	    htc_start(at, &wire, 0, false, wait_ms + extra_ms, &call_vtable, p))
 		return;
--- a/lib/store/sto.h
+++ b/lib/store/sto.h
@@ -31,6 +31,7 @@
 	STO_KEEP,  /* renew it */
 	STO_END,   /* end it; its keys go */
 };
+#define STO_KINDS (STO_END + 1)
 
 /* A row of a write. Strings belong to the caller until the call is sent. */
 struct sto_row {
@@ -89,7 +90,7 @@
 	bool more; /* LIST: there are further pages */
 	struct sto_item *items;
 	size_t nr_items;
-	const char *raw; /* WATCH: the body as it came */
+	const char *raw; /* WATCH: the body as it came, packed or not */
 	size_t raw_len;
 };
 
@@ -129,15 +130,16 @@
 /*
  * Asks another entry for what its watch brought after a revision; it answers
  * within `wait_ms`, or counts as lost after `extra_ms` more. Keys that are
- * watched apart are followed on lanes of their own: 0 to STO_LANES - 1.
+ * watched apart are followed on lanes of their own: 0 to STO_LANES - 1. What
+ * `after` counts is between the entries: revisions, or versions.
  */
-#define STO_LANES 2
+#define STO_LANES 3
 void sto_follow(struct sto *s, unsigned lane, const struct sockaddr_in *to,
-		int64_t revision, int wait_ms, int extra_ms, sto_done done,
+		int64_t after, int wait_ms, int extra_ms, sto_done done,
 		void *arg);
 
 /* The path of that call, and reading what it asks. */
-bool sto_is_follow(const char *url, unsigned *lane, int64_t *revision,
+bool sto_is_follow(const char *url, unsigned *lane, int64_t *after,
 		   int *wait_ms);
 
 /* When the direct way last worked; 0: never. */
--- a/tests/test_mir.c
+++ b/tests/test_mir.c
@@ -334,6 +334,35 @@
 	CU_ASSERT_FALSE(feed_alive(0, wait_ms, 100));
 }
 
+/*
+ * Symptom: 295 entries that started together made 16 calls to the store each.
+ * Sequence: each registers, and watches who else does; the store answers each
+ * of them for every few registrations. Cause: an entry that has heard of
+ * nobody yet took itself for one of those that watch for the others.
+ */
+static void entries_that_start_together_meet_first(void)
+{
+	struct feed_start s = { .others = 294, .entries = true };
+
+	s.since_ms = FEED_MEET_MS - 1;
+	CU_ASSERT_FALSE(feed_may_watch(&s));
+	s.since_ms = FEED_MEET_MS;
+	CU_ASSERT(feed_may_watch(&s));
+	s.asked = true;
+	CU_ASSERT_FALSE(feed_may_watch(&s));
+	s.entries = s.asked = false;
+	CU_ASSERT_FALSE(feed_may_watch(&s));
+	s.since_ms = FEED_SETTLE_MS;
+	CU_ASSERT(feed_may_watch(&s));
+	s.asked = true;
+	CU_ASSERT(feed_may_watch(&s));
+	/* Alone, it has nobody to wait for; at the very first start it has. */
+	s = (struct feed_start){ .entries = true };
+	CU_ASSERT(feed_may_watch(&s));
+	s.first = true;
+	CU_ASSERT_FALSE(feed_may_watch(&s));
+}
+
 static void watchers_are_few(void)
 {
 	CU_ASSERT_EQUAL(feed_watchers(1), 2);
@@ -351,6 +380,8 @@
 	{ "other keys make no gap", other_keys_make_no_gap },
 	{ "a feed that is held up leads nobody",
 	  a_feed_that_is_held_up_leads_nobody },
+	{ "entries that start together meet first",
+	  entries_that_start_together_meet_first },
 	{ "watchers are few", watchers_are_few },
 	{ "schedules end with the store", schedules_end_with_the_store },
 	{ "the watch begins at the first page",
--- a/tests/test_vfy.c
+++ b/tests/test_vfy.c
@@ -26,6 +26,39 @@
 	CU_ASSERT_EQUAL(next(&v, 0, 20, 1000), VFY_CHANGES);
 }
 
+/*
+ * Symptom: 295 entries made 1,100 calls to the store before the operators had
+ * written anything. Sequence: all start for the first time and ask; there is
+ * no configuration. Cause: each asked again and again, as after a failure.
+ */
+static void an_absent_configuration_is_awaited_by_one(void)
+{
+	struct vfy first = { 0 }, other = { 0 };
+	int64_t now, calls = 0;
+
+	for (now = 10; now < 3000; now += 50) {
+		if (next(&first, 0, NEVER, now) != VFY_NONE)
+			vfy_absent(&first);
+		if (next(&other, -1, NEVER, now) != VFY_NONE) {
+			vfy_absent(&other);
+			calls++;
+		}
+	}
+	CU_ASSERT_EQUAL(calls, 1);
+	CU_ASSERT(first.asked_ms >= now - VFY_ABSENT_MS);
+	/* Once it has heard of a version it reads it at once. */
+	CU_ASSERT_EQUAL(vfy_next(&other,
+				 &(struct vfy_state){ .place = -1,
+						      .age_ms = NEVER,
+						      .behind = true },
+				 now, &(int){ 0 }),
+			VFY_READ);
+	vfy_brought(&other, 7, true, now);
+	vfy_failed(&other);
+	CU_ASSERT_EQUAL(next(&other, -1, NEVER, now + VFY_RETRY_MS),
+			VFY_CHANGES);
+}
+
 static void the_first_one_waits_for_a_change(void)
 {
 	struct vfy_state s = { .place = 0, .age_ms = 50 };
@@ -114,6 +147,48 @@
 	CU_ASSERT_EQUAL(next(&v, -1, NEVER, 1011 + VFY_HISTORY_MS), VFY_READ);
 }
 
+/*
+ * Symptom: each change of the configuration cost 285 calls to the store, one
+ * for each entry. Sequence: the first entry learns of a version and tells the
+ * others, and each of them reads it. Cause: none asked the entry that it
+ * follows anyway, which had read it by then.
+ */
+static void a_version_is_asked_of_the_followed_entry_first(void)
+{
+	struct vfy_state s = { .place = -1,
+			       .behind = true,
+			       .named = 8,
+			       .follows = true,
+			       .spread = VFY_PEER_SPREAD_MS - 1 };
+	struct vfy v = { .revision = 7, .revision_ms = 1000, .in_force = true };
+	const int64_t due = 2000 + VFY_PEER_MS + VFY_PEER_SPREAD_MS;
+	int wait_ms;
+
+	CU_ASSERT_EQUAL(vfy_next(&v, &s, 2000, &wait_ms), VFY_NONE);
+	CU_ASSERT_EQUAL(vfy_next(&v, &s, due - 50, &wait_ms), VFY_NONE);
+	CU_ASSERT_EQUAL(vfy_next(&v, &s, due, &wait_ms), VFY_PEER);
+	CU_ASSERT_EQUAL(vfy_next(&v, &s, due + 10, &wait_ms), VFY_NONE);
+	/* It has not got it: the store has, and is asked at once. */
+	vfy_peer_failed(&v);
+	CU_ASSERT_EQUAL(vfy_next(&v, &s, due + 20, &wait_ms), VFY_CHANGES);
+	vfy_failed(&v);
+	CU_ASSERT_EQUAL(vfy_next(&v, &s, due + 20 + VFY_RETRY_MS, &wait_ms),
+			VFY_CHANGES);
+	vfy_brought(&v, 9, true, due + 400);
+	/* The next version is asked for anew; a request does not wait for it. */
+	s.named = 9;
+	CU_ASSERT_EQUAL(vfy_next(&v, &s, due + 900, &wait_ms), VFY_PEER);
+	vfy_peer_failed(&v);
+	s.named = 10;
+	s.wanted = true;
+	CU_ASSERT_EQUAL(vfy_next(&v, &s, due + 1000, &wait_ms), VFY_CHANGES);
+	vfy_brought(&v, 10, true, due + 1010);
+	/* Those that watch the store ask it themselves. */
+	s = (struct vfy_state){ .place = 2, .behind = true, .named = 11 };
+	s.follows = true;
+	CU_ASSERT_EQUAL(vfy_next(&v, &s, due + 2000, &wait_ms), VFY_CHANGES);
+}
+
 /* ---- Schedules ---- */
 
 /* A waiting watch may see a change so much later; below VFY_NOTICE_MS. */
@@ -131,6 +206,7 @@
 	int64_t reply_ms, arrive_ms; /* the answer leaves, and arrives */
 	int wait_ms;
 	int64_t told, told_revision; /* what the answer says */
+	int64_t named;		     /* a version that the entry heard of */
 };
 
 static void write_version(struct world *w)
@@ -148,8 +224,13 @@
 		.place = seed % 3 ? 0 : -1,
 		.age_ms = w->fresh_ms ? w->now - w->fresh_ms : NEVER,
 		.wanted = !rnd_below(&w->r, 300),
+		.behind = w->named > w->held,
+		.named = w->named,
+		.follows = true,
 	};
 
+	if (w->version > 1 && !rnd_below(&w->r, 30))
+		w->named = w->version - (int64_t)rnd_below(&w->r, 2);
 	w->call = vfy_next(&w->v, &s, w->now, &w->wait_ms);
 	w->reply_ms = w->now + w->wait_ms + (int64_t)rnd_below(&w->r, 20);
 	w->arrive_ms = 0;
@@ -167,14 +248,33 @@
 	w->arrive_ms = w->now + (int64_t)rnd_below(&w->r, 40);
 }
 
+/* Another entry hands on what it has; that says nothing of the newest one. */
+static void hand_over(struct world *w)
+{
+	if (w->told > w->held) {
+		w->held = w->told;
+		if (w->held != w->version)
+			w->outdated_ms = w->written_ms;
+	}
+	vfy_brought(&w->v, w->told_revision, true, w->now);
+}
+
 static void arrive(struct world *w)
 {
-	const bool same = w->call == VFY_CHANGES && w->told == w->held;
+	const enum vfy_call call = w->call;
+	const bool same = call == VFY_CHANGES && w->told == w->held;
 	int64_t at = w->v.asked_ms;
 
 	w->call = VFY_NONE;
 	if (!rnd_below(&w->r, 10)) {
-		vfy_failed(&w->v);
+		if (call == VFY_PEER)
+			vfy_peer_failed(&w->v);
+		else
+			vfy_failed(&w->v);
+		return;
+	}
+	if (call == VFY_PEER) {
+		hand_over(w);
 		return;
 	}
 	if (same) {
@@ -225,6 +325,8 @@
 
 static const struct unit_test tests[] = {
 	{ "begins with the whole", begins_with_the_whole },
+	{ "an absent configuration is awaited by one",
+	  an_absent_configuration_is_awaited_by_one },
 	{ "the first one waits for a change",
 	  the_first_one_waits_for_a_change },
 	{ "others ask only when they hear nothing",
@@ -232,6 +334,8 @@
 	{ "one reading at a time", one_reading_at_a_time },
 	{ "an unreadable version is not confirmed",
 	  an_unreadable_version_is_not_confirmed },
+	{ "a version is asked of the followed entry first",
+	  a_version_is_asked_of_the_followed_entry_first },
 	{ "lost history is read anew, at once",
 	  lost_history_is_read_anew_at_once },
 	{ "confirmed is what was the newest",
