The log tells which attempts ask the same, and which endpoints have ended

Of two attempts no line said that they are the same request: a caller comes again under a new id, at any entry. Lines on sends and on our own answers now have a digest of account, host, path and body. A connection that breaks is not an endpoint that ended: after a break one connection is opened, which is kept for the next request where the endpoint lives, and the line says what it found.

--- a/lib/base/hsh.c
+++ b/lib/base/hsh.c
@@ -3,6 +3,8 @@
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
 #include <openssl/hmac.h>
+#include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <xxhash.h>
 
@@ -16,6 +18,40 @@
 	return hsh_bytes(s, strlen(s), seed);
 }
 
+struct hsh_wide hsh_wide(const void *data, size_t len)
+{
+	const XXH128_hash_t h = XXH3_128bits(data, len);
+
+	return (struct hsh_wide){ h.high64, h.low64 };
+}
+
+struct hsh_wide hsh_wide_join(struct hsh_wide a, struct hsh_wide b)
+{
+	const uint64_t all[4] = { a.hi, a.lo, b.hi, b.lo };
+
+	return hsh_wide(all, sizeof(all));
+}
+
+void hsh_wide_hex(struct hsh_wide h, char out[33])
+{
+	snprintf(out, 33, "%016llx%016llx", (unsigned long long)h.hi,
+		 (unsigned long long)h.lo);
+}
+
+bool hsh_wide_parse(const char *text, struct hsh_wide *out)
+{
+	char half[17];
+
+	if (strlen(text) != 32 ||
+	    strspn(text, "0123456789abcdef") != strlen(text))
+		return false;
+	memcpy(half, text, 16);
+	half[16] = '\0';
+	out->hi = strtoull(half, NULL, 16);
+	out->lo = strtoull(text + 16, NULL, 16);
+	return true;
+}
+
 uint64_t hsh_rendezvous(uint64_t key, uint64_t node)
 {
 	const uint64_t pair[2] = { key, node };
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -75,6 +75,11 @@
 			       "runs copied away from leaving endpoints");
 	x->moves_failed = met_counter(m, "moves_failed_total",
 				      "copies of runs that failed");
+	x->probes = met_counter(m, "probes_total",
+				"looks whether an endpoint is still there");
+	x->endpoints_ended =
+		met_counter(m, "endpoints_ended_total",
+			    "endpoints that ended under our requests");
 	x->not_run = met_counter(m, "sends_not_run_total",
 				 "sends that endpoints did not run");
 	x->lost = met_counter(m, "sends_lost_total",
--- a/lib/edge/edge_answer.c
+++ b/lib/edge/edge_answer.c
@@ -358,8 +358,10 @@
 
 static void broke(struct edge_req *r, const char *why)
 {
-	if (!handed_on(r, hand_broke(&r->hand)))
-		lost(r, FLT_FAILED, why);
+	if (handed_on(r, hand_broke(&r->hand)))
+		return;
+	edge_probe(r->en, r->endpoint);
+	lost(r, FLT_FAILED, why);
 }
 
 static void on_end(struct htc_call *call)
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -49,6 +49,7 @@
 struct edge_metrics {
 	met_value *requests, *passed, *refused, *failed, *cut, *gone, *denied;
 	met_value *moves, *moves_failed;
+	met_value *probes, *endpoints_ended;
 	met_value *sends, *resends, *resumes, *not_run, *lost;
 	met_value *store_calls[STO_KINDS], *store_followed, *store_relayed;
 	met_value *store_failures, *refreshes;
@@ -176,6 +177,7 @@
 	const struct cfg_service *service;
 	struct attempt a;
 	struct rq rq;
+	struct hsh_wide content; /* account, host, path and body */
 	bool waiting;  /* in edge.verifying, for the newest configuration */
 	bool verified; /* the configuration was asked for since it came */
 	int64_t arrived_ms;
@@ -223,10 +225,16 @@
 /* ---- edge_send.c: to an endpoint ---- */
 void edge_send(struct edge_req *r);
 void edge_unlink(struct flt_endpoint *e);
+/* The connections to the endpoint; NULL: its address makes no sense. */
+struct htc_peer *edge_link(struct edge *en, struct flt_endpoint *e);
 /* The run was copied: the request goes on at `to`, from that copy. */
 void edge_send_moved(struct edge_req *r, struct flt_endpoint *to,
 		     const char *handle);
 
+/* ---- edge_probe.c: is an endpoint still there? ---- */
+/* A send that was under way there broke off. */
+void edge_probe(struct edge *en, struct flt_endpoint *e);
+
 /* ---- edge_answer.c: what comes back, and what is done next ---- */
 /* When to come back after endpoints were full: a request's time or two. */
 #define EDGE_FULL_RETRY_MS 500
--- /dev/null
+++ b/lib/edge/edge_probe.c
@@ -0,0 +1,63 @@
+/*
+ * Whether an endpoint is still there after a send to it broke off.
+ *
+ * A broken connection says little: connections are reset, answers get lost,
+ * and an endpoint that ended looks the same to the request that it took with
+ * it. The next connection tells them apart: it is taken, or the endpoint's
+ * machine answers that nobody listens. It is kept for the next request, so
+ * looking costs nothing where the endpoint lives.
+ */
+#include <assert.h>
+#include <stdlib.h>
+
+#include "edge/edge_internal.h"
+
+struct probe {
+	struct edge *en;
+	struct flt_endpoint *e;
+	int64_t since_ms;
+};
+
+static void on_probed(void *arg, enum htc_found found)
+{
+	static const char *const words[] = {
+		[HTC_THERE] = "there",
+		[HTC_NOBODY] = "ended",
+		[HTC_SILENT] = "silent",
+	};
+	struct probe *p = arg;
+	struct edge *en = p->en;
+	struct flt_endpoint *e = p->e;
+
+	jlog_begin(en->log, JLOG_INFO, "endpoint_probed");
+	jlog_str(en->log, "endpoint", e->info.id);
+	jlog_str(en->log, "service", e->info.service);
+	jlog_str(en->log, "found", words[found]);
+	jlog_int(en->log, "took_ms", edge_now(en) - p->since_ms);
+	jlog_int(en->log, "list_age_ms", edge_list_age(en, edge_now(en)));
+	jlog_end(en->log);
+	free(p);
+	e->probing = false;
+	if (found == HTC_NOBODY)
+		met_inc(en->m.endpoints_ended);
+	flt_unref(&en->fleet, e);
+}
+
+void edge_probe(struct edge *en, struct flt_endpoint *e)
+{
+	struct htc_peer *link = edge_link(en, e);
+	struct probe *p;
+
+	if (e->probing || !link)
+		return;
+	p = malloc(sizeof(*p));
+	assert(p);
+	*p = (struct probe){ en, e, edge_now(en) };
+	if (!htc_probe(link, on_probed, p)) {
+		free(p);
+		return;
+	}
+	e->probing = true;
+	flt_ref(e);
+	met_inc(en->m.probes);
+}
--- a/lib/edge/edge_req.c
+++ b/lib/edge/edge_req.c
@@ -88,8 +88,10 @@
 	struct edge *en = r->en;
 	struct hsc *c = r->conn;
 	const bool last = hsc_last(c);
+	char content[33];
 	BUF_AUTO out = BUF_INIT;
 
+	hsh_wide_hex(r->content, content);
 	refund(r);
 	count_answer(en, status);
 	jlog_begin(en->log, JLOG_INFO, "answer");
@@ -104,6 +106,7 @@
 		jlog_str(en->log, "route", r->route ? r->route->name : "");
 		jlog_str(en->log, "account",
 			 r->account ? r->account->name : "");
+		jlog_str(en->log, "content", content);
 		jlog_int(en->log, "config", r->cfg->version);
 		jlog_int(en->log, "config_age_ms",
 			 force_age(&en->force, edge_now(en)));
@@ -184,6 +187,22 @@
 	return r->account != NULL;
 }
 
+/*
+ * What an attempt has in common with others that ask the same: callers come
+ * again under a new id, at any entry.
+ */
+static void identify(struct edge_req *r)
+{
+	const struct hmsg *m = &r->conn->parse.msg;
+	const struct buf *body = &r->conn->body;
+	BUF_AUTO head = BUF_INIT;
+
+	buf_fmt(&head, "%s\n%s\n%s", r->account ? r->account->name : "",
+		r->a.host, hmsg_url(m));
+	r->content = hsh_wide_join(hsh_wide(head.data, head.len),
+				   hsh_wide(buf_cstr(body), body->len));
+}
+
 static double charge_of(const struct edge_req *r)
 {
 	if (!r->account->by_tokens)
@@ -345,6 +364,7 @@
 		edge_req_answer(r, 503, "no such service", COME_BACK_LATER_MS);
 		return;
 	}
+	identify(r);
 	if (!within_limit(r, &after_ms)) {
 		edge_req_answer(r, 429, "account over its limit", after_ms);
 		return;
--- a/lib/edge/edge_send.c
+++ b/lib/edge/edge_send.c
@@ -36,7 +36,7 @@
 	e->link = NULL;
 }
 
-static struct htc_peer *link_of(struct edge *en, struct flt_endpoint *e)
+struct htc_peer *edge_link(struct edge *en, struct flt_endpoint *e)
 {
 	static const struct htc_limits limits = {
 		.connect_ms = CONNECT_MS,
@@ -100,9 +100,12 @@
 {
 	struct edge *en = r->en;
 	const int64_t now = edge_now(en);
+	char content[33];
 
+	hsh_wide_hex(r->content, content);
 	jlog_begin(en->log, JLOG_INFO, "send");
 	jlog_str(en->log, "id", r->a.id);
+	jlog_str(en->log, "content", content);
 	jlog_str(en->log, "route", r->route->name);
 	jlog_str(en->log, "account", r->account ? r->account->name : "");
 	jlog_int(en->log, "config", r->cfg->version);
@@ -156,7 +159,7 @@
 		.resume_after = r->rq.started ? r->events.last_id : -1,
 		.copy_at = copy_at,
 	};
-	struct htc_peer *link = link_of(en, p->endpoint);
+	struct htc_peer *link = edge_link(en, p->endpoint);
 	struct buf wire = BUF_INIT;
 
 	occupy(r, p);
--- a/lib/fleet/flt.h
+++ b/lib/fleet/flt.h
@@ -64,6 +64,7 @@
 	int64_t faded_ms;
 	int64_t aside_ms; /* no new work before */
 	int strikes;	  /* failures to connect in a row */
+	bool probing;	  /* we look whether it is still there */
 
 	/* What peers last told, summed up; of prompts being read the mean. */
 	double peer_running;
--- a/lib/io/htc.c
+++ b/lib/io/htc.c
@@ -16,8 +16,10 @@
 	struct ioc *io;
 	struct hparse parse;
 	struct htc_call *call; /* NULL while idle */
-	struct buf wire;       /* until the connection is established */
-	ev_timer timer;	       /* establishing, or the whole call */
+	htc_probed probed;     /* of a probe under way; else NULL */
+	void *probe_arg;
+	struct buf wire; /* until the connection is established */
+	ev_timer timer;	 /* establishing, or the whole call */
 	int64_t idle_since_ms;
 	int64_t keep_ms;  /* how long the peer keeps it; from its answer */
 	size_t wire_len;  /* bytes of the present call */
@@ -80,11 +82,33 @@
 		conn_release(k);
 }
 
+/* The probe is over; a connection that was not established is freed. */
+static void end_probe(struct htc_conn *k, enum htc_found found)
+{
+	const htc_probed done = k->probed;
+	void *arg = k->probe_arg;
+
+	k->probed = NULL;
+	ev_timer_stop(k->peer->loop, &k->timer);
+	if (found == HTC_THERE) {
+		k->keep_ms = k->peer->limits.idle_ms;
+		k->idle_since_ms = clk_boot_ms(k->peer->clk);
+		idle_add(k);
+	} else {
+		conn_free(k, true);
+	}
+	done(arg, found);
+}
+
 /* Ends the call of a connection with a failure; frees both. */
 static void fail(struct htc_conn *k, enum htc_failure why)
 {
 	struct htc_call *c = k->call;
 
+	if (k->probed) {
+		end_probe(k, HTC_SILENT);
+		return;
+	}
 	if (!c) {
 		k->peer->reaped++;
 		conn_free(k, false);
@@ -259,13 +283,22 @@
 		finish(k, false);
 		return;
 	}
-	fail(k, how == IOC_END_REFUSED ? HTC_NOT_SENT : HTC_BROKEN);
+	if (k->probed) {
+		end_probe(k, how == IOC_END_REFUSED ? HTC_NOBODY : HTC_SILENT);
+		return;
+	}
+	fail(k, how == IOC_END_REFUSED || how == IOC_END_NO_WAY ? HTC_NOT_SENT
+								: HTC_BROKEN);
 }
 
 static void on_connected(struct ioc *io)
 {
 	struct htc_conn *k = io->owner;
 
+	if (k->probed) {
+		end_probe(k, HTC_THERE);
+		return;
+	}
 	arm_call(k);
 	ioc_write(io, k->wire.data, k->wire.len);
 	buf_free(&k->wire);
@@ -347,6 +380,18 @@
 	return k;
 }
 
+bool htc_probe(struct htc_peer *p, htc_probed done, void *arg)
+{
+	struct htc_conn *k = open_conn(p);
+
+	if (!k)
+		return false;
+	k->probed = done;
+	k->probe_arg = arg;
+	arm(k, p->limits.connect_ms);
+	return true;
+}
+
 struct htc_call *htc_start(struct htc_peer *p, struct buf *wire, int fresh_ms,
 			   bool no_body, int total_ms,
 			   const struct htc_vtable *vt, void *owner)
--- a/lib/io/htc.h
+++ b/lib/io/htc.h
@@ -20,6 +20,15 @@
 
 struct htc_call;
 
+/* What a probe found. */
+enum htc_found {
+	HTC_THERE,  /* the peer took the connection */
+	HTC_NOBODY, /* its machine answered that nobody listens */
+	HTC_SILENT, /* no answer: nothing is known */
+};
+
+typedef void (*htc_probed)(void *arg, enum htc_found found);
+
 enum htc_failure {
 	HTC_NOT_SENT, /* no connection: nothing reached the peer */
 	HTC_BROKEN,   /* reset or closed before the answer was whole */
@@ -67,6 +76,13 @@
 /* Closes idle connections. No call may be under way. */
 void htc_peer_close(struct htc_peer *p);
 
+/*
+ * Opens a connection to see whether the peer is there; it is kept for a later
+ * call. `done` follows once, never from within. The peer must not be closed
+ * meanwhile. False: no socket to be had, and `done` does not follow.
+ */
+bool htc_probe(struct htc_peer *p, htc_probed done, void *arg);
+
 /*
  * Starts a call. `wire` is the whole request, taken over (left empty).
  * `fresh_ms`: use kept connections only if idle for less (0: the default).
--- a/lib/io/ioc.c
+++ b/lib/io/ioc.c
@@ -131,26 +131,32 @@
 	return true;
 }
 
-static bool finish_connect(struct ioc *c)
+/* 0, or why the connection could not be established. */
+static int finish_connect(struct ioc *c)
 {
 	int fault = 0;
 	socklen_t len = sizeof(fault);
 
-	if (getsockopt(c->fd, SOL_SOCKET, SO_ERROR, &fault, &len) || fault)
-		return false;
+	if (getsockopt(c->fd, SOL_SOCKET, SO_ERROR, &fault, &len))
+		fault = errno;
+	if (fault)
+		return fault;
 	c->connecting = false;
 	ev_io_start(c->loop, &c->reader);
-	return true;
+	return 0;
 }
 
 static void on_writable(struct ev_loop *loop, ev_io *w, int revents)
 {
 	struct ioc *c = w->data;
 	const bool was_connecting = c->connecting;
+	const int fault = was_connecting ? finish_connect(c) : 0;
 
 	(void)revents;
-	if (was_connecting && !finish_connect(c)) {
-		tell_end(c, IOC_END_REFUSED);
+	if (fault) {
+		tell_end(c, fault == ECONNREFUSED || fault == ECONNRESET
+				    ? IOC_END_REFUSED
+				    : IOC_END_NO_WAY);
 		return;
 	}
 	if (was_connecting && c->vt->connected) {
--- a/lib/io/ioc.h
+++ b/lib/io/ioc.h
@@ -22,7 +22,8 @@
 enum ioc_end {
 	IOC_END_CLOSED,	 /* the peer closed in order */
 	IOC_END_RESET,	 /* reset, or a time-out of the network */
-	IOC_END_REFUSED, /* the connection was never established */
+	IOC_END_REFUSED, /* nobody listens there: never established */
+	IOC_END_NO_WAY,	 /* never established for another reason */
 };
 
 struct ioc_vtable {
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -482,6 +482,50 @@
 	CU_ASSERT_EQUAL(c.why, HTC_NOT_SENT);
 }
 
+static void note_found(void *arg, enum htc_found found)
+{
+	*(int *)arg = found;
+}
+
+/* The connection of a probe serves the next call. */
+static void probe_of_a_peer_that_is_there(void)
+{
+	struct htc_peer to;
+	struct peer p;
+	struct call c;
+	int found = -1;
+
+	open_peer(&p, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+	htc_peer_init(&to, loop, clk_real(), &p.addr, &call_limits);
+	CU_ASSERT(htc_probe(&to, note_found, &found));
+	CU_ASSERT_EQUAL(found, -1);
+	turn(0.03);
+	CU_ASSERT_EQUAL(found, HTC_THERE);
+	CU_ASSERT_EQUAL(to.nr_idle, 1);
+	start(&to, &c, 0);
+	turn(0.03);
+	CU_ASSERT_EQUAL(c.ends, 1);
+	CU_ASSERT_EQUAL(to.opened, 1);
+	buf_free(&c.body);
+	htc_peer_close(&to);
+	hsc_server_close(&p.server);
+}
+
+static void probe_of_a_peer_that_has_ended(void)
+{
+	struct htc_peer to;
+	struct peer p;
+	int found = -1;
+
+	open_peer(&p, NULL);
+	hsc_server_close(&p.server);
+	htc_peer_init(&to, loop, clk_real(), &p.addr, &call_limits);
+	CU_ASSERT(htc_probe(&to, note_found, &found));
+	turn(0.03);
+	CU_ASSERT_EQUAL(found, HTC_NOBODY);
+	CU_ASSERT_EQUAL(to.nr_open, 0);
+}
+
 static void silent_peer_is_given_up(void)
 {
 	struct htc_peer to;
@@ -770,6 +814,9 @@
 	{ "a refused connection is not sent", refused_connection_is_not_sent },
 	{ "slow answer is not a silent peer",
 	  slow_answer_is_not_a_silent_peer },
+	{ "a probe of a peer that is there is kept",
+	  probe_of_a_peer_that_is_there },
+	{ "a probe of a peer that has ended", probe_of_a_peer_that_has_ended },
 	{ "a silent peer is given up", silent_peer_is_given_up },
 	{ "a cancelled call is seen by the peer",
 	  cancelled_call_is_seen_by_the_peer },
