--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -79,6 +79,8 @@
 	add edge_test $?
 	BIN=$BUILD/bin scripts/slow_link_test.sh >"$OUT" 2>&1
 	add slow_link_test $?
+	BIN=$BUILD/bin scripts/ending_test.sh >"$OUT" 2>/dev/null
+	add ending_test $?
 	# A short run; seeds that ever failed are to be added here.
 	BIN=$BUILD/bin scripts/fault_soak.sh 4 1 2 >"$OUT" 2>&1
 	add fault_soak $?
--- a/tests/standin/platform.c
+++ b/tests/standin/platform.c
@@ -18,14 +18,25 @@
 #include "io/hsc.h"
 #include "support/slow_link.h"
 
-#define MAX_KEYS 256
+#define MAX_KEYS 1024
 #define MAX_RUNS 20000
-#define MAX_ENDPOINTS 32
+#define MAX_ENDPOINTS 512
+#define MAX_AT_START 16 /* of each service */
 #define HISTORY 4096
 #define MAX_COPIES 64
 #define TICK_S 0.005
 #define CONFIG_KEY "op/config"
 
+/*
+ * An endpoint that begins to run a body with this word ends so much later. Its
+ * entry in the store stays until it has lapsed; another start of it, with a
+ * new id, comes sooner.
+ */
+#define FATAL "fatal"
+#define FATAL_MS 50
+#define START_AGAIN_MS 700
+#define LAPSE_MS 1500
+
 struct item {
 	char key[200];
 	char *value; /* base64, as it came; NULL: not there */
@@ -49,6 +60,8 @@
 	const char *service;
 	bool draining, gone, fail, mute, break_streams;
 	int64_t gone_ms;
+	int64_t end_ms; /* it ends then; 0: it does not */
+	bool ended, started_again, lapsed;
 	unsigned seen; /* requests since it was drained */
 };
 
@@ -100,6 +113,8 @@
 	int nr_copies;
 	int64_t down_until_ms;
 	int gap_ms;
+	int nr_ended; /* endpoints */
+	bool mended;  /* no body ends an endpoint any more */
 	int nr_usage, nr_scale, wrong_fence, usage_twice;
 	int64_t last_fence;
 	char usage[64][512];
@@ -600,6 +615,11 @@
 	r->endpoint = (int)(e - w.endpoints);
 	if (e->mute)
 		return; /* it runs, and no answer comes */
+	if (!w.mended && strstr(buf_cstr(&c->body), FATAL)) {
+		if (!e->end_ms)
+			e->end_ms = now_ms() + FATAL_MS;
+		return;
+	}
 	/* One that fails has an error in place of the rest of a stream. */
 	if (strstr(e->service, "llm") &&
 	    !(e->fail && hmsg_find(m, "Last-Event-Id")))
@@ -647,6 +667,43 @@
 	register_endpoint(e);
 }
 
+/* The process ends, and takes all that runs there with it. */
+static void end_endpoint(struct endpoint *e)
+{
+	struct stream *s, *next;
+
+	cds_list_for_each_entry_safe(s, next, &w.streams, node) {
+		if (s->at != e)
+			continue;
+		cds_list_del(&s->node);
+		s->conn->request = NULL;
+		free(s);
+	}
+	e->ended = true;
+	w.nr_ended++;
+	hsc_server_close(&e->server);
+}
+
+static void endpoint_step(struct endpoint *e, int64_t now)
+{
+	char key[64];
+
+	if (!e->end_ms)
+		return;
+	if (!e->ended && now >= e->end_ms)
+		end_endpoint(e);
+	if (!e->started_again && now >= e->end_ms + START_AGAIN_MS &&
+	    w.nr_endpoints < MAX_ENDPOINTS) {
+		e->started_again = true;
+		open_endpoint(e->service);
+	}
+	if (!e->lapsed && now >= e->end_ms + LAPSE_MS) {
+		e->lapsed = true;
+		snprintf(key, sizeof(key), "servers/%s", e->id);
+		delete_item(find_item(key, false));
+	}
+}
+
 static void stream_step(struct stream *s)
 {
 	BUF_AUTO event = BUF_INIT;
@@ -702,10 +759,11 @@
 		late += (int)w.endpoints[i].seen;
 	buf_fmt(&out,
 		"runs %d once %d once_twice %d to_leaving %d usage %d usage_twice %d "
-		"orders %d wrong_fence %d revision %lld config_told %d\n",
+		"orders %d wrong_fence %d revision %lld config_told %d "
+		"ended %d\n",
 		w.nr_runs, once, twice, late, w.nr_usage, w.usage_twice,
-		w.nr_scale, w.wrong_fence, (long long)w.revision,
-		w.config_told);
+		w.nr_scale, w.wrong_fence, (long long)w.revision, w.config_told,
+		w.nr_ended);
 	for (i = 0; i < w.nr_endpoints; i++)
 		buf_fmt(&out, "%s %s %d\n", w.endpoints[i].id,
 			w.endpoints[i].service, per[i]);
@@ -725,6 +783,19 @@
 	reply(c, 200, buf_cstr(&out));
 }
 
+/* A line for each key that is there. */
+static void list_keys(struct hsc *c)
+{
+	BUF_AUTO out = BUF_INIT;
+	int i;
+
+	for (i = 0; i < w.nr_items; i++) {
+		if (w.items[i].value)
+			buf_fmt(&out, "%s\n", w.items[i].key);
+	}
+	reply(c, 200, buf_cstr(&out));
+}
+
 static void on_test(struct hsc *c, const char *url)
 {
 	struct endpoint *e = asked_endpoint(url);
@@ -741,6 +812,14 @@
 	if (!strncmp(url, "/test/put", 9)) {
 		hmsg_query(url, "key", key, sizeof(key));
 		write_text(key, buf_cstr(&c->body));
+	} else if (!strncmp(url, "/test/delete", 12)) {
+		hmsg_query(url, "key", key, sizeof(key));
+		delete_item(find_item(key, false));
+	} else if (!strncmp(url, "/test/keys", 10)) {
+		list_keys(c);
+		return;
+	} else if (!strncmp(url, "/test/mended", 12)) {
+		w.mended = true;
 	} else if (!strncmp(url, "/test/down", 10)) {
 		hmsg_query(url, "ms", number, sizeof(number));
 		w.down_until_ms = now_ms() + atoll(number);
@@ -845,6 +924,8 @@
 			stream_step(s);
 	}
 	slow_link_tick(&w.link, TICK_S);
+	for (i = 0; i < w.nr_endpoints; i++)
+		endpoint_step(&w.endpoints[i], now);
 	for (i = 0; i < w.nr_leases; i++) {
 		if (now >= w.leases[i].until_ms && now >= w.down_until_ms)
 			end_lease(&w.leases[i]);
@@ -872,7 +953,7 @@
 	ioc_address("127.0.0.1:0", &addr, NULL);
 	if (hsc_server_open(&w.server, w.loop, &addr, &vtable, NULL, NULL))
 		return 71;
-	for (i = 0; i < endpoints && i < MAX_ENDPOINTS / 2; i++) {
+	for (i = 0; i < endpoints && i < MAX_AT_START; i++) {
 		open_endpoint("llm");
 		open_endpoint("app");
 	}
