A connection that is refused is no repeat

Cause: each send after an attempt's first one was charged to the service's budget of repeats, and three connections that were refused ended an attempt. The budget protects endpoints, which see nothing of such a send. The mend: only what reached an endpoint makes the next send a repeat; one that was paid and reached nobody is paid back; up to eight endpoints are tried where there is no connection to be had, of which each is then set aside.

--- a/lib/edge/edge_answer.c
+++ b/lib/edge/edge_answer.c
@@ -71,7 +71,7 @@
 static bool may_send_again(struct edge_req *r)
 {
 	return r->until_ms - edge_now(r->en) > MIN_TIME_MS &&
-	       edge_may_repeat(r, false);
+	       (!r->reached || edge_may_repeat(r, false));
 }
 
 static void cut(struct edge_req *r, const char *why)
@@ -128,16 +128,29 @@
 	r->tried[r->nr_tried++] = r->endpoint;
 }
 
-void edge_not_run(struct edge_req *r, enum flt_outcome o, const char *why)
+static void not_run(struct edge_req *r, enum flt_outcome o, const char *why)
 {
 	met_inc(r->en->m.not_run);
 	flt_note(r->endpoint, o, edge_now(r->en));
 	edge_log_outcome(r, why, r->reply.status);
 	tried(r);
 	edge_send_stop(r);
+}
+
+void edge_not_run(struct edge_req *r, enum flt_outcome o, const char *why)
+{
+	not_run(r, o, why);
 	edge_step(r, rq_refused(&r->rq, may_send_again(r)), why);
 }
 
+void edge_unreached(struct edge_req *r, const char *why)
+{
+	not_run(r, FLT_UNREACHABLE, why);
+	r->reached--;
+	edge_unpay(r);
+	edge_step(r, rq_unreached(&r->rq, may_send_again(r)), why);
+}
+
 static void lost(struct edge_req *r, enum flt_outcome o, const char *why)
 {
 	met_inc(r->en->m.lost);
@@ -400,7 +413,7 @@
 
 	r->call = NULL;
 	if (why == HTC_NOT_SENT)
-		edge_not_run(r, FLT_UNREACHABLE, words[why]);
+		edge_unreached(r, words[why]);
 	else
 		broke(r, words[why]);
 }
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -210,6 +210,8 @@
 	struct flt_endpoint *tried[EDGE_EXCLUDED]; /* referenced */
 	unsigned nr_tried;
 	unsigned sends;
+	unsigned reached; /* sends that reached an endpoint, or may have */
+	bool paid; /* the send under way is paid of the budget of repeats */
 	struct reply reply;
 	struct buf head; /* of the answer, until its first event */
 	struct buf body; /* of an answer that is not streamed */
@@ -233,6 +235,8 @@
 void edge_req_free(struct edge_req *r);
 /* True if the service's budget has a repeat left; `spend` takes it. */
 bool edge_may_repeat(struct edge_req *r, bool spend);
+/* Gives back what the send under way was paid of it. */
+void edge_unpay(struct edge_req *r);
 
 /* ---- edge_send.c: to an endpoint ---- */
 void edge_send(struct edge_req *r);
@@ -288,6 +292,8 @@
 void edge_first_event_seen(struct edge_req *r);
 /* The endpoint did not run it: it goes elsewhere, or is refused. */
 void edge_not_run(struct edge_req *r, enum flt_outcome o, const char *why);
+/* There was no connection to the endpoint. */
+void edge_unreached(struct edge_req *r, const char *why);
 void edge_log_outcome(struct edge_req *r, const char *outcome, int status);
 /* The run was stopped, and there is no copy; or it had come to its end. */
 void edge_send_lost(struct edge_req *r, const char *why);
--- a/lib/edge/edge_req.c
+++ b/lib/edge/edge_req.c
@@ -293,6 +293,13 @@
 	return again_spend(budget_for(r), &l, n, now);
 }
 
+void edge_unpay(struct edge_req *r)
+{
+	if (r->paid)
+		again_return(budget_for(r));
+	r->paid = false;
+}
+
 /* Of a route's services one, by weight; the same for the same attempt. */
 static const struct cfg_service *choose_service(const struct edge_req *r)
 {
--- a/lib/edge/edge_send.c
+++ b/lib/edge/edge_send.c
@@ -168,6 +168,7 @@
 	if (copy_at)
 		edge_first_event_seen(r); /* nothing is left to be read */
 	r->sends++;
+	r->reached++;
 	met_inc(en->m.sends);
 	if (r->sends > 1)
 		met_inc(r->rq.started ? en->m.resumes : en->m.resends);
@@ -187,7 +188,7 @@
 	if (r->call)
 		return;
 	buf_free(&wire);
-	edge_not_run(r, FLT_UNREACHABLE, "no connection to be had");
+	edge_unreached(r, "no connection to be had");
 }
 
 void edge_send(struct edge_req *r)
@@ -209,7 +210,13 @@
 			r->nr_tried ? EDGE_FULL_RETRY_MS : NONE_RETRY_MS);
 		return;
 	}
-	if (r->sends && !edge_may_repeat(r, true)) {
+	/*
+	 * The budget is of what endpoints are sent once more. Charged for
+	 * connections that were refused, it turned callers away after one
+	 * endpoint that had ended, while the others were well.
+	 */
+	r->paid = r->reached > 0;
+	if (r->paid && !edge_may_repeat(r, true)) {
 		edge_step(r, rq_no_endpoint(&r->rq), "no repeats left");
 		return;
 	}
@@ -232,6 +239,7 @@
 	rq_moved(&r->rq);
 	flt_ref(to); /* the hand-over's own goes with it */
 	edge_send_stop(r);
+	r->paid = false; /* the hand-over was, by itself */
 	start(r, &p, copy_at);
 	flt_unref(&r->en->fleet, to);
 }
--- a/lib/limit/again.c
+++ b/lib/limit/again.c
@@ -69,3 +69,9 @@
 	b->level -= 1;
 	return true;
 }
+
+void again_return(struct again *b)
+{
+	/* What is beyond the most that may be saved goes with the next look. */
+	b->level += 1;
+}
--- a/lib/limit/again.h
+++ b/lib/limit/again.h
@@ -38,4 +38,7 @@
 bool again_spend(struct again *b, const struct again_limits *l,
 		 unsigned entries, int64_t now_ms);
 
+/* A repeat that was counted did not reach an endpoint. */
+void again_return(struct again *b);
+
 #endif
--- a/lib/request/rq.c
+++ b/lib/request/rq.c
@@ -60,20 +60,32 @@
 	return give_up(r);
 }
 
-enum rq_step rq_refused(struct rq *r, bool again)
+/* `again`: another endpoint may be asked. */
+static enum rq_step was_not_run(struct rq *r, bool again)
 {
-	assert(r->sending);
 	r->sending = false;
-	r->refusals++;
 	/* The copy is not to be had: what ran before it is lost. */
 	if (r->at_copy)
 		return run_is_lost(r, again);
-	if (again && r->refusals <= RQ_MAX_REFUSALS &&
-	    (room_for_run(r) || !r->runs))
+	if (again && (room_for_run(r) || !r->runs))
 		return send_again(r);
 	return give_up(r);
 }
 
+enum rq_step rq_refused(struct rq *r, bool again)
+{
+	assert(r->sending);
+	r->refusals++;
+	return was_not_run(r, again && r->refusals <= RQ_MAX_REFUSALS);
+}
+
+enum rq_step rq_unreached(struct rq *r, bool again)
+{
+	assert(r->sending);
+	r->unreached++;
+	return was_not_run(r, again && r->unreached < RQ_MAX_UNREACHED);
+}
+
 enum rq_step rq_lost(struct rq *r, bool again)
 {
 	assert(r->sending);
--- a/lib/request/rq.h
+++ b/lib/request/rq.h
@@ -22,6 +22,12 @@
  */
 #define RQ_MAX_REFUSALS 3
 
+/*
+ * A connection that is not established costs the endpoints nothing: when
+ * several have ended the next one is tried until one that lives is found.
+ */
+#define RQ_MAX_UNREACHED 8
+
 enum rq_step {
 	RQ_SEND,     /* send to an endpoint, from the beginning */
 	RQ_RESUME,   /* send to an endpoint, after the last event passed on */
@@ -37,11 +43,12 @@
 	enum cfg_kind kind;
 	bool resumable;
 	int max_endpoints;
-	int runs;     /* sends that ran or may have run */
-	int refusals; /* sends that were truthfully not run */
-	bool sending; /* a send is under way; it may run any moment */
-	bool started; /* part of an answer went to the caller */
-	bool at_copy; /* the send under way goes on from a copy of the run */
+	int runs;      /* sends that ran or may have run */
+	int refusals;  /* sends that were truthfully not run */
+	int unreached; /* sends for which there was no connection */
+	bool sending;  /* a send is under way; it may run any moment */
+	bool started;  /* part of an answer went to the caller */
+	bool at_copy;  /* the send under way goes on from a copy of the run */
 	bool over;
 };
 
@@ -59,6 +66,9 @@
  */
 enum rq_step rq_refused(struct rq *r, bool again);
 
+/* There was no connection, so nothing reached the endpoint. */
+enum rq_step rq_unreached(struct rq *r, bool again);
+
 /* The send broke off after bytes had left: it may have run. */
 enum rq_step rq_lost(struct rq *r, bool again);
 
--- a/tests/test_acct.c
+++ b/tests/test_acct.c
@@ -648,7 +648,25 @@
 	}
 }
 
+/* Repeats that reached nobody are given back, and not saved up. */
+static void repeats_that_reach_nobody_are_free(void)
+{
+	const struct again_limits l = { 0.2, 56, 10000 };
+	struct again b = { 0 };
+	unsigned n = 0, i;
+
+	while (again_spend(&b, &l, ENTRIES, 0))
+		n++;
+	for (i = 0; i < 1000; i++)
+		again_return(&b);
+	while (again_spend(&b, &l, ENTRIES, 0))
+		n--;
+	CU_ASSERT_EQUAL(n, 0);
+}
+
 static const struct unit_test tests[] = {
+	{ "repeats that reach nobody are free",
+	  repeats_that_reach_nobody_are_free },
 	{ "the sum stays below the limit", sum_stays_below_the_limit },
 	{ "the sum stays below the limit on many entries",
 	  sum_stays_below_the_limit_on_many_entries },
--- a/tests/test_rq.c
+++ b/tests/test_rq.c
@@ -9,6 +9,7 @@
 enum event {
 	REFUSED,
 	REFUSED_LAST,
+	UNREACHED,
 	LOST,
 	LOST_LAST,
 	GOOD,
@@ -80,6 +81,11 @@
 		w->ran += w->at_copy;
 		w->at_copy = false;
 		return rq_refused(r, e == REFUSED);
+	case UNREACHED:
+		w->under_way = false;
+		w->ran += w->at_copy;
+		w->at_copy = false;
+		return rq_unreached(r, true);
 	case LOST:
 	case LOST_LAST:
 		w->under_way = false;
@@ -235,6 +241,28 @@
 	CU_ASSERT_EQUAL(rq_refused(&r, true), RQ_NOT_RUN);
 }
 
+/*
+ * Symptom: callers were told 503 "endpoint not reached" while most endpoints
+ * were well. Sequence: several had ended and were listed still; three of them
+ * were tried. Cause: a connection that is refused counted as a refusal.
+ */
+static void unreached_call_is_sent_again(void)
+{
+	const struct cfg_route once = { .kind = CFG_ONCE, .max_endpoints = 1 };
+	struct rq r;
+	int i;
+
+	rq_init(&r, &once);
+	for (i = 1; i < RQ_MAX_UNREACHED; i++) {
+		rq_sent(&r);
+		CU_ASSERT_EQUAL(rq_unreached(&r, true), RQ_SEND);
+	}
+	rq_sent(&r);
+	CU_ASSERT_EQUAL(rq_refused(&r, true), RQ_SEND);
+	rq_sent(&r);
+	CU_ASSERT_EQUAL(rq_unreached(&r, true), RQ_NOT_RUN);
+}
+
 /*
  * Symptom: a caller was told "not run, come back", and the request ran.
  * Sequence: the route's time was over while an endpoint had the request.
@@ -341,6 +369,7 @@
 }
 
 static const struct unit_test tests[] = {
+	{ "an unreached call is sent again", unreached_call_is_sent_again },
 	{ "all sequences keep the rules", all_sequences_keep_the_rules },
 	{ "the twin that trusts broken connections is caught",
 	  twin_that_trusts_broken_connections_is_caught },
