--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -84,6 +84,8 @@
 	# Each of many entries has a small part of the budget of repeats.
 	BIN=$BUILD/bin EDGES=16 scripts/ending_test.sh >"$OUT" 2>/dev/null
 	add ending_test_16 $?
+	BIN=$BUILD/bin scripts/older_copy_test.sh >"$OUT" 2>/dev/null
+	add older_copy_test $?
 	# A short run; seeds that ever failed are to be added here.
 	BIN=$BUILD/bin scripts/fault_soak.sh 4 1 2 >"$OUT" 2>&1
 	add fault_soak $?
--- a/scripts/edge_cluster.sh
+++ b/scripts/edge_cluster.sh
@@ -32,7 +32,8 @@
 
 start_edges() {
 	local i
-	start platform "$BIN/standin-platform" --endpoints "$EDGE_SERVICES_EACH"
+	start platform "$BIN/standin-platform" \
+		--endpoints "$EDGE_SERVICES_EACH" ${PLATFORM_ARGS:-}
 	PLATFORM=$(ready platform) || return 1
 	for i in $(seq 1 "$EDGES"); do start_edge "$i" || return 1; done
 }
--- a/tests/standin/platform.c
+++ b/tests/standin/platform.c
@@ -4,7 +4,9 @@
  * that run requests and remember which ones. Faults are asked for by calls
  * under /test/.
  *
- * Options: --endpoints N (of each service), --gap MS (between events).
+ * Options: --endpoints N (of each service), --gap MS (between events), --era N
+ * (what the store's answers say of how often it came back from a copy; 0: they
+ * say nothing).
  */
 #include <ev.h>
 #include <signal.h>
@@ -23,6 +25,7 @@
 #define MAX_ENDPOINTS 512
 #define MAX_AT_START 16 /* of each service */
 #define HISTORY 4096
+#define MAX_LEASES 256
 #define MAX_COPIES 64
 #define TICK_S 0.005
 #define CONFIG_KEY "op/config"
@@ -41,6 +44,8 @@
 	char key[200];
 	char *value; /* base64, as it came; NULL: not there */
 	int64_t revision, lease;
+	char *newest;  /* to be written again; NULL: nothing */
+	bool was_gone; /* before the store came back */
 };
 
 struct lease {
@@ -78,6 +83,14 @@
 	bool used;
 };
 
+/* What the store held at a moment. */
+struct copy_of_store {
+	struct item items[MAX_KEYS];
+	struct lease leases[MAX_LEASES];
+	int nr_items, nr_leases;
+	int64_t revision, next_lease;
+};
+
 struct stream {
 	struct cds_list_head node;
 	char id[80];
@@ -93,7 +106,7 @@
 	struct item items[MAX_KEYS];
 	int nr_items;
 	int64_t revision, forgotten;
-	struct lease leases[64];
+	struct lease leases[MAX_LEASES];
 	int nr_leases;
 	int64_t next_lease;
 	struct {
@@ -112,6 +125,10 @@
 	struct copy copies[MAX_COPIES];
 	int nr_copies;
 	int64_t down_until_ms;
+	struct copy_of_store older; /* the store comes back from it */
+	int64_t era;
+	int64_t rewrite_ms; /* operators and endpoints write again then; 0 */
+	int64_t lapse_ms; /* endpoints that left are off the list again then */
 	int gap_ms;
 	int nr_ended; /* endpoints */
 	bool mended;  /* no body ends an endpoint any more */
@@ -132,6 +149,8 @@
 
 	hmsg_put_status(&out, status);
 	hmsg_put(&out, "Content-Type", "application/json");
+	if (w.era && c->server == &w.server)
+		hmsg_put_int(&out, "Store-Era", w.era);
 	hmsg_put_int(&out, "Content-Length", (int64_t)strlen(body));
 	hmsg_put_end(&out);
 	buf_str(&out, body);
@@ -323,7 +342,7 @@
 	v->conn = c;
 	c->request = v;
 	cds_list_add_tail(&v->node, &w.watchers);
-	if (v->after < w.forgotten) {
+	if (v->after < w.forgotten || v->after > w.revision) {
 		cds_list_del(&v->node);
 		c->request = NULL;
 		free(v);
@@ -416,6 +435,127 @@
 	reply(c, 200, text);
 }
 
+/* ---- Coming back from an older copy ---- */
+
+/* After its return: when operators and endpoints have written again. */
+#define REWRITE_MS 600
+#define LAPSE_AGAIN_MS 2500
+
+static void free_items(struct item *items, int n)
+{
+	while (n)
+		free(items[--n].value);
+}
+
+static void copy_store(void)
+{
+	int i;
+
+	free_items(w.older.items, w.older.nr_items);
+	memcpy(w.older.items, w.items, sizeof(w.items));
+	for (i = 0; i < w.nr_items; i++) {
+		if (w.items[i].value)
+			w.older.items[i].value = mem_dup(w.items[i].value);
+	}
+	memcpy(w.older.leases, w.leases, sizeof(w.leases));
+	w.older.nr_items = w.nr_items;
+	w.older.nr_leases = w.nr_leases;
+	w.older.revision = w.revision;
+	w.older.next_lease = w.next_lease;
+}
+
+static bool is_ours(const char *key)
+{
+	return strncmp(key, "op/", 3) && strncmp(key, "servers/", 8);
+}
+
+/* What operators and endpoints wrote since is kept aside, to be written again. */
+static void set_back(struct item *it, const struct item *old)
+{
+	if (is_ours(it->key)) {
+		free(it->value);
+		it->value = old && old->value ? mem_dup(old->value) : NULL;
+		it->revision = old ? old->revision : 0;
+		it->lease = old ? old->lease : 0;
+		return;
+	}
+	free(it->newest);
+	it->newest = it->value;
+	it->was_gone = !it->value;
+	it->value = old && old->value ? mem_dup(old->value) : NULL;
+	it->revision = old ? old->revision : 0;
+}
+
+static void come_back(int away_ms)
+{
+	struct watcher *v, *next;
+	int i;
+
+	for (i = 0; i < w.nr_items; i++)
+		set_back(&w.items[i],
+			 i < w.older.nr_items ? &w.older.items[i] : NULL);
+	memcpy(w.leases, w.older.leases, sizeof(w.leases));
+	w.nr_leases = w.older.nr_leases;
+	w.down_until_ms = now_ms() + away_ms;
+	for (i = 0; i < w.nr_leases; i++)
+		w.leases[i].until_ms = w.down_until_ms + w.leases[i].ttl_ms;
+	w.revision = w.older.revision;
+	w.next_lease = w.older.next_lease;
+	w.nr_history = 0;
+	w.forgotten = w.revision;
+	w.era++;
+	w.rewrite_ms = w.down_until_ms + REWRITE_MS;
+	w.lapse_ms = w.down_until_ms + LAPSE_AGAIN_MS;
+	cds_list_for_each_entry_safe(v, next, &w.watchers, node) {
+		cds_list_del(&v->node);
+		v->conn->request = NULL;
+		hsc_cut(v->conn);
+		free(v);
+	}
+}
+
+static bool same_value(const char *a, const char *b)
+{
+	return a == b || (a && b && !strcmp(a, b));
+}
+
+static void write_newest(void)
+{
+	int i;
+
+	for (i = 0; i < w.nr_items; i++) {
+		struct item *it = &w.items[i];
+
+		if (it->newest && !same_value(it->newest, it->value))
+			write_item(it->key, it->newest, 0);
+		free(it->newest);
+		it->newest = NULL;
+	}
+}
+
+static void lapse_again(void)
+{
+	int i;
+
+	for (i = 0; i < w.nr_items; i++) {
+		if (w.items[i].was_gone)
+			delete_item(&w.items[i]);
+		w.items[i].was_gone = false;
+	}
+}
+
+static void return_step(int64_t now)
+{
+	if (w.rewrite_ms && now >= w.rewrite_ms) {
+		w.rewrite_ms = 0;
+		write_newest();
+	}
+	if (w.lapse_ms && now >= w.lapse_ms) {
+		w.lapse_ms = 0;
+		lapse_again();
+	}
+}
+
 /* ---- Duties ---- */
 
 static void check_fence(struct hsc *c)
@@ -829,6 +969,16 @@
 	} else if (!strncmp(url, "/test/link", 10)) {
 		hmsg_query(url, "bytes", number, sizeof(number));
 		w.link.bytes_per_s = atoi(number);
+	} else if (!strncmp(url, "/test/copy", 10)) {
+		copy_store();
+	} else if (!strncmp(url, "/test/return", 12)) {
+		hmsg_query(url, "ms", number, sizeof(number));
+		come_back(atoi(number));
+	} else if (e && !strncmp(url, "/test/unlist", 12)) {
+		snprintf(key, sizeof(key), "servers/%s", e->id);
+		delete_item(find_item(key, false));
+	} else if (!strncmp(url, "/test/add", 9)) {
+		open_endpoint("app");
 	} else if (!strncmp(url, "/test/forget", 12)) {
 		w.forgotten = w.revision;
 	} else if (e && !strncmp(url, "/test/drain", 11)) {
@@ -924,6 +1074,7 @@
 			stream_step(s);
 	}
 	slow_link_tick(&w.link, TICK_S);
+	return_step(now);
 	for (i = 0; i < w.nr_endpoints; i++)
 		endpoint_step(&w.endpoints[i], now);
 	for (i = 0; i < w.nr_leases; i++) {
@@ -944,6 +1095,8 @@
 			endpoints = atoi(argv[i + 1]);
 		else if (!strcmp(argv[i], "--gap"))
 			w.gap_ms = atoi(argv[i + 1]);
+		else if (!strcmp(argv[i], "--era"))
+			w.era = atoi(argv[i + 1]);
 	}
 	signal(SIGPIPE, SIG_IGN);
 	w.loop = ev_default_loop(EVFLAG_AUTO);
