Schedules with seeds drawn apart; a version brought by a watch is a little old

Seeds that follow each other gave the same sequence but for one number: of 300 schedules that forget their past two or three were different.

That of confirmations broke in 5 of 20,000 of the new ones: a version counted as the newest 5 ms after it was not. A watch that may wait sees a change up to 0.1 s late; that was reckoned with where it brought nothing, not where it brought one change of two. Callers could have noticed a key taken away 0.06 s late at the most.

--- a/lib/config/vfy.c
+++ b/lib/config/vfy.c
@@ -86,6 +86,11 @@
 	v->absent = false;
 }
 
+int64_t vfy_asked_ms(const struct vfy *v)
+{
+	return v->asked_ms - (v->wait_ms ? VFY_NOTICE_MS : 0);
+}
+
 int64_t vfy_unchanged(struct vfy *v, int64_t revision, int64_t now)
 {
 	const int waited =
--- a/lib/config/vfy.h
+++ b/lib/config/vfy.h
@@ -128,6 +128,13 @@
  */
 int64_t vfy_unchanged(struct vfy *v, int64_t revision, int64_t now_ms);
 
+/*
+ * Of what moment the answer of the call under way speaks, if it brought a
+ * version: when it was asked, and for a watch a little before, since one that
+ * may wait can bring one change and not yet see the next.
+ */
+int64_t vfy_asked_ms(const struct vfy *v);
+
 /* The store does not know any more what changed: all is read, at once. */
 void vfy_history_lost(struct vfy *v);
 
--- a/lib/edge/edge_config.c
+++ b/lib/edge/edge_config.c
@@ -153,7 +153,7 @@
 		return;
 	}
 	if (it)
-		brought(en, a, it, a->asked_ms, true);
+		brought(en, a, it, vfy_asked_ms(&en->vfy), true);
 	else
 		confirm(en, vfy_unchanged(&en->vfy, a->revision, edge_now(en)));
 	edge_req_verified(en);
--- a/tests/test_duties.c
+++ b/tests/test_duties.c
@@ -194,8 +194,9 @@
 	uint64_t seed;
 
 	for (seed = 1; seed <= unit_seeds(300); seed++)
-		broken += schedule(seed, false);
-	unit_report("holder of the duties", unit_seeds(300), broken);
+		broken += schedule(seed, false) +
+			  schedule(unit_seed(seed), false);
+	unit_report("holder of the duties", 2 * unit_seeds(300), broken);
 	CU_ASSERT_EQUAL(broken, 0);
 }
 
--- a/tests/test_mir.c
+++ b/tests/test_mir.c
@@ -153,8 +153,8 @@
 	unsigned wrong = 0;
 
 	for (seed = 1; seed <= unit_seeds(2000); seed++)
-		wrong += !play(seed);
-	unit_report("mirror of the store", unit_seeds(2000), wrong);
+		wrong += !play(seed) + !play(unit_seed(seed));
+	unit_report("mirror of the store", 2 * unit_seeds(2000), wrong);
 	CU_ASSERT_EQUAL(wrong, 0);
 }
 
--- a/tests/test_vfy.c
+++ b/tests/test_vfy.c
@@ -263,7 +263,7 @@
 {
 	const enum vfy_call call = w->call;
 	const bool same = call == VFY_CHANGES && w->told == w->held;
-	int64_t at = w->v.asked_ms;
+	int64_t at = vfy_asked_ms(&w->v);
 
 	w->call = VFY_NONE;
 	if (!rnd_below(&w->r, 10)) {
@@ -312,15 +312,22 @@
 	return wrong;
 }
 
+/*
+ * Symptom: a version counted as the newest 5 ms after it was not, in 5 of
+ * 20,000 schedules with seeds drawn apart. Sequence: a change, another one, and
+ * a watch that may wait brings the first. Cause: such a watch sees a change a
+ * little later, as was reckoned with only where it brought none.
+ */
 static void confirmed_is_what_was_the_newest(void)
 {
 	const unsigned long seeds = unit_seeds(200);
 	unsigned long wrong = 0, i;
 
 	for (i = 0; i < seeds; i++)
-		wrong += (unsigned long)run(i);
+		wrong += (unsigned long)run(i) +
+			 (unsigned long)run(unit_seed(i));
 	CU_ASSERT_EQUAL(wrong, 0);
-	unit_report("confirming the configuration", seeds, wrong);
+	unit_report("confirming the configuration", 2 * seeds, wrong);
 }
 
 static const struct unit_test tests[] = {
