--- a/lib/entry/ent_answer.c
+++ b/lib/entry/ent_answer.c
@@ -240,7 +240,7 @@
 			    "ask again with the same key");
 }
 
-static void serve(struct ent_writer *w, struct ent_feed *f)
+void ent_serve(struct ent_writer *w, struct ent_feed *f)
 {
 	for (;;) {
 		struct ent_batch t;
@@ -277,7 +277,7 @@
 {
 	struct ent_local_feed f = { { &ent_local_vt, w->en }, rq };
 
-	serve(w, &f.feed);
+	ent_serve(w, &f.feed);
 }
 
 void ent_serve_remote(struct ent_writer *w, const struct ent_req *rq,
@@ -290,7 +290,7 @@
 
 	str_copy(f.key, rq->key, sizeof(f.key));
 	str_copy(f.account, rq->account, sizeof(f.account));
-	serve(w, &f.feed);
+	ent_serve(w, &f.feed);
 	if (f.local)
 		ent_req_put(f.local);
 }
--- a/lib/entry/ent_answer.h
+++ b/lib/entry/ent_answer.h
@@ -86,6 +86,9 @@
 /* Where the caller's Last-Event-ID says that it is. */
 void ent_parse_last_event(const struct hsv_request *rq, struct ent_writer *w);
 
+/* Writes what the feed gives, to the end of the answer. */
+void ent_serve(struct ent_writer *w, struct ent_feed *f);
+
 /* Serves to the end a request that this entry has. */
 void ent_serve_local(struct ent_writer *w, struct ent_req *rq);
 
