A caller is told that its answer starts anew, also before there is a token

Cause: an entry that was killed had sent tokens of which no copy had left; the one that took over ran the request anew. The caller came back for the rest before the new run had a token, and the mark that the answer starts anew was sent with tokens of the very batch that says so, of which there were none.

--- a/lib/entry/ent_answer.c
+++ b/lib/entry/ent_answer.c
@@ -181,27 +181,36 @@
 
 /* ---- Serving a feed ---- */
 
+/*
+ * Begins the stream, and says first that the answer starts anew if that is so.
+ * The run that takes over may have no token yet when it is learned: a mark that
+ * was sent with that batch's tokens alone was lost then, and the caller put the
+ * new run's tokens behind the old ones.
+ */
+static bool begin_or_restart(struct ent_writer *w)
+{
+	if (!begin(w))
+		return false;
+	if (!w->restart_due)
+		return true;
+	w->restart_due = false;
+	return write_event(w, "restart",
+			   "{\"reason\":\"the tokens sent before cannot be "
+			   "continued; this is a new attempt\"}");
+}
+
 /* One step; false when the reply is over. */
 static bool serve_batch(struct ent_writer *w, struct ent_batch *t)
 {
-	const bool restart = t->restart && w->offset;
 	uint32_t i;
 
-	if (restart) {
+	if (t->restart && w->offset) {
+		w->restart_due = true;
 		w->offset = 0;
 		buf_reset(&w->text);
 	}
-	if (w->stream && t->nr) {
-		if (!begin(w))
-			return false;
-		if (restart &&
-		    !write_event(w, "restart",
-				 "{\"reason\":\"the tokens sent before cannot "
-				 "be continued; this is a new attempt\"}"))
-			return false;
-		if (!write_tokens(w, t))
-			return false;
-	}
+	if (w->stream && t->nr && (!begin_or_restart(w) || !write_tokens(w, t)))
+		return false;
 	for (i = 0; i < t->nr && !w->stream; i++)
 		buf_str(&w->text, t->tokens[i]);
 	w->offset = t->from + t->nr;
@@ -213,7 +222,7 @@
 		return false;
 	}
 	if (w->begun || (w->stream && !t->plain && t->outcome == FLOW_WHOLE)) {
-		if (begin(w))
+		if (begin_or_restart(w))
 			write_stream_end(w, t);
 	} else if (t->outcome == FLOW_WHOLE) {
 		write_whole(w, t);
--- a/lib/entry/ent_answer.h
+++ b/lib/entry/ent_answer.h
@@ -71,6 +71,7 @@
 	bool stream;
 	bool chat;
 	bool begun;
+	bool restart_due; /* the caller holds tokens that are void, untold */
 	uint32_t gen;
 	uint32_t offset;
 	struct buf text; /* of a whole reply */
