--- a/lib/edge/edge_fatal.c
+++ b/lib/edge/edge_fatal.c
@@ -34,12 +34,13 @@
 /* ---- Lines ---- */
 
 static void log_news(struct edge *en, const struct fatal_row *row,
-		     const char *what, const char *endpoint)
+		     enum jlog_level level, const char *what,
+		     const char *endpoint)
 {
 	char content[33];
 
 	hsh_wide_hex(row->content, content);
-	jlog_begin(en->log, JLOG_WARN, "request_suspect");
+	jlog_begin(en->log, level, "request_suspect");
 	jlog_str(en->log, "content", content);
 	jlog_str(en->log, "change", what);
 	jlog_str(en->log, "endpoint", endpoint);
@@ -63,7 +64,10 @@
 	struct edge *en = arg;
 	const struct flt_endpoint *e = flt_by_hash(&en->fleet, endpoint);
 
-	log_news(en, row, words[news], e ? e->info.id : "");
+	/* What another entry saw stands in its own log. */
+	log_news(en, row,
+		 endpoint || news == FATAL_CONVICTED ? JLOG_WARN : JLOG_DEBUG,
+		 words[news], e ? e->info.id : "");
 	if (news == FATAL_SUSPECTED)
 		met_inc(en->m.suspected);
 	if (news == FATAL_CONVICTED) {
--- a/lib/edge/edge_inner.c
+++ b/lib/edge/edge_inner.c
@@ -34,7 +34,7 @@
 		return;
 	}
 	hmsg_put_status(&out, status ? status : 503);
-	en->wire->store->put_era(era, &out);
+	en->wire->store->put_era(status ? era : sto_era(en->store), &out);
 	hmsg_put_int(&out, "Content-Length", status ? (int64_t)len : 0);
 	hmsg_put_end(&out);
 	if (status)
