News of ends is told by who saw it, not by who heard it

Now only who saw it tells all, others in their rounds; a send is told at once only of a request under which two have ended, since only that one is waited for; and the era of the store travels with the rounds and the store's own answers.

--- a/lib/edge/edge_era.c
+++ b/lib/edge/edge_era.c
@@ -57,7 +57,6 @@
 	en->vfy.revision = 0;
 	lead_returned(&en->lead, (int64_t)en->conf->bounds.lease_ms, now);
 	edge_lease_void(en, now + spread_ms(en, now));
-	edge_fatal_tell_soon(en);
 }
 
 void edge_era_open(struct edge *en)
--- a/lib/edge/edge_fatal.c
+++ b/lib/edge/edge_fatal.c
@@ -51,6 +51,32 @@
 	jlog_end(en->log);
 }
 
+/* ---- Telling others ---- */
+
+static void on_tell(struct ev_loop *loop, ev_timer *t, int revents)
+{
+	struct edge *en = t->data;
+
+	(void)revents;
+	ev_timer_stop(loop, t);
+	en->fatal_told_ms = edge_now(en);
+	edge_peer_tell_all(en, en->fatal_told_ms);
+}
+
+static void tell_soon(struct edge *en)
+{
+	int64_t wait = en->fatal_told_ms + TELL_GAP_MS - edge_now(en);
+
+	if (ev_is_active(&en->fatal_teller))
+		return;
+	if (wait < TELL_AFTER_MS)
+		wait = TELL_AFTER_MS;
+	ev_timer_set(&en->fatal_teller, (double)wait / 1000, 0);
+	ev_timer_start(en->loop, &en->fatal_teller);
+}
+
+/* ---- News ---- */
+
 static void on_changed(void *arg, const struct fatal_row *row,
 		       enum fatal_news news, uint64_t endpoint)
 {
@@ -77,34 +103,17 @@
 			fatal_find(&en->fatal, row->content)->store_next_ms =
 				edge_now(en);
 	}
-	edge_fatal_tell_soon(en);
+	/*
+	 * Who saw it tells all. If those who hear it did so as well, one end
+	 * would cost as many datagrams as there are pairs of entries.
+	 */
+	if (!en->fatal_hearing)
+		tell_soon(en);
 }
 
 static const struct fatal_vtable vtable = { on_changed };
 
-/* ---- Telling others ---- */
-
-static void on_tell(struct ev_loop *loop, ev_timer *t, int revents)
-{
-	struct edge *en = t->data;
-
-	(void)revents;
-	ev_timer_stop(loop, t);
-	en->fatal_told_ms = edge_now(en);
-	edge_peer_tell_all(en, en->fatal_told_ms);
-}
-
-void edge_fatal_tell_soon(struct edge *en)
-{
-	int64_t wait = en->fatal_told_ms + TELL_GAP_MS - edge_now(en);
-
-	if (ev_is_active(&en->fatal_teller))
-		return;
-	if (wait < TELL_AFTER_MS)
-		wait = TELL_AFTER_MS;
-	ev_timer_set(&en->fatal_teller, (double)wait / 1000, 0);
-	ev_timer_start(en->loop, &en->fatal_teller);
-}
+/* ---- What others know ---- */
 
 static uint64_t run_at(void *arg, struct hsh_wide content)
 {
@@ -128,8 +137,10 @@
 {
 	if (!r->nr_fatal)
 		return;
+	en->fatal_hearing = true;
 	fatal_heard(&en->fatal, r->boot ^ hsh_str(r->name, 0), r->fatal,
 		    r->nr_fatal, now);
+	en->fatal_hearing = false;
 	edge_fatal_mark(en);
 }
 
@@ -289,10 +300,15 @@
 
 void edge_fatal_sent(struct edge_req *r)
 {
+	const struct fatal_row *row;
+
 	if (!r->apart)
 		return;
 	edge_fatal_mark(r->en);
-	edge_fatal_tell_soon(r->en);
+	/* Others wait for a strong suspect, and keep away from where it is. */
+	row = fatal_find(&r->en->fatal, r->content);
+	if (row && fatal_count(row) >= MARK_ENDS)
+		tell_soon(r->en);
 }
 
 void edge_fatal_stopped(struct edge_req *r)
@@ -394,8 +410,10 @@
 		edge_unreadable(en, key, "no record of a request");
 		return;
 	}
+	en->fatal_hearing = true; /* all watch the store */
 	fatal_recorded(&en->fatal, content, jsn_int(o, "at_ms", 0),
 		       edge_now(en));
+	en->fatal_hearing = false;
 }
 
 void edge_fatal_unrecorded(struct edge *en, const char *key)
@@ -410,8 +428,11 @@
 {
 	struct hsh_wide content;
 
-	if (hsh_wide_parse(key + strlen(EDGE_FATAL_PREFIX), &content))
-		fatal_lifted(&en->fatal, content, edge_now(en));
+	if (!hsh_wide_parse(key + strlen(EDGE_FATAL_PREFIX), &content))
+		return;
+	en->fatal_hearing = true;
+	fatal_lifted(&en->fatal, content, edge_now(en));
+	en->fatal_hearing = false;
 }
 
 /* ---- Life ---- */
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -164,6 +164,7 @@
 	int64_t fatal_looked_ms; /* when old ones were last looked for */
 	unsigned nr_fatal_fresh; /* of the rows told, those that are news */
 	bool fatal_marked;	 /* flt_endpoint.suspects may be set */
+	bool fatal_hearing;	 /* news are of others, or of the store */
 
 	struct prs prs;
 	struct fade arrivals; /* of callers' requests, a second */
@@ -285,7 +286,6 @@
 		       enum htc_found found);
 /* The endpoint is off the list for good. */
 void edge_fatal_gone(struct edge *en, const struct flt_endpoint *e);
-void edge_fatal_tell_soon(struct edge *en);
 void edge_fatal_say(struct edge *en, struct gsp_record *out, int64_t now);
 void edge_fatal_hear(struct edge *en, const struct gsp_record *r, int64_t now);
 /* Notes at the endpoints where a suspect runs that it does. */
