--- a/tests/standin/platform.c
+++ b/tests/standin/platform.c
@@ -245,6 +245,10 @@
 
 	free(it->value);
 	it->value = mem_dup(base64);
+	/* Newer than what was to be written again after a return. */
+	free(it->newest);
+	it->newest = NULL;
+	it->was_gone = false;
 	it->lease = lease;
 	it->revision = ++w.revision;
 	changed(it, false);
@@ -525,11 +529,11 @@
 
 	for (i = 0; i < w.nr_items; i++) {
 		struct item *it = &w.items[i];
+		MEM_AUTO char *newest = it->newest;
 
-		if (it->newest && !same_value(it->newest, it->value))
-			write_item(it->key, it->newest, 0);
-		free(it->newest);
 		it->newest = NULL;
+		if (newest && !same_value(newest, it->value))
+			write_item(it->key, newest, 0);
 	}
 }
 
