What this change wrote twice stands once; a send looks at other requests only if need be

No behaviour changes. Two scans for a request under way were one and the same; the one before each send walked all of an entry's requests as soon as anything was suspected of any request, for ten minutes after an endpoint had ended: now only if something is known of this content (by reading, no figure taken). It needs no exception for the request itself, which is at no endpoint yet. Once instead of twice or more: the ends from which a suspect is strong, how an entry's start is known in a word, the digest in a line, a done that does nothing (three), the test scripts' everywhere and in_force (three). clear() is private.

--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -262,7 +262,7 @@
 
 	en->start_ms = now;
 	en->boot = rnd_secret() | 1;
-	en->source = en->boot ^ hsh_str(c->name, 0);
+	en->source = edge_source(c->name, en->boot);
 	rnd_seed(&en->rnd, en->boot);
 	CDS_INIT_LIST_HEAD(&en->requests);
 	CDS_INIT_LIST_HEAD(&en->verifying);
--- a/lib/edge/edge_era.c
+++ b/lib/edge/edge_era.c
@@ -74,12 +74,6 @@
 
 /* ---- The record in the store ---- */
 
-static void on_written(void *arg, struct sto_answer *a)
-{
-	(void)arg;
-	(void)a; /* the watch says whether it stands */
-}
-
 static void write_record(struct edge *en)
 {
 	char value[96];
@@ -93,7 +87,7 @@
 	c.conditions[0] =
 		(struct sto_condition){ EDGE_ERA_KEY, en->era.record };
 	c.rows[0] = (struct sto_row){ EDGE_ERA_KEY, value, strlen(value), 0 };
-	sto_call(en->store, &c, on_written, en);
+	sto_call(en->store, &c, sto_no_matter, NULL);
 }
 
 void edge_era_recorded(struct edge *en, const char *value, size_t len,
--- a/lib/edge/edge_fatal.c
+++ b/lib/edge/edge_fatal.c
@@ -28,20 +28,14 @@
 
 #define LOOK_AFTER_MS 1000
 
-/* From so many ends on others keep away from the endpoint where it runs. */
-#define MARK_ENDS (FATAL_ENDS - 1)
-
 /* ---- Lines ---- */
 
 static void log_news(struct edge *en, const struct fatal_row *row,
 		     enum jlog_level level, const char *what,
 		     const char *endpoint)
 {
-	char content[33];
-
-	hsh_wide_hex(row->content, content);
 	jlog_begin(en->log, level, "request_suspect");
-	jlog_str(en->log, "content", content);
+	edge_log_content(en, row->content);
 	jlog_str(en->log, "change", what);
 	jlog_str(en->log, "endpoint", endpoint);
 	jlog_int(en->log, "ends", fatal_count(row));
@@ -115,16 +109,24 @@
 
 /* ---- What others know ---- */
 
-static uint64_t run_at(void *arg, struct hsh_wide content)
+/* A request of this content that is at an endpoint; NULL: there is none. */
+static const struct edge_req *under_way(const struct edge *en,
+					struct hsh_wide content)
 {
-	const struct edge *en = arg;
 	const struct edge_req *r;
 
 	cds_list_for_each_entry(r, &en->requests, node) {
 		if (r->endpoint && hsh_wide_equal(r->content, content))
-			return r->endpoint->hash;
+			return r;
 	}
-	return 0;
+	return NULL;
+}
+
+static uint64_t run_at(void *arg, struct hsh_wide content)
+{
+	const struct edge_req *r = under_way(arg, content);
+
+	return r ? r->endpoint->hash : 0;
 }
 
 void edge_fatal_say(struct edge *en, struct gsp_record *out, int64_t now)
@@ -138,7 +140,7 @@
 	if (!r->nr_fatal)
 		return;
 	en->fatal_hearing = true;
-	fatal_heard(&en->fatal, r->boot ^ hsh_str(r->name, 0), r->fatal,
+	fatal_heard(&en->fatal, edge_source(r->name, r->boot), r->fatal,
 		    r->nr_fatal, now);
 	en->fatal_hearing = false;
 	edge_fatal_mark(en);
@@ -166,7 +168,7 @@
 	cds_list_for_each_entry(e, &en->fleet.endpoints, node)
 		e->suspects = 0;
 	cds_list_for_each_entry(row, &en->fatal.rows, node) {
-		if (fatal_count(row) < MARK_ENDS)
+		if (fatal_count(row) < FATAL_STRONG_ENDS)
 			continue;
 		mark(en, run_at(en, row->content));
 		for (i = 0; i < row->nr_runs; i++)
@@ -176,18 +178,6 @@
 
 /* ---- A request is to be sent ---- */
 
-static bool under_way(const struct edge_req *r)
-{
-	const struct edge_req *other;
-
-	cds_list_for_each_entry(other, &r->en->requests, node) {
-		if (other != r && other->endpoint &&
-		    hsh_wide_equal(other->content, r->content))
-			return true;
-	}
-	return false;
-}
-
 /* What ran before is lost; if nothing did, it was not run, and will not be. */
 static void give_up(struct edge_req *r, const char *why, int64_t retry_ms)
 {
@@ -204,11 +194,15 @@
 bool edge_fatal_may_send(struct edge_req *r)
 {
 	struct edge *en = r->en;
+	bool again;
 
 	r->apart = false;
-	if (!en->fatal.count)
+	/* Of nearly all nothing is known: they cost a look into a table. */
+	if (!fatal_find(&en->fatal, r->content))
 		return true;
-	switch (fatal_ask(&en->fatal, r->content, under_way(r), edge_now(en))) {
+	/* Not itself: it is at no endpoint before it is sent. */
+	again = under_way(en, r->content) != NULL;
+	switch (fatal_ask(&en->fatal, r->content, again, edge_now(en))) {
 	case FATAL_FREE:
 		return true;
 	case FATAL_APART:
@@ -307,7 +301,7 @@
 	edge_fatal_mark(r->en);
 	/* Others wait for a strong suspect, and keep away from where it is. */
 	row = fatal_find(&r->en->fatal, r->content);
-	if (row && fatal_count(row) >= MARK_ENDS)
+	if (row && fatal_count(row) >= FATAL_STRONG_ENDS)
 		tell_soon(r->en);
 }
 
@@ -330,13 +324,6 @@
 	snprintf(out, size, "%s%s", EDGE_FATAL_PREFIX, content);
 }
 
-static void on_written(void *arg, struct sto_answer *a)
-{
-	/* The watch says whether it is there; else it is written again. */
-	(void)arg;
-	(void)a;
-}
-
 static void write_record(struct edge *en, const struct fatal_row *row,
 			 int64_t now)
 {
@@ -355,7 +342,7 @@
 		(long long)truth_now(&en->truth, now));
 	c.conditions[0] = (struct sto_condition){ key, 0 };
 	c.rows[0] = (struct sto_row){ key, value.data, value.len, 0 };
-	sto_call(en->store, &c, on_written, en);
+	sto_call(en->store, &c, sto_no_matter, NULL);
 }
 
 static void delete_record(struct edge *en, const struct fatal_row *row)
@@ -365,7 +352,7 @@
 
 	record_key(row, key, sizeof(key));
 	c.rows[0] = (struct sto_row){ .key = key };
-	sto_call(en->store, &c, on_written, en);
+	sto_call(en->store, &c, sto_no_matter, NULL);
 }
 
 static bool to_be_written(const struct edge *en, const struct fatal_row *row,
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -415,6 +415,21 @@
 void edge_duty_tick(struct edge *en, int64_t now);
 void edge_duty_count(struct edge_req *r, int64_t true_ms);
 
+/* How other entries know one start of an entry, in a word. */
+static inline uint64_t edge_source(const char *name, uint64_t boot)
+{
+	return boot ^ hsh_str(name, 0);
+}
+
+/* The field by which lines on requests that ask the same are found. */
+static inline void edge_log_content(struct edge *en, struct hsh_wide content)
+{
+	char digits[33];
+
+	hsh_wide_hex(content, digits);
+	jlog_str(en->log, "content", digits);
+}
+
 static inline int64_t edge_now(const struct edge *en)
 {
 	return clk_boot_ms(en->clk);
--- a/lib/edge/edge_lease.c
+++ b/lib/edge/edge_lease.c
@@ -130,12 +130,6 @@
 	sto_call(en->store, &c, en->lease.id ? on_kept : on_leased, en);
 }
 
-static void on_lease_ended(void *arg, struct sto_answer *a)
-{
-	(void)arg;
-	(void)a;
-}
-
 void edge_lease_resign(struct edge *en)
 {
 	const struct sto_call c = { .kind = STO_END, .lease = en->lease.id };
@@ -145,7 +139,7 @@
 		return;
 	en->lease.id = 0;
 	en->lease.until_ms = 0;
-	sto_call(en->store, &c, on_lease_ended, en);
+	sto_call(en->store, &c, sto_no_matter, NULL);
 }
 
 /* ---- Taking the duties ---- */
--- a/lib/edge/edge_peer.c
+++ b/lib/edge/edge_peer.c
@@ -104,7 +104,7 @@
 
 	cds_list_for_each_entry(p, &en->prs.peers, node) {
 		if (prs_alive(p, edge_now(en)) &&
-		    (p->boot ^ hsh_str(p->info.name, 0)) == source)
+		    edge_source(p->info.name, p->boot) == source)
 			return true;
 	}
 	return false;
--- a/lib/edge/edge_req.c
+++ b/lib/edge/edge_req.c
@@ -88,10 +88,8 @@
 	struct edge *en = r->en;
 	struct hsc *c = r->conn;
 	const bool last = hsc_last(c);
-	char content[33];
 	BUF_AUTO out = BUF_INIT;
 
-	hsh_wide_hex(r->content, content);
 	refund(r);
 	count_answer(en, status);
 	jlog_begin(en->log, JLOG_INFO, "answer");
@@ -106,7 +104,7 @@
 		jlog_str(en->log, "route", r->route ? r->route->name : "");
 		jlog_str(en->log, "account",
 			 r->account ? r->account->name : "");
-		jlog_str(en->log, "content", content);
+		edge_log_content(en, r->content);
 		jlog_int(en->log, "config", r->cfg->version);
 		jlog_int(en->log, "config_age_ms",
 			 force_age(&en->force, edge_now(en)));
--- a/lib/edge/edge_send.c
+++ b/lib/edge/edge_send.c
@@ -101,12 +101,10 @@
 {
 	struct edge *en = r->en;
 	const int64_t now = edge_now(en);
-	char content[33];
 
-	hsh_wide_hex(r->content, content);
 	jlog_begin(en->log, JLOG_INFO, "send");
 	jlog_str(en->log, "id", r->a.id);
-	jlog_str(en->log, "content", content);
+	edge_log_content(en, r->content);
 	jlog_str(en->log, "route", r->route->name);
 	jlog_str(en->log, "account", r->account ? r->account->name : "");
 	jlog_int(en->log, "config", r->cfg->version);
--- a/lib/request/fatal.c
+++ b/lib/request/fatal.c
@@ -27,9 +27,6 @@
 #define RATE_MS 30000.0
 #define RATE_PRIOR_MS 60000.0
 
-/* From so many ends on it runs once at a time in all entries. */
-#define ALONE_ENDS (FATAL_ENDS - 1)
-
 /* ---- May it be sent? ---- */
 
 static unsigned looked_at(const struct fatal_row *row)
@@ -66,7 +63,8 @@
 	looked = looked_at(row);
 	if (looked && ends + looked >= FATAL_ENDS)
 		return FATAL_WAIT;
-	if (ends >= ALONE_ENDS && (under_way || runs_elsewhere(row, now)))
+	if (ends >= FATAL_STRONG_ENDS &&
+	    (under_way || runs_elsewhere(row, now)))
 		return FATAL_BUSY;
 	return ends ? FATAL_APART : FATAL_FREE;
 }
@@ -172,7 +170,7 @@
 static bool is_shared(struct fatal_row *row, uint64_t endpoint,
 		      const struct blame *b)
 {
-	return b->most >= ALONE_ENDS &&
+	return b->most >= FATAL_STRONG_ENDS &&
 	       (b->tied > 1 || ends_elsewhere(row, endpoint) < b->most);
 }
 
@@ -192,7 +190,7 @@
 		weight = is_shared(row, endpoint, &b)
 				 ? FATAL_WEIGHT_SHARED
 				 : weight_of(f, d->ran_ms, now);
-		if (b.most < ALONE_ENDS)
+		if (b.most < FATAL_STRONG_ENDS)
 			fade_add(&f->ended, 1, RATE_MS, now);
 		drop_doubt(row, d);
 		row->known = fatal_is_convicted(row);
@@ -244,7 +242,7 @@
 	}
 }
 
-void fatal_clear(struct fatal *f, struct fatal_row *row, int64_t now)
+static void clear(struct fatal *f, struct fatal_row *row, int64_t now)
 {
 	const bool any = fatal_count(row) > 0;
 	unsigned i;
@@ -264,7 +262,7 @@
 
 	if (!row)
 		return;
-	fatal_clear(f, row, now);
+	clear(f, row, now);
 	if (fatal_empty(row))
 		fatal_drop(f, row);
 }
@@ -299,7 +297,7 @@
 	if (!row)
 		return;
 	row->stored_true_ms = 0;
-	fatal_clear(f, row, now);
+	clear(f, row, now);
 	if (fatal_empty(row))
 		fatal_drop(f, row);
 }
--- a/lib/request/fatal.h
+++ b/lib/request/fatal.h
@@ -38,6 +38,12 @@
 #define FATAL_ENDS 3
 #define FATAL_ENDS_MOST 5
 
+/*
+ * From so many ends on a request is a strong suspect: it runs once at a time in
+ * all entries, and others keep away from the endpoint where it does.
+ */
+#define FATAL_STRONG_ENDS (FATAL_ENDS - 1)
+
 /* Ends kept of a request; runs of it elsewhere; endpoints looked at. */
 #define FATAL_MAX_ENDS 6
 #define FATAL_MAX_RUNS 8
--- a/lib/request/fatal_internal.h
+++ b/lib/request/fatal_internal.h
@@ -54,7 +54,4 @@
 void fatal_tell_end(struct fatal *f, const struct fatal_row *row, bool known,
 		    uint64_t endpoint);
 
-/* None of its ends counts any more. */
-void fatal_clear(struct fatal *f, struct fatal_row *row, int64_t now_ms);
-
 #endif
--- a/lib/store/sto.c
+++ b/lib/store/sto.c
@@ -135,6 +135,12 @@
 	a->nr_items = 0;
 }
 
+void sto_no_matter(void *arg, struct sto_answer *a)
+{
+	(void)arg;
+	(void)a;
+}
+
 /* ---- The way ---- */
 
 static const struct htc_limits limits = {
--- a/lib/store/sto.h
+++ b/lib/store/sto.h
@@ -115,6 +115,9 @@
 
 typedef void (*sto_done)(void *arg, struct sto_answer *a);
 
+/* For calls whose outcome a watch shows, or nothing depends on. */
+void sto_no_matter(void *arg, struct sto_answer *a);
+
 struct sto;
 
 /*
--- a/scripts/edge_cluster.sh
+++ b/scripts/edge_cluster.sh
@@ -95,3 +95,12 @@
 		-H "Authorization: Bearer ${KEY:-k1}" "$@" \
 		"http://$(address "$n" callers)$path"
 }
+
+# everywhere COMMAND [ARG...]: it holds for each entry, given as first argument.
+everywhere() {
+	local n
+	for n in $(seq 1 "$EDGES"); do "$1" "$n" "${@:2}" || return 1; done
+}
+
+# in_force N VERSION: entry N has had it in force.
+in_force() { grep -q "\"event\":\"config_in_force\",\"config\":$2," "$DIR/edge-$1.out"; }
--- a/scripts/ending_test.sh
+++ b/scripts/ending_test.sh
@@ -22,13 +22,6 @@
 # Ends that a request may cost; more than that is known of it by then.
 ENDS=3
 
-everywhere() {
-	local n
-	for n in $(seq 1 "$EDGES"); do "$1" "$n" "${@:2}" || return 1; done
-}
-
-in_force() { grep -q "\"event\":\"config_in_force\",\"config\":$2," "$DIR/edge-$1.out"; }
-
 at_most() { [ "$1" -le "$2" ]; }
 
 # settled: endpoints that ended have started again and are off the list.
--- a/scripts/older_copy_test.sh
+++ b/scripts/older_copy_test.sh
@@ -22,13 +22,6 @@
 . scripts/edge_cluster.sh
 trap cluster_stop EXIT
 
-everywhere() {
-	local n
-	for n in $(seq 1 "$EDGES"); do "$1" "$n" "${@:2}" || return 1; done
-}
-
-in_force() { grep -q "\"event\":\"config_in_force\",\"config\":$2," "$DIR/edge-$1.out"; }
-
 knows_endpoint() { grep -q "\"endpoint\":\"$2\",\"change\":\"$3\"" "$DIR/edge-$1.out"; }
 
 era_known() {
--- a/scripts/slow_link_test.sh
+++ b/scripts/slow_link_test.sh
@@ -27,17 +27,10 @@
 	grep -n "$2" "$DIR/edge-$1.out" | head -1 | cut -d: -f1
 }
 
-in_force() { grep -q "\"event\":\"config_in_force\",\"config\":$2," "$DIR/edge-$1.out"; }
-
 leaving_known() {
 	grep -q "\"endpoint\":\"$LEAVING\",\"change\":\"draining\"" "$DIR/edge-$1.out"
 }
 
-everywhere() {
-	local n
-	for n in $(seq 1 "$EDGES"); do "$1" "$n" "${@:2}" || return 1; done
-}
-
 read_begun() { [ "$(seen config_told)" -gt "$1" ]; }
 
 # known_first N: the leaving was learned before the version was in force.
--- a/tests/test_fatal.c
+++ b/tests/test_fatal.c
@@ -357,7 +357,9 @@
 	unsigned i;
 
 	cds_list_for_each_entry(row, &sim.f[entry].rows, node) {
-		for (i = 0; fatal_count(row) >= 2 && i < row->nr_runs; i++) {
+		for (i = 0;
+		     fatal_count(row) >= FATAL_STRONG_ENDS && i < row->nr_runs;
+		     i++) {
 			if (row->runs[i].endpoint == sim.at[at].hash)
 				return true;
 		}
