Process tests end only children that still run

Found while the known failure was provoked: an entry that no test had touched was gone at its start, in 2 of some 60 clusters that were started beside another test. Its shell said 'Killed'. Cause: cluster_stop sent SIGKILL to every id that a test had ever started, also of children that had ended long before. Ids go up to 32,768 here, and tests that follow logs use them up within minutes, so the id was another test's process. Now the ids come from the shell's table of running children. The pace of reading of the stand-in engines and of copies are variables, for the tests that follow.

--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -4,8 +4,6 @@
 
 BIN=${BIN:-build/bin}
 DIR=${DIR:-$(mktemp -d)}
-PIDS=
-ENTRY_PIDS=
 LOG_LEVEL=${LOG_LEVEL:-info}
 ENTRIES=${ENTRIES:-6}
 SLOTS=${SLOTS:-8}
@@ -32,7 +30,6 @@
 	shift
 	"$@" >"$DIR/$name.out" 2>"$DIR/$name.log" &
 	LAST_PID=$!
-	PIDS="$PIDS $LAST_PID"
 	echo "$LAST_PID" >"$DIR/$name.pid"
 }
 
@@ -55,16 +52,19 @@
 	cat "$DIR/$1.pid"
 }
 
-# cluster_stop: ends what was started, politely first.
+# end_child PID: kills it if it still runs. The id of a child that has ended may
+# be that of another process by now.
+end_child() {
+	jobs -rp | grep -qx "$1" && kill -9 "$1"
+}
+
+# cluster_stop: ends the children that still run.
 cluster_stop() {
 	local p
-	for p in $PIDS; do
+	for p in $(jobs -rp); do
 		kill -9 "$p" 2>/dev/null
 	done
-	for p in $PIDS; do
-		wait "$p" 2>/dev/null
-	done
-	PIDS=
+	wait 2>/dev/null
 }
 
 # deployment NAME: zones, class, model, plain service of an example.
@@ -105,7 +105,8 @@
 			start "engine-$z-$i" $BIN/standin-engine \
 				--slots "$SLOTS" --tpot-ms "$TPOT" \
 				--checks-fence $FENCE --model "$model" \
-				--version "$version" --lag-ms 200
+				--version "$version" --lag-ms 200 \
+				--prefill "${PREFILL:-8000}"
 		done
 		start "plain-$z" $BIN/standin-plain
 	done
@@ -155,7 +156,7 @@
 		"grant_secret": "demo-grant-secret-0001",
 		"log_level": "$LOG_LEVEL",
 		"entry_list_ms": 2000, "drain_ms": $DRAIN_MS,
-		"lease_s": 4, "copy_ms": 40, "replay_ms": ${REPLAY_MS:-120000}
+		"lease_s": 4, "copy_ms": ${COPY_MS:-40}, "replay_ms": ${REPLAY_MS:-120000}
 	}
 	EOF
 }
--- a/scripts/fault_soak.sh
+++ b/scripts/fault_soak.sh
@@ -70,7 +70,6 @@
 	local wait=$1
 	shift
 	{ sleep "$wait"; "$@"; } >/dev/null 2>&1 &
-	PIDS="$PIDS $!"
 }
 
 next_version() {
@@ -93,7 +92,7 @@
 	case $((RANDOM % 11)) in
 	0) echo "kill edge-$n"; kill -9 "$pid"; sleep 0.3; again "$n" ;;
 	1) echo "stop edge-$n, and kill it while it leaves"; kill -TERM "$pid"
-		sleep 1.5; kill -9 "$pid"; sleep 0.3; again "$n" ;;
+		sleep 1.5; end_child "$pid"; sleep 0.3; again "$n" ;;
 	2) echo "freeze edge-$n"; kill -STOP "$pid"
 		for_a_while 2 kill -CONT "$pid" ;;
 	3) echo "store $m edge-$n"; mode "store-$n" "$m"
@@ -149,7 +148,7 @@
 	local i end
 	DIR=$BASE/$SEED
 	mkdir "$DIR"
-	PIDS= VERSION=2
+	VERSION=2
 	STORE_OF=() FRONT_OF=()
 	RANDOM=$SEED
 	start platform "$BIN/standin-platform" --endpoints 3 --era 1
@@ -165,8 +164,7 @@
 	put_document $VERSION '"k1","k2"'
 	for i in $(seq 1 $CALLERS); do
 		caller "$i" &
-		PIDS="$PIDS $!"
-	done
+		done
 	end=$((SECONDS + SECONDS_EACH))
 	while [ $SECONDS -lt $end ]; do
 		fault >>"$DIR/faults"
