--- a/Makefile
+++ b/Makefile
@@ -95,6 +95,7 @@
 	$(CC) -o $@ $(filter %.o,$^) $(LIB) $(LDLIBS)
 
 $(BUILD)/bin/standin-platform: $(BUILD)/tests/support/slow_link.o
+$(BUILD)/bin/standin-caller: $(BUILD)/programs/load_request.o
 
 $(BUILD)/tests/test_%: $(BUILD)/tests/test_%.o $(TEST_LIB_OBJ) $(LIB)
 	@mkdir -p $(@D)
--- a/programs/load_internal.h
+++ b/programs/load_internal.h
@@ -94,6 +94,7 @@
 	bool plain, streamed;
 	char *body;
 	long answer;
+	uint32_t hang_up_at; /* tokens held at which it disconnects; 0: none */
 
 	/* What the caller holds. */
 	struct sse sse;
@@ -106,6 +107,24 @@
 	struct samples gaps;
 };
 
+/* What one exchange with an entry came to. */
+enum load_step {
+	LOAD_DONE,
+	LOAD_AGAIN, /* the connection ended, or the entry asks to retry */
+	LOAD_NOT_RUN,
+	LOAD_UNKNOWN,
+	LOAD_OTHER
+};
+
+/* Fills in `body` and `answer` from the account; `rnd` decides. */
+void load_make_body(struct request *q);
+
+/*
+ * Sends the request, or asks for the rest if the caller holds some of the
+ * answer, and checks what comes.
+ */
+enum load_step load_exchange(struct request *q, const char *address);
+
 /* A thread: one request from its first try to its end. `arg`: a request. */
 void *load_run_request(void *arg);
 
--- a/programs/load_request.c
+++ b/programs/load_request.c
@@ -179,7 +179,7 @@
 			complain(q, "event id out of place", ev->id);
 		}
 	}
-	return true;
+	return !q->hang_up_at || q->offset < q->hang_up_at;
 }
 
 static bool on_data(const char *data, size_t len, void *arg)
@@ -209,27 +209,19 @@
 
 /* ---- One exchange ---- */
 
-enum step {
-	STEP_DONE,
-	STEP_AGAIN,
-	STEP_NOT_RUN,
-	STEP_UNKNOWN,
-	STEP_OTHER
-};
-
-static enum step judge_reply(struct request *q, const struct hcl_reply *r)
+static enum load_step judge_reply(struct request *q, const struct hcl_reply *r)
 {
 	char run[24];
 
 	hcl_header(r, "Marldock-Run", run, sizeof(run));
 	if (!strcmp(run, "not-run")) {
 		complain(q, "not run", buf_cstr(&r->body));
-		return STEP_NOT_RUN;
+		return LOAD_NOT_RUN;
 	}
 	if (!strcmp(run, "unknown"))
-		return r->status == 503 ? STEP_AGAIN : STEP_UNKNOWN;
+		return r->status == 503 ? LOAD_AGAIN : LOAD_UNKNOWN;
 	complain(q, "status", buf_cstr(&r->body));
-	return STEP_OTHER;
+	return LOAD_OTHER;
 }
 
 static void fill_call(struct request *q, const char *address,
@@ -278,7 +270,7 @@
 	return on_data(data, len, t->q);
 }
 
-static enum step exchange(struct request *q, const char *address)
+enum load_step load_exchange(struct request *q, const char *address)
 {
 	char auth[96], key[192], last[64], path[192];
 	HCL_REPLY_AUTO r = HCL_REPLY_INIT;
@@ -309,15 +301,15 @@
 			note_time(q);
 	}
 	if (q->done)
-		return STEP_DONE;
+		return LOAD_DONE;
 	if (failed || r.status == 200 || !r.status)
-		return STEP_AGAIN;
+		return LOAD_AGAIN;
 	return judge_reply(q, &r);
 }
 
 /* ---- One request ---- */
 
-static void make_body(struct request *q)
+void load_make_body(struct request *q)
 {
 	struct account *a = q->a;
 	const long span = a->prompt_max - a->prompt_min + 1;
@@ -349,13 +341,13 @@
 	q->gaps.ms = mem_new((size_t)q->answer * sizeof(float));
 }
 
-static enum step run_to_end(struct request *q)
+static enum load_step run_to_end(struct request *q)
 {
 	const int64_t until = clk_ms(clk_real()) + PATIENCE_MS;
-	enum step s = STEP_AGAIN;
+	enum load_step s = LOAD_AGAIN;
 	int tries;
 
-	for (tries = 0; s == STEP_AGAIN && clk_ms(clk_real()) < until;
+	for (tries = 0; s == LOAD_AGAIN && clk_ms(clk_real()) < until;
 	     tries++) {
 		const struct cached_list c =
 			entries_for(q->l, q->index, tries > 0);
@@ -373,7 +365,8 @@
 			q->l->reconnects++;
 			pthread_mutex_unlock(&q->l->lock);
 		}
-		s = exchange(q, c.address[rnd_below(&q->rnd, (uint32_t)c.nr)]);
+		s = load_exchange(
+			q, c.address[rnd_below(&q->rnd, (uint32_t)c.nr)]);
 	}
 	return s;
 }
@@ -389,8 +382,8 @@
 	q->text_hash = 0;
 	q->last_id[0] = '\0';
 	q->done = false;
-	if (exchange(q, c.address[rnd_below(&q->rnd, (uint32_t)c.nr)]) ==
-		    STEP_DONE &&
+	if (load_exchange(q, c.address[rnd_below(&q->rnd, (uint32_t)c.nr)]) ==
+		    LOAD_DONE &&
 	    q->text_hash != first) {
 		q->bad = true;
 		complain(q, "second answer under one key", "");
@@ -405,23 +398,23 @@
 		to->ms[to->nr++] = ms[i];
 }
 
-static void note_told(struct request *q, enum step s)
+static void note_told(struct request *q, enum load_step s)
 {
 	struct told *t = mem_new(sizeof(*t));
 
 	str_copy(t->nonce, q->nonce, sizeof(t->nonce));
-	t->what = s == STEP_DONE
+	t->what = s == LOAD_DONE
 			  ? TOLD_DONE
-			  : (s == STEP_NOT_RUN ? TOLD_NOT_RUN : TOLD_UNKNOWN);
+			  : (s == LOAD_NOT_RUN ? TOLD_NOT_RUN : TOLD_UNKNOWN);
 	t->next = q->l->told;
 	q->l->told = t;
 }
 
-static void count(struct request *q, enum step s)
+static void count(struct request *q, enum load_step s)
 {
 	struct load *l = q->l;
 	struct account *a = q->a;
-	const bool whole = s == STEP_DONE &&
+	const bool whole = s == LOAD_DONE &&
 			   (q->plain || q->offset == (uint32_t)q->answer);
 
 	pthread_mutex_lock(&l->lock);
@@ -440,10 +433,10 @@
 		l->lost++;
 		a->lost++;
 		complain(q, "lost", q->last_id);
-	} else if (s == STEP_NOT_RUN) {
+	} else if (s == LOAD_NOT_RUN) {
 		l->not_run++;
 		a->not_run++;
-	} else if (s == STEP_OTHER) {
+	} else if (s == LOAD_OTHER) {
 		l->other++;
 	} else {
 		l->unknown++;
@@ -458,13 +451,13 @@
 void *load_run_request(void *arg)
 {
 	struct request *q = arg;
-	enum step s;
+	enum load_step s;
 
 	q->start_us = clk_us(clk_real());
-	make_body(q);
+	load_make_body(q);
 	s = run_to_end(q);
 	count(q, s);
-	if (s == STEP_DONE && !q->plain && rnd_unit(&q->rnd) < q->a->replay) {
+	if (s == LOAD_DONE && !q->plain && rnd_unit(&q->rnd) < q->a->replay) {
 		const bool was_bad = q->bad;
 
 		replay(q);
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -75,6 +75,10 @@
 if [ "$WHAT" != unit ]; then
 	BIN=$BUILD/bin scripts/process_test.sh >"$OUT" 2>&1
 	add process_test $?
+	# The other returns of the caller take longer: run by hand.
+	BIN=$BUILD/bin BACKS="at_another with_old_id" \
+		scripts/takeover_test.sh >"$OUT" 2>/dev/null
+	add takeover_test $?
 	BIN=$BUILD/bin scripts/edge_test.sh >"$OUT" 2>&1
 	add edge_test $?
 	BIN=$BUILD/bin scripts/slow_link_test.sh >"$OUT" 2>&1
--- /dev/null
+++ b/scripts/takeover_test.sh
@@ -0,0 +1,302 @@
+#!/bin/bash
+# An entry is killed at a chosen step of a request it owns, and the caller
+# comes back. Steps are recognised by what the entries log and what the caller
+# holds, never by the clock. Usage: takeover_test.sh [REPEATS]
+cd "$(dirname "$0")/.." || exit 1
+. scripts/cluster.sh
+trap cluster_stop EXIT
+BASE=$DIR
+REPEATS=${1:-1}
+ENTRIES=6
+ACCOUNT=nord-quay-key
+TOKENS=12
+
+# Prompts of 400 characters take a quarter of a second to the first token.
+PREFILL=400
+
+NR=0
+
+# fresh COPY_MS: a new cluster; copies leave every COPY_MS.
+fresh() {
+	cluster_stop
+	DEAD=
+	COPY_MS=$1 DIR=$(mktemp -d "$BASE/XXXX")
+	deployment kvotebors-nord
+	start_platform && start_entries &&
+		$CTL apply "$DOCUMENT" --base 0 --wait >/dev/null && wait_ready
+}
+
+# await FILE PATTERN: until a line of the log matches; prints the last one.
+await() {
+	local i
+	for i in $(seq 1 1000); do
+		grep -E "$2" "$1" 2>/dev/null | tail -1 | grep . && return 0
+		sleep 0.01
+	done
+	echo "takeover: no line '$2' in $1" >&2
+	return 1
+}
+
+address_of() {
+	cat "$DIR/$1.http"
+}
+
+# entry_at PEER_ADDRESS: the name of the entry that answers there.
+entry_at() {
+	grep -l "peer=$1\$" "$DIR"/entry-*.out | sed 's/.*\/\(entry-[0-9]*\)\.out/\1/'
+}
+
+# another NAME...: an entry that runs and is none of these.
+another() {
+	local i
+	for i in $(seq 1 "$ENTRIES"); do
+		case " $* $DEAD " in
+		*" entry-$i "*) ;;
+		*) echo "entry-$i" && return ;;
+		esac
+	done
+}
+
+# engine_of KEY ENTRY: the stand-in that runs the request.
+engine_of() {
+	local name address
+	name=$(grep -E "key=$1 .*choose endpoint=" "$DIR/$2.log" | tail -1 |
+		sed 's/.*choose endpoint=\([^ ]*\).*/\1/')
+	address=$($CTL endpoints | grep -E "(^| )$name " | grep -oE '127\.0\.0\.1:[0-9]+')
+	grep -l "^ready $address\$" "$DIR"/engine-*.out | sed 's/.*\/\(.*\)\.out/\1/'
+}
+
+# open_caller NAME OPTIONS...: a caller on two pipes.
+open_caller() {
+	local name=$1
+	shift
+	mkfifo "$DIR/$name.in" "$DIR/$name.answer"
+	$BIN/standin-caller --key $ACCOUNT --model "$MODEL" --tokens $TOKENS \
+		"$@" <"$DIR/$name.in" >"$DIR/$name.answer" 2>"$DIR/$name.err" &
+}
+
+# new_request [OPTIONS...]: caller `one` on descriptors 3 and 4, `two` on 5
+# and 6, both with the same request.
+new_request() {
+	local g
+	NR=$((NR + 1))
+	g=$(curl -s -H "Authorization: Bearer $ACCOUNT" "http://$(address_of "$OWNER")/v1/entries" |
+		sed -n 's/.*"grant":"\([^"]*\)".*/\1/p')
+	REQUEST=$g.t$NR
+	NONCE=$(printf '%016x' $((4096 + NR)))
+	open_caller "one-$NR" --request "$REQUEST" --nonce "$NONCE" "$@"
+	open_caller "two-$NR" --request "$REQUEST" --nonce "$NONCE" "$@"
+	exec 3>"$DIR/one-$NR.in" 4<"$DIR/one-$NR.answer"
+	exec 5>"$DIR/two-$NR.in" 6<"$DIR/two-$NR.answer"
+}
+
+close_request() {
+	exec 3>&- 4<&- 5>&- 6<&-
+}
+
+# told: the caller's answer to the last command, in ANSWER.
+told() {
+	read -r ANSWER <&4
+}
+
+# one COMMAND...: the first caller does it.
+one() {
+	echo "$*" >&3
+	told
+}
+
+kill_entry() {
+	kill -9 "$(pid_of "$1")" "$(pid_of "$1-control")"
+	DEAD="$DEAD $1"
+}
+
+# holder_of: the entry that has the copy of the request.
+holder_of() {
+	local line
+	line=$(await "$DIR/$OWNER.log" "key=$REQUEST .*claim outcome=won") || return 1
+	entry_at "${line##*holder=}"
+}
+
+# answer NAME FIELD: a field of the last answer.
+answer() {
+	echo "$ANSWER" | tr ' ' '\n' | sed -n "s/^$1=//p"
+}
+
+# whole NAME: the caller holds one whole answer, and so does any other who
+# asks with the same key; the second caller's is the same.
+whole() {
+	local first result
+	expect "$1: whole" [ "${ANSWER%% *} $(answer held) $(answer bad)" = "done $TOKENS 0" ]
+	[ "${ANSWER%% *} $(answer held) $(answer bad)" = "done $TOKENS 0" ] ||
+		echo "$1: $ANSWER: $(tr '\n' '|' <"$DIR/one-$NR.err")"
+	first=$(answer hash)
+	echo "ask $(address_of "$(another "$OWNER")")" >&5
+	read -r ANSWER <&6
+	result="${ANSWER%% *} $(answer held) $(answer bad) $(answer hash)"
+	expect "$1: the same answer again" [ "$result" = "done $TOKENS 0 $first" ]
+	[ "$result" = "done $TOKENS 0 $first" ] || echo "$1: again: $ANSWER, first $first"
+}
+
+# ---- Steps: each ends with the owner killed ----
+
+# The claim is won; the caller holds nothing, and no copy but the record left.
+step_claim() {
+	echo "ask $(address_of "$OWNER")" >&3
+	HOLDER=$(holder_of)
+	kill_entry "$OWNER"
+	told
+}
+
+# The caller holds tokens; its holder has the record only (copies are rare).
+step_first() {
+	one ask "$(address_of "$OWNER")" "$HELD"
+	HOLDER=$(holder_of)
+	kill_entry "$OWNER"
+}
+
+# Copies were sent to a holder that is stopped, and wait there unread.
+step_sent() {
+	echo "ask $(address_of "$OWNER") $HELD" >&3
+	HOLDER=$(holder_of)
+	kill -STOP "$(pid_of "$HOLDER")"
+	told
+	kill_entry "$OWNER"
+	kill -CONT "$(pid_of "$HOLDER")"
+}
+
+# Some of the tokens were copied to the holder.
+step_copied() {
+	one ask "$(address_of "$OWNER")" "$HELD"
+	HOLDER=$(holder_of)
+	await_copy
+	kill_entry "$OWNER"
+}
+
+# The caller has the whole answer; that it ended was not copied.
+step_whole() {
+	one ask "$(address_of "$OWNER")"
+	HOLDER=$(holder_of)
+	kill_entry "$OWNER"
+}
+
+# Until the owner has sent tokens to its holder.
+await_copy() {
+	local i
+	for i in $(seq 1 400); do
+		curl -s -m 1 "http://$(address_of "$OWNER")/metrics" |
+			grep -qE '^marldock_copy_tokens_total [1-9]' && return
+		sleep 0.005
+	done
+}
+
+# ---- What happens to the run ----
+
+with_engine() {
+	:
+}
+
+without_engine() {
+	local engine
+	engine=$(engine_of "$REQUEST" "$OWNER")
+	[ -n "$engine" ] && kill -9 "$(pid_of "$engine")"
+}
+
+# ---- The caller's return ----
+
+back_at_another() {
+	one ask "$(address_of "$(another "$OWNER" "$HOLDER")")"
+}
+
+back_at_holder() {
+	one ask "$(address_of "$HOLDER")"
+}
+
+# After the members know that the owner is dead.
+back_late() {
+	await "$DIR/$HOLDER.log" "key=$REQUEST .*takeover" >/dev/null
+	await "$DIR/$HOLDER.log" "key=$REQUEST .*end outcome" >/dev/null
+	back_at_another
+}
+
+# With an event id of before: the caller lost what came after it.
+back_with_old_id() {
+	one restore
+	back_at_another
+}
+
+# The entry that took over is killed as well, once a third has its copy.
+back_after_second_kill() {
+	echo "ask $(address_of "$(another "$OWNER" "$HOLDER")")" >&3
+	await "$DIR/$HOLDER.log" "key=$REQUEST .*takeover" >/dev/null
+	await "$DIR/$HOLDER.log" "key=$REQUEST .*rehome .*held=yes" >/dev/null
+	kill_entry "$HOLDER"
+	told
+	back_anywhere
+}
+
+# Asks the entries that are left in turn, as callers do.
+back_anywhere() {
+	local i tries
+	for tries in $(seq 1 10); do
+		for i in $(seq 1 "$ENTRIES"); do
+			case " $DEAD " in *" entry-$i "*) continue ;; esac
+			one ask "$(address_of "entry-$i")"
+			[ "${ANSWER%% *}" = again ] || return
+		done
+		sleep 0.1
+	done
+}
+
+# case_of STEP ENGINE BACK [OPTIONS...]: one request on the running cluster.
+case_of() {
+	local step=$1 engine=$2 back=$3 name="$1 $2 $3"
+	shift 3
+	OWNER=$(another)
+	new_request "$@"
+	one ask 127.0.0.1:1 # nobody listens there
+	if [ "$back" = back_with_old_id ]; then
+		one ask "$(address_of "$OWNER")" 1
+		one save
+	fi
+	"step_$step"
+	"${engine}_engine"
+	"$back"
+	whole "$name${*:+ $*}"
+	close_request
+}
+
+# revive: entries in place of those that were killed.
+revive() {
+	local name i
+	for name in $DEAD; do
+		i=${name#entry-}
+		start_entry "$name" "$(echo "$ZONES" | cut -d' ' -f $(((i - 1) % 4 + 1)))" >/dev/null
+	done
+	DEAD=
+	wait_ready
+}
+
+# The steps that need copies to leave soon; the others need them not to.
+copy_ms_of() {
+	case $1 in
+	copied | sent) echo 40 ;;
+	*) echo 10000 ;;
+	esac
+}
+
+# Tokens that the caller holds when the owner is killed.
+HELD=3
+for repeat in $(seq 1 "$REPEATS"); do
+	for step in ${STEPS:-claim first sent copied whole}; do
+		for engine in ${ENGINES:-with without}; do
+			for back in ${BACKS:-at_another at_holder late with_old_id}; do
+				# One that holds nothing has no old event id.
+				[ "$step $back" = "claim with_old_id" ] && continue
+				fresh "$(copy_ms_of $step)" || exit 1
+				case_of $step $engine back_$back
+			done
+		done
+	done
+done
+echo "takeover: $PASSED passed, $FAILED failed"
+[ $FAILED = 0 ]
