A restart mark replaces the event id that callers come back with

Found while the known failure's class was looked for elsewhere ("a fact told with what comes along, lost when nothing does"). The mark itself had no id. A caller that keeps event ids as the standard of server-sent events says, and is cut off after the mark and before the first new token, asks for the rest of tokens that it has dropped; an entry that still knows the old run (a holder whose copy is older than the restart) continues it, and the caller gets an answer without its beginning. tests/test_answer.c "a restart voids the last event id": failed before (the id was the old run's, offset 3), passes now: the mark carries the id of a caller that holds nothing.

--- a/lib/entry/ent_answer.c
+++ b/lib/entry/ent_answer.c
@@ -182,10 +182,22 @@
 /* ---- Serving a feed ---- */
 
 /*
- * Begins the stream, and says first that the answer starts anew if that is so.
- * The run that takes over may have no token yet when it is learned: a mark that
- * was sent with that batch's tokens alone was lost then, and the caller put the
- * new run's tokens behind the old ones.
+ * The id replaces that of the last token, with which a caller that is cut off
+ * right now would ask for the rest of tokens it has dropped.
+ */
+static bool write_restart(struct ent_writer *w)
+{
+	static const char event[] =
+		"event: restart\nid: 00000000.0\n"
+		"data: {\"reason\":\"the tokens sent before cannot be continued; "
+		"this is a new attempt\"}\n\n";
+
+	return hsv_chunk(w->rq, event, sizeof(event) - 1);
+}
+
+/*
+ * Begins the stream, with the mark that the answer starts anew if one is due.
+ * It may be due before the new run has a token to send it with.
  */
 static bool begin_or_restart(struct ent_writer *w)
 {
@@ -194,9 +206,7 @@
 	if (!w->restart_due)
 		return true;
 	w->restart_due = false;
-	return write_event(w, "restart",
-			   "{\"reason\":\"the tokens sent before cannot be "
-			   "continued; this is a new attempt\"}");
+	return write_restart(w);
 }
 
 /* One step; false when the reply is over. */
--- a/tests/test_answer.c
+++ b/tests/test_answer.c
@@ -1,10 +1,12 @@
 /* Answers as callers get them, over loopback, from feeds that are scripted. */
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "entry/ent_answer.h"
 #include "net/hcl.h"
 #include "net/hsv.h"
+#include "net/sse.h"
 #include "support/unit.h"
 
 /* What the feed gives, one after the other. */
@@ -112,17 +114,7 @@
 	CU_ASSERT_EQUAL(count(&got, "[DONE]"), 1);
 }
 
-/*
- * Symptom: of 196 accepted answers one was doubled and never whole, in a run in
- * which entries were killed. Sequence: the owner sent its first tokens and was
- * killed before a copy of them had left; another entry took over with none and
- * ran the request anew; the caller came back for the rest before the new run
- * had a token.
- * Cause: that the answer starts anew was told together with the first tokens
- * of the batch that says so. This one had none, and by the next batch the
- * caller counted as one that holds nothing: it got the new run's tokens on top
- * of the old ones, without a mark.
- */
+/* A mark that waits for tokens of its own batch is never sent. */
 static void restart_is_told_when_its_first_token_comes_later(void)
 {
 	static const struct said said[] = { { true, 0, 0, 0, FLOW_OPEN },
@@ -153,12 +145,41 @@
 	CU_ASSERT_EQUAL(count(&got, "[DONE]"), 1);
 }
 
+static bool keep_last(const struct sse_event *ev, void *arg)
+{
+	if (*ev->id)
+		str_copy(arg, ev->id, 32);
+	return strcmp(ev->name, "restart") != 0;
+}
+
+/* Callers that disconnect right after the mark ask for the rest of nothing. */
+static void restart_voids_the_last_event_id(void)
+{
+	static const struct said said[] = { { true, 0, 0, 0, FLOW_OPEN },
+					    { false, 9, 0, 1, FLOW_OPEN },
+					    { false, 9, 1, 0, FLOW_WHOLE } };
+	char last_id[32] = "00000007.3";
+	BUF_AUTO got = BUF_INIT;
+	unsigned gen, offset = 99;
+	struct sse sse;
+
+	ask(said, 3, "Last-Event-ID: 00000007.3", &got);
+	sse_init(&sse);
+	CU_ASSERT_FALSE(sse_feed(&sse, buf_cstr(&got), got.len, keep_last,
+				 last_id));
+	sse_free(&sse);
+	CU_ASSERT_EQUAL(sscanf(last_id, "%8x.%u", &gen, &offset), 2);
+	CU_ASSERT_EQUAL(offset, 0);
+}
+
 static const struct unit_test tests[] = {
 	{ "tokens that follow have no mark", tokens_that_follow_have_no_mark },
 	{ "a restart is told when its first token comes later",
 	  restart_is_told_when_its_first_token_comes_later },
 	{ "a restart is told before an empty end",
 	  restart_is_told_before_an_empty_end },
+	{ "a restart voids the last event id",
+	  restart_voids_the_last_event_id },
 };
 
 int main(void)
