An entry that took a request over has its copy held by another one

What callers would see: an entry dies, another takes its request over, that one dies as well, however much later, and the accepted answer is lost. Evidence: takeover_test.sh, return "after_second_kill" (the entry that took over is killed once a third holds its copy). The line "rehome holder held" is new. Causes, two: the copy was sent as a claim, and a judge that has voted for the first owner keeps no record of another claimant, which is right for a claim and wrong for a takeover. And the judge that was asked could be the owner that had just died; nobody else was asked after it. Fix: PEER_HOLD makes an entry the holder, whoever won the claim; the former owner and judges that refused are passed over; a request without a holder looks for one again with its next token, twice a second at most. Entries of before do not know the call: their copies are as missing as they were.

--- a/lib/entry/ent_claim.c
+++ b/lib/entry/ent_claim.c
@@ -384,6 +384,9 @@
 
 /* ---- Another holder, later ---- */
 
+/* A request that found no holder asks again after this. */
+#define REHOME_RETRY_MS 500
+
 struct rehoming {
 	struct entry *en;
 	struct ent_req *rq;
@@ -393,66 +396,96 @@
 
 static void on_rehomed(enum err_code why, const void *result, void *arg)
 {
-	const peer_claim_reply *r = result;
+	const bool_t *held = result;
 	struct rehoming *h = arg;
+	const bool ok = why == ERR_NONE && *held;
 
 	pthread_mutex_lock(&h->rq->lock);
-	if (why == ERR_NONE && r->held) {
+	ent_req_log(h->rq, "rehome holder=%s held=%s tokens=%u", h->address,
+		    ok ? "yes" : "no", h->rq->flow.tokens);
+	if (ok) {
 		str_copy(h->rq->holder, h->address, sizeof(h->rq->holder));
 		h->rq->holder_place = h->place;
+		h->rq->tried_places = 0;
 		h->rq->copied = 0;
 		ent_copy_soon(h->rq);
+	} else {
+		h->rq->tried_places |= 1u << h->place;
 	}
 	pthread_mutex_unlock(&h->rq->lock);
+	if (!ok)
+		ent_rehome(h->en, h->rq);
 	ent_req_put(h->rq);
 	free(h);
 }
 
-void ent_rehome(struct entry *en, struct ent_req *rq)
+/* The places of the judges that cannot hold the copy now. Lock held. */
+static unsigned useless_places(const struct ent_req *rq, const struct ballot *b)
+{
+	unsigned places = rq->tried_places, i;
+
+	if (*rq->holder)
+		places |= 1u << rq->holder_place;
+	/* It may be dead for a while before membership says so. */
+	for (i = 0; i < b->nr; i++) {
+		if (b->judge[i].who.id == rq->former_owner)
+			places |= 1u << i;
+	}
+	return places;
+}
+
+/* The judge that is to hold the copy; false if there is none. */
+static bool next_holder(struct entry *en, struct ent_req *rq,
+			struct rehoming *h)
 {
 	struct ballot *b = new_ballot(en, rq);
-	peer_claim_args *args;
-	struct rehoming *h;
-	struct link_call c;
-	unsigned skip;
 	int place = -1;
 
-	pthread_mutex_lock(&rq->lock);
-	skip = *rq->holder ? 1u << rq->holder_place : 0;
-	pthread_mutex_unlock(&rq->lock);
-	if (find_judges(en, rq, b))
-		place = choose_holder(en, b, skip);
-	if (place < 0) {
+	if (find_judges(en, rq, b)) {
+		pthread_mutex_lock(&rq->lock);
+		place = choose_holder(en, b, useless_places(rq, b));
+		if (place < 0)
+			rq->tried_places = 0;
+		rq->rehome_ms = ent_now(en) + REHOME_RETRY_MS;
+		pthread_mutex_unlock(&rq->lock);
+	}
+	if (place >= 0) {
+		h->place = (unsigned)place;
+		str_copy(h->address, b->judge[place].who.peer,
+			 sizeof(h->address));
+	}
+	put_ballot(b);
+	return place >= 0;
+}
+
+void ent_rehome(struct entry *en, struct ent_req *rq)
+{
+	struct rehoming *h = mem_new(sizeof(*h));
+	peer_hold_args *args;
+	struct link_call c;
+
+	h->en = en;
+	h->rq = rq;
+	if (!next_holder(en, rq, h)) {
 		met_inc(en->m.unprotected);
-		put_ballot(b);
+		free(h);
 		return;
 	}
 	args = mem_new(sizeof(*args));
 	ent_fill_head(en, &args->head);
-	args->key = mem_dup(rq->key);
 	args->view = rq->slot_view;
 	args->slot = rq->slot;
-	args->place = (u_int)place;
-	args->claimant = en->self.id;
 	args->birth_ms = rq->birth_ms;
-	args->record = mem_new(sizeof(*args->record));
-	ent_fill_record(rq, args->record);
-	h = mem_new(sizeof(*h));
-	h->en = en;
-	h->rq = rq;
-	h->place = (unsigned)place;
-	str_copy(h->address, b->judge[place].who.peer, sizeof(h->address));
+	ent_fill_record(rq, &args->record);
 	ent_req_get(rq);
-	c = ent_call(h->address, PEER_CLAIM, (xdrproc_t)xdr_peer_claim_args,
-		     args, (xdrproc_t)xdr_peer_claim_reply,
-		     sizeof(peer_claim_reply), ASK_MS);
+	c = ent_call(h->address, PEER_HOLD, (xdrproc_t)xdr_peer_hold_args, args,
+		     (xdrproc_t)xdr_bool, sizeof(bool_t), ASK_MS);
 	c.done = on_rehomed;
 	c.arg = h;
 	if (!links_send(en->links, &c)) {
 		ent_req_put(rq);
 		free(h);
 	}
-	put_ballot(b);
 }
 
 /* ---- Finding what others know of a key ---- */
--- a/lib/entry/ent_copy.c
+++ b/lib/entry/ent_copy.c
@@ -45,6 +45,17 @@
 	pthread_mutex_unlock(&rq->lock);
 }
 
+/* The same record again is the same copy. */
+static bool is_copy_for(struct ent_req *rq, uint64_t owner)
+{
+	bool same;
+
+	pthread_mutex_lock(&rq->lock);
+	same = rq->owner == owner;
+	pthread_mutex_unlock(&rq->lock);
+	return same;
+}
+
 bool ent_take_record(struct entry *en, const peer_record *r, uint64_t view,
 		     unsigned slot, int64_t birth_ms)
 {
@@ -75,8 +86,7 @@
 	rq->body = mem_new(r->body.body_len + 1);
 	memcpy(rq->body, r->body.body_val, r->body.body_len);
 	there = ent_req_add(en, rq);
-	/* The same record again is the same copy. */
-	taken = there == rq || there->owner == r->owner;
+	taken = there == rq || is_copy_for(there, r->owner);
 	ent_req_put(there);
 	ent_req_put(rq);
 	if (taken)
@@ -84,11 +94,32 @@
 	return taken;
 }
 
+bool ent_hold(struct entry *en, const peer_hold_args *a)
+{
+	struct ent_req *rq = ent_req_find(en, a->record.key);
+	bool held;
+
+	if (!rq)
+		return ent_take_record(en, &a->record, a->view, a->slot,
+				       a->birth_ms);
+	pthread_mutex_lock(&rq->lock);
+	held = rq->role == ENT_HOLDER && rq->flow.phase != FLOW_DONE &&
+	       !strcmp(rq->account, a->record.account);
+	if (held) {
+		rq->owner = a->record.owner;
+		rq->flow.endpoint = a->record.endpoint;
+		rq->flow.attempt = a->record.attempt;
+	}
+	pthread_mutex_unlock(&rq->lock);
+	ent_req_put(rq);
+	return held;
+}
+
 /* ---- Sending ---- */
 
 void ent_copy_soon(struct ent_req *rq)
 {
-	if (rq->role != ENT_OWNER || rq->in_copier || !*rq->holder)
+	if (rq->role != ENT_OWNER || rq->in_copier)
 		return;
 	ent_req_get(rq);
 	if (ring_push(rq->en->copies, rq)) {
@@ -222,6 +253,23 @@
 
 #define MAX_OPEN 64
 
+/* True if the request has no holder; asks for one unless it just did. */
+static bool lacks_holder(struct entry *en, struct ent_req *rq)
+{
+	const int64_t now = ent_now(en);
+	bool lacks, due;
+
+	pthread_mutex_lock(&rq->lock);
+	lacks = !*rq->holder;
+	due = lacks && now >= rq->rehome_ms;
+	if (lacks)
+		rq->in_copier = false;
+	pthread_mutex_unlock(&rq->lock);
+	if (due)
+		ent_rehome(en, rq);
+	return lacks;
+}
+
 static void copy_round(struct entry *en)
 {
 	struct batch *open[MAX_OPEN];
@@ -231,6 +279,10 @@
 	while (nr < MAX_OPEN && (rq = ring_pop(en->copies, 0))) {
 		struct batch *b;
 
+		if (lacks_holder(en, rq)) {
+			ent_req_put(rq);
+			continue;
+		}
 		pthread_mutex_lock(&rq->lock);
 		rq->in_copier = false;
 		b = batch_for(en, open, &nr, MAX_OPEN, rq->holder);
@@ -384,6 +436,7 @@
 		return;
 	}
 	rq->role = ENT_OWNER;
+	rq->former_owner = rq->owner;
 	rq->owner = en->self.id;
 	ent_req_open(rq);
 	met_inc(en->m.takeovers);
--- a/lib/entry/ent_rpc.c
+++ b/lib/entry/ent_rpc.c
@@ -184,6 +184,14 @@
 	return TRUE;
 }
 
+bool_t peer_hold_1_svc(peer_hold_args a, bool_t *r, struct svc_req *q)
+{
+	if (!allowed(&a.head, q))
+		return FALSE;
+	*r = ent_hold(serving, &a);
+	return TRUE;
+}
+
 bool_t peer_update_1_svc(peer_update_args a, bool_t *r, struct svc_req *q)
 {
 	u_int i;
--- a/lib/entry/entry_internal.h
+++ b/lib/entry/entry_internal.h
@@ -141,6 +141,9 @@
 	/* The copy at the holder. */
 	char holder[SET_ADDR_MAX];
 	unsigned holder_place;
+	uint64_t former_owner; /* whose request was taken over; 0: none */
+	unsigned tried_places; /* of judges that did not take the copy */
+	int64_t rehome_ms;     /* no other holder is asked for before */
 	uint32_t copied;
 	bool in_copier;
 	bool final_copied;
@@ -379,7 +382,10 @@
 };
 /* Claims `rq` for this entry; blocks for at most a few hundred ms. */
 struct ent_claim_result ent_claim(struct entry *en, struct ent_req *rq);
-/* Copies the record to another judge after the holder was lost. */
+/*
+ * Has another judge hold the copy, after the holder was lost or became the
+ * owner. Returns at once; what the judge says is logged.
+ */
 void ent_rehome(struct entry *en, struct ent_req *rq);
 struct judge_reply ent_judge_ask(struct entry *en, const struct judge_ask *ask);
 /* Addresses that may know about a key: winner first, then its judges. */
@@ -427,6 +433,12 @@
 void ent_fill_record(struct ent_req *rq, peer_record *r);
 bool ent_take_record(struct entry *en, const peer_record *r, uint64_t view,
 		     unsigned slot, int64_t birth_ms);
+/*
+ * Becomes the holder for the owner in the record, also in place of an earlier
+ * owner: one that took over did not win the claim, so its judges' votes say
+ * nothing. False if this entry runs the request itself or knows its end.
+ */
+bool ent_hold(struct entry *en, const peer_hold_args *a);
 bool ent_take_update(struct entry *en, const peer_update *u);
 /* Becomes the owner of a record whose owner is gone. */
 void ent_take_over(struct entry *en, struct ent_req *rq);
--- a/lib/net/peer.h
+++ b/lib/net/peer.h
@@ -149,6 +149,15 @@
 };
 typedef struct peer_claim_reply peer_claim_reply;
 
+struct peer_hold_args {
+	peer_head head;
+	u_quad_t view;
+	u_int slot;
+	quad_t birth_ms;
+	peer_record record;
+};
+typedef struct peer_hold_args peer_hold_args;
+
 struct peer_update {
 	char *key;
 	char *model_version;
@@ -362,6 +371,9 @@
 #define PEER_PULL 13
 extern  enum clnt_stat peer_pull_1(peer_offer_args , peer_give_args *, CLIENT *);
 extern  bool_t peer_pull_1_svc(peer_offer_args , peer_give_args *, struct svc_req *);
+#define PEER_HOLD 14
+extern  enum clnt_stat peer_hold_1(peer_hold_args , bool_t *, CLIENT *);
+extern  bool_t peer_hold_1_svc(peer_hold_args , bool_t *, struct svc_req *);
 extern int marldock_peer_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -404,6 +416,9 @@
 #define PEER_PULL 13
 extern  enum clnt_stat peer_pull_1();
 extern  bool_t peer_pull_1_svc();
+#define PEER_HOLD 14
+extern  enum clnt_stat peer_hold_1();
+extern  bool_t peer_hold_1_svc();
 extern int marldock_peer_1_freeresult ();
 #endif /* K&R C */
 
@@ -423,6 +438,7 @@
 extern  bool_t xdr_peer_record (XDR *, peer_record*);
 extern  bool_t xdr_peer_claim_args (XDR *, peer_claim_args*);
 extern  bool_t xdr_peer_claim_reply (XDR *, peer_claim_reply*);
+extern  bool_t xdr_peer_hold_args (XDR *, peer_hold_args*);
 extern  bool_t xdr_peer_update (XDR *, peer_update*);
 extern  bool_t xdr_peer_update_args (XDR *, peer_update_args*);
 extern  bool_t xdr_peer_fetch_args (XDR *, peer_fetch_args*);
@@ -454,6 +470,7 @@
 extern bool_t xdr_peer_record ();
 extern bool_t xdr_peer_claim_args ();
 extern bool_t xdr_peer_claim_reply ();
+extern bool_t xdr_peer_hold_args ();
 extern bool_t xdr_peer_update ();
 extern bool_t xdr_peer_update_args ();
 extern bool_t xdr_peer_fetch_args ();
--- a/lib/net/peer.x
+++ b/lib/net/peer.x
@@ -116,6 +116,15 @@
 	bool held;
 };
 
+/* Makes the receiver the holder of the copy, whoever won the claim. */
+struct peer_hold_args {
+	peer_head head;
+	unsigned hyper view;
+	unsigned int slot;
+	hyper birth_ms;
+	peer_record record;
+};
+
 /* News of a request, from its owner to the entry that holds the copy. */
 struct peer_update {
 	string key<PEER_KEY>;
@@ -246,5 +255,6 @@
 		bool PEER_ADOPT(peer_adopt_args) = 11;
 		peer_text PEER_STATUS(peer_status_args) = 12;
 		peer_give_args PEER_PULL(peer_offer_args) = 13;
+		bool PEER_HOLD(peer_hold_args) = 14;
 	} = 1;
 } = 0x2a11d0cc;
--- a/lib/net/peer_svc.c
+++ b/lib/net/peer_svc.c
@@ -94,6 +94,12 @@
 	return (peer_pull_1_svc(*argp, result, rqstp));
 }
 
+int
+_peer_hold_1 (peer_hold_args  *argp, void *result, struct svc_req *rqstp)
+{
+	return (peer_hold_1_svc(*argp, result, rqstp));
+}
+
 void
 marldock_peer_1(struct svc_req *rqstp, register SVCXPRT *transp)
 {
@@ -111,6 +117,7 @@
 		peer_adopt_args peer_adopt_1_arg;
 		peer_status_args peer_status_1_arg;
 		peer_offer_args peer_pull_1_arg;
+		peer_hold_args peer_hold_1_arg;
 	} argument;
 	union {
 		peer_ping_reply peer_ping_1_res;
@@ -126,6 +133,7 @@
 		bool_t peer_adopt_1_res;
 		peer_text peer_status_1_res;
 		peer_give_args peer_pull_1_res;
+		bool_t peer_hold_1_res;
 	} result;
 	bool_t retval;
 	xdrproc_t _xdr_argument, _xdr_result;
@@ -214,6 +222,12 @@
 		local = (bool_t (*) (char *, void *,  struct svc_req *))_peer_pull_1;
 		break;
 
+	case PEER_HOLD:
+		_xdr_argument = (xdrproc_t) xdr_peer_hold_args;
+		_xdr_result = (xdrproc_t) xdr_bool;
+		local = (bool_t (*) (char *, void *,  struct svc_req *))_peer_hold_1;
+		break;
+
 	default:
 		svcerr_noproc (transp);
 		return;
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -108,7 +108,7 @@
 				--version "$version" --lag-ms 200 \
 				--prefill "${PREFILL:-8000}"
 		done
-		start "plain-$z" $BIN/standin-plain
+		start "plain-$z" $BIN/standin-plain --delay-ms "${PLAIN_DELAY:-20}"
 	done
 	SEP=
 	PLAIN_ADDRESSES=
--- a/scripts/takeover_test.sh
+++ b/scripts/takeover_test.sh
@@ -276,6 +276,33 @@
 	wait_ready
 }
 
+# runs_of: how often plain services ran the request's call.
+runs_of() {
+	local a
+	for a in $PLAIN_ADDRESSES; do
+		curl -s "http://$a/standin/runs"
+	done | grep -o "\"$NONCE\":[0-9]*" | awk -F: '{n += $2} END {print n + 0}'
+}
+
+# A call that may not be repeated; its owner is killed while it runs.
+plain_calls() {
+	local back
+	for back in at_another at_holder late; do
+		PLAIN_DELAY=300 fresh 40 || return 1
+		OWNER=$(another)
+		new_request --plain "$PLAIN" --path /transfer
+		step_claim
+		back_$back
+		case "${ANSWER%% *} $(runs_of)" in
+		"unknown "[01] | "done 1" | "not-run 0" | "again "[01]) RIGHT=true ;;
+		*) RIGHT=false ;;
+		esac
+		expect "plain call, back $back: at most once, and told so" $RIGHT
+		$RIGHT || echo "plain call, back $back: $ANSWER, runs $(runs_of)"
+		close_request
+	done
+}
+
 # The steps that need copies to leave soon; the others need them not to.
 copy_ms_of() {
 	case $1 in
@@ -286,10 +313,12 @@
 
 # Tokens that the caller holds when the owner is killed.
 HELD=3
-for repeat in $(seq 1 "$REPEATS"); do
+
+takeovers() {
+	local step engine back
 	for step in ${STEPS:-claim first sent copied whole}; do
 		for engine in ${ENGINES:-with without}; do
-			for back in ${BACKS:-at_another at_holder late with_old_id}; do
+			for back in ${BACKS:-at_another at_holder late with_old_id after_second_kill}; do
 				# One that holds nothing has no old event id.
 				[ "$step $back" = "claim with_old_id" ] && continue
 				fresh "$(copy_ms_of $step)" || exit 1
@@ -297,6 +326,12 @@
 			done
 		done
 	done
+}
+
+for repeat in $(seq 1 "$REPEATS"); do
+	for group in ${GROUPS_OF_CASES:-takeovers plain_calls}; do
+		$group
+	done
 done
 echo "takeover: $PASSED passed, $FAILED failed"
 [ $FAILED = 0 ]
