Endpoints that run keep their room until their successors serve

The moment spot ones are granted again, the plan places them first and counts them against the bound of the zone, so 28 endpoints with warm caches are ordered down to 10 in one step, for others that need four seconds to start; ten each are ordered in three other zones instead and taken back one by one. Change, in lib/duty: on-demand endpoints that run or start keep their room against planned spot ones; spot ones keep theirs against new on-demand ones; no spot endpoint is given up for one in another zone before that serves; of on-demand ones those that run are kept before any is added; orders that start count as there. The line `order` tells what is there and starting.

--- a/lib/duty/scale.c
+++ b/lib/duty/scale.c
@@ -78,21 +78,42 @@
 		n->need += (load - n->need) * NEED_DECAY;
 }
 
-static bool full(const struct scale_zone *z, const struct scale_input *in)
+/* Room in a zone beside the on-demand endpoints that run or start there. */
+static int room_for_spot(const struct scale_zone *z,
+			 const struct scale_input *in)
 {
-	return z->want_firm + z->want_spot >= in->max;
+	const int kept = in->idle ? 0 : z->firm + z->firm_coming;
+
+	return kept < in->max ? in->max - kept : 0;
 }
 
 /*
- * While those that stay are kept, they keep their room: reclaimable ones
- * would fill the zone and push them out at once.
+ * On-demand endpoints that run or start keep their room: spot ones that are
+ * only planned would push them out before they serve themselves. Before the
+ * first request there is nothing to lose.
  */
 static bool full_for_spot(const struct scale_zone *z,
 			  const struct scale_input *in)
 {
-	const int kept = in->firm_least ? z->firm : 0;
+	return z->want_spot >= room_for_spot(z, in);
+}
+
+/* Spot endpoints of a zone: those planned, or those that run or start. */
+static int spot_there(const struct scale_zone *z, const struct scale_input *in)
+{
+	const int kept = in->idle ? 0 : z->spot + z->spot_coming;
 
-	return kept + z->want_spot >= in->max;
+	return kept > z->want_spot ? kept : z->want_spot;
+}
+
+/* Spot endpoints that run or start keep theirs against new on-demand ones. */
+static bool full_for_firm(const struct scale_zone *z,
+			  const struct scale_input *in)
+{
+	const bool runs = z->want_firm < z->firm;
+
+	return z->want_firm + (runs ? z->want_spot : spot_there(z, in)) >=
+	       in->max;
 }
 
 /*
@@ -117,31 +138,35 @@
 	return best;
 }
 
-/* True if one in zone `a` is better than one in `b`. */
+/* How well the next on-demand endpoint is placed in a zone; higher is better. */
+static int firm_rank(const struct scale_input *in, const struct scale_zone *z)
+{
+	const bool bare = z->want_firm + z->want_spot < in->min;
+	const bool runs = z->want_firm < z->firm;
+
+	return 2 * runs + bare;
+}
+
+/* Those that run are kept before any is added elsewhere. */
 static bool better_firm(const struct scale_input *in,
 			const struct scale_zone *a, const struct scale_zone *b)
 {
-	const bool bare_a = a->want_firm + a->want_spot < in->min;
-	const bool bare_b = b->want_firm + b->want_spot < in->min;
-	const bool here_a = a->want_firm < a->firm;
-	const bool here_b = b->want_firm < b->firm;
-
-	if (bare_a != bare_b)
-		return bare_a;
-	if (here_a != here_b)
-		return here_a;
+	const int rank_a = firm_rank(in, a), rank_b = firm_rank(in, b);
+
+	if (rank_a != rank_b)
+		return rank_a > rank_b;
 	return a->price < b->price;
 }
 
-/* Where the least is wanted anyway, where they run, where they are cheap. */
 static size_t next_firm(const struct scale_zone *z, size_t n,
 			const struct scale_input *in)
 {
 	size_t best = n, i;
 
 	for (i = 0; i < n; i++) {
-		if (full(&z[i], in) || (in->now_ms < z[i].firm_dry_ms &&
-					z[i].want_firm >= z[i].firm))
+		if (full_for_firm(&z[i], in) ||
+		    (in->now_ms < z[i].firm_dry_ms &&
+		     z[i].want_firm >= z[i].firm))
 			continue;
 		if (best == n || better_firm(in, &z[i], &z[best]))
 			best = i;
@@ -158,6 +183,31 @@
 					     : 1));
 }
 
+/*
+ * Spot endpoints change zones only once their successors serve: no more are
+ * given up than run beyond the number wanted.
+ */
+static void keep_running_spot(const struct scale_input *in,
+			      struct scale_zone *z, size_t n)
+{
+	int surplus = -spot_wanted(in), cut;
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		surplus += z[i].spot;
+	for (i = 0; i < n; i++) {
+		cut = z[i].spot - z[i].want_spot;
+		if (cut <= 0)
+			continue;
+		if (cut > surplus)
+			cut = surplus > 0 ? surplus : 0;
+		surplus -= cut;
+		z[i].want_spot = z[i].spot - cut;
+		if (z[i].want_spot > room_for_spot(&z[i], in))
+			z[i].want_spot = room_for_spot(&z[i], in);
+	}
+}
+
 static void place_spot(const struct scale_input *in, struct scale_zone *z,
 		       size_t n)
 {
@@ -167,9 +217,10 @@
 	while (left-- > 0) {
 		i = next_spot(z, n, in);
 		if (i == n)
-			return;
+			break;
 		z[i].want_spot++;
 	}
+	keep_running_spot(in, z, n);
 }
 
 /* Reclaimable ones of the plan that are there, or were granted as well. */
@@ -238,7 +289,7 @@
 	size_t i;
 
 	for (i = 0; i < n; i++)
-		now += z[i].firm;
+		now += z[i].firm + z[i].firm_coming;
 	if (in->idle)
 		return low;
 	if (now < low)
@@ -269,7 +320,8 @@
 
 static void keep_minimum(const struct scale_input *in, struct scale_zone *z)
 {
-	while (z->want_firm + z->want_spot < in->min) {
+	while (z->want_firm + at_least(z->want_spot, z->spot_coming) <
+	       in->min) {
 		if (in->spot_price > 0 && in->now_ms >= z->spot_dry_ms)
 			z->want_spot++;
 		else
--- a/lib/duty/scale.h
+++ b/lib/duty/scale.h
@@ -20,8 +20,8 @@
 struct scale_zone {
 	char name[SCALE_NAME];
 	double price;
-	int firm, spot;	 /* usable now, by kind */
-	int spot_coming; /* ordered, and within the time they take */
+	int firm, spot;		      /* usable now, by kind */
+	int firm_coming, spot_coming; /* ordered, within their start-up time */
 	int64_t firm_dry_ms, spot_dry_ms; /* none to be had before; 0: never */
 	int want_firm, want_spot;	  /* the plan */
 };
--- a/lib/edge/edge_scale.c
+++ b/lib/edge/edge_scale.c
@@ -83,7 +83,8 @@
 	d->order = NULL;
 }
 
-static void send_order(struct edge_duty *d, struct edge_order *o, int number)
+static void send_order(struct edge_duty *d, struct edge_order *o,
+		       const struct scale_zone *z, int number)
 {
 	struct edge *en = d->en;
 	const struct wire_duty w = edge_duty_wire(en);
@@ -102,6 +103,10 @@
 	jlog_bool(en->log, "reclaimable", o->reclaimable);
 	jlog_int(en->log, "before", o->number);
 	jlog_int(en->log, "number", number);
+	jlog_int(en->log, "there", o->reclaimable ? z->spot : z->firm);
+	jlog_int(en->log, "starting",
+		 o->reclaimable ? z->spot_coming : z->firm_coming);
+	jlog_int(en->log, "beside", o->reclaimable ? z->firm : z->spot);
 	jlog_num(en->log, "need", scaled_of(d, o->service, now)->need.need);
 	jlog_int(en->log, "fence", en->lead.fence);
 	jlog_end(en->log);
@@ -204,23 +209,30 @@
 	return svc_busy(m, &load, fit);
 }
 
+/* Endpoints of an order that were granted and may still be starting. */
+static int coming(const struct edge_order *o, int there, int64_t boot_ms,
+		  int64_t now)
+{
+	if (o->number <= there ||
+	    now - o->accepted_ms >= boot_ms + ORDER_EXTRA_MS)
+		return 0;
+	return o->number - there;
+}
+
 static size_t zones_of(struct edge_duty *d, const struct cfg_service *s,
 		       struct scale_zone *zones)
 {
 	const int64_t now = edge_now(d->en);
 	struct flt_endpoint *e;
-	struct edge_order *spot;
 	size_t n = 0, i;
 
 	for (i = 0; i < s->scaling.nr_prices && n < SCALE_ZONES; i++) {
 		struct scale_zone *z = &zones[n++];
+		const struct edge_order *order;
 
 		memset(z, 0, sizeof(*z));
 		str_copy(z->name, s->scaling.prices[i].zone, sizeof(z->name));
 		z->price = s->scaling.prices[i].price;
-		z->firm_dry_ms = order_of(d, s->name, z->name, false)->dry_ms;
-		spot = order_of(d, s->name, z->name, true);
-		z->spot_dry_ms = spot->dry_ms;
 		cds_list_for_each_entry(e, &d->en->fleet.endpoints, node) {
 			if (strcmp(e->info.service, s->name) ||
 			    strcmp(e->info.zone, z->name) || e->drain_ms)
@@ -230,10 +242,14 @@
 			else
 				z->firm++;
 		}
-		if (spot->number > z->spot &&
-		    now - spot->accepted_ms <
-			    s->scaling.boot_ms + ORDER_EXTRA_MS)
-			z->spot_coming = spot->number - z->spot;
+		order = order_of(d, s->name, z->name, false);
+		z->firm_dry_ms = order->dry_ms;
+		z->firm_coming =
+			coming(order, z->firm, s->scaling.boot_ms, now);
+		order = order_of(d, s->name, z->name, true);
+		z->spot_dry_ms = order->dry_ms;
+		z->spot_coming =
+			coming(order, z->spot, s->scaling.boot_ms, now);
 	}
 	return n;
 }
@@ -259,7 +275,7 @@
 	    (have >= number ||
 	     now - o->accepted_ms < s->scaling.boot_ms + ORDER_EXTRA_MS))
 		return false;
-	send_order(d, o, number);
+	send_order(d, o, z, number);
 	return true;
 }
 
--- a/tests/test_duties.c
+++ b/tests/test_duties.c
@@ -1,4 +1,5 @@
 /* Duties: one holder at a time, exact counts, the plan of endpoints. */
+#include <math.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -727,6 +728,173 @@
 	}
 }
 
+/* ---- The plan under reclaims in series ---- */
+
+#define REPLAN_MS 50
+#define MOST_STARTING 64
+
+/* Endpoints of one kind in one zone. */
+struct pool {
+	int running;
+	int64_t starts[MOST_STARTING]; /* when each that was granted serves */
+	int nr_starts;
+};
+
+struct reclaims {
+	struct rnd rnd;
+	struct scale_input in;
+	struct scale_zone z[4];
+	struct pool firm[4], spot[4];
+	int64_t dry_until[4];
+	int64_t boot_ms, next_reclaim_ms;
+	bool room_kept; /* false: the twin that plans as if nothing ran */
+	int given_up_early;
+};
+
+static void start_due(struct pool *p, int64_t now)
+{
+	int i = 0;
+
+	while (i < p->nr_starts) {
+		if (p->starts[i] > now) {
+			i++;
+			continue;
+		}
+		p->running++;
+		p->starts[i] = p->starts[--p->nr_starts];
+	}
+}
+
+/* Those that start are given up first, as the platform does. */
+static void follow_order(struct pool *p, int wanted, int64_t serves_ms)
+{
+	while (p->running + p->nr_starts > wanted && p->nr_starts)
+		p->nr_starts--;
+	if (p->running > wanted)
+		p->running = wanted;
+	while (p->running + p->nr_starts < wanted &&
+	       p->nr_starts < MOST_STARTING)
+		p->starts[p->nr_starts++] = serves_ms;
+}
+
+/* A zone of spot endpoints goes; for a while none are to be had anywhere. */
+static void maybe_reclaim(struct reclaims *w)
+{
+	const int64_t now = w->in.now_ms;
+	const unsigned zone = rnd_below(&w->rnd, 4);
+	int i;
+
+	if (now < w->next_reclaim_ms)
+		return;
+	w->next_reclaim_ms = now + 1000 + rnd_below(&w->rnd, 8000);
+	w->spot[zone].running = 0;
+	w->spot[zone].nr_starts = 0;
+	for (i = 0; i < 4; i++)
+		w->dry_until[i] = now + 5000 + rnd_below(&w->rnd, 25000);
+}
+
+static void fill_zones(struct reclaims *w)
+{
+	int i;
+
+	for (i = 0; i < 4; i++) {
+		w->z[i].firm = w->firm[i].running;
+		w->z[i].firm_coming = w->room_kept ? w->firm[i].nr_starts : 0;
+		w->z[i].spot = w->spot[i].running;
+		w->z[i].spot_coming = w->spot[i].nr_starts;
+		w->z[i].spot_dry_ms = w->dry_until[i];
+	}
+}
+
+/* What runs, up to what the load needs with cover, is in the plan. */
+static void check_kept(struct reclaims *w)
+{
+	const int cover = (int)ceil(w->in.need * 1.5);
+	int running = 0, kept = 0, i;
+
+	for (i = 0; i < 4; i++) {
+		const struct scale_zone *z = &w->z[i];
+
+		running += z->firm + z->spot;
+		kept += z->want_firm < z->firm ? z->want_firm : z->firm;
+		kept += z->want_spot < z->spot ? z->want_spot : z->spot;
+		CU_ASSERT(z->want_firm + z->want_spot <= w->in.max);
+	}
+	w->given_up_early += kept < (running < cover ? running : cover);
+}
+
+static void replan(struct reclaims *w)
+{
+	const int64_t now = w->in.now_ms;
+	int i;
+
+	for (i = 0; i < 4; i++) {
+		start_due(&w->firm[i], now);
+		start_due(&w->spot[i], now);
+	}
+	maybe_reclaim(w);
+	fill_zones(w);
+	if (!w->room_kept)
+		w->in.idle = true;
+	scale_plan(&w->in, w->z, 4);
+	check_kept(w);
+	for (i = 0; i < 4; i++) {
+		const bool dry = now < w->dry_until[i];
+
+		follow_order(&w->firm[i], w->z[i].want_firm, now + w->boot_ms);
+		if (!dry || w->z[i].want_spot < w->spot[i].running)
+			follow_order(&w->spot[i], w->z[i].want_spot,
+				     now + w->boot_ms);
+	}
+	w->in.now_ms += REPLAN_MS;
+}
+
+static int given_up_early(uint64_t seed, bool room_kept)
+{
+	struct reclaims w = { .room_kept = room_kept };
+	int round, i;
+
+	rnd_seed(&w.rnd, seed);
+	four_zones(w.z, 0, 0);
+	w.in = (struct scale_input){
+		.price_cover = true,
+		.loss_cover = true,
+		.min = 1,
+		.max = 2 + (int)rnd_below(&w.rnd, 59),
+		.spot_price = 0.1 + 0.5 * rnd_unit(&w.rnd),
+		.now_ms = 100000,
+	};
+	w.in.need = 1 + rnd_unit(&w.rnd) * w.in.max;
+	w.in.busy = w.in.need;
+	w.boot_ms = 2000 + rnd_below(&w.rnd, 28000);
+	for (i = 0; i < 4; i++)
+		w.spot[i].running = (int)rnd_below(&w.rnd, w.in.max + 1);
+	w.next_reclaim_ms = w.in.now_ms + 1000;
+	for (round = 0; round < 1200; round++)
+		replan(&w);
+	return w.given_up_early;
+}
+
+/* Endpoints that run must not make room for others that are only ordered. */
+static void what_runs_stays_until_its_successors_serve(void)
+{
+	const unsigned long n = unit_seeds(100);
+	unsigned long i;
+
+	for (i = 1; i <= n; i++)
+		CU_ASSERT_EQUAL(given_up_early(unit_seed(i), true), 0);
+}
+
+static void twin_without_kept_room_is_caught(void)
+{
+	unsigned long i;
+	int caught = 0;
+
+	for (i = 1; i <= 20; i++)
+		caught += given_up_early(unit_seed(i), false) > 0;
+	CU_ASSERT(caught > 0);
+}
+
 static const struct unit_test tests[] = {
 	{ "one holder on every schedule", one_holder_on_every_schedule },
 	{ "the twin without a margin is caught",
@@ -750,6 +918,10 @@
 	  need_rises_at_once_and_falls_slowly },
 	{ "the last zone may go as well", last_zone_may_go_as_well },
 	{ "bounds of zones hold", bounds_of_zones_hold },
+	{ "what runs stays until its successors serve",
+	  what_runs_stays_until_its_successors_serve },
+	{ "the twin without kept room is caught",
+	  twin_without_kept_room_is_caught },
 	{ "the plan outlives its holder", the_plan_outlives_its_holder },
 	{ "altered plans are refused", altered_plans_are_refused },
 };
