Planner, poison requests and routing: comments in the field's terms

Spot and on-demand endpoints, crash, quarantine, gossip, lease holder, sample, start-up time, capacity unavailable.

--- a/lib/duty/carry.h
+++ b/lib/duty/carry.h
@@ -1,13 +1,7 @@
 /*
- * carry: what the holder of the duties plans with, as it stands in the store
- * for the next holder.
- *
- * Without it each new holder starts from a guess: where that is high it orders
- * endpoints and takes them back a second later, all with empty prompt caches;
- * where it is low it sends away endpoints that are needed. The log shows it as
- * orders right after a change of holder. On a day on which four holders fall
- * the record gives callers 0.005 of the day (standard error 0.003, 8 pairs);
- * where the guess is near the need it gives nothing.
+ * carry: the plan of the holder of the duties, kept in the store for the next
+ * holder. Without it each new holder would start from a guess and order
+ * endpoints, or remove them, only to undo that a second later.
  */
 #ifndef CARRY_H
 #define CARRY_H
@@ -23,7 +17,7 @@
 struct carry_row {
 	char service[SCALE_NAME];
 	struct scale_need need;
-	double firm_held; /* of those that stay, see scale_ease */
+	double firm_held; /* on-demand endpoints, see scale_ease */
 };
 
 struct carry {
@@ -42,7 +36,7 @@
 /* False, and an empty record, if the text makes no sense. */
 bool carry_decode(const char *text, size_t len, struct carry *out);
 
-/* True if the plans differ so much that the record is worth writing anew. */
+/* True if the plans differ enough to write the record again. */
 bool carry_differs(const struct carry *now, const struct carry *written);
 
 #endif
--- a/lib/duty/scale.c
+++ b/lib/duty/scale.c
@@ -3,59 +3,48 @@
 #include <math.h>
 
 /*
- * Reclaimable endpoints for each that the load keeps busy: this over the root
- * of their price. Two zones of four may go in a row, and what is left has to
- * carry the load; what that saves falls with each further one, what it costs
- * does not, so the best number falls with the price's root. Against four at
- * any price, 12 pairs each: +0.016, +0.008 and +0.004 of a day's worth where
- * they cost 0.22, 0.15 and 0.15; +0.012 on twelve drawn deployments (0.13 to
- * 0.57), there +0.08 where they cost half. 1.3 and 1.7 gave less.
+ * Spot endpoints for each one that the load keeps busy: this over the root of
+ * their price. What a further one saves in a reclaim falls with their number,
+ * its price does not.
  */
 #define SPOT_COVER 1.5
 
-/*
- * Endpoints that stay, as part of the need, while nothing is short. With
- * reclaimable ones in all zones they earned less than they cost (0, 0.25 and
- * 0.5 were measured).
- */
+/* On-demand endpoints as part of the need, while no capacity is unavailable. */
 #define FIRM_PART 0.0
 
 /*
- * Of both kinds together at least, as part of the need: below it others that
- * stay are ordered. Of 1, 1.2, 1.5 and 2 the third gave the most.
+ * Endpoints of both kinds as part of the need. Below it on-demand ones are
+ * ordered: two of four zones may be reclaimed in a row.
  */
 #define COVER_PART 1.5
 
 /*
- * Those that stay leave within about twice this time: an endpoint reads the
- * shared parts of its share of the traffic in some four seconds.
+ * On-demand endpoints drain over about twice this time: an endpoint needs some
+ * four seconds to read the shared prompt prefixes of its part of the traffic.
  */
 #define EASE_MS 4000.0
 
 /*
- * While no reclaimable ones are to be had, the largest zone of them may go
- * next, with none to follow for many seconds: what is left without it must
- * be so many times what the load keeps busy, since it starts with empty
- * prompt caches and reads all shared parts anew. Measured as a day's worth:
- * on 83 entries with four zones reclaimed within 16 s 0.51 with 1, 0.60 with
- * 1.5, 0.63 with 2; on both small deployments, where one zone's endpoints
- * carry the load, the mean is 0.66 without, 0.655 with 1 and 0.637 with 2.
+ * While spot capacity is unavailable, the endpoints outside the largest spot
+ * zone must be this multiple of those kept busy: that zone may go next, and
+ * what replaces it starts with empty prompt caches.
  */
 #define LOSS_PART 1.5
 
-/* "None to be had" is asked anew in turn: so long it still holds after. */
+/* A zone counts as unavailable for this time after its last refused order. */
 #define DRY_HOLD_MS 1500
 
 /*
- * The need falls by this part of the difference at each look, and rises at
- * once: an order that is taken back costs a cache. About 13 s at 50 ms.
+ * The need rises at once and falls by this part of the difference at each look
+ * (every 50 ms, so over about 13 s): an order that is taken back costs a warm
+ * cache.
  */
 #define NEED_DECAY 0.004
 
-/* With so many times what they are good for, endpoints are crowded. */
+/* Endpoints with more than this multiple of their load are crowded. */
 #define CROWDED 1.2
 
-/* Callers' bursts reach 1.7 times the usual load; what is beyond is queue. */
+/* The highest load relative to the usual one; beyond it is queue. */
 #define SURGE 1.5
 
 void scale_look(struct scale_need *n, double load, int usable, double first)
@@ -117,8 +106,8 @@
 }
 
 /*
- * One a zone before a second one anywhere; of equals the cheapest. Where
- * none are to be had those that are there are kept.
+ * The zone with the fewest, the cheapest of equals. Where capacity is
+ * unavailable, those that run are kept.
  */
 static size_t next_spot(const struct scale_zone *z, size_t n,
 			const struct scale_input *in)
@@ -223,7 +212,7 @@
 	keep_running_spot(in, z, n);
 }
 
-/* Reclaimable ones of the plan that are there, or were granted as well. */
+/* Planned spot endpoints that run, or were granted as well. */
 static int sure_spot(const struct scale_zone *z, size_t n, bool granted)
 {
 	int sum = 0, sure;
@@ -249,7 +238,7 @@
 	return false;
 }
 
-/* Others that must stand by so that the largest zone can go. */
+/* On-demand endpoints needed so that the largest spot zone can go. */
 static int against_loss(const struct scale_input *in,
 			const struct scale_zone *z, size_t n)
 {
@@ -272,10 +261,8 @@
 }
 
 /*
- * Between two figures: none is added for what granted ones will cover, since
- * another one takes as long to start; none is taken away before those are
- * there. Taking away at once left no endpoint at all for four seconds after
- * a shortage ended.
+ * Between two bounds: none is added for what granted spot endpoints will cover,
+ * since another one takes as long to start; none is removed before those serve.
  */
 static int firm_wanted(const struct scale_input *in, const struct scale_zone *z,
 		       size_t n)
--- a/lib/duty/scale.h
+++ b/lib/duty/scale.h
@@ -1,11 +1,11 @@
 /*
  * scale: how many endpoints of a service to order in each zone.
  *
- * Reclaimable endpoints cost a fraction of the others, but a whole zone of
- * them can go at two seconds' notice, several zones in a row, with none to
- * be had for many seconds. So many reclaimable ones are kept, spread over
- * all zones, and few that stay, in the cheapest zones; when zones of the
- * former go, others that stay are ordered for as long as they are missing.
+ * Spot endpoints cost a fraction of on-demand ones, but a whole zone of them
+ * can be reclaimed at two seconds' notice, several zones in a row, with no
+ * capacity available for many seconds. So most are spot, spread over all zones;
+ * on-demand ones are ordered for as long as spot ones are missing. No endpoint
+ * that runs is removed before its successor serves.
  */
 #ifndef SCALE_H
 #define SCALE_H
@@ -20,9 +20,9 @@
 struct scale_zone {
 	char name[SCALE_NAME];
 	double price;
-	int firm, spot;		      /* usable now, by kind */
-	int firm_coming, spot_coming; /* ordered, within their start-up time */
-	int64_t firm_dry_ms, spot_dry_ms; /* none to be had before; 0: never */
+	int firm, spot;			  /* usable now, by kind */
+	int firm_coming, spot_coming;	  /* granted, still starting */
+	int64_t firm_dry_ms, spot_dry_ms; /* unavailable until; 0: available */
 	int want_firm, want_spot;	  /* the plan */
 };
 
@@ -31,15 +31,15 @@
 	double need;	   /* endpoints that are planned for */
 	double busy;	   /* of them, those that the load keeps busy */
 	bool idle;	   /* no request has come yet */
-	int firm_least;	   /* that stay: not below this (see scale_ease) */
-	double spot_price; /* as part of the price; 0: none to be had */
+	int firm_least;	   /* of on-demand ones (see scale_ease) */
+	double spot_price; /* as part of the price; 0: no spot ones */
 	int64_t now_ms;
-	bool price_cover; /* more reclaimable ones than needed, by price */
-	bool loss_cover;  /* stand by for the next loss while none are had */
-	bool ease;	  /* those that stay leave one after the other */
+	bool price_cover; /* more spot ones than needed, by price */
+	bool loss_cover;  /* stand by for the next reclaim */
+	bool ease;	  /* on-demand ones drain one after the other */
 };
 
-/* How many endpoints the load keeps busy, carried from look to look. */
+/* Endpoints that the load keeps busy, carried from sample to sample. */
 struct scale_need {
 	double need;  /* 0: not known yet */
 	double usual; /* the same while endpoints were not crowded, fading */
@@ -47,21 +47,19 @@
 };
 
 /*
- * A look at the load: it keeps `load` endpoints busy, and `usable` are there.
- * `first` is taken for the need until some load was seen.
+ * Takes in a sample of the load: it keeps `load` endpoints busy, and `usable`
+ * are there. `first` is taken for the need until there was some load.
  *
- * The need rises at once and falls slowly. When zones of endpoints go,
- * requests pile up on those that are left: many run, and each for long. That
- * is no load of the callers, and ordering for it bought sixty endpoints that
- * stay where fifteen were needed. So while endpoints are crowded the need is
- * bound by what is usual.
+ * The need rises at once and falls slowly. After a reclaim requests queue at
+ * the endpoints that are left; that is no load of the callers. So while
+ * endpoints are crowded the need is bounded by the usual one.
  */
 void scale_look(struct scale_need *n, double load, int usable, double first);
 
 /*
- * Those that stay leave one after the other: the ones that take over begin
- * with empty prompt caches, and reading all shared parts anew at once stops
- * everybody. `held` is carried from look to look; returns the new figure,
+ * On-demand endpoints drain one after the other: their successors begin with
+ * empty prompt caches, and reading all shared prefixes at once would stall
+ * everyone. `held` is carried from sample to sample; returns the new figure,
  * which is the next firm_least.
  */
 double scale_ease(double held, int wanted, int64_t since_ms);
--- a/lib/edge/edge_fatal.c
+++ b/lib/edge/edge_fatal.c
@@ -9,21 +9,21 @@
 #include "base/jsn.h"
 #include "edge/edge_internal.h"
 
-/* A convicted request is not to come again soon; nothing would be new. */
+/* Retry-After of a quarantined request. */
 #define NEVER_RETRY_MS 60000
 
-/* A suspect that is under way elsewhere: its end or answer comes by then. */
+/* Retry-After while the suspect runs elsewhere: its outcome is known by then. */
 #define BUSY_RETRY_MS 300
 
-/* News waits so long for more of it, and a burst of news for longer. */
+/* Batching delay of gossip about crashes, and its bound in a burst. */
 #define TELL_AFTER_MS 2
 #define TELL_GAP_MS 50
 
-/* Each is written once, by who saw the last end; the first of all sees to it. */
+/* Delays until a record that is not in the store is written again. */
 #define RECORD_RETRY_MS 1000
 #define RECORD_LATER_MS 3000
 
-/* Records in the store: each took three endpoints to make. */
+/* Quarantine records read from the store at most. */
 #define MAX_RECORDS 256
 
 #define LOOK_AFTER_MS 1000
--- a/lib/edge/edge_peer.c
+++ b/lib/edge/edge_peer.c
@@ -27,13 +27,7 @@
  */
 #define JUST_MET_MS 2000
 
-/*
- * Time constant of the mean of what peers tell of prompts being read. Of 0.5,
- * 1, 2 and 4 s against the last report alone, as a day's worth on three
- * deployments, 8 pairs each: +0.004, +0.006, +0.009, +0.007 (standard error
- * 0.004); +0.003, +0.002, +0.005, +0.004 (0.006); -0.001, -0.003, +0.014,
- * 0.000 (0.008).
- */
+/* Time constant of the mean of the prompts that peers report as being read. */
 #define TOLD_LOAD_MS 2000.0
 
 /*
--- a/lib/edge/edge_scale.c
+++ b/lib/edge/edge_scale.c
@@ -6,10 +6,10 @@
 
 #include "edge/edge_duty_internal.h"
 
-/* Beyond the time to start, until ordered endpoints count as missing. */
+/* Granted endpoints count as missing this long after their start-up time. */
 #define ORDER_EXTRA_MS 1000
 
-/* After "none to be had" a zone is left alone for so long. */
+/* A zone without capacity is not asked again before. */
 #define DRY_MS 2500
 
 /* ---- Orders ---- */
@@ -54,7 +54,7 @@
 	memset(row, 0, sizeof(*row));
 	str_copy(row->service, service, sizeof(row->service));
 	row->eased_ms = now;
-	/* The holder before left its plan in the store: it is gone on with. */
+	/* The former holder's plan, from the store. */
 	before = d->en->conf->policy.carry_plan
 			 ? carry_find(&d->en->plan, service)
 			 : NULL;
@@ -138,19 +138,13 @@
 }
 
 /*
- * The least that is taken for the need until the load shows, so that the
- * first wave finds prompt caches spread over enough endpoints: one in so many
- * of those that the operators allow in all zones. Today that is 4 (2, 3 and 4
- * were measured). The endpoints that are there would tell too late: they
- * register one after the other, and the first orders already send some away.
+ * The need until the load shows, as a part of what the operators allow in all
+ * zones, so that the first wave finds prompt caches on enough endpoints. Those
+ * that run are no guide: they register one after the other.
  */
 #define MAX_PART 6.0
 
-/*
- * Of the endpoints that a new holder finds, one in so many is taken to be
- * needed, until the load shows: both of today's deployments start with three
- * times what a calm day keeps busy.
- */
+/* Part of the running endpoints that a new holder takes for needed at least. */
 #define START_PART 3.0
 
 /* What runs at a service's endpoints, and how many of them may be used. */
@@ -291,12 +285,12 @@
 
 	if (now < o->dry_ms)
 		return false;
-	/* None were ever there, and none are wanted. */
+	/* There never were any, and none are wanted. */
 	if (o->number < 0 && !number && !have)
 		return false;
 	/*
-	 * Endpoints that were taken away do not come back by themselves: what
-	 * is missing after the time to start is ordered again.
+	 * Reclaimed endpoints do not come back: what is missing after the
+	 * start-up time is ordered again.
 	 */
 	if (o->number == number &&
 	    (have >= number ||
@@ -326,7 +320,7 @@
 	scale_look(need, load_of(d->en, s, &w), w.usable, first);
 }
 
-/* Plans once more if those that stay would go too fast. */
+/* Plans again if on-demand endpoints would go too fast. */
 static void ease_firm(struct edge_scaled *d, struct scale_input *in,
 		      struct scale_zone *zones, size_t n)
 {
@@ -365,11 +359,11 @@
 	follow_load(d, s, &row->need, zones, n);
 	in.idle = d->en->conf->first_start && !row->need.loaded;
 	in.busy = row->need.need;
-	/* One a zone at least: with fewer the prompt caches are too few. */
+	/* One for each zone at least, for their prompt caches. */
 	in.need = row->need.need < (double)n ? (double)n : row->need.need;
 	scale_plan(&in, zones, n);
 	ease_firm(row, &in, zones, n);
-	/* What is added goes before what is taken away. */
+	/* Additions go before removals. */
 	for (i = 0; i < n; i++) {
 		if (zones[i].want_spot > zones[i].spot &&
 		    carry_out(d, s, &zones[i], true))
--- a/lib/model/svc.c
+++ b/lib/model/svc.c
@@ -32,27 +32,16 @@
 /* An answer that took more than so many usual ones counts as that many. */
 #define MEAN_EDGE 4.0
 
-/*
- * Of an endpoint's slots, what a usual load may take; the cover against
- * reclaims leaves more than that free. Of 0.5, 0.7, 0.85 and 1.0 on twelve
- * drawn deployments, with 8 to 96 slots: -0.009, 0, +0.007 and +0.013 of a
- * day's worth; on three others no difference beyond 0.003.
- */
+/* Part of an endpoint's slots that a usual load may take. */
 #define SLOTS_PART 1.0
 
-/* Of the longest pause that is on time, what the usual one may be. */
+/* The usual pause between events, as part of the longest one on time. */
 #define PAUSE_PART 0.5
 
-/*
- * Reading may take so much of an endpoint's time; the rest is left for the
- * load's peaks. On small fleets one endpoint a zone covers those and 1.4 gives
- * 0.02 of a day's worth more than 0.6; on fleets of some sixty endpoints 1.4
- * left a day of reclaims at 0.36 and one of high load at 0.17 of its worth,
- * 0.6 at 0.61 and 0.59 (one day each).
- */
+/* Part of an endpoint's time that reading may take; the rest is for peaks. */
 #define READ_PART 0.7
 
-/* Further answers give an entry's slope no more weight among others'. */
+/* Beyond this number of answers an entry's slope gets no more weight. */
 #define SLOPE_SAMPLES 50.0
 
 /* Rates are taken over about this time: some hundred requests of a fleet. */
--- a/lib/request/fatal.c
+++ b/lib/request/fatal.c
@@ -5,24 +5,23 @@
 #include "request/fatal_internal.h"
 
 /*
- * Ends that did not convict are kept for so long: a request that ends an
- * endpoint each few minutes is found, and one that met two ends by chance is
- * free again before it meets a third.
+ * Lifetime of a suspicion: a request that crashes an endpoint every few minutes
+ * is found, one that met two crashes by chance is released before a third.
  */
 #define KEEP_SUSPECT_MS 600000
 
-/* Cleared ends are kept, so that late news of them does not count anew. */
+/* Cleared crashes are kept, so that late gossip does not count them again. */
 #define KEEP_CLEARED_MS 10000
 
 /* An endpoint that died silently is off the list within four seconds. */
 #define KEEP_DOUBT_MS 6000
 
-/* A run elsewhere that was not told of again: its entry may be dead. */
+/* A run elsewhere that is no longer gossiped: its entry may be dead. */
 #define KEEP_RUN_MS 1500
 
 /*
- * The rate at which sends meet an end by chance is taken over so long; as if
- * there had been none in a minute of sends before.
+ * Time constant of the rate at which requests meet a crash by chance, and the
+ * length of the crash-free history assumed before it.
  */
 #define RATE_MS 30000.0
 #define RATE_PRIOR_MS 60000.0
--- a/lib/request/fatal.h
+++ b/lib/request/fatal.h
@@ -1,24 +1,19 @@
 /*
- * fatal: requests that end the endpoint which runs them, told from those that
- * were only there when an endpoint ended.
+ * fatal: finds poison requests, which crash the endpoint that runs them, among
+ * those that merely ran there.
  *
- * A request that a caller sends again comes under a new id and at any entry,
- * so neither an attempt nor an entry sees that it is the third endpoint that
- * ends under it. What ends endpoints is therefore counted by content, and
- * told between entries as a set of ends: sets can be joined in any order, and
- * any number of times.
+ * A retry comes under a new id and at any entry, so neither an attempt nor an
+ * entry sees that it is the third endpoint that crashed. Crashes are therefore
+ * counted by content, and gossiped as a set: sets can be merged in any order,
+ * any number of times. Otherwise one request would crash endpoint after
+ * endpoint, each with everything that runs there.
  *
- * What goes wrong without it: one request ends endpoint after endpoint, each
- * with all that runs there. One notices that endpoints end in series, each
- * within a moment of a send of the same content.
- *
- * An end counts against all that was under way at the endpoint, unless one of
- * them is more suspect, and weighs the more, the less likely it was to be met
- * by chance: by the rate at which endpoints end anyway, and how long the send
- * had been under way. A whole answer clears. Who is convicted is not sent any
- * more, and explains the ends of others. A suspect runs apart from others, and
- * after FATAL_ENDS - 1 ends once at a time, so that the last end takes nobody
- * else along.
+ * A crash counts against all requests that were running on the endpoint, unless
+ * one of them is more suspect. It weighs the more, the less likely a request of
+ * that length was to meet one by chance. A whole answer clears a request. A
+ * convicted request is quarantined, and explains the crashes of others. A
+ * suspect runs apart from others, and after FATAL_ENDS - 1 crashes one at a
+ * time, so that the last crash takes no other request along.
  */
 #ifndef FATAL_H
 #define FATAL_H
@@ -32,27 +27,27 @@
 #include "base/tab.h"
 
 /*
- * So many ends convict if none of them is likely to be chance, and the second
- * figure in any case: on days on which endpoints end all the time, too.
+ * Crashes that convict if none of them is likely to be chance, and those that
+ * convict in any case, also while endpoints crash all the time.
  */
 #define FATAL_ENDS 3
 #define FATAL_ENDS_MOST 5
 
 /*
- * From so many ends on a request is a strong suspect: it runs once at a time in
- * all entries, and others keep away from the endpoint where it does.
+ * Crashes from which on a suspect runs one at a time in all entries, on an
+ * endpoint that other requests avoid.
  */
 #define FATAL_STRONG_ENDS (FATAL_ENDS - 1)
 
-/* Ends kept of a request; runs of it elsewhere; endpoints looked at. */
+/* Crashes kept of a request; its runs elsewhere; endpoints being probed. */
 #define FATAL_MAX_ENDS 6
 #define FATAL_MAX_RUNS 8
 #define FATAL_MAX_DOUBTS 4
 
-/* Contents kept: callers can invent any number of them. */
+/* Contents kept: callers can send any number of them. */
 #define FATAL_MAX_ROWS 512
 
-/* A conviction that nobody lifted is kept for so long after the last end. */
+/* Quarantine lasts this long after the last crash unless released. */
 #define FATAL_KEEP_MS 3600000
 
 /* Rows in one datagram. */
--- a/lib/route/pick.c
+++ b/lib/route/pick.c
@@ -5,18 +5,15 @@
 #include "base/hsh.h"
 
 /*
- * A long prompt delays those that run beside it: the engine reads a chunk
- * between two steps. Each running request counts for this part of the time
- * in which a usual prompt is read: 6 of 52 ms, the best of 2, 4, 6 and 10 ms on
- * the two deployments on which it was measured.
+ * A long prompt delays the requests that run beside it: the engine reads a chunk
+ * between two steps. Each running request counts for this part of the time in
+ * which a usual prompt is read.
  */
 #define RUN_PART 0.115
 
 /*
- * Reading a shared part anew takes the endpoint's time from all others: it
- * counts for so much more than the wait that it causes. Of 0, 0.5 and 1 (with
- * 2, 4 and 10 ms for a running request) the second gave callers the most on
- * both of today's deployments, by 0.01 of a day's worth.
+ * Reading a shared prefix again takes the endpoint's time from all others: it
+ * counts for this much more than the wait that it causes.
  */
 #define REREAD_EXTRA 0.5
 
--- a/tests/test_duties.c
+++ b/tests/test_duties.c
@@ -211,12 +211,7 @@
 	CU_ASSERT(broken > 0);
 }
 
-/*
- * Symptom: a holder that had just taken the duty gave it up. Sequence: its
- * write is answered; then the watch brings the end of the key of the holder
- * before, which happened earlier. Cause: words taken in the order of their
- * arrival, not of the store.
- */
+/* A late answer about an earlier record must not depose the new holder. */
 static void late_words_do_not_depose(void)
 {
 	struct lead l;
@@ -239,13 +234,7 @@
 	CU_ASSERT(lead_try(&l, 0, 20000, 9000 + AWAY));
 }
 
-/*
- * Symptom: for five seconds after all entries were killed at once nobody
- * ordered endpoints, while zones of them were reclaimed. Sequence: the key of
- * the dead holder stood until its lease ran out, and the entry that had held
- * it stayed away as a former holder. Cause: a key that names a dead boot of
- * this entry taken for another's.
- */
+/* A restarted entry must not wait for the lease of its own former boot. */
 static void duty_of_a_former_boot_is_taken_over(void)
 {
 	struct lead l;
@@ -271,11 +260,7 @@
 
 /* ---- Usage ---- */
 
-/*
- * Symptom: 84 entries wrote 500 times within a second, of which one write
- * could succeed. Sequence: the duty was vacant, all tried, and again at each
- * look until the watch told them who had it. Cause: no order among them.
- */
+/* A vacant duty must not have every entry write to the store. */
 static void few_try_to_take_a_vacant_duty(void)
 {
 	enum {
@@ -339,11 +324,7 @@
 	usage_free(&u);
 }
 
-/*
- * Symptom: a window's report was off by a third. Sequence: the time of day
- * on one machine jumps three seconds ahead and back. Cause: windows by the
- * machine's clock of the day.
- */
+/* A step of the wall clock must not move counts to another window. */
 static void jumps_of_the_clock_are_not_time(void)
 {
 	int64_t ahead[4] = { 0, 3000, 2990, 3010 };
@@ -416,12 +397,7 @@
 		CU_ASSERT_EQUAL(z[i].want_spot, 4);
 }
 
-/*
- * Symptom: no endpoint at all for four seconds, 60 requests refused.
- * Sequence: all zones were reclaimed, six endpoints that stay carried the
- * load; the shortage ended, reclaimable ones were granted, and the six were
- * given up before the others had started. Cause: granted counted as there.
- */
+/* Granted endpoints that still start must not replace running ones. */
 static void those_that_stay_wait_for_the_granted_ones(void)
 {
 	struct scale_input in = {
@@ -454,13 +430,7 @@
 	CU_ASSERT_EQUAL(firm, 0);
 }
 
-/*
- * Symptom: at the end of a shortage 274 of 412 requests in two seconds ran
- * into their deadlines. Sequence: 45 endpoints with warm caches were given up
- * in the moment in which as many cold ones were there. Cause: the change at
- * once, since the reclaimable ones filled the zones; the shared parts of all
- * prompts were read anew by everybody.
- */
+/* All caches must not turn cold at once when a shortage ends. */
 static void those_that_stay_leave_one_after_the_other(void)
 {
 	struct scale_input in = {
@@ -530,14 +500,7 @@
 		CU_ASSERT(z[i].want_firm + z[i].want_spot <= in.max);
 }
 
-/*
- * Symptom: sixty endpoints that stay were ordered where fifteen were needed.
- * Sequence: three of four zones were reclaimed, requests piled up on what was
- * left, and each of them ran for five times as long. Cause: what runs was
- * taken for what callers ask. The pattern: 140 runs at once on 60 endpoints,
- * then 600 on 5, as on a day of four reclaims within 16 s, ten to an
- * endpoint.
- */
+/* A queue after a reclaim must not be taken for load. */
 static void piled_up_requests_are_no_load(void)
 {
 	struct scale_need n = { 0 };
@@ -553,12 +516,7 @@
 	CU_ASSERT_DOUBLE_EQUAL(n.usual, 14, 1);
 }
 
-/*
- * Symptom: with each change of the duties' holder twenty endpoints were
- * ordered and taken back a second later. Sequence: the holder dies; the next
- * one has seen no load and begins with a guess. Cause: the plan died with its
- * holder.
- */
+/* A new holder must not order from a guess and undo it. */
 static void the_plan_outlives_its_holder(void)
 {
 	struct carry before = { .nr_rows = 0 }, after;
@@ -651,12 +609,7 @@
 	CU_ASSERT(n.need > 6);
 }
 
-/*
- * Symptom: for eight seconds nobody was served in time. Sequence: zone after
- * zone of reclaimable endpoints was taken with none to be had; one zone was
- * left and carried all, and then it went as well. Cause: what stays was
- * ordered only for what had gone already, and needs four seconds to start.
- */
+/* Stand-by for the last spot zone must be ordered before it goes. */
 static void last_zone_may_go_as_well(void)
 {
 	const struct scale_input in = {
