edge: log and count the request limits that endpoints state

An endpoint may state in its answers how many requests per second it accepts from all entries together.

The adapter decodes the header; a value that is not a positive decimal number is logged and ignored. endpoint_limit logs each change with the attempt whose answer stated it; counters of answers that state a limit, of unreadable statements and of sends to such endpoints, a gauge of endpoints with a limit, the counters also in the line of totals. Requests are sent as before.

--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -108,6 +108,17 @@
 	x->endpoints_ended =
 		met_counter(m, "endpoints_ended_total",
 			    "endpoints that ended under our requests");
+	x->limits_stated = met_counter(
+		m, "endpoint_limits_stated_total",
+		"answers in which an endpoint limited its requests");
+	x->statements_malformed =
+		met_counter(m, "endpoint_statements_malformed_total",
+			    "answers with a statement that cannot be read");
+	x->sends_to_limited =
+		met_counter(m, "sends_to_limited_total",
+			    "requests sent to endpoints that state a limit");
+	x->endpoints_limited = met_gauge(m, "endpoints_limited",
+					 "endpoints that state a limit");
 	x->requests_suspected = met_counter(m, "requests_suspected_total",
 					    "ends held against a request");
 	x->requests_convicted = met_counter(m, "requests_convicted_total",
@@ -255,6 +266,9 @@
 	jlog_int(en->log, "gossip_received", met_get(en->m.gossip_received));
 	jlog_int(en->log, "rows_cut", met_get(en->m.gossip_rows_cut));
 	jlog_int(en->log, "requests", met_get(en->m.requests));
+	jlog_int(en->log, "sends", met_get(en->m.sends));
+	jlog_int(en->log, "limits_stated", met_get(en->m.limits_stated));
+	jlog_int(en->log, "sends_to_limited", met_get(en->m.sends_to_limited));
 	jlog_int(en->log, "entries", en->nr_running);
 	jlog_int(en->log, "core", (int64_t)en->prs.nr_core);
 	jlog_int(en->log, "leaves", (int64_t)en->prs.nr_leaves);
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -75,6 +75,8 @@
 		*streams_cut, *callers_gone, *requests_denied;
 	met_value *moves, *moves_failed;
 	met_value *probes, *endpoints_ended;
+	met_value *limits_stated, *statements_malformed, *sends_to_limited,
+		*endpoints_limited;
 	met_value *requests_suspected, *requests_convicted, *requests_withheld;
 	met_value *sends, *resends, *resumes, *sends_not_run, *sends_lost;
 	met_value *store_calls[STO_KINDS], *store_followed, *store_relayed;
@@ -359,6 +361,14 @@
 void edge_send_moved(struct edge_req *r, struct flt_endpoint *to,
 		     const char *handle);
 
+/* ---- edge_limit.c: request limits that endpoints state ---- */
+
+/* Takes over the limit that the head of an answer (r->reply) states. */
+void edge_limit_answered(struct edge_req *r);
+
+/* The number of endpoints that state a limit. */
+unsigned edge_limit_count(const struct edge *en);
+
 /* ---- edge_probe.c: probes of endpoints after broken connections ---- */
 
 /*
--- a/lib/fleet/flt.h
+++ b/lib/fleet/flt.h
@@ -88,6 +88,11 @@
 	bool probing;		  /* a probe connection is in progress */
 	bool exited;		  /* the process no longer listens */
 	int suspect_runs; /* requests of all entries suspected to crash it */
+	/*
+	 * Requests per second that it accepts from all entries together, as
+	 * stated in its newest answer; 0: it states no limit.
+	 */
+	double limit_per_s;
 
 	/* Sums over the latest load reports of the peers. */
 	double peer_running;
--- a/lib/request/attempt.h
+++ b/lib/request/attempt.h
@@ -12,6 +12,7 @@
 #define ATTEMPT_ID 80
 #define ATTEMPT_HOST 256
 #define ATTEMPT_KEY 256
+#define ATTEMPT_MALFORMED 64
 
 struct attempt {
 	char id[ATTEMPT_ID];
@@ -36,6 +37,13 @@
 	bool sealed;	    /* carries the endpoint's proof of origin */
 	bool events;	    /* the body is an event stream */
 	bool encoded;	    /* has a Content-Encoding: not the original bytes */
+	/*
+	 * The requests per second that the endpoint accepts from all entries
+	 * together; 0: it states no limit.
+	 */
+	double limit_per_s;
+	/* A statement that cannot be read, "NAME: VALUE"; "": none. */
+	char malformed[ATTEMPT_MALFORMED];
 };
 
 /* Headers set by the entry when it forwards an attempt to an endpoint. */
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -332,6 +332,49 @@
 	hparse_free(&p);
 }
 
+static void decode_head(const char *headers, struct reply *r)
+{
+	const struct attempt a = { .id = "abc" };
+	BUF_AUTO head = BUF_INIT;
+	struct hparse p;
+
+	buf_fmt(&head,
+		"HTTP/1.1 200 OK\r\nAttempt-Id: abc\r\nReplica-Seal: s\r\n"
+		"%sContent-Length: 0\r\n\r\n",
+		headers);
+	parse(&p, false, buf_cstr(&head));
+	pf_wire()->decode_answer(&p.msg, &a, r);
+	hparse_free(&p);
+}
+
+static void limits_that_are_no_positive_number_are_malformed(void)
+{
+	static const char *const wrong[] = {
+		"0",   "0.0", "-1", "nan", "inf", "1e300",	   "0x10",
+		"1e2", "2 3", "",   "1,5", "x",	  "9999999999999",
+	};
+	struct reply r;
+	char header[64];
+	size_t i;
+
+	decode_head("", &r);
+	CU_ASSERT_EQUAL(r.limit_per_s, 0);
+	CU_ASSERT_STRING_EQUAL(r.malformed, "");
+	decode_head("Server-Limit: 2.5\r\n", &r);
+	CU_ASSERT_EQUAL(r.limit_per_s, 2.5);
+	CU_ASSERT_STRING_EQUAL(r.malformed, "");
+	for (i = 0; i < sizeof(wrong) / sizeof(wrong[0]); i++) {
+		snprintf(header, sizeof(header), "Server-Limit: %s\r\n",
+			 wrong[i]);
+		decode_head(header, &r);
+		CU_ASSERT_EQUAL(r.limit_per_s, 0);
+		CU_ASSERT_EQUAL(strncmp(r.malformed, "Server-Limit: ", 14), 0);
+	}
+	decode_head("Server-Limit: 2\r\nServer-Limit: 3\r\n", &r);
+	CU_ASSERT_EQUAL(r.limit_per_s, 0);
+	CU_ASSERT_NOT_EQUAL(r.malformed[0], '\0');
+}
+
 static void own_answers_say_when_to_come_back(void)
 {
 	BUF_AUTO out = BUF_INIT;
@@ -536,6 +579,8 @@
 	{ "wrong heads are refused", wrong_heads_are_refused },
 	{ "forged headers do not pass", forged_headers_do_not_pass },
 	{ "answers are told apart", answers_are_told_apart },
+	{ "limits that are no positive number are malformed",
+	  limits_that_are_no_positive_number_are_malformed },
 	{ "own answers say when to come back",
 	  own_answers_say_when_to_come_back },
 	{ "look-ups are known and answered", lookups_are_known_and_answered },
