tests: endpoints that state a limit get no more requests than it

limit_test runs six entries on the stand-in of the platform while endpoints state a limit in their answers: one endpoint of three with plain requests and with streams, all three, and all three while their list entries lapse and return and an entry is killed. The stand-in's endpoints state it (statements.c) and count what reaches them, by the entry that the attempt's id names: from 3 s after the limit was first stated, requests in any 4 s from entries that an answer told of it 0.5 s before; 1.5 x the limit + 5 may arrive.

Reproduces the incident of endpoints that named a limit of one request per second and got 12 requests in 4 s, where 11 may arrive.

--- a/Makefile
+++ b/Makefile
@@ -94,7 +94,8 @@
 	@mkdir -p $(@D)
 	$(CC) -o $@ $(filter %.o,$^) $(LIB) $(LDLIBS)
 
-$(BUILD)/bin/standin-platform: $(BUILD)/tests/support/slow_link.o
+$(BUILD)/bin/standin-platform: $(BUILD)/tests/support/slow_link.o \
+	$(BUILD)/tests/support/statements.o
 $(BUILD)/bin/standin-caller: $(BUILD)/programs/load_request.o
 
 $(BUILD)/tests/test_%: $(BUILD)/tests/test_%.o $(TEST_LIB_OBJ) $(LIB)
--- a/tests/standin/platform.c
+++ b/tests/standin/platform.c
@@ -21,6 +21,7 @@
 #include "base/rnd.h"
 #include "io/hsc.h"
 #include "support/slow_link.h"
+#include "support/statements.h"
 
 #define MAX_KEYS 1024
 #define MAX_RUNS 20000
@@ -71,6 +72,7 @@
 	int64_t end_ms; /* it ends then; 0: it does not */
 	bool ended, started_again, lapsed;
 	unsigned seen; /* requests since it was drained */
+	struct stm statements;
 };
 
 struct watcher {
@@ -639,11 +641,13 @@
 	return &w.runs[w.nr_runs++];
 }
 
-static void put_head(struct buf *out, int status, const char *id, bool stream)
+static void put_head(struct endpoint *e, struct buf *out, int status,
+		     const char *id, bool stream)
 {
 	hmsg_put_status(out, status);
 	hmsg_put(out, "Attempt-Id", id);
 	hmsg_put(out, "Replica-Seal", "seal");
+	stm_put(&e->statements, id, out, now_ms());
 	if (stream) {
 		hmsg_put(out, "Content-Type", "text/event-stream");
 		hmsg_put(out, "Transfer-Encoding", "chunked");
@@ -657,7 +661,7 @@
 	struct stream *s = calloc(1, sizeof(*s));
 	BUF_AUTO out = BUF_INIT;
 
-	put_head(&out, 200, id, true);
+	put_head(e, &out, 200, id, true);
 	hsc_write(c, out.data, out.len);
 	str_copy(s->id, id, sizeof(s->id));
 	s->conn = c;
@@ -683,7 +687,7 @@
 
 	buf_fmt(&body, "%s ran %s for %s", e->id, id,
 		account ? account : "nobody");
-	put_head(&out, answers_error(e) ? 500 : 200, id, false);
+	put_head(e, &out, answers_error(e) ? 500 : 200, id, false);
 	hmsg_put_int(&out, "Content-Length", (int64_t)body.len);
 	hmsg_put_end(&out);
 	buf_add(&out, body.data, body.len);
@@ -736,12 +740,14 @@
 	return true;
 }
 
-static void refuse_copy(struct hsc *c)
+static void refuse(struct endpoint *e, struct hsc *c, const char *id)
 {
 	BUF_AUTO out = BUF_INIT;
 
 	hmsg_put_status(&out, 503);
+	hmsg_put(&out, "Attempt-Id", id);
 	hmsg_put(&out, "Not-Executed", "1");
+	stm_put(&e->statements, id, &out, now_ms());
 	hmsg_put_int(&out, "Content-Length", 0);
 	hmsg_put_end(&out);
 	hsc_write(c, out.data, out.len);
@@ -765,10 +771,11 @@
 		reply(c, 421, "{}");
 		return;
 	}
+	stm_arrived(&e->statements, id, now_ms());
 	if (e->draining)
 		e->seen++;
 	if (copy && !take_copy(copy, id)) {
-		refuse_copy(c);
+		refuse(e, c, id);
 		return;
 	}
 	r = run_of(id);
@@ -1016,21 +1023,27 @@
 {
 	BUF_AUTO out = BUF_INIT;
 	int i, twice = 0, once = 0, late = 0, per[MAX_ENDPOINTS] = { 0 };
+	unsigned over_limit = 0, most = 0;
 
 	for (i = 0; i < w.nr_runs; i++) {
 		once += w.runs[i].once;
 		twice += w.runs[i].once && w.runs[i].times > 1;
 		per[w.runs[i].endpoint]++;
 	}
-	for (i = 0; i < w.nr_endpoints; i++)
+	for (i = 0; i < w.nr_endpoints; i++) {
+		const struct stm *s = &w.endpoints[i].statements;
+
 		late += (int)w.endpoints[i].seen;
+		over_limit += s->over_limit;
+		most = s->most > most ? s->most : most;
+	}
 	buf_fmt(&out,
 		"runs %d once %d once_twice %d to_leaving %d usage %d usage_twice %d "
 		"orders %d wrong_fence %d revision %lld config_told %d "
-		"ended %d\n",
+		"ended %d over_limit %u most_in_window %u\n",
 		w.nr_runs, once, twice, late, w.nr_usage, w.usage_twice,
 		w.nr_scale, w.wrong_fence, (long long)w.revision, w.config_told,
-		w.nr_ended);
+		w.nr_ended, over_limit, most);
 	for (i = 0; i < w.nr_endpoints; i++)
 		buf_fmt(&out, "%s %s %d\n", w.endpoints[i].id,
 			w.endpoints[i].service, per[i]);
@@ -1096,6 +1109,11 @@
 	} else if (!strncmp(url, "/test/link", 10)) {
 		hmsg_query(url, "bytes", number, sizeof(number));
 		w.link.bytes_per_s = atoi(number);
+	} else if (e && !strncmp(url, "/test/limit", 11)) {
+		hmsg_query(url, "per_s", number, sizeof(number));
+		stm_set_limit(&e->statements, atof(number), now_ms());
+	} else if (e && !strncmp(url, "/test/relist", 12)) {
+		register_endpoint(e);
 	} else if (!strncmp(url, "/test/copy", 10)) {
 		copy_store();
 	} else if (!strncmp(url, "/test/return", 12)) {
--- /dev/null
+++ b/tests/support/statements.c
@@ -0,0 +1,69 @@
+#include "support/statements.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "io/hmsg.h"
+
+/*
+ * The rule of the limit: over a window, half more than the limit and a few
+ * requests. It holds from STABLE_MS on after the limit was first stated, for
+ * entries to which an answer stated it KNOWN_MS before.
+ */
+#define WINDOW_MS 4000
+#define WINDOW_FACTOR 1.5
+#define WINDOW_SLACK 5
+#define STABLE_MS 3000
+#define KNOWN_MS 500
+
+/* The entry's number; 0: not stated. */
+static unsigned entry_of(const char *id)
+{
+	const int n = id && id[0] == 'e' ? atoi(id + 1) : 0;
+
+	return n > 0 && n < STM_MAX_ENTRIES ? (unsigned)n : 0;
+}
+
+void stm_set_limit(struct stm *s, double per_s, int64_t now)
+{
+	s->limit_per_s = per_s;
+	s->limited_ms = now;
+	s->nr_arrivals = 0;
+	memset(s->limit_told_ms, 0, sizeof(s->limit_told_ms));
+}
+
+static unsigned count_window(const struct stm *s, int64_t now)
+{
+	unsigned i, n = 0;
+
+	for (i = 0; i < s->nr_arrivals && i < STM_MAX_ARRIVALS; i++)
+		n += now - s->arrivals_ms[i] < WINDOW_MS;
+	return n;
+}
+
+void stm_arrived(struct stm *s, const char *id, int64_t now)
+{
+	const int64_t told = s->limit_told_ms[entry_of(id)];
+	unsigned n;
+
+	if (s->limit_per_s <= 0 || now - s->limited_ms < STABLE_MS || !told ||
+	    now - told < KNOWN_MS)
+		return;
+	s->arrivals_ms[s->nr_arrivals++ % STM_MAX_ARRIVALS] = now;
+	n = count_window(s, now);
+	if (n > s->most)
+		s->most = n;
+	s->over_limit += n > WINDOW_FACTOR * s->limit_per_s * WINDOW_MS / 1000 +
+				     WINDOW_SLACK;
+}
+
+void stm_put(struct stm *s, const char *id, struct buf *out, int64_t now)
+{
+	int64_t *told = &s->limit_told_ms[entry_of(id)];
+
+	if (s->limit_per_s <= 0)
+		return;
+	buf_fmt(out, "Server-Limit: %g\r\n", s->limit_per_s);
+	if (!*told)
+		*told = now;
+}
--- /dev/null
+++ b/tests/support/statements.h
@@ -0,0 +1,39 @@
+/*
+ * stm (statements): what a stand-in's endpoint states of itself in its answers,
+ * and how many requests reach it although it stated so.
+ *
+ * Requests count by the entry that sent them, which the caller puts in front of
+ * the attempt's id: "e3-..." was sent to entry 3. Times are monotonic, in ms.
+ */
+#ifndef STATEMENTS_H
+#define STATEMENTS_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/buf.h"
+
+#define STM_MAX_ENTRIES 64
+#define STM_MAX_ARRIVALS 1024
+
+/* All zero: an endpoint that states nothing. */
+struct stm {
+	double limit_per_s;			/* 0: it states none */
+	int64_t limited_ms;			/* since when */
+	int64_t limit_told_ms[STM_MAX_ENTRIES]; /* first answer; 0: none yet */
+	int64_t arrivals_ms[STM_MAX_ARRIVALS];	/* that count; ring buffer */
+	unsigned nr_arrivals;
+	unsigned over_limit; /* arrivals beyond the limit */
+	unsigned most;	     /* in a window of the limit */
+};
+
+/* States another limit from now on; 0: none any more. */
+void stm_set_limit(struct stm *s, double per_s, int64_t now_ms);
+
+/* A request arrived. `id`: of the attempt; may be NULL. */
+void stm_arrived(struct stm *s, const char *id, int64_t now_ms);
+
+/* Appends the headers of an answer to attempt `id`, which may be NULL. */
+void stm_put(struct stm *s, const char *id, struct buf *out, int64_t now_ms);
+
+#endif
