edge: keep to the request limits that endpoints state

Callers saw nothing; endpoints in need did. One that stated a limit of one request per second for all entries together got 12 in 4 s from entries that had read the statement, where 11 may arrive; in limit_test, under more load, 40.

An endpoint's own statements reached the decisions through the list of endpoints and through load alone, and a limit is in neither.

The limit now belongs to the start of the endpoint (gate.h) and decides in flt_usable, which each choice of an endpoint uses: first sends, retries, resumes and trials. The target of a migrated stream is charged when the copy is requested. A few entries, 2 + the limit per second, share it in equal parts; they are selected by rendezvous hash among the entries that send, and each may send one request at once. In 4 s that is at most 4 x limit + 2 + limit, below 1.5 x 4 x limit + 5, without any message. Gossip carries the statements with their age, so that most entries act on a limit before they send, and that entries without a share learn its end. One without any news sends a request every 30 s. Only an answer to a request that was sent after the newest statement lifts or raises the limit, since answers overtake each other. The statements outlast the endpoint's list entry for ten minutes. Requests that no endpoint takes are refused at once, with the time when the first one does.

--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -74,6 +74,25 @@
 		met_gauge(m, "in_core", "1: all state is exchanged with it");
 }
 
+/* What endpoints state of themselves in their answers. */
+static void register_statement_metrics(struct met *m, struct edge_metrics *x)
+{
+	x->limits_stated = met_counter(
+		m, "endpoint_limits_stated_total",
+		"answers in which an endpoint limited its requests");
+	x->statements_malformed =
+		met_counter(m, "endpoint_statements_malformed_total",
+			    "answers with a statement that cannot be read");
+	x->sends_to_limited =
+		met_counter(m, "sends_to_limited_total",
+			    "requests sent to endpoints that state a limit");
+	x->answers_withheld = met_counter(
+		m, "answers_withheld_total",
+		"requests refused because endpoints take no more for now");
+	x->endpoints_limited = met_gauge(m, "endpoints_limited",
+					 "endpoints that state a limit");
+}
+
 static void register_metrics(struct edge *en)
 {
 	struct met *m = &en->met;
@@ -108,17 +127,6 @@
 	x->endpoints_ended =
 		met_counter(m, "endpoints_ended_total",
 			    "endpoints that ended under our requests");
-	x->limits_stated = met_counter(
-		m, "endpoint_limits_stated_total",
-		"answers in which an endpoint limited its requests");
-	x->statements_malformed =
-		met_counter(m, "endpoint_statements_malformed_total",
-			    "answers with a statement that cannot be read");
-	x->sends_to_limited =
-		met_counter(m, "sends_to_limited_total",
-			    "requests sent to endpoints that state a limit");
-	x->endpoints_limited = met_gauge(m, "endpoints_limited",
-					 "endpoints that state a limit");
 	x->requests_suspected = met_counter(m, "requests_suspected_total",
 					    "ends held against a request");
 	x->requests_convicted = met_counter(m, "requests_convicted_total",
@@ -132,6 +140,7 @@
 				    "sends whose outcome is unknown");
 	register_store_metrics(m, x);
 	register_gossip_metrics(m, x);
+	register_statement_metrics(m, x);
 	x->entries_unreadable =
 		met_counter(m, "endpoint_entries_unreadable_total",
 			    "endpoints' entries in the store without sense");
--- a/lib/edge/edge_gossip.c
+++ b/lib/edge/edge_gossip.c
@@ -147,7 +147,10 @@
 	usage_each(&en->usage, from, add_other_count, en);
 }
 
-/* The head of a datagram, which a leaf sends without any rows. */
+/*
+ * The head of a datagram, and the limits of endpoints. A leaf sends no other
+ * rows.
+ */
 static void fill_head(struct edge *en, int64_t now)
 {
 	struct gsp_record *r = &en->gossip_out;
@@ -168,6 +171,7 @@
 	r->cfg_confirmed_age_ms = age == INT64_MAX ? -1 : age;
 	r->requests_per_s =
 		decay_sum_at(&en->arrivals, EDGE_ARRIVAL_RATE_MS, now);
+	edge_limit_fill_gossip(en, r, now);
 }
 
 static void fill_all(struct edge *en, int64_t now)
@@ -218,14 +222,15 @@
 
 /* The number of rows of each kind that a group of datagrams begins with. */
 struct row_counts {
-	unsigned loads, services, fatal, tallies, rolled_back, members;
+	unsigned loads, services, fatal, tallies, rolled_back, members, limits;
 };
 
 static struct row_counts count_rows(const struct gsp_record *r)
 {
-	return (struct row_counts){ r->nr_loads,       r->nr_services,
-				    r->nr_fatal,       r->nr_tallies,
-				    r->nr_rolled_back, r->nr_members };
+	return (struct row_counts){
+		r->nr_loads,	   r->nr_services, r->nr_fatal,	 r->nr_tallies,
+		r->nr_rolled_back, r->nr_members,  r->nr_limits,
+	};
 }
 
 static void set_row_counts(struct gsp_record *r, const struct row_counts *n)
@@ -236,6 +241,7 @@
 	r->nr_tallies = n->tallies;
 	r->nr_rolled_back = n->rolled_back;
 	r->nr_members = n->members;
+	r->nr_limits = n->limits;
 }
 
 /* Leaves out the rows that the peer does not need. */
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -76,7 +76,7 @@
 	met_value *moves, *moves_failed;
 	met_value *probes, *endpoints_ended;
 	met_value *limits_stated, *statements_malformed, *sends_to_limited,
-		*endpoints_limited;
+		*endpoints_limited, *answers_withheld;
 	met_value *requests_suspected, *requests_convicted, *requests_withheld;
 	met_value *sends, *resends, *resumes, *sends_not_run, *sends_lost;
 	met_value *store_calls[STO_KINDS], *store_followed, *store_relayed;
@@ -235,7 +235,8 @@
 	int64_t gossip_round_ms;   /* start of the last gossip round */
 	unsigned sending_peers;	   /* peers that send requests to endpoints */
 	struct gsp_record gossip_out, gossip_in; /* scratch space */
-	struct rows rows; /* that gossip_out may be too small for */
+	struct rows rows;     /* that gossip_out may be too small for */
+	unsigned limits_from; /* limits before this one were sent last */
 	uint64_t
 		*live_sources; /* sorted edge_source() of live peers; scratch */
 	size_t nr_live_sources, max_live_sources;
@@ -366,6 +367,17 @@
 /* Takes over the limit that the head of an answer (r->reply) states. */
 void edge_limit_answered(struct edge_req *r);
 
+/* Sets this entry's share of each limit, after the senders have changed. */
+void edge_limit_tick(struct edge *en, int64_t now);
+
+/*
+ * Adds the endpoints' limits to a datagram; takes over those of another entry,
+ * which sent `r` at `sent_ms`.
+ */
+void edge_limit_fill_gossip(struct edge *en, struct gsp_record *r, int64_t now);
+void edge_limit_apply_gossip(struct edge *en, const struct gsp_record *r,
+			     int64_t sent_ms, int64_t now);
+
 /* The number of endpoints that state a limit. */
 unsigned edge_limit_count(const struct edge *en);
 
@@ -638,6 +650,15 @@
 void edge_peer_sum_demands(struct edge *en, int64_t now);
 void edge_peer_sum_loads(struct edge *en, int64_t now);
 
+/*
+ * An entry that receives more requests per second from callers counts as
+ * sending to endpoints.
+ */
+#define EDGE_SENDING_PER_S 0.5
+
+/* True if the peer is alive and sends requests to endpoints. */
+bool edge_peer_is_sending(const struct prs_peer *p, int64_t now);
+
 /* ---- edge_rank.c: selection of entries for roles that few have ---- */
 
 /* Callers' requests per second at all entries. */
--- a/lib/edge/edge_limit.c
+++ b/lib/edge/edge_limit.c
@@ -1,16 +1,98 @@
-/* Request limits that endpoints state in their answers. */
+/*
+ * Request limits that endpoints state in their answers (gate.h): entries pass
+ * them on by gossip, and find out which of them share each one.
+ */
+#include <string.h>
+
+#include "base/hsh.h"
 #include "edge/edge_internal.h"
 
-static void log_limit(const struct edge_req *r, double former_per_s)
+/* The end of a limit is reported to other entries for this long. */
+#define REPORT_LIFTED_MS 5000
+
+/* ---- Shares ---- */
+
+/*
+ * The other entries among which the limits are shared: those that send
+ * requests; all that are alive if none does.
+ */
+static bool is_sharing(const struct prs_peer *p, bool any_sends, int64_t now)
 {
-	struct edge *en = r->en;
+	return any_sends ? edge_peer_is_sending(p, now) : prs_alive(p, now);
+}
+
+static bool sends_itself(const struct edge *en, int64_t now)
+{
+	return decay_sum_at(&en->arrivals, EDGE_ARRIVAL_RATE_MS, now) >
+	       EDGE_SENDING_PER_S;
+}
+
+static double share_of(const struct edge *en, const struct flt_endpoint *e,
+		       int64_t now)
+{
+	const uint64_t own =
+		hsh_rendezvous(e->hash, hsh_str(en->conf->name, 0));
+	const bool self = sends_itself(en, now);
+	const bool any_sends = self || en->sending_peers;
+	unsigned rank = 0, senders = 1;
+	const struct prs_peer *p;
+
+	/* Cut off from the others, which may go on sending. */
+	if (!en->accounts.current)
+		return e->gate.limit_per_s / en->accounts.entries;
+	/* A leaf does not know what others send, nor they of its requests. */
+	if (!en->ovl.core || (any_sends && !self))
+		return 0;
+	cds_list_for_each_entry(p, &en->prs.core, role_node) {
+		if (!is_sharing(p, any_sends, now))
+			continue;
+		senders++;
+		rank += hsh_rendezvous(e->hash, p->id) > own;
+	}
+	return gate_share(e->gate.limit_per_s, rank, senders);
+}
+
+static void update_share(const struct edge *en, struct flt_endpoint *e,
+			 int64_t now)
+{
+	if (e->gate.limit_per_s > 0)
+		gate_set_share(&e->gate, share_of(en, e, now), now);
+}
+
+void edge_limit_tick(struct edge *en, int64_t now)
+{
+	struct flt_endpoint *e;
+
+	cds_list_for_each_entry(e, &en->fleet.endpoints, node)
+		update_share(en, e, now);
+}
+
+unsigned edge_limit_count(const struct edge *en)
+{
+	const struct flt_endpoint *e;
+	unsigned n = 0;
+
+	cds_list_for_each_entry(e, &en->fleet.endpoints, node)
+		n += e->gate.limit_per_s > 0;
+	return n;
+}
 
+/* ---- Statements ---- */
+
+/* `id`: the attempt whose answer stated it; `from`: the entry that reported. */
+static void limit_changed(struct edge *en, struct flt_endpoint *e,
+			  double former_per_s, const char *id, const char *from)
+{
+	update_share(en, e, edge_now(en));
 	jlog_begin(en->log, JLOG_INFO, "endpoint_limit");
-	jlog_str(en->log, "endpoint", r->endpoint->info.id);
-	jlog_str(en->log, "service", r->endpoint->info.service);
-	jlog_num(en->log, "per_s", r->endpoint->limit_per_s);
+	jlog_str(en->log, "endpoint", e->info.id);
+	jlog_str(en->log, "service", e->info.service);
+	jlog_num(en->log, "per_s", e->gate.limit_per_s);
 	jlog_num(en->log, "former_per_s", former_per_s);
-	jlog_str(en->log, "id", r->attempt.id);
+	jlog_num(en->log, "share_per_s", e->gate.share_per_s);
+	jlog_int(en->log, "age_ms", edge_now(en) - e->gate.stated_ms);
+	jlog_str(en->log, "id", id);
+	jlog_str(en->log, "from", from);
 	jlog_end(en->log);
 }
 
@@ -26,20 +108,10 @@
 	jlog_end(en->log);
 }
 
-unsigned edge_limit_count(const struct edge *en)
-{
-	const struct flt_endpoint *e;
-	unsigned n = 0;
-
-	cds_list_for_each_entry(e, &en->fleet.endpoints, node)
-		n += e->limit_per_s > 0;
-	return n;
-}
-
 void edge_limit_answered(struct edge_req *r)
 {
 	struct flt_endpoint *e = r->endpoint;
-	const double former = e->limit_per_s;
+	const double former = e->gate.limit_per_s;
 
 	if (r->reply.misdirected)
 		return; /* another endpoint answered */
@@ -49,8 +121,58 @@
 	}
 	if (r->reply.limit_per_s > 0)
 		met_inc(r->en->m.limits_stated);
-	if (r->reply.limit_per_s == former)
-		return;
-	e->limit_per_s = r->reply.limit_per_s;
-	log_limit(r, former);
+	if (gate_limit_answered(&e->gate, r->reply.limit_per_s, r->sent_ms,
+				edge_now(r->en)) != GATE_UNCHANGED)
+		limit_changed(r->en, e, former, r->attempt.id, "");
+}
+
+/* ---- Gossip ---- */
+
+static bool is_reported(const struct gate *g, int64_t now)
+{
+	return g->limit_per_s > 0 ||
+	       (g->stated_ms && now - g->stated_ms < REPORT_LIFTED_MS);
+}
+
+/* If there are too many, the next datagram begins where this one ends. */
+void edge_limit_fill_gossip(struct edge *en, struct gsp_record *r, int64_t now)
+{
+	const struct flt_endpoint *e;
+	unsigned i = 0;
+
+	cds_list_for_each_entry(e, &en->fleet.endpoints, node) {
+		if (!is_reported(&e->gate, now) || i++ < en->limits_from)
+			continue;
+		if (r->nr_limits == GSP_MAX_LIMITS) {
+			met_inc(en->m.gossip_rows_cut);
+			en->limits_from = i - 1;
+			return;
+		}
+		r->limits[r->nr_limits++] = (struct gsp_limit){
+			.endpoint = e->hash,
+			.per_s = e->gate.limit_per_s,
+			.age_ms = (uint32_t)(now - e->gate.stated_ms),
+		};
+	}
+	en->limits_from = 0;
+}
+
+void edge_limit_apply_gossip(struct edge *en, const struct gsp_record *r,
+			     int64_t sent_ms, int64_t now)
+{
+	struct flt_endpoint *e;
+	double former;
+	unsigned i;
+
+	for (i = 0; i < r->nr_limits; i++) {
+		const struct gsp_limit *l = &r->limits[i];
+
+		e = flt_find_by_hash(&en->fleet, l->endpoint);
+		if (!e)
+			continue;
+		former = e->gate.limit_per_s;
+		if (gate_limit_reported(&e->gate, l->per_s, sent_ms - l->age_ms,
+					now) != GATE_UNCHANGED)
+			limit_changed(en, e, former, "", r->name);
+	}
 }
--- a/lib/edge/edge_move.c
+++ b/lib/edge/edge_move.c
@@ -178,6 +178,7 @@
 	m->r = r;
 	m->to = to;
 	flt_ref(to);
+	gate_pass(&to->gate, edge_now(r->en));
 	/* So that the next pick takes this stream into account. */
 	to->running++;
 	r->move = m;
--- a/lib/edge/edge_peer.c
+++ b/lib/edge/edge_peer.c
@@ -111,6 +111,8 @@
 	for (i = 0; i < r->nr_services; i++)
 		adopt_model(en, &r->services[i].estimates);
 	edge_fatal_apply_gossip(en, r, now);
+	if (at)
+		edge_limit_apply_gossip(en, r, at, now);
 	edge_rollout_apply_gossip(en, edge_source(p->info.name, p->boot), r,
 				  now);
 	at = prs_config_confirmed_ms(r, en->boot);
@@ -258,8 +260,11 @@
 	jlog_end(en->log);
 }
 
-/* A peer above this rate counts as sending requests to endpoints. */
-#define SENDING_REQUESTS_PER_S 0.5
+bool edge_peer_is_sending(const struct prs_peer *p, int64_t now)
+{
+	return p->last && p->last->requests_per_s > EDGE_SENDING_PER_S &&
+	       prs_alive(p, now);
+}
 
 static unsigned count_sending_peers(const struct edge *en, int64_t now)
 {
@@ -267,9 +272,7 @@
 	unsigned n = 0;
 
 	cds_list_for_each_entry(p, &en->prs.core, role_node)
-		n += p->last &&
-		     p->last->requests_per_s > SENDING_REQUESTS_PER_S &&
-		     prs_alive(p, now);
+		n += edge_peer_is_sending(p, now);
 	return n;
 }
 
@@ -282,6 +285,7 @@
 	en->watch_rank = ovl_watch_rank(&en->ovl, &en->prs, now);
 	edge_peer_sum_demands(en, now);
 	edge_peer_sum_loads(en, now);
+	edge_limit_tick(en, now);
 	compare_clocks(en, now);
 	edge_serve_followers(en, now);
 	prs_expire(&en->prs, now);
--- a/lib/edge/edge_scale.c
+++ b/lib/edge/edge_scale.c
@@ -218,7 +218,8 @@
 			continue;
 		w.runs += e->running + e->peer_running;
 		w.slots = e->info.slots;
-		w.usable += e->use == FLT_IN_USE && flt_usable(e, edge_now(en));
+		w.usable += e->use == FLT_IN_USE &&
+			    flt_in_service(e, edge_now(en));
 	}
 	return w;
 }
--- a/lib/edge/edge_send.c
+++ b/lib/edge/edge_send.c
@@ -124,6 +124,7 @@
 	jlog_int(en->log, "list_age_ms", edge_list_age(en, now));
 	jlog_str(en->log, "zone", p->endpoint->info.zone);
 	jlog_int(en->log, "candidates", p->candidates);
+	jlog_int(en->log, "withheld", p->withheld);
 	jlog_int(en->log, "wait_ms", (int64_t)p->wait_ms);
 	jlog_bool(en->log, "cached", p->cached);
 	jlog_int(en->log, "running", p->endpoint->running);
@@ -186,7 +187,7 @@
 	met_inc(en->m.sends);
 	if (p->endpoint->use == FLT_ON_TRIAL)
 		met_inc(en->m.sends_on_trial);
-	if (p->endpoint->limit_per_s > 0)
+	if (p->endpoint->gate.limit_per_s > 0)
 		met_inc(en->m.sends_to_limited);
 	if (r->sends > 1)
 		met_inc(r->rq.started ? en->m.resumes : en->m.resends);
@@ -211,6 +212,29 @@
 	edge_send_unreached(r, "no connection to be had");
 }
 
+/*
+ * Refuses a request for which there is no endpoint. If endpoints only take no
+ * more requests for now, Retry-After is the time until the first one does;
+ * another entry may be allowed to send to it earlier.
+ */
+static void refuse(struct edge_req *r, const struct pick_result *p)
+{
+	const int64_t now = edge_now(r->en);
+	const char *why = "no endpoint";
+	int64_t retry_ms = NO_ENDPOINT_RETRY_MS;
+
+	if (p->withheld) {
+		met_inc(r->en->m.answers_withheld);
+		why = "endpoints take no more for now";
+		if (p->open_ms - now < retry_ms)
+			retry_ms = p->open_ms - now;
+	} else if (r->nr_tried) {
+		why = "endpoints are full";
+		retry_ms = EDGE_FULL_RETRY_MS;
+	}
+	edge_req_answer(r, 503, why, retry_ms);
+}
+
 void edge_send(struct edge_req *r)
 {
 	struct pick_result p;
@@ -228,11 +252,7 @@
 			return;
 		}
 		rq_no_endpoint(&r->rq);
-		edge_req_answer(r, 503,
-				r->nr_tried ? "endpoints are full"
-					    : "no endpoint",
-				r->nr_tried ? EDGE_FULL_RETRY_MS
-					    : NO_ENDPOINT_RETRY_MS);
+		refuse(r, &p);
 		return;
 	}
 	/*
@@ -245,6 +265,7 @@
 		edge_step(r, rq_no_endpoint(&r->rq), "no repeats left");
 		return;
 	}
+	gate_pass(&p.endpoint->gate, edge_now(r->en));
 	start_send(r, &p, NULL);
 }
 
@@ -254,7 +275,8 @@
 	const struct pick_result p = { .endpoint = to, .cached = true };
 	char copy_at[sizeof(r->endpoint->info.address) + 64];
 
-	if (!flt_usable(to, edge_now(r->en))) {
+	/* Its gate was passed when the copy was requested. */
+	if (!flt_in_service(to, edge_now(r->en))) {
 		edge_send_lost(r, "no way to the copy");
 		return;
 	}
--- a/lib/fleet/flt.c
+++ b/lib/fleet/flt.c
@@ -113,9 +113,56 @@
 	return false;
 }
 
+/* ---- Statements of removed endpoints ---- */
+
+/* NOLINTNEXTLINE(readability-function-size) */
+static void drop_gate(struct flt *f, struct flt_kept_gate *k)
+{
+	HASH_DEL(f->gates, k);
+	free(k);
+}
+
+/* NOLINTNEXTLINE(readability-function-size) */
+static void keep_gate(struct flt *f, const struct flt_endpoint *e, int64_t now)
+{
+	struct flt_kept_gate *k;
+
+	if (!gate_states_anything(&e->gate))
+		return;
+	if (HASH_COUNT(f->gates) == FLT_MAX_GATES)
+		drop_gate(f, f->gates);
+	k = calloc(1, sizeof(*k));
+	assert(k);
+	k->hash = e->hash;
+	k->gate = e->gate;
+	k->removed_ms = now;
+	HASH_ADD(hh, f->gates, hash, sizeof(k->hash), k);
+}
+
+/* Restores what this start of the endpoint stated before it was removed. */
+static void restore_gate(struct flt *f, struct flt_endpoint *e)
+{
+	struct flt_kept_gate *k;
+
+	HASH_FIND(hh, f->gates, &e->hash, sizeof(e->hash), k);
+	if (!k)
+		return;
+	e->gate = k->gate;
+	drop_gate(f, k);
+}
+
+static void expire_gates(struct flt *f, int64_t now)
+{
+	while (f->gates && now - f->gates->removed_ms > FLT_GATE_KEEP_MS)
+		drop_gate(f, f->gates);
+}
+
+/* ---- The table ---- */
+
 static void remove_endpoint(struct flt *f, struct flt_endpoint *e, int64_t now)
 {
 	remember_removed(f, e->hash, now);
+	keep_gate(f, e, now);
 	table_del(f, e);
 	e->removed = true;
 	/* Running requests call flt_leaving_ms on it. */
@@ -131,6 +178,8 @@
 	cds_list_for_each_entry_safe(e, next, &f->endpoints, node) {
 		remove_endpoint(f, e, 0); /* the time is not used any more */
 	}
+	while (f->gates)
+		drop_gate(f, f->gates);
 }
 
 struct flt_endpoint *flt_find(struct flt *f, const char *id)
@@ -160,6 +209,7 @@
 	e->first_seen_ms = now;
 	e->decayed_ms = now;
 	e->refs = 1;
+	restore_gate(f, e);
 	table_add(f, e);
 	return e;
 }
@@ -226,6 +276,7 @@
 		on_expired(e, arg);
 		remove_endpoint(f, e, now);
 	}
+	expire_gates(f, now);
 }
 
 void flt_smooth_peer_prefill(struct flt_endpoint *e, double weight)
@@ -236,13 +287,18 @@
 				 (mean - e->reported_prefill_tokens) * weight;
 }
 
-bool flt_usable(const struct flt_endpoint *e, int64_t now)
+bool flt_in_service(const struct flt_endpoint *e, int64_t now)
 {
 	if (e->removed || e->draining_since_ms || now < e->backoff_until_ms)
 		return false;
 	return !e->missing_since_ms || now < e->grace_until_ms;
 }
 
+bool flt_usable(const struct flt_endpoint *e, int64_t now)
+{
+	return flt_in_service(e, now) && gate_open_ms(&e->gate, now) <= now;
+}
+
 void flt_set_use(struct flt_endpoint *e, enum flt_use use, bool move_streams,
 		 int64_t now)
 {
--- a/lib/fleet/flt.h
+++ b/lib/fleet/flt.h
@@ -23,6 +23,7 @@
 #include <urcu/list.h>
 
 #include "base/tab.h"
+#include "fleet/gate.h"
 
 /* Size of name buffers in bytes, including the terminating NUL. */
 #define FLT_NAME 64
@@ -88,11 +89,7 @@
 	bool probing;		  /* a probe connection is in progress */
 	bool exited;		  /* the process no longer listens */
 	int suspect_runs; /* requests of all entries suspected to crash it */
-	/*
-	 * Requests per second that it accepts from all entries together, as
-	 * stated in its newest answer; 0: it states no limit.
-	 */
-	double limit_per_s;
+	struct gate gate; /* what it stated in its answers */
 
 	/* Sums over the latest load reports of the peers. */
 	double peer_running;
@@ -106,6 +103,23 @@
 #define FLT_REMOVED_KEEP_MS 60000
 #define FLT_MAX_REMOVED 256
 
+/*
+ * What an endpoint stated is kept for this long after its removal: its list
+ * entry may return, and the endpoint may have been running all the while.
+ */
+#define FLT_GATE_KEEP_MS 600000
+
+/* Removed endpoints whose statements are kept; the oldest are dropped. */
+#define FLT_MAX_GATES 4096
+
+/* The statements of a removed endpoint. */
+struct flt_kept_gate {
+	UT_hash_handle hh; /* in flt.gates, the oldest first */
+	uint64_t hash;	   /* of the endpoint */
+	struct gate gate;
+	int64_t removed_ms;
+};
+
 /* The table. Callers may iterate over `endpoints` but not change the table. */
 struct flt {
 	struct cds_list_head endpoints;
@@ -118,6 +132,7 @@
 		int64_t at_ms;
 	} removed[FLT_MAX_REMOVED]; /* ring buffer */
 	unsigned nr_removed; /* total; the next slot is this modulo the size */
+	struct flt_kept_gate *gates; /* hash table by hash */
 };
 
 /*
@@ -170,8 +185,9 @@
 		     int64_t now_ms);
 
 /*
- * Removes missing endpoints whose grace period is over. Calls `on_expired` for
- * each before it is removed; `arg` is passed through.
+ * Removes missing endpoints whose grace period is over, and old statements of
+ * removed ones. Calls `on_expired` for each endpoint before it is removed; `arg`
+ * is passed through.
  */
 void flt_expire(struct flt *f, int64_t now_ms,
 		void (*on_expired)(struct flt_endpoint *e, void *arg),
@@ -196,8 +212,15 @@
 void flt_smooth_peer_prefill(struct flt_endpoint *e, double weight);
 
 /*
- * True if the endpoint may get new requests: it is listed or within its grace
- * period, not draining, and not in backoff. Does not consider `use`.
+ * True if the endpoint takes new requests: it is listed or within its grace
+ * period, not draining, and not in backoff. Does not consider `use`, nor how
+ * many requests it takes.
+ */
+bool flt_in_service(const struct flt_endpoint *e, int64_t now_ms);
+
+/*
+ * True if the endpoint may get a request now: it is in service, and what it
+ * stated in its answers allows one more (gate.h).
  */
 bool flt_usable(const struct flt_endpoint *e, int64_t now_ms);
 
--- a/lib/member/gsp.c
+++ b/lib/member/gsp.c
@@ -238,6 +238,22 @@
 	return TRUE;
 }
 
+/* Absent if there is none, and in datagrams of releases without limits. */
+static bool_t xdr_limits(XDR *x, struct gsp_record *r)
+{
+	unsigned i;
+
+	if (!xdr_u_int(x, &r->nr_limits) || r->nr_limits > GSP_MAX_LIMITS)
+		return FALSE;
+	for (i = 0; i < r->nr_limits; i++) {
+		if (!xdr_uint64_t(x, &r->limits[i].endpoint) ||
+		    !xdr_double(x, &r->limits[i].per_s) ||
+		    !xdr_uint32_t(x, &r->limits[i].age_ms))
+			return FALSE;
+	}
+	return TRUE;
+}
+
 static bool xdr_record(XDR *x, struct gsp_record *r)
 {
 	return xdr_head(x, r) && xdr_demands(x, r) && xdr_loads(x, r) &&
@@ -260,7 +276,7 @@
 	       from->nr_tallies * sizeof(from->tallies[0]));
 	memcpy(to->rolled_back, from->rolled_back,
 	       from->nr_rolled_back * sizeof(from->rolled_back[0]));
-	to->nr_demands = to->nr_counts = to->nr_members = 0;
+	to->nr_demands = to->nr_counts = to->nr_members = to->nr_limits = 0;
 }
 
 size_t gsp_encode(const struct gsp_record *r, char *out, size_t size)
@@ -273,7 +289,8 @@
 	if (xdr_record(&x, (struct gsp_record *)r) &&
 	    xdr_era_and_fatal(&x, (struct gsp_record *)r) &&
 	    xdr_rollouts(&x, (struct gsp_record *)r) &&
-	    xdr_membership(&x, (struct gsp_record *)r))
+	    xdr_membership(&x, (struct gsp_record *)r) &&
+	    (!r->nr_limits || xdr_limits(&x, (struct gsp_record *)r)))
 		n = xdr_getpos(&x);
 	xdr_destroy(&x);
 	return n;
@@ -281,7 +298,7 @@
 
 /*
  * Receivers sum the rates of all entries: one NaN or infinity would make the
- * whole sum useless.
+ * whole sum useless. They compute with the limits.
  */
 static bool rates_valid(const struct gsp_record *r)
 {
@@ -296,6 +313,10 @@
 		    r->services[i].prefill_tokens_per_s < 0)
 			return false;
 	}
+	for (i = 0; i < r->nr_limits; i++) {
+		if (!isfinite(r->limits[i].per_s) || r->limits[i].per_s < 0)
+			return false;
+	}
 	return isfinite(r->requests_per_s) && r->requests_per_s >= 0 &&
 	       isfinite(r->core_requests_per_s) && r->core_requests_per_s >= 0;
 }
@@ -314,6 +335,8 @@
 		ok = xdr_rollouts(&x, r);
 	if (ok && xdr_getpos(&x) < len)
 		ok = xdr_membership(&x, r);
+	if (ok && xdr_getpos(&x) < len)
+		ok = xdr_limits(&x, r);
 	xdr_destroy(&x);
 	return ok && r->name[0] && rates_valid(r);
 }
--- a/lib/route/pick.c
+++ b/lib/route/pick.c
@@ -48,11 +48,17 @@
 	return false;
 }
 
+static bool is_in_service(const struct pick_query *q,
+			  const struct flt_endpoint *e)
+{
+	return e->use == q->use && !strcmp(e->info.service, q->service) &&
+	       flt_in_service(e, q->now_ms) && !excluded(q, e);
+}
+
 static bool is_candidate(const struct pick_query *q,
 			 const struct flt_endpoint *e)
 {
-	return e->use == q->use && !strcmp(e->info.service, q->service) &&
-	       flt_usable(e, q->now_ms) && !excluded(q, e);
+	return is_in_service(q, e) && flt_usable(e, q->now_ms);
 }
 
 /* Returns the first choice for the shared part, by rendezvous hashing. */
@@ -145,14 +151,24 @@
 	return cost + crash_risk_cost(q, e);
 }
 
-static unsigned count_candidates(struct flt *f, const struct pick_query *q)
+/* Fills in the numbers of candidates and of endpoints that are withheld. */
+static void count_candidates(struct flt *f, const struct pick_query *q,
+			     struct pick_result *r)
 {
 	struct flt_endpoint *e;
-	unsigned n = 0;
+	int64_t at;
 
-	cds_list_for_each_entry(e, &f->endpoints, node)
-		n += is_candidate(q, e);
-	return n;
+	cds_list_for_each_entry(e, &f->endpoints, node) {
+		if (!is_in_service(q, e))
+			continue;
+		at = gate_open_ms(&e->gate, q->now_ms);
+		if (at <= q->now_ms) {
+			r->candidates++;
+			continue;
+		}
+		if (!r->withheld++ || at < r->open_ms)
+			r->open_ms = at;
+	}
 }
 
 /* Returns the probability that a candidate is in the sample; may exceed 1. */
@@ -175,13 +191,14 @@
 struct pick_result pick_endpoint(struct flt *f, const struct pick_query *q)
 {
 	const struct flt_endpoint *preferred = first_choice(f, q);
-	struct pick_result best = { .endpoint = NULL }, r;
+	struct pick_result best = { .endpoint = NULL }, counts = best, r;
 	struct flt_endpoint *e;
-	const unsigned candidates = count_candidates(f, q);
-	const double probability = sampling_probability(q, candidates);
-	unsigned remaining = candidates;
-	double p_cached;
+	double p_cached, probability;
+	unsigned remaining;
 
+	count_candidates(f, q, &counts);
+	probability = sampling_probability(q, counts.candidates);
+	remaining = counts.candidates;
 	cds_list_for_each_entry(e, &f->endpoints, node) {
 		if (!is_candidate(q, e))
 			continue;
@@ -199,6 +216,8 @@
 		best.cached = p_cached > 0;
 		best.cache_certain = p_cached >= 1 || !q->shared_tokens;
 	}
-	best.candidates = candidates;
+	best.candidates = counts.candidates;
+	best.withheld = counts.withheld;
+	best.open_ms = counts.open_ms;
 	return best;
 }
--- a/lib/route/pick.h
+++ b/lib/route/pick.h
@@ -51,6 +51,13 @@
 	bool cached;	     /* the endpoint may have the shared part cached */
 	bool cache_certain;  /* it was sent there recently, or is empty */
 	unsigned candidates; /* usable endpoints, sampled or not */
+	/*
+	 * Endpoints in service to which nothing may be sent at the moment
+	 * (gate.h), and the earliest time at which something may be sent to one
+	 * of them.
+	 */
+	unsigned withheld;
+	int64_t open_ms;
 };
 
 /*
--- a/tests/standin/platform.c
+++ b/tests/standin/platform.c
@@ -1076,6 +1076,36 @@
 	reply(c, 200, buf_cstr(&out));
 }
 
+/* False: no such call. */
+static bool change_endpoint(struct endpoint *e, const char *url)
+{
+	char number[32] = "0", key[200] = "";
+
+	if (!strncmp(url, "/test/unlist", 12)) {
+		snprintf(key, sizeof(key), "servers/%s", e->id);
+		delete_item(find_item(key, false));
+	} else if (!strncmp(url, "/test/relist", 12)) {
+		register_endpoint(e);
+	} else if (!strncmp(url, "/test/limit", 11)) {
+		hmsg_query(url, "per_s", number, sizeof(number));
+		stm_set_limit(&e->statements, atof(number), now_ms());
+	} else if (!strncmp(url, "/test/drain", 11)) {
+		e->draining = true;
+		register_endpoint(e);
+	} else if (!strncmp(url, "/test/fail", 10)) {
+		e->fail = true;
+	} else if (!strncmp(url, "/test/mute", 10)) {
+		e->mute = true;
+	} else if (!strncmp(url, "/test/heal", 10)) {
+		e->fail = e->mute = e->break_streams = false;
+	} else if (!strncmp(url, "/test/break", 11)) {
+		e->break_streams = true;
+	} else {
+		return false;
+	}
+	return true;
+}
+
 static void on_test(struct hsc *c, const char *url)
 {
 	struct endpoint *e = asked_endpoint(url);
@@ -1109,19 +1139,11 @@
 	} else if (!strncmp(url, "/test/link", 10)) {
 		hmsg_query(url, "bytes", number, sizeof(number));
 		w.link.bytes_per_s = atoi(number);
-	} else if (e && !strncmp(url, "/test/limit", 11)) {
-		hmsg_query(url, "per_s", number, sizeof(number));
-		stm_set_limit(&e->statements, atof(number), now_ms());
-	} else if (e && !strncmp(url, "/test/relist", 12)) {
-		register_endpoint(e);
 	} else if (!strncmp(url, "/test/copy", 10)) {
 		copy_store();
 	} else if (!strncmp(url, "/test/return", 12)) {
 		hmsg_query(url, "ms", number, sizeof(number));
 		come_back(atoi(number));
-	} else if (e && !strncmp(url, "/test/unlist", 12)) {
-		snprintf(key, sizeof(key), "servers/%s", e->id);
-		delete_item(find_item(key, false));
 	} else if (!strncmp(url, "/test/add", 9)) {
 		open_endpoint("app", "v1");
 	} else if (!strncmp(url, "/test/start", 11)) {
@@ -1131,18 +1153,7 @@
 		return;
 	} else if (!strncmp(url, "/test/forget", 12)) {
 		w.forgotten = w.revision;
-	} else if (e && !strncmp(url, "/test/drain", 11)) {
-		e->draining = true;
-		register_endpoint(e);
-	} else if (e && !strncmp(url, "/test/fail", 10)) {
-		e->fail = true;
-	} else if (e && !strncmp(url, "/test/mute", 10)) {
-		e->mute = true;
-	} else if (e && !strncmp(url, "/test/heal", 10)) {
-		e->fail = e->mute = e->break_streams = false;
-	} else if (e && !strncmp(url, "/test/break", 11)) {
-		e->break_streams = true;
-	} else {
+	} else if (!e || !change_endpoint(e, url)) {
 		reply(c, 404, "{}");
 		return;
 	}
--- a/tests/test_flt.c
+++ b/tests/test_flt.c
@@ -23,6 +23,57 @@
 	return flt_upsert(f, &info, now, &change);
 }
 
+/*
+ * Guards against requests beyond an endpoint's limit after its list entry
+ * lapsed and returned, while the endpoint ran on.
+ */
+static void statements_outlast_the_list_entry(void)
+{
+	struct flt f;
+	struct flt_endpoint *e;
+
+	flt_init(&f, NULL);
+	e = list_endpoint(&f, "a", "z1", false, 100);
+	gate_limit_answered(&e->gate, 1, 150, 200);
+	CU_ASSERT(flt_in_service(e, 210));
+	CU_ASSERT_FALSE(flt_usable(e, 210));
+	CU_ASSERT(flt_remove(&f, "a", 300));
+	e = list_endpoint(&f, "a", "z1", false, 400);
+	CU_ASSERT_EQUAL(e->gate.limit_per_s, 1);
+	CU_ASSERT_FALSE(flt_usable(e, 410));
+	CU_ASSERT_PTR_NULL(f.gates);
+	flt_free(&f);
+}
+
+static struct flt_endpoint *list_numbered(struct flt *f, unsigned i,
+					  int64_t now)
+{
+	char id[32];
+
+	snprintf(id, sizeof(id), "e%u", i);
+	return list_endpoint(f, id, "z1", false, now);
+}
+
+static void statements_of_removed_endpoints_are_bounded(void)
+{
+	struct flt f;
+	struct flt_endpoint *e;
+	unsigned i;
+
+	flt_init(&f, NULL);
+	for (i = 0; i < 2 * FLT_MAX_GATES; i++) {
+		e = list_numbered(&f, i, 100);
+		gate_limit_answered(&e->gate, 1, 100, 100);
+		flt_remove(&f, e->info.id, 100);
+	}
+	CU_ASSERT_EQUAL(HASH_COUNT(f.gates), FLT_MAX_GATES);
+	CU_ASSERT_EQUAL(list_numbered(&f, 0, 200)->gate.limit_per_s, 0);
+	CU_ASSERT_EQUAL(list_numbered(&f, i - 1, 200)->gate.limit_per_s, 1);
+	flt_expire(&f, 100 + FLT_GATE_KEEP_MS + 1, NULL, NULL);
+	CU_ASSERT_PTR_NULL(f.gates);
+	flt_free(&f);
+}
+
 static unsigned expired;
 
 static void count_expired(struct flt_endpoint *e, void *arg)
@@ -317,6 +368,34 @@
 	}
 }
 
+static void withheld_endpoints_are_counted_with_the_first_to_return(void)
+{
+	struct parts none;
+	struct flt f;
+	struct pick_query q;
+	struct pick_result r;
+
+	parts_init(&none);
+	fill(&f, 3);
+	q = query(0, &none);
+	gate_limit_answered(&flt_find(&f, "e0")->gate, 1, 0, 500);
+	gate_limit_answered(&flt_find(&f, "e1")->gate, 1, 0, 500);
+	gate_set_share(&flt_find(&f, "e1")->gate, 0.5, 500);
+	r = pick_endpoint(&f, &q);
+	CU_ASSERT_STRING_EQUAL(r.endpoint->info.id, "e2");
+	CU_ASSERT_EQUAL(r.candidates, 1);
+	CU_ASSERT_EQUAL(r.withheld, 2);
+	CU_ASSERT_EQUAL(r.open_ms, 2500);
+	q.now_ms = 2500;
+	r = pick_endpoint(&f, &q);
+	CU_ASSERT_EQUAL(r.candidates, 2);
+	CU_ASSERT_EQUAL(r.withheld, 1);
+	q.service = "other";
+	r = pick_endpoint(&f, &q);
+	CU_ASSERT_EQUAL(r.withheld, 0);
+	flt_free(&f);
+}
+
 /*
  * Entries with the same list of endpoints, in any order, choose the same
  * endpoint for a shared prompt part.
@@ -578,6 +657,12 @@
 	{ "removed endpoints are remembered",
 	  removed_endpoints_are_remembered },
 	{ "draining is final", draining_is_final },
+	{ "statements outlast the list entry",
+	  statements_outlast_the_list_entry },
+	{ "statements of removed endpoints are bounded",
+	  statements_of_removed_endpoints_are_bounded },
+	{ "withheld endpoints are counted, with the first to return",
+	  withheld_endpoints_are_counted_with_the_first_to_return },
 	{ "a restart under the same id has fresh state",
 	  restart_under_the_same_id_has_fresh_state },
 	{ "an unreadable entry removes the endpoint",
