edge: rename edge_limit.c to edge_statement.c

Endpoints state more than limits in their answers; what else they state is going to be handled in the same place. No behaviour changed; the build has no warnings.

--- a/lib/edge/edge_answer.c
+++ b/lib/edge/edge_answer.c
@@ -183,7 +183,7 @@
 		jlog_end(en->log);
 		return false;
 	}
-	edge_limit_answered(r);
+	edge_statement_answered(r);
 	buf_reset(&r->answer_body);
 	r->streaming = r->reply.events && r->reply.status / 100 == 2 &&
 		       r->reply.sealed && !r->reply.encoded;
--- a/lib/edge/edge_gossip.c
+++ b/lib/edge/edge_gossip.c
@@ -171,7 +171,7 @@
 	r->cfg_confirmed_age_ms = age == INT64_MAX ? -1 : age;
 	r->requests_per_s =
 		decay_sum_at(&en->arrivals, EDGE_ARRIVAL_RATE_MS, now);
-	edge_limit_fill_gossip(en, r, now);
+	edge_statement_fill_gossip(en, r, now);
 }
 
 static void fill_all(struct edge *en, int64_t now)
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -362,24 +362,25 @@
 void edge_send_moved(struct edge_req *r, struct flt_endpoint *to,
 		     const char *handle);
 
-/* ---- edge_limit.c: request limits that endpoints state ---- */
+/* ---- edge_statement.c: what endpoints state in their answers ---- */
 
-/* Takes over the limit that the head of an answer (r->reply) states. */
-void edge_limit_answered(struct edge_req *r);
+/* Takes over what the head of an answer (r->reply) states. */
+void edge_statement_answered(struct edge_req *r);
 
 /* Sets this entry's share of each limit, after the senders have changed. */
-void edge_limit_tick(struct edge *en, int64_t now);
+void edge_statement_tick(struct edge *en, int64_t now);
 
 /*
  * Adds the endpoints' limits to a datagram; takes over those of another entry,
  * which sent `r` at `sent_ms`.
  */
-void edge_limit_fill_gossip(struct edge *en, struct gsp_record *r, int64_t now);
-void edge_limit_apply_gossip(struct edge *en, const struct gsp_record *r,
-			     int64_t sent_ms, int64_t now);
+void edge_statement_fill_gossip(struct edge *en, struct gsp_record *r,
+				int64_t now);
+void edge_statement_apply_gossip(struct edge *en, const struct gsp_record *r,
+				 int64_t sent_ms, int64_t now);
 
 /* The number of endpoints that state a limit. */
-unsigned edge_limit_count(const struct edge *en);
+unsigned edge_statement_count_limited(const struct edge *en);
 
 /* ---- edge_probe.c: probes of endpoints after broken connections ---- */
 
--- a/lib/edge/edge_peer.c
+++ b/lib/edge/edge_peer.c
@@ -112,7 +112,7 @@
 		adopt_model(en, &r->services[i].estimates);
 	edge_fatal_apply_gossip(en, r, now);
 	if (at)
-		edge_limit_apply_gossip(en, r, at, now);
+		edge_statement_apply_gossip(en, r, at, now);
 	edge_rollout_apply_gossip(en, edge_source(p->info.name, p->boot), r,
 				  now);
 	at = prs_config_confirmed_ms(r, en->boot);
@@ -285,7 +285,7 @@
 	en->watch_rank = ovl_watch_rank(&en->ovl, &en->prs, now);
 	edge_peer_sum_demands(en, now);
 	edge_peer_sum_loads(en, now);
-	edge_limit_tick(en, now);
+	edge_statement_tick(en, now);
 	compare_clocks(en, now);
 	edge_serve_followers(en, now);
 	prs_expire(&en->prs, now);
--- a/lib/edge/edge_peer_http.c
+++ b/lib/edge/edge_peer_http.c
@@ -239,7 +239,7 @@
 
 	met_set(en->m.lines_dropped, (long long)jlog_dropped(en->log));
 	met_set(en->m.endpoints, (long long)en->fleet.count);
-	met_set(en->m.endpoints_limited, edge_limit_count(en));
+	met_set(en->m.endpoints_limited, edge_statement_count_limited(en));
 	met_set(en->m.entries, en->nr_running);
 	met_set(en->m.in_core, en->ovl.core);
 	met_set(en->m.core_entries, (long long)en->prs.nr_core);
--- a/lib/edge/edge_limit.c
+++ b/lib/edge/edge_statement.c
@@ -1,6 +1,6 @@
 /*
- * Request limits that endpoints state in their answers (gate.h): entries pass
- * them on by gossip, and find out which of them share each one.
+ * What endpoints state of themselves in their answers (gate.h). Entries pass
+ * the limits on by gossip, and find out which of them share each one.
  */
 #include <string.h>
 
@@ -59,7 +59,7 @@
 		gate_set_share(&e->gate, share_of(en, e, now), now);
 }
 
-void edge_limit_tick(struct edge *en, int64_t now)
+void edge_statement_tick(struct edge *en, int64_t now)
 {
 	struct flt_endpoint *e;
 
@@ -67,7 +67,7 @@
 		update_share(en, e, now);
 }
 
-unsigned edge_limit_count(const struct edge *en)
+unsigned edge_statement_count_limited(const struct edge *en)
 {
 	const struct flt_endpoint *e;
 	unsigned n = 0;
@@ -108,7 +108,7 @@
 	jlog_end(en->log);
 }
 
-void edge_limit_answered(struct edge_req *r)
+void edge_statement_answered(struct edge_req *r)
 {
 	struct flt_endpoint *e = r->endpoint;
 	const double former = e->gate.limit_per_s;
@@ -135,7 +135,8 @@
 }
 
 /* If there are too many, the next datagram begins where this one ends. */
-void edge_limit_fill_gossip(struct edge *en, struct gsp_record *r, int64_t now)
+void edge_statement_fill_gossip(struct edge *en, struct gsp_record *r,
+				int64_t now)
 {
 	const struct flt_endpoint *e;
 	unsigned i = 0;
@@ -157,8 +158,8 @@
 	en->limits_from = 0;
 }
 
-void edge_limit_apply_gossip(struct edge *en, const struct gsp_record *r,
-			     int64_t sent_ms, int64_t now)
+void edge_statement_apply_gossip(struct edge *en, const struct gsp_record *r,
+				 int64_t sent_ms, int64_t now)
 {
 	struct flt_endpoint *e;
 	double former;
