edge: log and count endpoints that state their leaving, or a wait

An endpoint that shuts down states so in its answers, and one that refuses a request may state for how long it wants no other one from this entry. Nothing read either.

The adapter decodes both; a value that cannot be read is logged and ignored, and no longer hides the other statements of the same answer. endpoint_leaving has the age of the list, endpoint_wait what was left of an earlier wait; counters of these answers and of sends in spite of them, also in the line of totals. Requests are sent as before.

--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -86,6 +86,17 @@
 	x->sends_to_limited =
 		met_counter(m, "sends_to_limited_total",
 			    "requests sent to endpoints that state a limit");
+	x->leaving_stated = met_counter(
+		m, "endpoint_leaving_stated_total",
+		"answers in which an endpoint stated that it leaves");
+	x->sends_to_leaving =
+		met_counter(m, "sends_to_leaving_total",
+			    "requests sent to endpoints that stated so");
+	x->waits_stated =
+		met_counter(m, "endpoint_waits_stated_total",
+			    "refusals with which an endpoint asked for a wait");
+	x->sends_in_wait = met_counter(m, "sends_in_wait_total",
+				       "requests sent to endpoints meanwhile");
 	x->answers_withheld = met_counter(
 		m, "answers_withheld_total",
 		"requests refused because endpoints take no more for now");
@@ -278,6 +289,10 @@
 	jlog_int(en->log, "sends", met_get(en->m.sends));
 	jlog_int(en->log, "limits_stated", met_get(en->m.limits_stated));
 	jlog_int(en->log, "sends_to_limited", met_get(en->m.sends_to_limited));
+	jlog_int(en->log, "leaving_stated", met_get(en->m.leaving_stated));
+	jlog_int(en->log, "sends_to_leaving", met_get(en->m.sends_to_leaving));
+	jlog_int(en->log, "waits_stated", met_get(en->m.waits_stated));
+	jlog_int(en->log, "sends_in_wait", met_get(en->m.sends_in_wait));
 	jlog_int(en->log, "entries", en->nr_running);
 	jlog_int(en->log, "core", (int64_t)en->prs.nr_core);
 	jlog_int(en->log, "leaves", (int64_t)en->prs.nr_leaves);
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -77,6 +77,8 @@
 	met_value *probes, *endpoints_ended;
 	met_value *limits_stated, *statements_malformed, *sends_to_limited,
 		*endpoints_limited, *answers_withheld;
+	met_value *leaving_stated, *sends_to_leaving, *waits_stated,
+		*sends_in_wait;
 	met_value *requests_suspected, *requests_convicted, *requests_withheld;
 	met_value *sends, *resends, *resumes, *sends_not_run, *sends_lost;
 	met_value *store_calls[STO_KINDS], *store_followed, *store_relayed;
@@ -367,6 +369,9 @@
 /* Takes over what the head of an answer (r->reply) states. */
 void edge_statement_answered(struct edge_req *r);
 
+/* Counts a request that is sent although the endpoint stated something. */
+void edge_statement_count_send(struct edge *en, const struct flt_endpoint *e);
+
 /* Sets this entry's share of each limit, after the senders have changed. */
 void edge_statement_tick(struct edge *en, int64_t now);
 
--- a/lib/edge/edge_send.c
+++ b/lib/edge/edge_send.c
@@ -187,8 +187,7 @@
 	met_inc(en->m.sends);
 	if (p->endpoint->use == FLT_ON_TRIAL)
 		met_inc(en->m.sends_on_trial);
-	if (p->endpoint->gate.limit_per_s > 0)
-		met_inc(en->m.sends_to_limited);
+	edge_statement_count_send(en, p->endpoint);
 	if (r->sends > 1)
 		met_inc(r->rq.started ? en->m.resumes : en->m.resends);
 	r->sent_ms = now;
--- a/lib/edge/edge_statement.c
+++ b/lib/edge/edge_statement.c
@@ -108,17 +108,11 @@
 	jlog_end(en->log);
 }
 
-void edge_statement_answered(struct edge_req *r)
+static void limit_answered(struct edge_req *r)
 {
 	struct flt_endpoint *e = r->endpoint;
 	const double former = e->gate.limit_per_s;
 
-	if (r->reply.misdirected)
-		return; /* another endpoint answered */
-	if (r->reply.malformed[0]) {
-		log_malformed(r);
-		return;
-	}
 	if (r->reply.limit_per_s > 0)
 		met_inc(r->en->m.limits_stated);
 	if (gate_limit_answered(&e->gate, r->reply.limit_per_s, r->sent_ms,
@@ -126,6 +120,67 @@
 		limit_changed(r->en, e, former, r->attempt.id, "");
 }
 
+static void leaving_answered(struct edge_req *r)
+{
+	struct edge *en = r->en;
+	struct flt_endpoint *e = r->endpoint;
+
+	met_inc(en->m.leaving_stated);
+	if (e->gate.leaving)
+		return;
+	e->gate.leaving = true;
+	jlog_begin(en->log, JLOG_INFO, "endpoint_leaving");
+	jlog_str(en->log, "endpoint", e->info.id);
+	jlog_str(en->log, "service", e->info.service);
+	jlog_bool(en->log, "listed_as_draining", e->info.draining);
+	jlog_int(en->log, "list_age_ms", edge_list_age(en, edge_now(en)));
+	jlog_str(en->log, "id", r->attempt.id);
+	jlog_end(en->log);
+}
+
+static void wait_answered(struct edge_req *r)
+{
+	struct edge *en = r->en;
+	struct gate *g = &r->endpoint->gate;
+	const int64_t now = edge_now(en);
+
+	met_inc(en->m.waits_stated);
+	jlog_begin(en->log, JLOG_INFO, "endpoint_wait");
+	jlog_str(en->log, "endpoint", r->endpoint->info.id);
+	jlog_str(en->log, "service", r->endpoint->info.service);
+	jlog_int(en->log, "wait_ms", r->reply.wait_ms);
+	jlog_int(en->log, "left_ms",
+		 g->wait_until_ms > now ? g->wait_until_ms - now : 0);
+	jlog_str(en->log, "id", r->attempt.id);
+	jlog_end(en->log);
+	if (now + r->reply.wait_ms > g->wait_until_ms)
+		g->wait_until_ms = now + r->reply.wait_ms;
+}
+
+void edge_statement_answered(struct edge_req *r)
+{
+	if (r->reply.misdirected)
+		return; /* another endpoint answered */
+	if (r->reply.malformed[0])
+		log_malformed(r);
+	if (r->reply.limit_per_s >= 0)
+		limit_answered(r);
+	if (r->reply.leaving)
+		leaving_answered(r);
+	if (r->reply.wait_ms > 0)
+		wait_answered(r);
+}
+
+void edge_statement_count_send(struct edge *en, const struct flt_endpoint *e)
+{
+	if (e->gate.limit_per_s > 0)
+		met_inc(en->m.sends_to_limited);
+	if (e->gate.leaving)
+		met_inc(en->m.sends_to_leaving);
+	if (e->gate.wait_until_ms > edge_now(en))
+		met_inc(en->m.sends_in_wait);
+}
+
 /* ---- Gossip ---- */
 
 static bool is_reported(const struct gate *g, int64_t now)
--- a/lib/fleet/gate.h
+++ b/lib/fleet/gate.h
@@ -18,12 +18,14 @@
 
 /* What one endpoint stated. All zero: nothing. */
 struct gate {
-	double limit_per_s; /* requests of all entries; 0: no limit */
-	int64_t stated_ms;  /* of the newest statement, also of no limit */
-	double share_per_s; /* this entry's part; 0: it is not selected */
-	double tokens;	    /* requests that the share allows now */
-	int64_t filled_ms;  /* time as of which `tokens` is counted */
-	int64_t sent_ms;    /* last request under the limit; 0: none */
+	double limit_per_s;    /* requests of all entries; 0: no limit */
+	int64_t stated_ms;     /* of the newest statement, also of no limit */
+	double share_per_s;    /* this entry's part; 0: it is not selected */
+	double tokens;	       /* requests that the share allows now */
+	int64_t filled_ms;     /* time as of which `tokens` is counted */
+	int64_t sent_ms;       /* last request under the limit; 0: none */
+	bool leaving;	       /* the endpoint is shutting down */
+	int64_t wait_until_ms; /* it wants no requests before; 0: no wait */
 };
 
 enum gate_change {
--- a/lib/request/attempt.h
+++ b/lib/request/attempt.h
@@ -39,9 +39,15 @@
 	bool encoded;	    /* has a Content-Encoding: not the original bytes */
 	/*
 	 * The requests per second that the endpoint accepts from all entries
-	 * together; 0: it states no limit.
+	 * together; 0: it states no limit; -1: one that cannot be read.
 	 */
 	double limit_per_s;
+	bool leaving; /* it states that the endpoint is shutting down */
+	/*
+	 * A refusal (503) states that the endpoint wants no requests of this
+	 * entry for this long; -1: it does not.
+	 */
+	int64_t wait_ms;
 	/* A statement that cannot be read, "NAME: VALUE"; "": none. */
 	char malformed[ATTEMPT_MALFORMED];
 };
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -332,21 +332,78 @@
 	hparse_free(&p);
 }
 
-static void decode_head(const char *headers, struct reply *r)
+static void decode_status(int status, const char *headers, struct reply *r)
 {
 	const struct attempt a = { .id = "abc" };
 	BUF_AUTO head = BUF_INIT;
 	struct hparse p;
 
 	buf_fmt(&head,
-		"HTTP/1.1 200 OK\r\nAttempt-Id: abc\r\nReplica-Seal: s\r\n"
+		"HTTP/1.1 %d X\r\nAttempt-Id: abc\r\nReplica-Seal: s\r\n"
 		"%sContent-Length: 0\r\n\r\n",
-		headers);
+		status, headers);
 	parse(&p, false, buf_cstr(&head));
 	pf_wire()->decode_answer(&p.msg, &a, r);
 	hparse_free(&p);
 }
 
+static void decode_head(const char *headers, struct reply *r)
+{
+	decode_status(200, headers, r);
+}
+
+static void leaving_is_a_flag(void)
+{
+	struct reply r;
+
+	decode_head("", &r);
+	CU_ASSERT_FALSE(r.leaving);
+	decode_head("Server-Leaving: 1\r\n", &r);
+	CU_ASSERT(r.leaving);
+	CU_ASSERT_STRING_EQUAL(r.malformed, "");
+	decode_head("Server-Leaving: 0\r\n", &r);
+	CU_ASSERT_FALSE(r.leaving);
+	CU_ASSERT_STRING_EQUAL(r.malformed, "");
+	decode_head("Server-Leaving: soon\r\n", &r);
+	CU_ASSERT_FALSE(r.leaving);
+	CU_ASSERT_STRING_EQUAL(r.malformed, "Server-Leaving: soon");
+	decode_head("Server-Leaving: 0.5\r\n", &r);
+	CU_ASSERT_FALSE(r.leaving);
+	CU_ASSERT_NOT_EQUAL(r.malformed[0], '\0');
+}
+
+static void waits_are_read_from_refusals_alone(void)
+{
+	static const char *const wrong[] = {
+		"-1",
+		"nan",
+		"1e300",
+		"86400.1",
+		"Wed, 21 Oct 2015 07:28:00 GMT",
+		"x",
+		"",
+	};
+	struct reply r;
+	char header[80];
+	size_t i;
+
+	decode_status(503, "", &r);
+	CU_ASSERT_EQUAL(r.wait_ms, -1);
+	decode_status(503, "Retry-After: 2.5\r\n", &r);
+	CU_ASSERT_EQUAL(r.wait_ms, 2500);
+	decode_status(503, "Retry-After: 0\r\n", &r);
+	CU_ASSERT_EQUAL(r.wait_ms, 0);
+	decode_status(200, "Retry-After: 2.5\r\n", &r);
+	CU_ASSERT_EQUAL(r.wait_ms, -1);
+	for (i = 0; i < sizeof(wrong) / sizeof(wrong[0]); i++) {
+		snprintf(header, sizeof(header), "Retry-After: %s\r\n",
+			 wrong[i]);
+		decode_status(503, header, &r);
+		CU_ASSERT_EQUAL(r.wait_ms, -1);
+		CU_ASSERT_EQUAL(strncmp(r.malformed, "Retry-After: ", 13), 0);
+	}
+}
+
 static void limits_that_are_no_positive_number_are_malformed(void)
 {
 	static const char *const wrong[] = {
@@ -367,11 +424,11 @@
 		snprintf(header, sizeof(header), "Server-Limit: %s\r\n",
 			 wrong[i]);
 		decode_head(header, &r);
-		CU_ASSERT_EQUAL(r.limit_per_s, 0);
+		CU_ASSERT_EQUAL(r.limit_per_s, -1);
 		CU_ASSERT_EQUAL(strncmp(r.malformed, "Server-Limit: ", 14), 0);
 	}
 	decode_head("Server-Limit: 2\r\nServer-Limit: 3\r\n", &r);
-	CU_ASSERT_EQUAL(r.limit_per_s, 0);
+	CU_ASSERT_EQUAL(r.limit_per_s, -1);
 	CU_ASSERT_NOT_EQUAL(r.malformed[0], '\0');
 }
 
@@ -579,6 +636,9 @@
 	{ "wrong heads are refused", wrong_heads_are_refused },
 	{ "forged headers do not pass", forged_headers_do_not_pass },
 	{ "answers are told apart", answers_are_told_apart },
+	{ "leaving is a flag", leaving_is_a_flag },
+	{ "waits are read from refusals alone",
+	  waits_are_read_from_refusals_alone },
 	{ "limits that are no positive number are malformed",
 	  limits_that_are_no_positive_number_are_malformed },
 	{ "own answers say when to come back",
