tests: endpoints that state their leaving get no more requests

leaving_test runs six entries on the stand-in of the platform while endpoints state in their answers that they leave: one of four, one while the store is away, one whose list entry lapses and returns as if it were ready, and all of a service. The stand-in counts requests that reach them from an entry more than 2 s after an answer to it stated so; statements.c also has refusals that ask for a wait, for the next test. The load on all entries is shared with limit_test (edge_load.sh).

Reproduces the incident of a request that reached an endpoint 9.6 s after an answer had stated its leaving, while the store was away.

--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -95,6 +95,8 @@
 	add ending_test_16 $?
 	BIN=$BUILD/bin scripts/limit_test.sh >"$OUT" 2>/dev/null
 	add limit_test $?
+	BIN=$BUILD/bin scripts/leaving_test.sh >"$OUT" 2>/dev/null
+	add leaving_test $?
 	BIN=$BUILD/bin scripts/older_copy_test.sh >"$OUT" 2>/dev/null
 	add older_copy_test $?
 	BIN=$BUILD/bin scripts/rollout_test.sh >"$OUT" 2>/dev/null
--- /dev/null
+++ b/scripts/edge_load.sh
@@ -0,0 +1,57 @@
+# Load on all entries while endpoints state something of themselves in their
+# answers; sourced by the tests of these statements, after edge_cluster.sh.
+
+# Requests in flight at each entry.
+LOADS=${LOADS:-1}
+
+# load_entry N PATH: sends to entry N until $DIR/stop exists, and notes the
+# statuses. The attempt's id names the entry, for the stand-in.
+load_entry() {
+	local n=$1 i=0 at head=$DIR/head-$1-$BASHPID
+	at=$(address "$n" callers)
+	while [ ! -e "$DIR/stop" ]; do
+		i=$((i + 1))
+		curl -s -m 8 -o /dev/null -D "$head" -w '%{http_code}\n' \
+			-H 'Host: t.example' -H 'Deadline-Ms: 6000' \
+			-H "Attempt-Id: e$n-$BASHPID-$i" \
+			-H 'Authorization: Bearer k1' -d hello \
+			"http://$at$2" >>"$DIR/statuses"
+		grep -i '^retry-after' "$head" >>"$DIR/retries"
+		sleep 0.03
+	done
+}
+
+# load PATH COMMAND...: sends to all entries while the command runs.
+load() {
+	local path=$1 n k pids=
+	shift
+	rm -f "$DIR/stop" "$DIR/statuses" "$DIR/retries"
+	for n in $(seq 1 "$EDGES"); do
+		for k in $(seq 1 "$LOADS"); do
+			load_entry "$n" "$path" &
+			pids="$pids $!"
+		done
+	done
+	sleep 1
+	platform_test seen >"$DIR/before"
+	"$@"
+	: >"$DIR/stop"
+	wait $pids
+}
+
+# unchanged NAME: a count of the stand-in is what it was when the load began.
+unchanged() {
+	is "$(seen "$1")" "$(head -1 "$DIR/before" | tr ' ' '\n' |
+		grep -A1 "^$1$" | tail -1)"
+}
+
+# reached ID: the requests that ran at the endpoint.
+reached() { platform_test seen | sed -n "s/^$1 [a-z]* //p"; }
+
+at_least() { [ "$1" -ge "$2" ]; }
+
+# reached_by ID N: N requests ran there.
+reached_by() { at_least "$(reached "$1")" "$2"; }
+
+# others_than PATTERN: the number of answers with another status.
+others_than() { grep -vc "$1" "$DIR/statuses"; }
--- a/scripts/limit_test.sh
+++ b/scripts/limit_test.sh
@@ -9,53 +9,15 @@
 EDGES=${EDGES:-6}
 . scripts/cluster.sh
 . scripts/edge_cluster.sh
+. scripts/edge_load.sh
 trap cluster_stop EXIT
 SECONDS_EACH=${1:-8}
 
-# load_entry N PATH: sends to entry N until $DIR/stop exists, and notes the
-# statuses. The attempt's id names the entry, for the stand-in.
-load_entry() {
-	local n=$1 i=0 at
-	at=$(address "$n" callers)
-	while [ ! -e "$DIR/stop" ]; do
-		i=$((i + 1))
-		curl -s -m 8 -o /dev/null -D "$DIR/head-$n" -w '%{http_code}\n' \
-			-H 'Host: t.example' -H 'Deadline-Ms: 6000' \
-			-H "Attempt-Id: e$n-$RANDOM-$i" \
-			-H 'Authorization: Bearer k1' -d hello \
-			"http://$at$2" >>"$DIR/statuses"
-		grep -i '^retry-after' "$DIR/head-$n" >>"$DIR/retries"
-		sleep 0.03
-	done
-}
-
-# load PATH COMMAND...: sends to all entries while the command runs.
-load() {
-	local path=$1 n pids=
-	shift
-	rm -f "$DIR/stop" "$DIR/statuses" "$DIR/retries"
-	for n in $(seq 1 "$EDGES"); do
-		load_entry "$n" "$path" &
-		pids="$pids $!"
-	done
-	sleep 1
-	OVER=$(seen over_limit)
-	"$@"
-	: >"$DIR/stop"
-	wait $pids
-}
-
-# within_limits: no endpoint got more than its limit since over_limit was $OVER.
-within_limits() { is "$(seen over_limit)" "$OVER"; }
+# within_limits: no endpoint got more than its limit in this case.
+within_limits() { unchanged over_limit; }
 
 limit() { platform_test "limit?id=$1&per_s=$2" >/dev/null; }
 
-# reached ID: the requests that ran there.
-reached() { platform_test seen | sed -n "s/^$1 [a-z]* //p"; }
-
-# statuses OTHER_THAN: the number of answers with another status.
-others_than() { grep -vc "$1" "$DIR/statuses"; }
-
 for_a_while() { sleep "$SECONDS_EACH"; }
 
 # limited ID PER_S: the endpoint states a limit for a while. Leaves in REACHED
@@ -68,14 +30,11 @@
 	REACHED=$(($(reached "$1") - REACHED))
 }
 
-at_least() { [ "$1" -ge "$2" ]; }
-gained() { at_least "$(reached "$1")" "$2"; }
-
 # limit_ends ID: the endpoint states none any more, and gets its part again.
 limit_ends() {
 	limit "$1" 0
 	expect "an endpoint without its limit gets its part again" \
-		wait_for gained "$1" $(($(reached "$1") + 40))
+		wait_for reached_by "$1" $(($(reached "$1") + 40))
 }
 
 one_limited() {
--- a/tests/standin/platform.c
+++ b/tests/standin/platform.c
@@ -774,6 +774,10 @@
 	stm_arrived(&e->statements, id, now_ms());
 	if (e->draining)
 		e->seen++;
+	if (stm_refuses(&e->statements)) {
+		refuse(e, c, id);
+		return;
+	}
 	if (copy && !take_copy(copy, id)) {
 		refuse(e, c, id);
 		return;
@@ -1023,7 +1027,7 @@
 {
 	BUF_AUTO out = BUF_INIT;
 	int i, twice = 0, once = 0, late = 0, per[MAX_ENDPOINTS] = { 0 };
-	unsigned over_limit = 0, most = 0;
+	unsigned over_limit = 0, most = 0, stated_leaving = 0, in_wait = 0;
 
 	for (i = 0; i < w.nr_runs; i++) {
 		once += w.runs[i].once;
@@ -1036,14 +1040,17 @@
 		late += (int)w.endpoints[i].seen;
 		over_limit += s->over_limit;
 		most = s->most > most ? s->most : most;
+		stated_leaving += s->to_leaving;
+		in_wait += s->in_wait;
 	}
 	buf_fmt(&out,
 		"runs %d once %d once_twice %d to_leaving %d usage %d usage_twice %d "
 		"orders %d wrong_fence %d revision %lld config_told %d "
-		"ended %d over_limit %u most_in_window %u\n",
+		"ended %d over_limit %u most_in_window %u "
+		"to_stated_leaving %u in_wait %u\n",
 		w.nr_runs, once, twice, late, w.nr_usage, w.usage_twice,
 		w.nr_scale, w.wrong_fence, (long long)w.revision, w.config_told,
-		w.nr_ended, over_limit, most);
+		w.nr_ended, over_limit, most, stated_leaving, in_wait);
 	for (i = 0; i < w.nr_endpoints; i++)
 		buf_fmt(&out, "%s %s %d\n", w.endpoints[i].id,
 			w.endpoints[i].service, per[i]);
@@ -1089,6 +1096,11 @@
 	} else if (!strncmp(url, "/test/limit", 11)) {
 		hmsg_query(url, "per_s", number, sizeof(number));
 		stm_set_limit(&e->statements, atof(number), now_ms());
+	} else if (!strncmp(url, "/test/leaving", 13)) {
+		e->statements.leaving = true;
+	} else if (!strncmp(url, "/test/wait", 10)) {
+		hmsg_query(url, "ms", number, sizeof(number));
+		e->statements.wait_ms = atoll(number);
 	} else if (!strncmp(url, "/test/drain", 11)) {
 		e->draining = true;
 		register_endpoint(e);
--- a/tests/support/statements.c
+++ b/tests/support/statements.c
@@ -16,6 +16,18 @@
 #define STABLE_MS 3000
 #define KNOWN_MS 500
 
+/*
+ * The rule of leaving: no request from an entry so long after an answer that
+ * stated it.
+ */
+#define LEAVING_MS 2000
+
+/*
+ * The rule of a wait: this many requests of the entry, from KNOWN_MS after the
+ * refusal to the end of the wait.
+ */
+#define WAIT_REQUESTS 2
+
 /* The entry's number; 0: not stated. */
 static unsigned entry_of(const char *id)
 {
@@ -41,9 +53,9 @@
 	return n;
 }
 
-void stm_arrived(struct stm *s, const char *id, int64_t now)
+static void check_limit(struct stm *s, unsigned entry, int64_t now)
 {
-	const int64_t told = s->limit_told_ms[entry_of(id)];
+	const int64_t told = s->limit_told_ms[entry];
 	unsigned n;
 
 	if (s->limit_per_s <= 0 || now - s->limited_ms < STABLE_MS || !told ||
@@ -57,13 +69,55 @@
 				     WINDOW_SLACK;
 }
 
-void stm_put(struct stm *s, const char *id, struct buf *out, int64_t now)
+static void check_waits(struct stm *s, unsigned entry, int64_t now)
 {
-	int64_t *told = &s->limit_told_ms[entry_of(id)];
+	unsigned i;
 
-	if (s->limit_per_s <= 0)
-		return;
-	buf_fmt(out, "Server-Limit: %g\r\n", s->limit_per_s);
+	for (i = 0; i < STM_MAX_WAITS; i++) {
+		struct stm_wait *t = &s->waits[entry][i];
+
+		if (now - t->told_ms >= KNOWN_MS && now < t->until_ms)
+			s->in_wait += ++t->arrivals > WAIT_REQUESTS;
+	}
+}
+
+bool stm_refuses(const struct stm *s)
+{
+	return s->wait_ms > 0;
+}
+
+void stm_arrived(struct stm *s, const char *id, int64_t now)
+{
+	const unsigned entry = entry_of(id);
+	const int64_t leaving = s->leaving_told_ms[entry];
+
+	check_limit(s, entry, now);
+	check_waits(s, entry, now);
+	s->to_leaving += leaving && now - leaving > LEAVING_MS;
+}
+
+static void first_told(int64_t *told, int64_t now)
+{
 	if (!*told)
 		*told = now;
 }
+
+void stm_put(struct stm *s, const char *id, struct buf *out, int64_t now)
+{
+	const unsigned entry = entry_of(id);
+
+	if (s->limit_per_s > 0) {
+		buf_fmt(out, "Server-Limit: %g\r\n", s->limit_per_s);
+		first_told(&s->limit_told_ms[entry], now);
+	}
+	if (s->leaving) {
+		buf_str(out, "Server-Leaving: 1\r\n");
+		first_told(&s->leaving_told_ms[entry], now);
+	}
+	if (s->wait_ms > 0) {
+		buf_fmt(out, "Retry-After: %.3f\r\n",
+			(double)s->wait_ms / 1000);
+		s->waits[entry][s->nr_waits[entry]++ % STM_MAX_WAITS] =
+			(struct stm_wait){ now, now + s->wait_ms, 0 };
+	}
+}
--- a/tests/support/statements.h
+++ b/tests/support/statements.h
@@ -15,6 +15,13 @@
 
 #define STM_MAX_ENTRIES 64
 #define STM_MAX_ARRIVALS 1024
+#define STM_MAX_WAITS 32 /* of one entry at the same time */
+
+/* A refusal with which the endpoint asked an entry for a wait. */
+struct stm_wait {
+	int64_t told_ms, until_ms;
+	unsigned arrivals; /* in spite of it */
+};
 
 /* All zero: an endpoint that states nothing. */
 struct stm {
@@ -25,15 +32,28 @@
 	unsigned nr_arrivals;
 	unsigned over_limit; /* arrivals beyond the limit */
 	unsigned most;	     /* in a window of the limit */
+
+	bool leaving;
+	int64_t leaving_told_ms[STM_MAX_ENTRIES]; /* first answer; 0: none */
+	unsigned to_leaving; /* arrivals too long after that */
+
+	int64_t wait_ms; /* it refuses all requests, and asks for it; 0: not */
+	struct stm_wait waits[STM_MAX_ENTRIES][STM_MAX_WAITS]; /* rings */
+	unsigned nr_waits[STM_MAX_ENTRIES];
+	unsigned in_wait; /* arrivals beyond those that a wait allows */
 };
 
 /* States another limit from now on; 0: none any more. */
 void stm_set_limit(struct stm *s, double per_s, int64_t now_ms);
 
+/* True if the endpoint refuses all requests. */
+bool stm_refuses(const struct stm *s);
+
 /* A request arrived. `id`: of the attempt; may be NULL. */
 void stm_arrived(struct stm *s, const char *id, int64_t now_ms);
 
-/* Appends the headers of an answer to attempt `id`, which may be NULL. */
+/* Appends the headers of an answer to attempt `id`, which may be NULL. A
+ * refusal if stm_refuses(). */
 void stm_put(struct stm *s, const char *id, struct buf *out, int64_t now_ms);
 
 #endif
