tests: endpoints that ask for a wait get no requests in it

wait_test runs six entries, with two requests in flight at each, while endpoints refuse all requests and ask their sender for a wait of 3 or 4 s: one of three with plain requests and with streams, all three, and all three while their list entries lapse and return. The stand-in counts requests beyond two that an entry sends from 0.5 s after a refusal to the end of the wait.

Reproduces the incident of an endpoint that had asked an entry for 3 s of rest and got four requests from it.

--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -97,6 +97,8 @@
 	add limit_test $?
 	BIN=$BUILD/bin scripts/leaving_test.sh >"$OUT" 2>/dev/null
 	add leaving_test $?
+	BIN=$BUILD/bin scripts/wait_test.sh >"$OUT" 2>/dev/null
+	add wait_test $?
 	BIN=$BUILD/bin scripts/older_copy_test.sh >"$OUT" 2>/dev/null
 	add older_copy_test $?
 	BIN=$BUILD/bin scripts/rollout_test.sh >"$OUT" 2>/dev/null
