edge: send nothing to endpoints that state their leaving

An endpoint got a request 9.6 s after an answer of it had stated, to the same entry, that it leaves; another one 2.6 s after. 2 s are allowed. Callers risked a request at a process about to exit.

A stated leaving now makes the endpoint draining, for good, as its list entry would (flt_mark_leaving): it gets no request of any kind, its streams are migrated, and replacements are ordered. It belongs to the start of the endpoint and outlasts its removal from the table, also where the list had said it first: an older copy of the list entry does not undo it. Gossip passes it on while the list does not say it.

--- a/lib/edge/edge_gossip.c
+++ b/lib/edge/edge_gossip.c
@@ -148,7 +148,7 @@
 }
 
 /*
- * The head of a datagram, and the limits of endpoints. A leaf sends no other
+ * The head of a datagram, and the endpoints' statements. A leaf sends no other
  * rows.
  */
 static void fill_head(struct edge *en, int64_t now)
@@ -222,14 +222,16 @@
 
 /* The number of rows of each kind that a group of datagrams begins with. */
 struct row_counts {
-	unsigned loads, services, fatal, tallies, rolled_back, members, limits;
+	unsigned loads, services, fatal, tallies, rolled_back, members,
+		statements;
 };
 
 static struct row_counts count_rows(const struct gsp_record *r)
 {
 	return (struct row_counts){
-		r->nr_loads,	   r->nr_services, r->nr_fatal,	 r->nr_tallies,
-		r->nr_rolled_back, r->nr_members,  r->nr_limits,
+		r->nr_loads,	  r->nr_services,    r->nr_fatal,
+		r->nr_tallies,	  r->nr_rolled_back, r->nr_members,
+		r->nr_statements,
 	};
 }
 
@@ -241,7 +243,7 @@
 	r->nr_tallies = n->tallies;
 	r->nr_rolled_back = n->rolled_back;
 	r->nr_members = n->members;
-	r->nr_limits = n->limits;
+	r->nr_statements = n->statements;
 }
 
 /* Leaves out the rows that the peer does not need. */
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -237,8 +237,8 @@
 	int64_t gossip_round_ms;   /* start of the last gossip round */
 	unsigned sending_peers;	   /* peers that send requests to endpoints */
 	struct gsp_record gossip_out, gossip_in; /* scratch space */
-	struct rows rows;     /* that gossip_out may be too small for */
-	unsigned limits_from; /* limits before this one were sent last */
+	struct rows rows;	  /* that gossip_out may be too small for */
+	unsigned statements_from; /* limits before this one were sent last */
 	uint64_t
 		*live_sources; /* sorted edge_source() of live peers; scratch */
 	size_t nr_live_sources, max_live_sources;
--- a/lib/edge/edge_statement.c
+++ b/lib/edge/edge_statement.c
@@ -1,6 +1,6 @@
 /*
- * What endpoints state of themselves in their answers (gate.h). Entries pass
- * the limits on by gossip, and find out which of them share each one.
+ * What endpoints state of themselves in their answers (gate.h). Entries pass it
+ * on by gossip, and find out which of them share each limit.
  */
 #include <string.h>
 
@@ -120,21 +120,19 @@
 		limit_changed(r->en, e, former, r->attempt.id, "");
 }
 
-static void leaving_answered(struct edge_req *r)
+/* `id`, `from`: as for limit_changed(). */
+static void mark_leaving(struct edge *en, struct flt_endpoint *e,
+			 const char *id, const char *from)
 {
-	struct edge *en = r->en;
-	struct flt_endpoint *e = r->endpoint;
-
-	met_inc(en->m.leaving_stated);
-	if (e->gate.leaving)
+	if (!flt_mark_leaving(e, edge_now(en)))
 		return;
-	e->gate.leaving = true;
 	jlog_begin(en->log, JLOG_INFO, "endpoint_leaving");
 	jlog_str(en->log, "endpoint", e->info.id);
 	jlog_str(en->log, "service", e->info.service);
-	jlog_bool(en->log, "listed_as_draining", e->info.draining);
+	jlog_int(en->log, "running", e->running);
 	jlog_int(en->log, "list_age_ms", edge_list_age(en, edge_now(en)));
-	jlog_str(en->log, "id", r->attempt.id);
+	jlog_str(en->log, "id", id);
+	jlog_str(en->log, "from", from);
 	jlog_end(en->log);
 }
 
@@ -165,8 +163,10 @@
 		log_malformed(r);
 	if (r->reply.limit_per_s >= 0)
 		limit_answered(r);
-	if (r->reply.leaving)
-		leaving_answered(r);
+	if (r->reply.leaving) {
+		met_inc(r->en->m.leaving_stated);
+		mark_leaving(r->en, r->endpoint, r->attempt.id, "");
+	}
 	if (r->reply.wait_ms > 0)
 		wait_answered(r);
 }
@@ -183,12 +183,22 @@
 
 /* ---- Gossip ---- */
 
-static bool is_reported(const struct gate *g, int64_t now)
+/* What the list of endpoints says as well is not reported. */
+static bool is_reported(const struct flt_endpoint *e, int64_t now)
 {
-	return g->limit_per_s > 0 ||
+	const struct gate *g = &e->gate;
+
+	return g->limit_per_s > 0 || (g->leaving && !e->info.draining) ||
 	       (g->stated_ms && now - g->stated_ms < REPORT_LIFTED_MS);
 }
 
+static uint32_t age_of(const struct gate *g, int64_t now)
+{
+	const int64_t age = now - g->stated_ms;
+
+	return age < UINT32_MAX ? (uint32_t)age : UINT32_MAX;
+}
+
 /* If there are too many, the next datagram begins where this one ends. */
 void edge_statement_fill_gossip(struct edge *en, struct gsp_record *r,
 				int64_t now)
@@ -197,20 +207,21 @@
 	unsigned i = 0;
 
 	cds_list_for_each_entry(e, &en->fleet.endpoints, node) {
-		if (!is_reported(&e->gate, now) || i++ < en->limits_from)
+		if (!is_reported(e, now) || i++ < en->statements_from)
 			continue;
-		if (r->nr_limits == GSP_MAX_LIMITS) {
+		if (r->nr_statements == GSP_MAX_STATEMENTS) {
 			met_inc(en->m.gossip_rows_cut);
-			en->limits_from = i - 1;
+			en->statements_from = i - 1;
 			return;
 		}
-		r->limits[r->nr_limits++] = (struct gsp_limit){
+		r->statements[r->nr_statements++] = (struct gsp_statement){
 			.endpoint = e->hash,
 			.per_s = e->gate.limit_per_s,
-			.age_ms = (uint32_t)(now - e->gate.stated_ms),
+			.age_ms = age_of(&e->gate, now),
+			.leaving = e->gate.leaving,
 		};
 	}
-	en->limits_from = 0;
+	en->statements_from = 0;
 }
 
 void edge_statement_apply_gossip(struct edge *en, const struct gsp_record *r,
@@ -220,14 +231,16 @@
 	double former;
 	unsigned i;
 
-	for (i = 0; i < r->nr_limits; i++) {
-		const struct gsp_limit *l = &r->limits[i];
+	for (i = 0; i < r->nr_statements; i++) {
+		const struct gsp_statement *t = &r->statements[i];
 
-		e = flt_find_by_hash(&en->fleet, l->endpoint);
+		e = flt_find_by_hash(&en->fleet, t->endpoint);
 		if (!e)
 			continue;
+		if (t->leaving)
+			mark_leaving(en, e, "", r->name);
 		former = e->gate.limit_per_s;
-		if (gate_limit_reported(&e->gate, l->per_s, sent_ms - l->age_ms,
+		if (gate_limit_reported(&e->gate, t->per_s, sent_ms - t->age_ms,
 					now) != GATE_UNCHANGED)
 			limit_changed(en, e, former, "", r->name);
 	}
--- a/lib/fleet/flt.c
+++ b/lib/fleet/flt.c
@@ -140,7 +140,7 @@
 }
 
 /* Restores what this start of the endpoint stated before it was removed. */
-static void restore_gate(struct flt *f, struct flt_endpoint *e)
+static void restore_gate(struct flt *f, struct flt_endpoint *e, int64_t now)
 {
 	struct flt_kept_gate *k;
 
@@ -149,6 +149,8 @@
 		return;
 	e->gate = k->gate;
 	drop_gate(f, k);
+	if (e->gate.leaving)
+		e->draining_since_ms = now;
 }
 
 static void expire_gates(struct flt *f, int64_t now)
@@ -209,7 +211,7 @@
 	e->first_seen_ms = now;
 	e->decayed_ms = now;
 	e->refs = 1;
-	restore_gate(f, e);
+	restore_gate(f, e, now);
 	table_add(f, e);
 	return e;
 }
@@ -232,14 +234,21 @@
 	}
 	e->info = *info;
 	e->missing_since_ms = 0;
-	if (info->draining && !e->draining_since_ms) {
-		e->draining_since_ms = now;
-		if (*change == FLT_UNCHANGED || *change == FLT_RELISTED)
-			*change = FLT_DRAINING;
-	}
+	if (info->draining && flt_mark_leaving(e, now) &&
+	    (*change == FLT_UNCHANGED || *change == FLT_RELISTED))
+		*change = FLT_DRAINING;
 	return e;
 }
 
+bool flt_mark_leaving(struct flt_endpoint *e, int64_t now)
+{
+	e->gate.leaving = true;
+	if (e->draining_since_ms)
+		return false;
+	e->draining_since_ms = now;
+	return true;
+}
+
 bool flt_remove(struct flt *f, const char *id, int64_t now)
 {
 	struct flt_endpoint *e = flt_find(f, id);
--- a/lib/fleet/flt.h
+++ b/lib/fleet/flt.h
@@ -3,8 +3,9 @@
  * in the store, load reports of peers and the outcomes of the entry's own
  * requests.
  *
- * Draining is final: an endpoint once seen draining gets no new requests. An
- * endpoint that is missing from the list is removed at once while the store is
+ * Draining is final: an endpoint that was once listed as draining, or that
+ * stated in an answer that it leaves, gets no new requests, whatever the list
+ * says later. An endpoint that is missing from the list is removed at once while the store is
  * available. After an outage of the store, the lease of a live endpoint's list
  * entry may have expired; such an endpoint stays usable for a grace period, so
  * that it can register again.
@@ -153,6 +154,12 @@
 	FLT_RESTARTED, /* new start under the same id, with fresh state */
 };
 
+/*
+ * The endpoint stated that it is shutting down: it is draining from now on, for
+ * good. Returns false if it was draining already.
+ */
+bool flt_mark_leaving(struct flt_endpoint *e, int64_t now_ms);
+
 /*
  * Adds or updates an endpoint from its list entry; `*change` receives what
  * changed. Returns the endpoint, owned by the table.
--- a/lib/fleet/gate.h
+++ b/lib/fleet/gate.h
@@ -71,7 +71,7 @@
 /* True if there is a statement to be kept after the endpoint's removal. */
 static inline bool gate_states_anything(const struct gate *g)
 {
-	return g->limit_per_s > 0;
+	return g->limit_per_s > 0 || g->leaving;
 }
 
 #endif
--- a/lib/member/gsp.c
+++ b/lib/member/gsp.c
@@ -238,17 +238,19 @@
 	return TRUE;
 }
 
-/* Absent if there is none, and in datagrams of releases without limits. */
-static bool_t xdr_limits(XDR *x, struct gsp_record *r)
+/* Absent if there is none, and in datagrams of releases without statements. */
+static bool_t xdr_statements(XDR *x, struct gsp_record *r)
 {
 	unsigned i;
 
-	if (!xdr_u_int(x, &r->nr_limits) || r->nr_limits > GSP_MAX_LIMITS)
+	if (!xdr_u_int(x, &r->nr_statements) ||
+	    r->nr_statements > GSP_MAX_STATEMENTS)
 		return FALSE;
-	for (i = 0; i < r->nr_limits; i++) {
-		if (!xdr_uint64_t(x, &r->limits[i].endpoint) ||
-		    !xdr_double(x, &r->limits[i].per_s) ||
-		    !xdr_uint32_t(x, &r->limits[i].age_ms))
+	for (i = 0; i < r->nr_statements; i++) {
+		if (!xdr_uint64_t(x, &r->statements[i].endpoint) ||
+		    !xdr_double(x, &r->statements[i].per_s) ||
+		    !xdr_uint32_t(x, &r->statements[i].age_ms) ||
+		    !xdr_flag(x, &r->statements[i].leaving))
 			return FALSE;
 	}
 	return TRUE;
@@ -276,7 +278,7 @@
 	       from->nr_tallies * sizeof(from->tallies[0]));
 	memcpy(to->rolled_back, from->rolled_back,
 	       from->nr_rolled_back * sizeof(from->rolled_back[0]));
-	to->nr_demands = to->nr_counts = to->nr_members = to->nr_limits = 0;
+	to->nr_demands = to->nr_counts = to->nr_members = to->nr_statements = 0;
 }
 
 size_t gsp_encode(const struct gsp_record *r, char *out, size_t size)
@@ -290,7 +292,7 @@
 	    xdr_era_and_fatal(&x, (struct gsp_record *)r) &&
 	    xdr_rollouts(&x, (struct gsp_record *)r) &&
 	    xdr_membership(&x, (struct gsp_record *)r) &&
-	    (!r->nr_limits || xdr_limits(&x, (struct gsp_record *)r)))
+	    (!r->nr_statements || xdr_statements(&x, (struct gsp_record *)r)))
 		n = xdr_getpos(&x);
 	xdr_destroy(&x);
 	return n;
@@ -298,7 +300,7 @@
 
 /*
  * Receivers sum the rates of all entries: one NaN or infinity would make the
- * whole sum useless. They compute with the limits.
+ * whole sum useless. They compute with the endpoints' limits.
  */
 static bool rates_valid(const struct gsp_record *r)
 {
@@ -313,8 +315,9 @@
 		    r->services[i].prefill_tokens_per_s < 0)
 			return false;
 	}
-	for (i = 0; i < r->nr_limits; i++) {
-		if (!isfinite(r->limits[i].per_s) || r->limits[i].per_s < 0)
+	for (i = 0; i < r->nr_statements; i++) {
+		if (!isfinite(r->statements[i].per_s) ||
+		    r->statements[i].per_s < 0)
 			return false;
 	}
 	return isfinite(r->requests_per_s) && r->requests_per_s >= 0 &&
@@ -336,7 +339,7 @@
 	if (ok && xdr_getpos(&x) < len)
 		ok = xdr_membership(&x, r);
 	if (ok && xdr_getpos(&x) < len)
-		ok = xdr_limits(&x, r);
+		ok = xdr_statements(&x, r);
 	xdr_destroy(&x);
 	return ok && r->name[0] && rates_valid(r);
 }
--- a/lib/member/gsp.h
+++ b/lib/member/gsp.h
@@ -32,7 +32,7 @@
 #define GSP_MAX_TALLIES 96
 #define GSP_MAX_ROLLED_BACK 8
 #define GSP_MAX_MEMBERS 256
-#define GSP_MAX_LIMITS 32
+#define GSP_MAX_STATEMENTS 32
 
 #define GSP_MAX_BYTES 8192 /* of an encoded datagram */
 
@@ -84,11 +84,12 @@
 	bool store_ok;
 };
 
-/* The newest statement of an endpoint about the requests that it takes. */
-struct gsp_limit {
+/* What an endpoint last stated about the requests that it takes. */
+struct gsp_statement {
 	uint64_t endpoint; /* hash of its id */
-	double per_s;	   /* from all entries; 0: the limit was lifted */
-	uint32_t age_ms;   /* of the answer that stated it */
+	double per_s;	   /* its limit for all entries; 0: none */
+	uint32_t age_ms;   /* of the answer that stated `per_s` */
+	bool leaving;	   /* it is shutting down, and takes none */
 };
 
 struct gsp_record {
@@ -130,7 +131,7 @@
 	double core_requests_per_s; /* of the entries in `members`, summed up */
 	unsigned nr_members;	    /* 0 unless the receiver is a leaf */
 
-	unsigned nr_limits;
+	unsigned nr_statements;
 
 	struct gsp_demand demands[GSP_MAX_DEMANDS];
 	struct gsp_load loads[GSP_MAX_LOADS];
@@ -141,11 +142,12 @@
 	struct gsp_tally tallies[GSP_MAX_TALLIES];
 	uint64_t rolled_back[GSP_MAX_ROLLED_BACK]; /* roll-out orders */
 	struct gsp_member members[GSP_MAX_MEMBERS];
-	struct gsp_limit limits[GSP_MAX_LIMITS];
+	struct gsp_statement statements[GSP_MAX_STATEMENTS];
 };
 
 /*
- * Clear a record, and copy one without its demands, counts, members and limits.
+ * Clear a record, and copy one without its demands, counts, members and
+ * statements.
  * Rows beyond the nr_* counts are not touched: a record has room for 16 KB and
  * mostly uses a few hundred bytes, and an entry receives about 500 of them per
  * second.
@@ -164,7 +166,8 @@
  * `r` is then undefined.
  *
  * Releases of different age run side by side while the fleet is upgraded.
- * Datagrams of earlier ones, and those without limits, end before the limits;
+ * Datagrams of earlier ones, and those without statements, end before the
+ * statements;
  * those of yet earlier ones before the role and the members, before the
  * roll-outs (tallies, rolled_back), or before store_era and fatal already; what
  * is absent is decoded as 0 or none.
--- a/scripts/edge_load.sh
+++ b/scripts/edge_load.sh
@@ -4,6 +4,12 @@
 # Requests in flight at each entry.
 LOADS=${LOADS:-1}
 
+# serves N: entry N has the configuration and knows endpoints.
+serves() {
+	is "$(request "$1" "e$1-$RANDOM" /l/x)" 200 &&
+		is "$(request "$1" "e$1-$RANDOM" /s/x -d hello)" 200
+}
+
 # load_entry N PATH: sends to entry N until $DIR/stop exists, and notes the
 # statuses. The attempt's id names the entry, for the stand-in.
 load_entry() {
--- a/tests/test_flt.c
+++ b/tests/test_flt.c
@@ -23,6 +23,19 @@
 	return flt_upsert(f, &info, now, &change);
 }
 
+static struct flt_endpoint *list_started(struct flt *f, const char *id,
+					 int64_t started_ms,
+					 enum flt_change *change)
+{
+	struct flt_info info = { .slots = 64, .time_left_ms = -1 };
+
+	str_copy(info.id, id, sizeof(info.id));
+	str_copy(info.service, "llm", sizeof(info.service));
+	str_copy(info.address, "127.0.0.1:1", sizeof(info.address));
+	info.started_ms = started_ms;
+	return flt_upsert(f, &info, 100, change);
+}
+
 /*
  * Guards against requests beyond an endpoint's limit after its list entry
  * lapsed and returned, while the endpoint ran on.
@@ -45,6 +58,37 @@
 	flt_free(&f);
 }
 
+/*
+ * Guards against requests to an endpoint that stated its leaving, or was listed
+ * as draining, after an older list entry of it returned.
+ */
+static void leaving_outlasts_the_list_entry(void)
+{
+	struct flt f;
+	struct flt_endpoint *e;
+	enum flt_change change;
+
+	flt_init(&f, NULL);
+	e = list_started(&f, "a", 7, &change);
+	CU_ASSERT(flt_mark_leaving(e, 150));
+	CU_ASSERT_FALSE(flt_mark_leaving(e, 160));
+	CU_ASSERT_FALSE(flt_in_service(e, 160));
+	e = list_started(&f, "a", 7, &change);
+	CU_ASSERT_FALSE(flt_in_service(e, 170));
+	CU_ASSERT(flt_leaving_ms(e, 170) >= 0);
+	flt_remove(&f, "a", 200);
+	e = list_started(&f, "a", 7, &change);
+	CU_ASSERT_FALSE(flt_in_service(e, 250));
+	/* Another start of it is another endpoint. */
+	e = list_started(&f, "a", 8, &change);
+	CU_ASSERT(flt_in_service(e, 300));
+	list_endpoint(&f, "b", "z1", true, 300);
+	flt_remove(&f, "b", 400);
+	e = list_endpoint(&f, "b", "z1", false, 500);
+	CU_ASSERT_FALSE(flt_in_service(e, 500));
+	flt_free(&f);
+}
+
 static struct flt_endpoint *list_numbered(struct flt *f, unsigned i,
 					  int64_t now)
 {
@@ -103,19 +147,6 @@
 	flt_free(&f);
 }
 
-static struct flt_endpoint *list_started(struct flt *f, const char *id,
-					 int64_t started_ms,
-					 enum flt_change *change)
-{
-	struct flt_info info = { .slots = 64, .time_left_ms = -1 };
-
-	str_copy(info.id, id, sizeof(info.id));
-	str_copy(info.service, "llm", sizeof(info.service));
-	str_copy(info.address, "127.0.0.1:1", sizeof(info.address));
-	info.started_ms = started_ms;
-	return flt_upsert(f, &info, 100, change);
-}
-
 /*
  * Guards against an endpoint that gets no requests after a restart, or requests
  * for prompt parts that it no longer has cached. It drains or fails, crashes,
@@ -659,6 +690,7 @@
 	{ "draining is final", draining_is_final },
 	{ "statements outlast the list entry",
 	  statements_outlast_the_list_entry },
+	{ "leaving outlasts the list entry", leaving_outlasts_the_list_entry },
 	{ "statements of removed endpoints are bounded",
 	  statements_of_removed_endpoints_are_bounded },
 	{ "withheld endpoints are counted, with the first to return",
