edge: send nothing to an endpoint in a wait that it asked for

Endpoints that refused a request with 503 and asked the entry for 3 s without requests got four requests from it in that time, where two are allowed, and on the whole more than endpoints that served: one that refuses everything looks idle. Callers were refused while other endpoints were idle, since the tries of a request are few.

Cause: the wait was not read. After a refusal an endpoint was left out for the 50 ms that a request takes to end there.

The wait now counts in the gate of the endpoint's start: the longest one that was stated holds, an ordinary refusal does not shorten it, and it outlasts the endpoint's list entry. Entries extend it at random by up to a tenth, so that they do not all return at the same moment. If all endpoints of a service wait, requests are refused at once, with the time until the first wait is over. A stream is not continued at an endpoint that asked for a wait meanwhile.

--- a/lib/edge/edge_send.c
+++ b/lib/edge/edge_send.c
@@ -213,8 +213,9 @@
 
 /*
  * Refuses a request for which there is no endpoint. If endpoints only take no
- * more requests for now, Retry-After is the time until the first one does;
- * another entry may be allowed to send to it earlier.
+ * more requests for now, Retry-After is the time until the first one does.
+ * Where a limit is among the reasons it is short, since another entry may have
+ * a share of it.
  */
 static void refuse(struct edge_req *r, const struct pick_result *p)
 {
@@ -225,7 +226,7 @@
 	if (p->withheld) {
 		met_inc(r->en->m.answers_withheld);
 		why = "endpoints take no more for now";
-		if (p->open_ms - now < retry_ms)
+		if (p->waiting == p->withheld || p->open_ms - now < retry_ms)
 			retry_ms = p->open_ms - now;
 	} else if (r->nr_tried) {
 		why = "endpoints are full";
@@ -274,8 +275,9 @@
 	const struct pick_result p = { .endpoint = to, .cached = true };
 	char copy_at[sizeof(r->endpoint->info.address) + 64];
 
-	/* Its gate was passed when the copy was requested. */
-	if (!flt_in_service(to, edge_now(r->en))) {
+	/* Its limit was charged when the copy was requested. */
+	if (!flt_in_service(to, edge_now(r->en)) ||
+	    gate_waits(&to->gate, edge_now(r->en))) {
 		edge_send_lost(r, "no way to the copy");
 		return;
 	}
--- a/lib/edge/edge_statement.c
+++ b/lib/edge/edge_statement.c
@@ -10,6 +10,12 @@
 /* The end of a limit is reported to other entries for this long. */
 #define REPORT_LIFTED_MS 5000
 
+/*
+ * Waits are extended by up to this fraction of them, at random: an endpoint that
+ * refused many entries at once would get requests of all of them at once again.
+ */
+#define WAIT_SPREAD 0.1
+
 /* ---- Shares ---- */
 
 /*
@@ -148,11 +154,13 @@
 	jlog_str(en->log, "service", r->endpoint->info.service);
 	jlog_int(en->log, "wait_ms", r->reply.wait_ms);
 	jlog_int(en->log, "left_ms",
-		 g->wait_until_ms > now ? g->wait_until_ms - now : 0);
+		 gate_waits(g, now) ? g->wait_until_ms - now : 0);
 	jlog_str(en->log, "id", r->attempt.id);
 	jlog_end(en->log);
-	if (now + r->reply.wait_ms > g->wait_until_ms)
-		g->wait_until_ms = now + r->reply.wait_ms;
+	gate_wait(g, now + r->reply.wait_ms +
+			     rnd_below(&en->rnd, (uint32_t)(r->reply.wait_ms *
+							    WAIT_SPREAD) +
+							 1));
 }
 
 void edge_statement_answered(struct edge_req *r)
@@ -177,7 +185,7 @@
 		met_inc(en->m.sends_to_limited);
 	if (e->gate.leaving)
 		met_inc(en->m.sends_to_leaving);
-	if (e->gate.wait_until_ms > edge_now(en))
+	if (gate_waits(&e->gate, edge_now(en)))
 		met_inc(en->m.sends_in_wait);
 }
 
--- a/lib/fleet/flt.c
+++ b/lib/fleet/flt.c
@@ -127,7 +127,7 @@
 {
 	struct flt_kept_gate *k;
 
-	if (!gate_states_anything(&e->gate))
+	if (!gate_states_anything(&e->gate, now))
 		return;
 	if (HASH_COUNT(f->gates) == FLT_MAX_GATES)
 		drop_gate(f, f->gates);
--- a/lib/fleet/gate.c
+++ b/lib/fleet/gate.c
@@ -85,7 +85,19 @@
 	g->share_per_s = per_s;
 }
 
-int64_t gate_open_ms(const struct gate *g, int64_t now)
+void gate_wait(struct gate *g, int64_t until)
+{
+	if (until > g->wait_until_ms)
+		g->wait_until_ms = until;
+}
+
+bool gate_waits(const struct gate *g, int64_t now)
+{
+	return now < g->wait_until_ms;
+}
+
+/* When the limit allows a request. */
+static int64_t limit_open_ms(const struct gate *g, int64_t now)
 {
 	struct gate filled = *g;
 	int64_t at;
@@ -102,6 +114,13 @@
 	return at > now ? at : now;
 }
 
+int64_t gate_open_ms(const struct gate *g, int64_t now)
+{
+	const int64_t at = limit_open_ms(g, now);
+
+	return g->wait_until_ms > at ? g->wait_until_ms : at;
+}
+
 void gate_pass(struct gate *g, int64_t now)
 {
 	if (!g->limit_per_s)
@@ -110,3 +129,8 @@
 	g->tokens = fmax(0, g->tokens - 1);
 	g->sent_ms = now;
 }
+
+bool gate_states_anything(const struct gate *g, int64_t now)
+{
+	return g->limit_per_s > 0 || g->leaving || gate_waits(g, now);
+}
--- a/lib/fleet/gate.h
+++ b/lib/fleet/gate.h
@@ -8,6 +8,8 @@
  * those single requests alone would exceed a small limit. Entries that know of
  * the same senders select the same ones by rendezvous hash, without messages.
  *
+ * A wait applies to this entry alone: nothing is sent until it is over.
+ *
  * Pure functions: no I/O, the clock is passed in. Times are monotonic, in ms.
  */
 #ifndef GATE_H
@@ -59,6 +61,15 @@
 /* Sets this entry's part of the limit. */
 void gate_set_share(struct gate *g, double per_s, int64_t now_ms);
 
+/*
+ * The endpoint refused a request and wants no other one before `until_ms`. A
+ * longer wait that was stated before goes on.
+ */
+void gate_wait(struct gate *g, int64_t until_ms);
+
+/* True if the endpoint asked for a wait that is not over. */
+bool gate_waits(const struct gate *g, int64_t now_ms);
+
 /*
  * Returns the earliest time at which a request may be sent; at most `now_ms`:
  * now. Later statements may change it.
@@ -69,9 +80,6 @@
 void gate_pass(struct gate *g, int64_t now_ms);
 
 /* True if there is a statement to be kept after the endpoint's removal. */
-static inline bool gate_states_anything(const struct gate *g)
-{
-	return g->limit_per_s > 0 || g->leaving;
-}
+bool gate_states_anything(const struct gate *g, int64_t now_ms);
 
 #endif
--- a/lib/route/pick.c
+++ b/lib/route/pick.c
@@ -166,6 +166,7 @@
 			r->candidates++;
 			continue;
 		}
+		r->waiting += gate_waits(&e->gate, q->now_ms);
 		if (!r->withheld++ || at < r->open_ms)
 			r->open_ms = at;
 	}
@@ -218,6 +219,7 @@
 	}
 	best.candidates = counts.candidates;
 	best.withheld = counts.withheld;
+	best.waiting = counts.waiting;
 	best.open_ms = counts.open_ms;
 	return best;
 }
--- a/lib/route/pick.h
+++ b/lib/route/pick.h
@@ -53,10 +53,10 @@
 	unsigned candidates; /* usable endpoints, sampled or not */
 	/*
 	 * Endpoints in service to which nothing may be sent at the moment
-	 * (gate.h), and the earliest time at which something may be sent to one
-	 * of them.
+	 * (gate.h), those of them that asked for a wait, and the earliest time
+	 * at which something may be sent to one of them.
 	 */
-	unsigned withheld;
+	unsigned withheld, waiting;
 	int64_t open_ms;
 };
 
--- a/tests/test_flt.c
+++ b/tests/test_flt.c
@@ -55,6 +55,15 @@
 	CU_ASSERT_EQUAL(e->gate.limit_per_s, 1);
 	CU_ASSERT_FALSE(flt_usable(e, 410));
 	CU_ASSERT_PTR_NULL(f.gates);
+	/* An ordinary refusal does not shorten a wait. */
+	gate_wait(&e->gate, 5000);
+	gate_limit_answered(&e->gate, 0, 420, 430);
+	flt_record_outcome(e, FLT_BUSY, 440);
+	CU_ASSERT_FALSE(flt_usable(e, 1000));
+	flt_remove(&f, "a", 1000);
+	e = list_endpoint(&f, "a", "z1", false, 1100);
+	CU_ASSERT_FALSE(flt_usable(e, 4999));
+	CU_ASSERT(flt_usable(e, 5000));
 	flt_free(&f);
 }
 
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -94,6 +94,36 @@
 	}
 }
 
+static void longest_of_the_stated_waits_holds(void)
+{
+	struct gate g = { 0 };
+
+	CU_ASSERT_FALSE(gate_states_anything(&g, 1000));
+	gate_wait(&g, 4000);
+	gate_wait(&g, 1500);
+	CU_ASSERT(gate_waits(&g, 3999));
+	CU_ASSERT(gate_states_anything(&g, 3999));
+	CU_ASSERT_EQUAL(gate_open_ms(&g, 1000), 4000);
+	CU_ASSERT_EQUAL(gate_open_ms(&g, 4000), 4000);
+	CU_ASSERT_FALSE(gate_waits(&g, 4000));
+	CU_ASSERT_FALSE(gate_states_anything(&g, 4000));
+}
+
+/* A wait and a limit at the same time: the later one decides. */
+static void wait_and_limit_both_hold(void)
+{
+	struct gate g = { 0 };
+
+	gate_limit_answered(&g, 1, 990, 1000);
+	gate_set_share(&g, 1, 1000);
+	gate_wait(&g, 1500);
+	CU_ASSERT_EQUAL(gate_open_ms(&g, 1000), 2000);
+	gate_wait(&g, 3000);
+	CU_ASSERT_EQUAL(gate_open_ms(&g, 2500), 3000);
+	gate_limit_answered(&g, 0, 2500, 2500);
+	CU_ASSERT_EQUAL(gate_open_ms(&g, 2500), 3000);
+}
+
 /* ---- Schedules ---- */
 
 #define MAX_ENTRIES 30
@@ -280,6 +310,9 @@
 	{ "an entry without a share sends a request now and then",
 	  entry_without_a_share_sends_a_request_now_and_then },
 	{ "shares add up to the limit", shares_add_up_to_the_limit },
+	{ "the longest of the stated waits holds",
+	  longest_of_the_stated_waits_holds },
+	{ "a wait and a limit both hold", wait_and_limit_both_hold },
 	{ "entries together keep the limit", entries_together_keep_the_limit },
 	{ "the check sees a limit that is not shared",
 	  check_sees_a_limit_that_is_not_shared },
