tests: statements of endpoints in the fault soak; explain names them

With STATEMENTS=1 the fault soak's endpoints also limit their requests, ask for waits and state their leaving, at any moment and overlapping, while entries are killed, frozen and stopped, the store goes away or is restored, and endpoints fail. The stand-in counts what reaches them in spite of it by the entry in the attempt's id; a restart or a freeze of an entry excuses it. A run of two seeds is part of the tests.

marldock-explain prints the last limit or wait known to the entry when a request was refused since no endpoint took it, and statements of an endpoint at which a send failed.

--- a/lib/edge/edge_send.c
+++ b/lib/edge/edge_send.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "edge/edge_rollout.h"
+#include "edge/explain.h"
 
 /*
  * Timeout for connecting to an endpoint. A round trip takes less than 3 ms, and
@@ -225,7 +226,7 @@
 
 	if (p->withheld) {
 		met_inc(r->en->m.answers_withheld);
-		why = "endpoints take no more for now";
+		why = EDGE_WHY_WITHHELD;
 		if (p->waiting == p->withheld || p->open_ms - now < retry_ms)
 			retry_ms = p->open_ms - now;
 	} else if (r->nr_tried) {
--- a/lib/edge/explain.c
+++ b/lib/edge/explain.c
@@ -70,9 +70,10 @@
 static bool is_context(const char *event)
 {
 	static const char *const events[] = {
-		"endpoint",   "store_away",	    "store_back",
-		"lease_lost", "store_history_lost", "stopping",
-		"start",      "config_in_force",
+		"endpoint",	 "endpoint_limit",     "endpoint_leaving",
+		"endpoint_wait", "store_away",	       "store_back",
+		"lease_lost",	 "store_history_lost", "stopping",
+		"start",	 "config_in_force",
 	};
 	size_t i;
 
@@ -156,12 +157,21 @@
 	return found;
 }
 
+/* `id`: of the endpoint. Also a statement in one of its answers. */
 static bool is_endpoint_change(const struct log_line *l, const char *id)
 {
-	return !strcmp(l->event, "endpoint") &&
+	return !strncmp(l->event, "endpoint", strlen("endpoint")) &&
 	       !strcmp(jsn_str(l->o, "endpoint", ""), id);
 }
 
+/* An endpoint limited its requests, or asked for a wait. */
+static bool is_statement(const struct log_line *l, const char *instance)
+{
+	return (!strcmp(l->event, "endpoint_limit") ||
+		!strcmp(l->event, "endpoint_wait")) &&
+	       !strcmp(l->instance, instance);
+}
+
 static bool is_store_event(const struct log_line *l, const char *instance)
 {
 	return !strncmp(l->event, "store_", 6) &&
@@ -195,7 +205,7 @@
 {
 	const int64_t status = jsn_int(end->o, "status", 0);
 	const char *why = jsn_str(end->o, "why", "");
-	const struct log_line *store;
+	const struct log_line *store, *statement;
 	size_t i = x->request_lines.n;
 
 	while (i--) {
@@ -208,6 +218,9 @@
 	store = last_before(x, end->time, is_store_event, end->instance);
 	if (status == 503 && store)
 		write_line(out, store);
+	statement = last_before(x, end->time, is_statement, end->instance);
+	if (!strcmp(why, EDGE_WHY_WITHHELD) && statement)
+		write_line(out, statement);
 }
 
 bool explain_report(struct explain *x, struct buf *out)
--- a/lib/edge/explain.h
+++ b/lib/edge/explain.h
@@ -14,6 +14,9 @@
 
 #include "base/buf.h"
 
+/* Why a request is refused that no endpoint takes for now (log field "why"). */
+#define EDGE_WHY_WITHHELD "endpoints take no more for now"
+
 struct explain;
 
 /*
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -106,6 +106,8 @@
 	# A short run; seeds that ever failed are to be added here.
 	BIN=$BUILD/bin scripts/fault_soak.sh 4 1 2 175523 228304 >"$OUT" 2>&1
 	add fault_soak $?
+	BIN=$BUILD/bin STATEMENTS=1 scripts/fault_soak.sh 8 1 2 >"$OUT" 2>&1
+	add statement_soak $?
 fi
 rm -f "$OUT"
 echo "$passed passed, $failed failed"
--- a/scripts/fault_soak.sh
+++ b/scripts/fault_soak.sh
@@ -5,6 +5,9 @@
 # it comes back from an older copy; endpoints fail, break off and leave; large
 # versions come while the way to the store is slow. Faults overlap. What callers and the stand-ins saw is checked
 # against the promises.
+#
+# With STATEMENTS=1 endpoints also state limits, waits and their leaving in
+# their answers, at any moment, alone and together.
 # Usage: fault_soak.sh SECONDS SEED...
 cd "$(dirname "$0")/.." || exit 1
 . scripts/cluster.sh
@@ -12,8 +15,9 @@
 trap cluster_stop EXIT
 SECONDS_EACH=$1
 shift
-EDGES=3
-CALLERS=4
+EDGES=${EDGES:-3}
+CALLERS=${CALLERS:-4}
+STATEMENTS=${STATEMENTS:-}
 BASE=$DIR
 
 # proxy NAME TO: starts a proxy, prints its address.
@@ -26,20 +30,22 @@
 mode() { echo "$2" >"$DIR/$1.mode"; }
 
 # Each caller asks entry after entry, by way of the proxies, and notes what
-# it was told: ID PATH STATUS EVENTS LAST.
+# it was told: ID PATH STATUS EVENTS LAST. The id names the entry, for the
+# stand-in.
 caller() {
-	local k=$1 n=0 id path at status
+	local k=$1 n=0 id path at status to
 	RANDOM=$((SEED * 100 + k))
 	while [ ! -e "$DIR/stop" ]; do
 		n=$((n + 1))
-		id=c$k-$n
 		case $((RANDOM % 4)) in
 		0) path=/l/x ;;
 		1) path=/u/x ;;
 		2) path=/s/x ;;
 		3) path=/o/x ;;
 		esac
-		at=$(cat "$DIR/front-$((RANDOM % EDGES + 1))" 2>/dev/null)
+		to=$((RANDOM % EDGES + 1))
+		id=e$to-c$k-$n
+		at=$(cat "$DIR/front-$to" 2>/dev/null)
 		status=$(curl -s -m 8 -o "$DIR/body-$k" -w '%{http_code}' \
 			-H 'Host: t.example' -H "Attempt-Id: $id" \
 			-H 'Deadline-Ms: 6000' -H 'Authorization: Bearer k1' \
@@ -64,6 +70,12 @@
 	front "$1"
 }
 
+# excuse N: what endpoints stated to entry N does not bind it: it was restarted
+# or frozen.
+excuse() { platform_test "excuse?entry=$1" >/dev/null; }
+
+thaw() { kill -CONT "$2"; excuse "$1"; }
+
 # for_a_while SECONDS COMMAND...: ends what was begun, in the background, so
 # that faults overlap.
 for_a_while() {
@@ -90,11 +102,11 @@
 	local m=${modes[$((RANDOM % 5))]}
 	pid=$(pid_of "edge-$n")
 	case $((RANDOM % 11)) in
-	0) echo "kill edge-$n"; kill -9 "$pid"; sleep 0.3; again "$n" ;;
+	0) echo "kill edge-$n"; kill -9 "$pid"; excuse "$n"; sleep 0.3; again "$n" ;;
 	1) echo "stop edge-$n, and kill it while it leaves"; kill -TERM "$pid"
-		sleep 1.5; end_child "$pid"; sleep 0.3; again "$n" ;;
-	2) echo "freeze edge-$n"; kill -STOP "$pid"
-		for_a_while 2 kill -CONT "$pid" ;;
+		sleep 1.5; end_child "$pid"; excuse "$n"; sleep 0.3; again "$n" ;;
+	2) echo "freeze edge-$n"; kill -STOP "$pid"; excuse "$n"
+		for_a_while 2 thaw "$n" "$pid" ;;
 	3) echo "store $m edge-$n"; mode "store-$n" "$m"
 		for_a_while 1.5 mode "store-$n" pass ;;
 	4) echo "front $m edge-$n"; mode "${FRONT_OF[$n]}" "$m"
@@ -116,6 +128,32 @@
 	esac
 }
 
+# One statement of an endpoint; its end overlaps with those that follow. The
+# service gets another endpoint in place of one that leaves.
+statement() {
+	local e=i-$((RANDOM % 6 + 1)) service=llm
+	[ $((${e#i-} % 2)) = 0 ] && service=app
+	case $((RANDOM % 7)) in
+	0 | 1 | 2) echo "$e limits"
+		platform_test "limit?id=$e&per_s=$((RANDOM % 3 + 1))"
+		for_a_while $((RANDOM % 8 + 2)) platform_test "limit?id=$e&per_s=0" ;;
+	3 | 4 | 5) echo "$e waits"
+		platform_test "wait?id=$e&ms=$((RANDOM % 3000 + 500))"
+		for_a_while $((RANDOM % 3 + 1)) platform_test "wait?id=$e&ms=0" ;;
+	6) echo "$e leaves"
+		platform_test "leaving?id=$e"
+		platform_test "start?service=$service&version=v1&n=1" ;;
+	esac
+}
+
+statements() {
+	RANDOM=$((SEED * 100 + 99))
+	while [ ! -e "$DIR/stop" ]; do
+		statement >>"$DIR/statements"
+		sleep "0.$((RANDOM % 9 + 1))"
+	done
+}
+
 # Promises, from what callers were told and the endpoints ran.
 check() {
 	local told=$DIR/told
@@ -139,7 +177,13 @@
 		"$DIR/runs" <(grep -E ' /[uo]/x ' "$told") >"$DIR/false"
 	expect "$SEED: told not run, and not run" [ ! -s "$DIR/false" ]
 	expect "$SEED: the newest version is in force everywhere" \
-		eval 'newest_in_force 1 && newest_in_force 2 && newest_in_force 3'
+		everywhere newest_in_force
+	expect "$SEED: no endpoint got more than its limit" \
+		[ "$(seen over_limit)" = 0 ]
+	expect "$SEED: no endpoint that stated its leaving got requests" \
+		[ "$(seen to_stated_leaving)" = 0 ]
+	expect "$SEED: no endpoint got requests in its wait" \
+		[ "$(seen in_wait)" = 0 ]
 	expect "$SEED: no entry ended by itself" \
 		[ -z "$(grep -lE 'Sanitizer|Assertion' "$DIR"/*.log)" ]
 }
@@ -165,6 +209,7 @@
 	for i in $(seq 1 $CALLERS); do
 		caller "$i" &
 		done
+	[ -n "$STATEMENTS" ] && { statements & }
 	end=$((SECONDS + SECONDS_EACH))
 	while [ $SECONDS -lt $end ]; do
 		fault >>"$DIR/faults"
--- a/tests/standin/platform.c
+++ b/tests/standin/platform.c
@@ -1083,6 +1083,14 @@
 	reply(c, 200, buf_cstr(&out));
 }
 
+static void excuse(int entry)
+{
+	int i;
+
+	for (i = 0; i < w.nr_endpoints; i++)
+		stm_excuse(&w.endpoints[i].statements, (unsigned)entry);
+}
+
 /* False: no such call. */
 static bool change_endpoint(struct endpoint *e, const char *url)
 {
@@ -1142,6 +1150,9 @@
 		return;
 	} else if (!strncmp(url, "/test/mended", 12)) {
 		w.mended = true;
+	} else if (!strncmp(url, "/test/excuse", 12)) {
+		hmsg_query(url, "entry", number, sizeof(number));
+		excuse(atoi(number));
 	} else if (!strncmp(url, "/test/down", 10)) {
 		hmsg_query(url, "ms", number, sizeof(number));
 		w.down_until_ms = now_ms() + atoll(number);
--- a/tests/support/statements.c
+++ b/tests/support/statements.c
@@ -96,6 +96,15 @@
 	s->to_leaving += leaving && now - leaving > LEAVING_MS;
 }
 
+void stm_excuse(struct stm *s, unsigned entry)
+{
+	if (entry >= STM_MAX_ENTRIES)
+		return;
+	s->limit_told_ms[entry] = 0;
+	s->leaving_told_ms[entry] = 0;
+	memset(s->waits[entry], 0, sizeof(s->waits[entry]));
+}
+
 static void first_told(int64_t *told, int64_t now)
 {
 	if (!*told)
--- a/tests/support/statements.h
+++ b/tests/support/statements.h
@@ -46,6 +46,9 @@
 /* States another limit from now on; 0: none any more. */
 void stm_set_limit(struct stm *s, double per_s, int64_t now_ms);
 
+/* What it stated does not bind entry `entry` any more, which was restarted. */
+void stm_excuse(struct stm *s, unsigned entry);
+
 /* True if the endpoint refuses all requests. */
 bool stm_refuses(const struct stm *s);
 
--- a/tests/test_explain.c
+++ b/tests/test_explain.c
@@ -31,6 +31,13 @@
 	   "\"id\":\"r3\",\"status\":504,\"why\":\"out of time\""),
 	AT("520", "edge-1", "passed", "\"id\":\"r4\",\"status\":200"),
 	AT("530", "edge-1", "send", "\"id\":\"r5\",\"endpoint\":\"i-9\""),
+	AT("540", "edge-1", "endpoint_wait",
+	   "\"endpoint\":\"i-9\",\"wait_ms\":3000,\"id\":\"r5\""),
+	AT("545", "edge-2", "endpoint_wait",
+	   "\"endpoint\":\"i-8\",\"wait_ms\":3000,\"id\":\"r8\""),
+	AT("550", "edge-1", "answer",
+	   "\"id\":\"r6\",\"status\":503,\"why\":\"endpoints take no more for "
+	   "now\",\"retry_ms\":2900"),
 	"not a line of ours",
 	"",
 };
@@ -59,6 +66,18 @@
 	CU_ASSERT_PTR_NULL(strstr(out.data, "store_back"));
 }
 
+static void request_that_no_endpoint_takes(void)
+{
+	BUF_AUTO out = BUF_INIT;
+
+	CU_ASSERT(explain("r6", &out));
+	CU_ASSERT_PTR_NOT_NULL(
+		strstr(out.data, "cause: endpoints take no more for now\n"));
+	CU_ASSERT_PTR_NOT_NULL(
+		strstr(out.data, "edge-1 endpoint_wait endpoint=i-9"));
+	CU_ASSERT_PTR_NULL(strstr(out.data, "i-8"));
+}
+
 static void cut_stream(void)
 {
 	BUF_AUTO out = BUF_INIT;
@@ -98,6 +117,7 @@
 
 static const struct unit_test tests[] = {
 	{ "a refused request", refused_request },
+	{ "a request that no endpoint takes", request_that_no_endpoint_takes },
 	{ "a cut stream", cut_stream },
 	{ "a timed-out request", timed_out_request },
 	{ "passed, unknown and unfinished", passed_unknown_and_unfinished },
