edge: keep what an endpoint states after its list entry lapsed

A request keeps the endpoint that it was sent to. If the endpoint's list entry lapsed meanwhile, its answer stated something to a structure that is no longer in the table: the endpoint that was listed again a moment later was sent requests as if it had stated nothing.

Answers now state things to the endpoint that is listed under the same start, or to what is kept of a removed one (flt_current, flt_keep_statements). Endpoints at which a request was tried count as withheld too: if all of them asked for waits, callers were told to return after 0.5 s instead of after the first wait.

--- a/lib/edge/edge_statement.c
+++ b/lib/edge/edge_statement.c
@@ -2,8 +2,6 @@
  * What endpoints state of themselves in their answers (gate.h). Entries pass it
  * on by gossip, and find out which of them share each limit.
  */
-#include <string.h>
-
 #include "base/hsh.h"
 #include "edge/edge_internal.h"
 
@@ -114,9 +112,8 @@
 	jlog_end(en->log);
 }
 
-static void limit_answered(struct edge_req *r)
+static void limit_answered(struct edge_req *r, struct flt_endpoint *e)
 {
-	struct flt_endpoint *e = r->endpoint;
 	const double former = e->gate.limit_per_s;
 
 	if (r->reply.limit_per_s > 0)
@@ -142,41 +139,45 @@
 	jlog_end(en->log);
 }
 
-static void wait_answered(struct edge_req *r)
+static void wait_answered(struct edge_req *r, struct flt_endpoint *e)
 {
+	const int64_t wait = r->reply.wait_ms;
 	struct edge *en = r->en;
-	struct gate *g = &r->endpoint->gate;
 	const int64_t now = edge_now(en);
 
 	met_inc(en->m.waits_stated);
 	jlog_begin(en->log, JLOG_INFO, "endpoint_wait");
-	jlog_str(en->log, "endpoint", r->endpoint->info.id);
-	jlog_str(en->log, "service", r->endpoint->info.service);
-	jlog_int(en->log, "wait_ms", r->reply.wait_ms);
+	jlog_str(en->log, "endpoint", e->info.id);
+	jlog_str(en->log, "service", e->info.service);
+	jlog_int(en->log, "wait_ms", wait);
 	jlog_int(en->log, "left_ms",
-		 gate_waits(g, now) ? g->wait_until_ms - now : 0);
+		 gate_waits(&e->gate, now) ? e->gate.wait_until_ms - now : 0);
 	jlog_str(en->log, "id", r->attempt.id);
 	jlog_end(en->log);
-	gate_wait(g, now + r->reply.wait_ms +
-			     rnd_below(&en->rnd, (uint32_t)(r->reply.wait_ms *
-							    WAIT_SPREAD) +
-							 1));
+	gate_wait(&e->gate,
+		  now + wait +
+			  rnd_below(&en->rnd,
+				    (uint32_t)(wait * WAIT_SPREAD) + 1));
 }
 
 void edge_statement_answered(struct edge_req *r)
 {
+	struct flt_endpoint *e = flt_current(&r->en->fleet, r->endpoint);
+
 	if (r->reply.misdirected)
 		return; /* another endpoint answered */
 	if (r->reply.malformed[0])
 		log_malformed(r);
 	if (r->reply.limit_per_s >= 0)
-		limit_answered(r);
+		limit_answered(r, e);
 	if (r->reply.leaving) {
 		met_inc(r->en->m.leaving_stated);
-		mark_leaving(r->en, r->endpoint, r->attempt.id, "");
+		mark_leaving(r->en, e, r->attempt.id, "");
 	}
 	if (r->reply.wait_ms > 0)
-		wait_answered(r);
+		wait_answered(r, e);
+	if (e->removed)
+		flt_keep_statements(&r->en->fleet, e, edge_now(r->en));
 }
 
 void edge_statement_count_send(struct edge *en, const struct flt_endpoint *e)
--- a/lib/fleet/flt.c
+++ b/lib/fleet/flt.c
@@ -122,11 +122,23 @@
 	free(k);
 }
 
-/* NOLINTNEXTLINE(readability-function-size) */
-static void keep_gate(struct flt *f, const struct flt_endpoint *e, int64_t now)
+static struct flt_kept_gate *find_gate(struct flt *f,
+				       const struct flt_endpoint *e)
 {
 	struct flt_kept_gate *k;
 
+	HASH_FIND(hh, f->gates, &e->hash, sizeof(e->hash), k);
+	return k;
+}
+
+/* NOLINTNEXTLINE(readability-function-size) */
+void flt_keep_statements(struct flt *f, const struct flt_endpoint *e,
+			 int64_t now)
+{
+	struct flt_kept_gate *k = find_gate(f, e);
+
+	if (k)
+		drop_gate(f, k);
 	if (!gate_states_anything(&e->gate, now))
 		return;
 	if (HASH_COUNT(f->gates) == FLT_MAX_GATES)
@@ -142,9 +154,8 @@
 /* Restores what this start of the endpoint stated before it was removed. */
 static void restore_gate(struct flt *f, struct flt_endpoint *e, int64_t now)
 {
-	struct flt_kept_gate *k;
+	struct flt_kept_gate *k = find_gate(f, e);
 
-	HASH_FIND(hh, f->gates, &e->hash, sizeof(e->hash), k);
 	if (!k)
 		return;
 	e->gate = k->gate;
@@ -164,7 +175,7 @@
 static void remove_endpoint(struct flt *f, struct flt_endpoint *e, int64_t now)
 {
 	remember_removed(f, e->hash, now);
-	keep_gate(f, e, now);
+	flt_keep_statements(f, e, now);
 	table_del(f, e);
 	e->removed = true;
 	/* Running requests call flt_leaving_ms on it. */
@@ -200,6 +211,14 @@
 	return e;
 }
 
+struct flt_endpoint *flt_current(struct flt *f, struct flt_endpoint *e)
+{
+	struct flt_endpoint *listed = e->removed ? flt_find_by_hash(f, e->hash)
+						 : NULL;
+
+	return listed ? listed : e;
+}
+
 static struct flt_endpoint *
 add_endpoint(struct flt *f, const struct flt_info *info, int64_t now)
 {
--- a/lib/fleet/flt.h
+++ b/lib/fleet/flt.h
@@ -160,6 +160,17 @@
  */
 bool flt_mark_leaving(struct flt_endpoint *e, int64_t now_ms);
 
+/*
+ * Returns the table's endpoint for the same start of the process if `e` was
+ * removed and has been listed again, else `e`. A request keeps the endpoint that
+ * it was sent to, and its answer may state something after the removal.
+ */
+struct flt_endpoint *flt_current(struct flt *f, struct flt_endpoint *e);
+
+/* Keeps what a removed endpoint has stated by now. */
+void flt_keep_statements(struct flt *f, const struct flt_endpoint *e,
+			 int64_t now_ms);
+
 /*
  * Adds or updates an endpoint from its list entry; `*change` receives what
  * changed. Returns the endpoint, owned by the table.
--- a/lib/route/pick.c
+++ b/lib/route/pick.c
@@ -52,13 +52,14 @@
 			  const struct flt_endpoint *e)
 {
 	return e->use == q->use && !strcmp(e->info.service, q->service) &&
-	       flt_in_service(e, q->now_ms) && !excluded(q, e);
+	       flt_in_service(e, q->now_ms);
 }
 
 static bool is_candidate(const struct pick_query *q,
 			 const struct flt_endpoint *e)
 {
-	return is_in_service(q, e) && flt_usable(e, q->now_ms);
+	return is_in_service(q, e) && flt_usable(e, q->now_ms) &&
+	       !excluded(q, e);
 }
 
 /* Returns the first choice for the shared part, by rendezvous hashing. */
@@ -163,7 +164,7 @@
 			continue;
 		at = gate_open_ms(&e->gate, q->now_ms);
 		if (at <= q->now_ms) {
-			r->candidates++;
+			r->candidates += !excluded(q, e);
 			continue;
 		}
 		r->waiting += gate_waits(&e->gate, q->now_ms);
--- a/lib/route/pick.h
+++ b/lib/route/pick.h
@@ -52,8 +52,8 @@
 	bool cache_certain;  /* it was sent there recently, or is empty */
 	unsigned candidates; /* usable endpoints, sampled or not */
 	/*
-	 * Endpoints in service to which nothing may be sent at the moment
-	 * (gate.h), those of them that asked for a wait, and the earliest time
+	 * Endpoints in service, excluded or not, to which nothing may be sent at
+	 * the moment (gate.h), those of them that asked for a wait, and the earliest time
 	 * at which something may be sent to one of them.
 	 */
 	unsigned withheld, waiting;
--- a/tests/test_flt.c
+++ b/tests/test_flt.c
@@ -98,6 +98,39 @@
 	flt_free(&f);
 }
 
+/*
+ * Guards against requests to an endpoint whose answer stated something after its
+ * list entry had lapsed, and before it returned.
+ */
+static void statements_after_the_removal_count(void)
+{
+	struct flt f;
+	struct flt_endpoint *old, *e;
+	enum flt_change change;
+
+	flt_init(&f, NULL);
+	old = list_started(&f, "a", 7, &change);
+	flt_ref(old);
+	flt_remove(&f, "a", 200);
+	CU_ASSERT_PTR_EQUAL(flt_current(&f, old), old);
+	gate_wait(&old->gate, 3000);
+	flt_keep_statements(&f, old, 300);
+	gate_limit_answered(&old->gate, 1, 290, 310);
+	flt_keep_statements(&f, old, 310);
+	CU_ASSERT_EQUAL(HASH_COUNT(f.gates), 1);
+	e = list_started(&f, "a", 7, &change);
+	CU_ASSERT_PTR_NOT_EQUAL(e, old);
+	CU_ASSERT_EQUAL(e->gate.limit_per_s, 1);
+	CU_ASSERT(gate_waits(&e->gate, 400));
+	CU_ASSERT_PTR_EQUAL(flt_current(&f, old), e);
+	/* Not those of another start. */
+	e = list_started(&f, "a", 8, &change);
+	CU_ASSERT_PTR_EQUAL(flt_current(&f, old), old);
+	CU_ASSERT_EQUAL(e->gate.limit_per_s, 0);
+	flt_unref(&f, old);
+	flt_free(&f);
+}
+
 static struct flt_endpoint *list_numbered(struct flt *f, unsigned i,
 					  int64_t now)
 {
@@ -430,6 +463,13 @@
 	r = pick_endpoint(&f, &q);
 	CU_ASSERT_EQUAL(r.candidates, 2);
 	CU_ASSERT_EQUAL(r.withheld, 1);
+	/* Also those at which the request was tried before. */
+	q.excluded[q.nr_excluded++] = flt_find(&f, "e2");
+	gate_wait(&flt_find(&f, "e2")->gate, 4000);
+	r = pick_endpoint(&f, &q);
+	CU_ASSERT_EQUAL(r.candidates, 1);
+	CU_ASSERT_EQUAL(r.withheld, 2);
+	CU_ASSERT_EQUAL(r.waiting, 1);
 	q.service = "other";
 	r = pick_endpoint(&f, &q);
 	CU_ASSERT_EQUAL(r.withheld, 0);
@@ -700,6 +740,8 @@
 	{ "statements outlast the list entry",
 	  statements_outlast_the_list_entry },
 	{ "leaving outlasts the list entry", leaving_outlasts_the_list_entry },
+	{ "statements after the removal count",
+	  statements_after_the_removal_count },
 	{ "statements of removed endpoints are bounded",
 	  statements_of_removed_endpoints_are_bounded },
 	{ "withheld endpoints are counted, with the first to return",
