--- a/lib/edge/edge_statement.c
+++ b/lib/edge/edge_statement.c
@@ -17,8 +17,8 @@
 /* ---- Shares ---- */
 
 /*
- * The other entries among which the limits are shared: those that send
- * requests; all that are alive if none does.
+ * True if limits are shared with this entry: it sends requests to endpoints or,
+ * if no entry does, it is alive.
  */
 static bool is_sharing(const struct prs_peer *p, bool any_sends, int64_t now)
 {
--- a/lib/fleet/gate.h
+++ b/lib/fleet/gate.h
@@ -3,10 +3,10 @@
  * endpoint stated in its answers.
  *
  * A limit applies to all entries together, for as long as the answers state it.
- * A few entries share it in equal parts, and the others send nothing: with
- * parts for all entries, each part could be used once at the same moment, and
- * those single requests alone would exceed a small limit. Entries that know of
- * the same senders select the same ones by rendezvous hash, without messages.
+ * A few entries share it in equal parts, and the others send nothing: if all
+ * entries had a part, each could send one request at the same moment, and these
+ * alone would exceed a small limit. The entries are selected by rendezvous hash,
+ * without messages.
  *
  * A wait applies to this entry alone: nothing is sent until it is over.
  *
--- a/scripts/fault_soak.sh
+++ b/scripts/fault_soak.sh
@@ -128,8 +128,8 @@
 	esac
 }
 
-# One statement of an endpoint; its end overlaps with those that follow. The
-# service gets another endpoint in place of one that leaves.
+# One statement of an endpoint, which overlaps with the next ones. The service
+# gets another endpoint in place of one that leaves.
 statement() {
 	local e=i-$((RANDOM % 6 + 1)) service=llm
 	[ $((${e#i-} % 2)) = 0 ] && service=app
--- a/scripts/leaving_test.sh
+++ b/scripts/leaving_test.sh
@@ -23,7 +23,7 @@
 		unchanged to_stated_leaving
 }
 
-# Not for so long that keys count as unconfirmed.
+# Keys stay confirmed for the whole outage.
 leaves_while_the_store_is_away() {
 	platform_test 'down?ms=3500' >/dev/null
 	leaves "$1"
--- a/tests/support/statements.c
+++ b/tests/support/statements.c
@@ -17,8 +17,8 @@
 #define KNOWN_MS 500
 
 /*
- * The rule of leaving: no request from an entry so long after an answer that
- * stated it.
+ * The rule of leaving: no request from an entry later than this after an answer
+ * that stated it.
  */
 #define LEAVING_MS 2000
 
