--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -238,7 +238,7 @@
 	unsigned sending_peers;	   /* peers that send requests to endpoints */
 	struct gsp_record gossip_out, gossip_in; /* scratch space */
 	struct rows rows;	  /* that gossip_out may be too small for */
-	unsigned statements_from; /* limits before this one were sent last */
+	unsigned statements_from; /* those before were sent last */
 	uint64_t
 		*live_sources; /* sorted edge_source() of live peers; scratch */
 	size_t nr_live_sources, max_live_sources;
@@ -376,8 +376,8 @@
 void edge_statement_tick(struct edge *en, int64_t now);
 
 /*
- * Adds the endpoints' limits to a datagram; takes over those of another entry,
- * which sent `r` at `sent_ms`.
+ * Adds the endpoints' statements to a datagram; takes over those that another
+ * entry reported in `r`, which it sent at `sent_ms`.
  */
 void edge_statement_fill_gossip(struct edge *en, struct gsp_record *r,
 				int64_t now);
--- a/lib/fleet/flt.h
+++ b/lib/fleet/flt.h
@@ -5,10 +5,10 @@
  *
  * Draining is final: an endpoint that was once listed as draining, or that
  * stated in an answer that it leaves, gets no new requests, whatever the list
- * says later. An endpoint that is missing from the list is removed at once while the store is
- * available. After an outage of the store, the lease of a live endpoint's list
- * entry may have expired; such an endpoint stays usable for a grace period, so
- * that it can register again.
+ * says later. An endpoint that is missing from the list is removed at once while
+ * the store is available. After an outage of the store, the lease of a live
+ * endpoint's list entry may have expired; such an endpoint stays usable for a
+ * grace period, so that it can register again.
  *
  * An endpoint is one start of a process, identified by its id and start time.
  * A restart under the same id is a new endpoint. If it inherited the state of
--- a/lib/route/pick.c
+++ b/lib/route/pick.c
@@ -48,17 +48,16 @@
 	return false;
 }
 
-static bool is_in_service(const struct pick_query *q,
-			  const struct flt_endpoint *e)
+static bool is_asked_for(const struct pick_query *q,
+			 const struct flt_endpoint *e)
 {
-	return e->use == q->use && !strcmp(e->info.service, q->service) &&
-	       flt_in_service(e, q->now_ms);
+	return e->use == q->use && !strcmp(e->info.service, q->service);
 }
 
 static bool is_candidate(const struct pick_query *q,
 			 const struct flt_endpoint *e)
 {
-	return is_in_service(q, e) && flt_usable(e, q->now_ms) &&
+	return is_asked_for(q, e) && flt_usable(e, q->now_ms) &&
 	       !excluded(q, e);
 }
 
@@ -160,7 +159,7 @@
 	int64_t at;
 
 	cds_list_for_each_entry(e, &f->endpoints, node) {
-		if (!is_in_service(q, e))
+		if (!is_asked_for(q, e) || !flt_in_service(e, q->now_ms))
 			continue;
 		at = gate_open_ms(&e->gate, q->now_ms);
 		if (at <= q->now_ms) {
--- a/scripts/edge_cluster.sh
+++ b/scripts/edge_cluster.sh
@@ -84,10 +84,11 @@
 
 is() { [ "$1" = "$2" ]; }
 
+# count_of NAME: picks a count from what the stand-in saw, on standard input.
+count_of() { head -1 | tr ' ' '\n' | grep -A1 "^$1$" | tail -1; }
+
 # seen NAME: a count of what the stand-in saw.
-seen() {
-	platform_test seen | head -1 | tr ' ' '\n' | grep -A1 "^$1$" | tail -1
-}
+seen() { platform_test seen | count_of "$1"; }
 
 # request N ID PATH [CURL OPTION...]: to entry N; body in $DIR/body, prints
 # the status.
--- a/scripts/edge_load.sh
+++ b/scripts/edge_load.sh
@@ -46,9 +46,14 @@
 }
 
 # unchanged NAME: a count of the stand-in is what it was when the load began.
-unchanged() {
-	is "$(seen "$1")" "$(head -1 "$DIR/before" | tr ' ' '\n' |
-		grep -A1 "^$1$" | tail -1)"
+unchanged() { is "$(seen "$1")" "$(count_of "$1" <"$DIR/before")"; }
+
+# each_app CALL [QUERY]: makes the call for each endpoint of the plain service.
+each_app() {
+	local i
+	for i in $(seq 2 2 $((2 * EDGE_SERVICES_EACH))); do
+		platform_test "$1?id=i-$i${2:+&$2}" >/dev/null
+	done
 }
 
 # reached ID: the requests that ran at the endpoint.
--- a/scripts/leaving_test.sh
+++ b/scripts/leaving_test.sh
@@ -23,12 +23,16 @@
 		unchanged to_stated_leaving
 }
 
+store_is_back() {
+	is "$(curl -s -o /dev/null -w '%{http_code}' \
+		"http://$PLATFORM/v1/kv-range?prefix=md/")" 200
+}
+
 # Keys stay confirmed for the whole outage.
 leaves_while_the_store_is_away() {
 	platform_test 'down?ms=3500' >/dev/null
 	leaves "$1"
-	wait_for is "$(curl -s -o /dev/null -w '%{http_code}' \
-		"http://$PLATFORM/v1/kv-range?prefix=md/")" 200
+	wait_for store_is_back
 }
 
 # The list entry lapses, and an older copy of it returns.
@@ -44,8 +48,7 @@
 }
 
 all_leave() {
-	local i
-	for i in 2 4 6 8; do leaving "i-$i"; done
+	each_app leaving
 	sleep "$SECONDS_EACH"
 	expect "no leaving endpoint of a service gets more requests" \
 		unchanged to_stated_leaving
--- a/scripts/limit_test.sh
+++ b/scripts/limit_test.sh
@@ -45,20 +45,15 @@
 	limit_ends "$1"
 }
 
-limit_all() {
-	local i
-	for i in 2 4 6; do limit "i-$i" "$1"; done
-}
-
 # The endpoints' list entries lapse and return, and an entry is restarted.
 limited_in_trouble() {
-	local i round
-	limit_all 1
+	local round
+	each_app limit per_s=1
 	sleep 3
 	for round in 1 2 3; do
-		for i in 2 4 6; do platform_test "unlist?id=i-$i" >/dev/null; done
+		each_app unlist
 		sleep 0.$((RANDOM % 9 + 1))
-		for i in 2 4 6; do platform_test "relist?id=i-$i" >/dev/null; done
+		each_app relist
 		sleep 1
 	done
 	end_child "$(pid_of edge-1)"
@@ -66,16 +61,16 @@
 	for_a_while
 	expect "a limit outlasts the endpoint's list entry" \
 		within_limits
-	limit_all 0
+	each_app limit per_s=0
 }
 
 all_limited() {
-	limit_all 2
+	each_app limit per_s=2
 	sleep 3
 	for_a_while
 	expect "no endpoint of a limited service gets more than its limit" \
 		within_limits
-	limit_all 0
+	each_app limit per_s=0
 }
 
 start_edges || exit 1
--- a/scripts/wait_test.sh
+++ b/scripts/wait_test.sh
@@ -29,25 +29,23 @@
 }
 
 all_ask_for_wait() {
-	local i
-	for i in 2 4 6; do wait_stated "i-$i" 3000; done
+	each_app wait ms=3000
 	sleep "$SECONDS_EACH"
 	expect "no endpoint of a service gets requests in its wait" \
 		unchanged in_wait
-	for i in 2 4 6; do wait_stated "i-$i" 0; done
+	each_app wait ms=0
 }
 
 # It is listed again meanwhile, as after an outage of the store.
 asks_and_is_listed_again() {
-	local i
-	for i in 2 4 6; do wait_stated "i-$i" 4000; done
+	each_app wait ms=4000
 	sleep 1
-	for i in 2 4 6; do platform_test "unlist?id=i-$i" >/dev/null; done
+	each_app unlist
 	sleep 0.3
-	for i in 2 4 6; do platform_test "relist?id=i-$i" >/dev/null; done
+	each_app relist
 	sleep "$SECONDS_EACH"
 	expect "a wait outlasts the endpoint's list entry" unchanged in_wait
-	for i in 2 4 6; do wait_stated "i-$i" 0; done
+	each_app wait ms=0
 }
 
 start_edges || exit 1
