edge: log and count endpoints that are not reached, and refuse with the true reason

Of requests that found no connection to any endpoint the log said only "endpoint not reached", whether the connection was refused or timed out, and callers and log were told "endpoints are full". Whether an entry had lost all its endpoints, or one endpoint had ended, could not be told from its lines.

A line per failed connection has its cause, how many endpoints get no requests for that reason, and for how long no endpoint has sent anything; the last two are gauges and in the totals. A refusal states "endpoints not reached" if no endpoint refused the request. No decision changes.

--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -138,6 +138,15 @@
 	x->endpoints_ended =
 		met_counter(m, "endpoints_ended_total",
 			    "endpoints that ended under our requests");
+	x->sends_unreached =
+		met_counter(m, "sends_unreached_total",
+			    "sends without a connection to the endpoint");
+	x->endpoints_unreached = met_gauge(
+		m, "endpoints_unreached",
+		"endpoints without requests as they were not reached");
+	x->endpoint_age_ms =
+		met_gauge(m, "endpoint_age_ms",
+			  "since any endpoint sent something; -1: none did");
 	x->requests_suspected = met_counter(m, "requests_suspected_total",
 					    "ends held against a request");
 	x->requests_convicted = met_counter(m, "requests_convicted_total",
@@ -293,6 +302,9 @@
 	jlog_int(en->log, "sends_to_leaving", met_get(en->m.sends_to_leaving));
 	jlog_int(en->log, "waits_stated", met_get(en->m.waits_stated));
 	jlog_int(en->log, "sends_in_wait", met_get(en->m.sends_in_wait));
+	jlog_int(en->log, "sends_unreached", met_get(en->m.sends_unreached));
+	jlog_int(en->log, "unreached", edge_count_unreached(en, now));
+	jlog_int(en->log, "endpoint_age_ms", edge_endpoint_age(en, now));
 	jlog_int(en->log, "entries", en->nr_running);
 	jlog_int(en->log, "core", (int64_t)en->prs.nr_core);
 	jlog_int(en->log, "leaves", (int64_t)en->prs.nr_leaves);
--- a/lib/edge/edge_answer.c
+++ b/lib/edge/edge_answer.c
@@ -149,12 +149,47 @@
 
 void edge_send_unreached(struct edge_req *r, const char *why)
 {
+	met_inc(r->en->m.sends_unreached);
 	end_not_run(r, FLT_UNREACHABLE, why);
 	r->sends_reached--;
 	edge_retry_refund(r);
 	edge_step(r, rq_unreached(&r->rq, may_retry(r)), why);
 }
 
+int64_t edge_endpoint_age(const struct edge *en, int64_t now)
+{
+	return en->endpoint_heard_ms ? now - en->endpoint_heard_ms : -1;
+}
+
+unsigned edge_count_unreached(const struct edge *en, int64_t now)
+{
+	const struct flt_endpoint *e;
+	unsigned n = 0;
+
+	cds_list_for_each_entry(e, &en->fleet.endpoints, node)
+		n += now < e->unreached_until_ms;
+	return n;
+}
+
+/* Logs a failed connection, and what else speaks of the way to endpoints. */
+static void log_unreached(const struct edge_req *r, const char *cause)
+{
+	struct edge *en = r->en;
+	const struct flt_endpoint *e = r->endpoint;
+	const int64_t now = edge_now(en);
+
+	jlog_begin(en->log, JLOG_INFO, "endpoint_unreached");
+	jlog_str(en->log, "endpoint", e->info.id);
+	jlog_str(en->log, "service", e->info.service);
+	jlog_str(en->log, "zone", e->info.zone);
+	jlog_str(en->log, "cause", cause);
+	jlog_int(en->log, "failures", e->connect_failures);
+	jlog_int(en->log, "unreached", edge_count_unreached(en, now));
+	jlog_int(en->log, "endpoints", (int64_t)en->fleet.count);
+	jlog_int(en->log, "endpoint_age_ms", edge_endpoint_age(en, now));
+	jlog_end(en->log);
+}
+
 /* Ends a send whose outcome is unknown: the endpoint may have run it. */
 static void handle_lost(struct edge_req *r, enum flt_outcome o, const char *why)
 {
@@ -175,6 +210,7 @@
 	struct edge_req *r = htc_owner(call);
 	struct edge *en = r->en;
 
+	en->endpoint_heard_ms = edge_now(en);
 	en->wire->decode_answer(m, &r->attempt, &r->reply);
 	if (r->reply.other_attempt) {
 		jlog_begin(en->log, JLOG_WARN, "foreign_answer");
@@ -254,6 +290,7 @@
 {
 	struct edge_req *r = htc_owner(call);
 
+	r->en->endpoint_heard_ms = edge_now(r->en);
 	if (r->streaming) {
 		pass_events(r, data, len);
 		return;
@@ -428,13 +465,20 @@
 		[HTC_MALFORMED] = "endpoint's answer is no HTTP",
 		[HTC_TIMEOUT] = "endpoint silent",
 	};
+	static const char *const causes[] = {
+		[HTC_UNREACHED_REFUSED] = "refused",
+		[HTC_UNREACHED_TIMED_OUT] = "timed out",
+		[HTC_UNREACHED_OTHER] = "other",
+	};
 	struct edge_req *r = htc_owner(call);
 
 	r->call = NULL;
-	if (why == HTC_NOT_SENT)
+	if (why == HTC_NOT_SENT) {
+		log_unreached(r, causes[htc_unreached(call)]);
 		edge_send_unreached(r, reasons[why]);
-	else
-		handle_broken(r, reasons[why], why == HTC_CONNECTION_LOST);
+		return;
+	}
+	handle_broken(r, reasons[why], why == HTC_CONNECTION_LOST);
 }
 
 const struct htc_vtable edge_answer_vtable = { on_head, on_body, on_end,
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -79,6 +79,7 @@
 		*endpoints_limited, *answers_withheld;
 	met_value *leaving_stated, *sends_to_leaving, *waits_stated,
 		*sends_in_wait;
+	met_value *sends_unreached, *endpoints_unreached, *endpoint_age_ms;
 	met_value *requests_suspected, *requests_convicted, *requests_withheld;
 	met_value *sends, *resends, *resumes, *sends_not_run, *sends_lost;
 	met_value *store_calls[STO_KINDS], *store_followed, *store_relayed;
@@ -204,7 +205,8 @@
 	struct cds_list_head awaiting_config; /* of edge_req.wait_node */
 	struct edge_lease lease;
 
-	struct flt fleet;	     /* the endpoints */
+	struct flt fleet;	   /* the endpoints */
+	int64_t endpoint_heard_ms; /* last bytes of any of them; 0: none yet */
 	struct cds_list_head models; /* of svc, one per service */
 	struct parts parts;	     /* where shared prompt parts were sent */
 	struct acct_table accounts;
@@ -484,6 +486,15 @@
  */
 void edge_send_unreached(struct edge_req *r, const char *why);
 
+/*
+ * Time since any endpoint last sent a byte of an answer, ms; -1: none did since
+ * the start.
+ */
+int64_t edge_endpoint_age(const struct edge *en, int64_t now);
+
+/* The number of endpoints that get no requests as they were not reached. */
+unsigned edge_count_unreached(const struct edge *en, int64_t now);
+
 /* Logs the end of the current send. `status`: HTTP status; 0: no answer. */
 void edge_log_send_ended(struct edge_req *r, const char *outcome, int status);
 
--- a/lib/edge/edge_peer_http.c
+++ b/lib/edge/edge_peer_http.c
@@ -240,6 +240,9 @@
 	met_set(en->m.lines_dropped, (long long)jlog_dropped(en->log));
 	met_set(en->m.endpoints, (long long)en->fleet.count);
 	met_set(en->m.endpoints_limited, edge_statement_count_limited(en));
+	met_set(en->m.endpoints_unreached,
+		edge_count_unreached(en, edge_now(en)));
+	met_set(en->m.endpoint_age_ms, edge_endpoint_age(en, edge_now(en)));
 	met_set(en->m.entries, en->nr_running);
 	met_set(en->m.in_core, en->ovl.core);
 	met_set(en->m.core_entries, (long long)en->prs.nr_core);
--- a/lib/edge/edge_send.c
+++ b/lib/edge/edge_send.c
@@ -212,6 +212,20 @@
 	edge_send_unreached(r, "no connection to be had");
 }
 
+/* True if the service has endpoints that get no requests as not reached. */
+static bool any_unreached(const struct edge_req *r)
+{
+	const int64_t now = edge_now(r->en);
+	const struct flt_endpoint *e;
+
+	cds_list_for_each_entry(e, &r->en->fleet.endpoints, node) {
+		if (now < e->unreached_until_ms && !e->draining_since_ms &&
+		    !strcmp(e->info.service, r->service->name))
+			return true;
+	}
+	return false;
+}
+
 /*
  * Refuses a request for which there is no endpoint. If endpoints only take no
  * more requests for now, Retry-After is the time until the first one does.
@@ -229,9 +243,12 @@
 		why = EDGE_WHY_WITHHELD;
 		if (p->waiting == p->withheld || p->open_ms - now < retry_ms)
 			retry_ms = p->open_ms - now;
-	} else if (r->nr_tried) {
+	} else if (r->rq.refusals) {
 		why = "endpoints are full";
 		retry_ms = EDGE_FULL_RETRY_MS;
+	} else if (any_unreached(r)) {
+		why = "endpoints not reached";
+		retry_ms = EDGE_FULL_RETRY_MS;
 	}
 	edge_req_answer(r, 503, why, retry_ms);
 }
--- a/lib/fleet/flt.c
+++ b/lib/fleet/flt.c
@@ -362,7 +362,7 @@
 	for (i = 0; i < e->connect_failures && wait < MAX_BACKOFF_MS; i++)
 		wait *= 2;
 	e->connect_failures++;
-	e->backoff_until_ms = now + wait;
+	e->backoff_until_ms = e->unreached_until_ms = now + wait;
 }
 
 void flt_record_outcome(struct flt_endpoint *e, enum flt_outcome o, int64_t now)
--- a/lib/fleet/flt.h
+++ b/lib/fleet/flt.h
@@ -81,14 +81,15 @@
 	int64_t move_streams_since_ms; /* its streams are moved away; 0: not */
 
 	/* From this entry's own requests. */
-	int running;		  /* in flight */
-	double prefill_tokens;	  /* of prompts without a first event yet */
-	double failed, tried;	  /* outcomes, decayed exponentially */
-	int64_t decayed_ms;	  /* time as of which they are decayed */
-	int64_t backoff_until_ms; /* no new requests before */
-	int connect_failures;	  /* consecutive */
-	bool probing;		  /* a probe connection is in progress */
-	bool exited;		  /* the process no longer listens */
+	int running;		    /* in flight */
+	double prefill_tokens;	    /* of prompts without a first event yet */
+	double failed, tried;	    /* outcomes, decayed exponentially */
+	int64_t decayed_ms;	    /* time as of which they are decayed */
+	int64_t backoff_until_ms;   /* no new requests before */
+	int connect_failures;	    /* consecutive */
+	int64_t unreached_until_ms; /* in backoff for these until then */
+	bool probing;		    /* a probe connection is in progress */
+	bool exited;		    /* the process no longer listens */
 	int suspect_runs; /* requests of all entries suspected to crash it */
 	struct gate gate; /* what it stated in its answers */
 
--- a/lib/io/htc.c
+++ b/lib/io/htc.c
@@ -32,6 +32,7 @@
 	bool in_idle_list;  /* linked in htc_peer.idle */
 	bool in_parser;	    /* the parser is on the stack */
 	bool free_pending;  /* freed when the parser returns */
+	enum htc_unreached unreached; /* unless it timed out */
 };
 
 struct htc_call {
@@ -39,6 +40,7 @@
 	void *owner;
 	struct htc_conn *conn;
 	int64_t deadline_ms; /* boot clock; 0: none */
+	enum htc_unreached unreached;
 	bool no_body;
 	bool head_delivered; /* the owner accepted the head */
 };
@@ -115,8 +117,11 @@
 		conn_free(k, false);
 		return;
 	}
-	if (!htc_sent(c))
+	if (!htc_sent(c)) {
+		c->unreached = why == HTC_TIMEOUT ? HTC_UNREACHED_TIMED_OUT
+						  : k->unreached;
 		why = HTC_NOT_SENT;
+	}
 	/*
 	 * Free the connection first: the callback may free the peer along with
 	 * all its connections.
@@ -295,6 +300,8 @@
 						    : HTC_PROBE_UNKNOWN);
 		return;
 	}
+	k->unreached = how == IOC_END_REFUSED ? HTC_UNREACHED_REFUSED
+					      : HTC_UNREACHED_OTHER;
 	fail(k, how == IOC_END_REFUSED || how == IOC_END_UNREACHABLE
 			? HTC_NOT_SENT
 			: HTC_CONNECTION_LOST);
@@ -459,6 +466,11 @@
 	set_call_timer(c->conn);
 }
 
+enum htc_unreached htc_unreached(const struct htc_call *c)
+{
+	return c->unreached;
+}
+
 void *htc_owner(const struct htc_call *c)
 {
 	return c->owner;
--- a/lib/io/htc.h
+++ b/lib/io/htc.h
@@ -36,6 +36,13 @@
 	HTC_TIMEOUT,	     /* total_ms, or the bound of htc_extend, elapsed */
 };
 
+/* What happened when no connection was established. */
+enum htc_unreached {
+	HTC_UNREACHED_REFUSED,	 /* the machine is up, but no process listens */
+	HTC_UNREACHED_TIMED_OUT, /* no answer within connect_ms */
+	HTC_UNREACHED_OTHER,
+};
+
 struct htc_vtable {
 	/*
 	 * The head of a response. Return false to skip this response and wait
@@ -112,6 +119,9 @@
  */
 void htc_extend(struct htc_call *c, int ms);
 
+/* Why the call was not sent; valid in `failed` with HTC_NOT_SENT. */
+enum htc_unreached htc_unreached(const struct htc_call *c);
+
 /* The `owner` given to htc_start. */
 void *htc_owner(const struct htc_call *c);
 
