tests: entries that are cut off from all endpoints (known red)

They also count endpoints as ended that only they do not reach.

A small library that is preloaded into the entry drops or resets its connections to endpoints, or refuses new ones; entries of one machine share an address, so no proxy can tell whose connections they are.

--- a/Makefile
+++ b/Makefile
@@ -50,7 +50,7 @@
 	format-check lint clean
 
 all: $(PROGRAM_BIN) $(BUILD)/bin/marldock-edge \
-	$(BUILD)/bin/marldock-explain $(STANDINS)
+	$(BUILD)/bin/marldock-explain $(STANDINS) $(BUILD)/bin/cut.so
 
 .PHONY: edge
 edge: $(BUILD)/bin/marldock-edge
@@ -94,6 +94,10 @@
 	@mkdir -p $(@D)
 	$(CC) -o $@ $(filter %.o,$^) $(LIB) $(LDLIBS)
 
+$(BUILD)/bin/cut.so: tests/preload/cut.c
+	@mkdir -p $(@D)
+	$(CC) $(CSTD) $(WARN) -O2 -g -shared -fPIC -o $@ $< -ldl
+
 $(BUILD)/bin/standin-platform: $(BUILD)/tests/support/slow_link.o \
 	$(BUILD)/tests/support/statements.o
 $(BUILD)/bin/standin-caller: $(BUILD)/programs/load_request.o
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -99,6 +99,8 @@
 	add leaving_test $?
 	BIN=$BUILD/bin scripts/wait_test.sh >"$OUT" 2>/dev/null
 	add wait_test $?
+	BIN=$BUILD/bin scripts/cut_test.sh >"$OUT" 2>/dev/null
+	add cut_test $?
 	BIN=$BUILD/bin scripts/older_copy_test.sh >"$OUT" 2>/dev/null
 	add older_copy_test $?
 	BIN=$BUILD/bin scripts/rollout_test.sh >"$OUT" 2>/dev/null
--- a/scripts/edge_cluster.sh
+++ b/scripts/edge_cluster.sh
@@ -5,6 +5,8 @@
 EDGE_SERVICES_EACH=${EDGE_SERVICES_EACH:-3}
 # Entries up to which there is no overlay of gossip.
 MAX_MESH=${MAX_MESH:-128}
+# Not empty: entries can be cut off from all endpoints, see cut_off().
+CUTTABLE=${CUTTABLE:-}
 
 edge_settings() {
 	cat <<-END
@@ -30,7 +32,13 @@
 	[ -s "$DIR/edge-$1.out" ] &&
 		mv "$DIR/edge-$1.out" "$DIR/edge-$1-before-$(date +%s%N).out"
 	: >"$DIR/edge-$1.out"
-	start "edge-$1" "$BIN/marldock-edge" -s "$DIR/edge-$1.json"
+	if [ -n "${CUTTABLE:-}" ]; then
+		[ -e "$DIR/cut-$1" ] || echo pass >"$DIR/cut-$1"
+		start "edge-$1" tests/preload/run.sh "$BIN/cut.so" \
+			"$DIR/cut-$1" "$BIN/marldock-edge" -s "$DIR/edge-$1.json"
+	else
+		start "edge-$1" "$BIN/marldock-edge" -s "$DIR/edge-$1.json"
+	fi
 	wait_for grep -q '"event":"start"' "$DIR/edge-$1.out"
 }
 
@@ -42,6 +50,14 @@
 	for i in $(seq 1 "$EDGES"); do start_edge "$i" || return 1; done
 }
 
+# cut_off HOW N...: cuts the entries off from all endpoints; HOW as in
+# tests/preload/cut.c, pass: not any more.
+cut_off() {
+	local how=$1 n
+	shift
+	for n in "$@"; do echo "$how" >"$DIR/cut-$n"; done
+}
+
 # address N WHAT: callers, lookup, ready or peers, of the newest start.
 address() {
 	grep '"event":"start"' "$DIR/edge-$1.out" | tail -1 |
--- /dev/null
+++ b/tests/preload/run.sh
@@ -0,0 +1,7 @@
+#!/bin/bash
+# Runs a command that can be cut off from the endpoints (cut.c).
+# Usage: run.sh LIBRARY CUT_FILE COMMAND...
+export CUT_FILE=$2
+export LD_PRELOAD=$1
+shift 2
+exec "$@"
--- a/tests/standin/platform.c
+++ b/tests/standin/platform.c
@@ -836,7 +836,8 @@
 	struct endpoint *e = &w.endpoints[w.nr_endpoints++];
 	struct sockaddr_in addr;
 
-	ioc_address("127.0.0.1:0", &addr, NULL);
+	/* An address of their own: cut.c tells connections to them by it. */
+	ioc_address("127.0.0.2:0", &addr, NULL);
 	hsc_server_open(&e->server, w.loop, &addr, &endpoint_vtable, e, NULL);
 	snprintf(e->id, sizeof(e->id), "i-%d", w.nr_endpoints);
 	str_copy(e->service, service, sizeof(e->service));
