--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -104,6 +104,36 @@
 					 "endpoints that state a limit");
 }
 
+/* The way to endpoints, and tunnels for other entries. */
+static void register_relay_metrics(struct met *m, struct edge_metrics *x)
+{
+	x->sends_unreached =
+		met_counter(m, "sends_unreached_total",
+			    "sends without a connection to the endpoint");
+	x->endpoints_unreached = met_gauge(
+		m, "endpoints_unreached",
+		"endpoints without requests as they were not reached");
+	x->endpoint_age_ms =
+		met_gauge(m, "endpoint_age_ms",
+			  "since any endpoint sent something; -1: none did");
+	x->cut_off =
+		met_gauge(m, "cut_off", "1: no endpoint is reached directly");
+	x->reach_checks =
+		met_counter(m, "reach_checks_total",
+			    "checks whether endpoints are reached directly");
+	x->sends_relayed = met_counter(m, "sends_relayed_total",
+				       "requests sent through another entry");
+	x->relay_failures =
+		met_counter(m, "relay_failures_total",
+			    "entries that were asked for a tunnel in vain");
+	x->tunnels = met_gauge(m, "tunnels",
+			       "tunnels to endpoints for other entries");
+	x->tunnels_opened =
+		met_counter(m, "tunnels_opened_total", "of them, ever");
+	x->tunnels_refused = met_counter(m, "tunnels_refused_total",
+					 "requests for a tunnel refused");
+}
+
 static void register_metrics(struct edge *en)
 {
 	struct met *m = &en->met;
@@ -138,15 +168,6 @@
 	x->endpoints_ended =
 		met_counter(m, "endpoints_ended_total",
 			    "endpoints that ended under our requests");
-	x->sends_unreached =
-		met_counter(m, "sends_unreached_total",
-			    "sends without a connection to the endpoint");
-	x->endpoints_unreached = met_gauge(
-		m, "endpoints_unreached",
-		"endpoints without requests as they were not reached");
-	x->endpoint_age_ms =
-		met_gauge(m, "endpoint_age_ms",
-			  "since any endpoint sent something; -1: none did");
 	x->requests_suspected = met_counter(m, "requests_suspected_total",
 					    "ends held against a request");
 	x->requests_convicted = met_counter(m, "requests_convicted_total",
@@ -161,6 +182,7 @@
 	register_store_metrics(m, x);
 	register_gossip_metrics(m, x);
 	register_statement_metrics(m, x);
+	register_relay_metrics(m, x);
 	x->entries_unreadable =
 		met_counter(m, "endpoint_entries_unreadable_total",
 			    "endpoints' entries in the store without sense");
@@ -244,7 +266,7 @@
 	 * was read in the same iteration of the event loop.
 	 */
 	hsc_server_close_idle(&en->callers);
-	if (en->callers.nr_conns && since < latest)
+	if ((en->callers.nr_conns || en->nr_tunnels) && since < latest)
 		return;
 	ev_break(en->loop, EVBREAK_ALL);
 }
@@ -303,6 +325,10 @@
 	jlog_int(en->log, "waits_stated", met_get(en->m.waits_stated));
 	jlog_int(en->log, "sends_in_wait", met_get(en->m.sends_in_wait));
 	jlog_int(en->log, "sends_unreached", met_get(en->m.sends_unreached));
+	jlog_int(en->log, "sends_relayed", met_get(en->m.sends_relayed));
+	jlog_int(en->log, "reach_checks", met_get(en->m.reach_checks));
+	jlog_bool(en->log, "cut_off", en->reach.cut_off);
+	jlog_int(en->log, "tunnels", en->nr_tunnels);
 	jlog_int(en->log, "unreached", edge_count_unreached(en, now));
 	jlog_int(en->log, "endpoint_age_ms", edge_endpoint_age(en, now));
 	jlog_int(en->log, "entries", en->nr_running);
@@ -344,6 +370,7 @@
 	}
 	edge_duty_tick(en, now);
 	edge_rollout_tick(en, now);
+	edge_relay_tick(en, now);
 	edge_fatal_tick(en, now);
 	edge_move_tick(en, now);
 	if (now - en->totals_ms >= TOTALS_INTERVAL_MS)
@@ -405,9 +432,11 @@
 	CDS_INIT_LIST_HEAD(&en->requests);
 	CDS_INIT_LIST_HEAD(&en->awaiting_config);
 	CDS_INIT_LIST_HEAD(&en->followers);
+	CDS_INIT_LIST_HEAD(&en->held_probes);
+	CDS_INIT_LIST_HEAD(&en->tunnels);
 	register_metrics(en);
 	force_init(&en->force);
-	flt_init(&en->fleet, edge_conn_pool_free);
+	flt_init(&en->fleet, edge_link_free);
 	CDS_INIT_LIST_HEAD(&en->models);
 	parts_init(&en->parts);
 	acct_init(&en->accounts, &slack);
--- a/lib/edge/edge_answer.c
+++ b/lib/edge/edge_answer.c
@@ -132,25 +132,35 @@
 }
 
 /* Ends a send that the endpoint did not run. */
-static void end_not_run(struct edge_req *r, enum flt_outcome o, const char *why)
+static void end_not_run(struct edge_req *r, enum flt_outcome o, const char *why,
+			bool exclude)
 {
 	met_inc(r->en->m.sends_not_run);
 	flt_record_outcome(r->endpoint, o, edge_now(r->en));
 	edge_log_send_ended(r, why, r->reply.status);
-	exclude_endpoint(r);
+	if (exclude)
+		exclude_endpoint(r);
 	edge_send_stop(r);
 }
 
 void edge_send_not_run(struct edge_req *r, enum flt_outcome o, const char *why)
 {
-	end_not_run(r, o, why);
+	end_not_run(r, o, why, true);
 	edge_step(r, rq_refused(&r->rq, may_retry(r)), why);
 }
 
 void edge_send_unreached(struct edge_req *r, const char *why)
 {
 	met_inc(r->en->m.sends_unreached);
-	end_not_run(r, FLT_UNREACHABLE, why);
+	if (!r->relay[0])
+		edge_reach_suspect(r->en, REACH_UNREACHED, r->endpoint);
+	/* A relay may reach the endpoint that this entry does not. */
+	if (r->relay[0] || !edge_has_relay(r->en, edge_now(r->en))) {
+		end_not_run(r, FLT_UNREACHABLE, why, true);
+	} else {
+		r->avoid_direct = true;
+		end_not_run(r, FLT_UNREACHABLE, why, false);
+	}
 	r->sends_reached--;
 	edge_retry_refund(r);
 	edge_step(r, rq_unreached(&r->rq, may_retry(r)), why);
@@ -171,6 +181,16 @@
 	return n;
 }
 
+void edge_send_relay_failed(struct edge_req *r)
+{
+	edge_relay_failed(r->en, r->relay);
+	edge_log_send_ended(r, "relay failed", 0);
+	edge_send_stop(r);
+	r->sends_reached--;
+	edge_retry_refund(r);
+	edge_step(r, rq_unreached(&r->rq, may_retry(r)), "relay failed");
+}
+
 /* Logs a failed connection, and what else speaks of the way to endpoints. */
 static void log_unreached(const struct edge_req *r, const char *cause)
 {
@@ -182,6 +202,7 @@
 	jlog_str(en->log, "endpoint", e->info.id);
 	jlog_str(en->log, "service", e->info.service);
 	jlog_str(en->log, "zone", e->info.zone);
+	jlog_str(en->log, "relay", r->relay);
 	jlog_str(en->log, "cause", cause);
 	jlog_int(en->log, "failures", e->connect_failures);
 	jlog_int(en->log, "unreached", edge_count_unreached(en, now));
@@ -205,12 +226,21 @@
 
 /* ---- Answers ---- */
 
+static void note_heard(const struct edge_req *r)
+{
+	struct edge *en = r->en;
+
+	en->endpoint_heard_ms = edge_now(en);
+	if (!r->relay[0])
+		en->direct_heard_ms = en->endpoint_heard_ms;
+}
+
 static bool on_head(struct htc_call *call, const struct hmsg *m)
 {
 	struct edge_req *r = htc_owner(call);
 	struct edge *en = r->en;
 
-	en->endpoint_heard_ms = edge_now(en);
+	note_heard(r);
 	en->wire->decode_answer(m, &r->attempt, &r->reply);
 	if (r->reply.other_attempt) {
 		jlog_begin(en->log, JLOG_WARN, "foreign_answer");
@@ -290,7 +320,7 @@
 {
 	struct edge_req *r = htc_owner(call);
 
-	r->en->endpoint_heard_ms = edge_now(r->en);
+	note_heard(r);
 	if (r->streaming) {
 		pass_events(r, data, len);
 		return;
@@ -469,15 +499,21 @@
 		[HTC_UNREACHED_REFUSED] = "refused",
 		[HTC_UNREACHED_TIMED_OUT] = "timed out",
 		[HTC_UNREACHED_OTHER] = "other",
+		[HTC_UNREACHED_RELAY] = "relay",
 	};
 	struct edge_req *r = htc_owner(call);
 
 	r->call = NULL;
 	if (why == HTC_NOT_SENT) {
 		log_unreached(r, causes[htc_unreached(call)]);
-		edge_send_unreached(r, reasons[why]);
+		if (htc_unreached(call) == HTC_UNREACHED_RELAY)
+			edge_send_relay_failed(r);
+		else
+			edge_send_unreached(r, reasons[why]);
 		return;
 	}
+	if (why == HTC_CONNECTION_LOST && !r->relay[0])
+		edge_reach_suspect(r->en, REACH_LOST_CONNECTION, r->endpoint);
 	handle_broken(r, reasons[why], why == HTC_CONNECTION_LOST);
 }
 
@@ -493,3 +529,34 @@
 {
 	finish_stream(r);
 }
+
+/* True if the endpoint may never have got the request, and it may be repeated. */
+static bool is_silent(const struct edge_req *r, int64_t now)
+{
+	return r->call && !r->relay[0] && !r->move &&
+	       now - r->sent_ms >= REACH_SILENCE_MS &&
+	       (r->rq.kind == CFG_IDEMPOTENT || r->rq.resumable);
+}
+
+static struct edge_req *find_silent(struct edge *en, int64_t now)
+{
+	struct edge_req *r;
+
+	cds_list_for_each_entry(r, &en->requests, node) {
+		if (is_silent(r, now))
+			return r;
+	}
+	return NULL;
+}
+
+void edge_send_abandon_silent(struct edge *en)
+{
+	const int64_t now = edge_now(en);
+	struct edge_req *r;
+
+	if (now - en->direct_heard_ms < REACH_SILENCE_MS)
+		return;
+	/* What ends one request may end others too. */
+	while ((r = find_silent(en, now)))
+		handle_lost(r, FLT_FAILED, "cut off from endpoint");
+}
--- a/lib/edge/edge_gossip.c
+++ b/lib/edge/edge_gossip.c
@@ -166,6 +166,8 @@
 	r->true_ms = true_now;
 	r->accepting = edge_is_ready(en);
 	r->store_ok = sto_direct_ok(en->store);
+	r->relays = true;
+	r->cut_off = en->reach.cut_off;
 	r->store_era = sto_era(en->store);
 	r->cfg_version = en->force.cfg ? en->force.cfg->version : 0;
 	r->cfg_confirmed_age_ms = age == INT64_MAX ? -1 : age;
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -50,6 +50,7 @@
 #include "request/fatal.h"
 #include "request/rq.h"
 #include "route/pick.h"
+#include "route/reach.h"
 #include "store/feed.h"
 #include "store/mir.h"
 #include "store/snap.h"
@@ -80,6 +81,8 @@
 	met_value *leaving_stated, *sends_to_leaving, *waits_stated,
 		*sends_in_wait;
 	met_value *sends_unreached, *endpoints_unreached, *endpoint_age_ms;
+	met_value *cut_off, *reach_checks, *sends_relayed, *relay_failures;
+	met_value *tunnels, *tunnels_opened, *tunnels_refused;
 	met_value *requests_suspected, *requests_convicted, *requests_withheld;
 	met_value *sends, *resends, *resumes, *sends_not_run, *sends_lost;
 	met_value *store_calls[STO_KINDS], *store_followed, *store_relayed;
@@ -207,6 +210,12 @@
 
 	struct flt fleet;	   /* the endpoints */
 	int64_t endpoint_heard_ms; /* last bytes of any of them; 0: none yet */
+	int64_t direct_heard_ms;   /* the same without those through relays */
+	struct reach reach;	   /* of endpoints by own connections */
+	int64_t links_revised_ms;  /* connections through relays */
+	struct cds_list_head held_probes; /* of edge_probe.node */
+	struct cds_list_head tunnels;	  /* of edge_tunnel.node */
+	unsigned nr_tunnels;
 	struct cds_list_head models; /* of svc, one per service */
 	struct parts parts;	     /* where shared prompt parts were sent */
 	struct acct_table accounts;
@@ -290,6 +299,8 @@
 	/* The current send; endpoint is NULL between sends. */
 	struct flt_endpoint *endpoint; /* referenced */
 	struct htc_call *call;
+	char relay[GSP_NAME_SIZE]; /* it goes through this entry; "": none */
+	bool avoid_direct;     /* a connection of this entry failed before */
 	double prefill_tokens; /* counted in endpoint->prefill_tokens */
 	struct svc *model;     /* of the service */
 	struct svc_state endpoint_state; /* when the request was sent */
@@ -350,14 +361,11 @@
 /* Picks an endpoint and sends the request, or ends it; may free `r`. */
 void edge_send(struct edge_req *r);
 
-/* Closes and frees the endpoint's connections; a callback for flt_init(). */
-void edge_conn_pool_free(struct flt_endpoint *e);
-
 /*
- * The connections to the endpoint, made on first use and owned by it. NULL: its
- * address cannot be parsed.
+ * This entry was cut off: ends the sends that wait for an endpoint which may
+ * never have got them, if they may be repeated.
  */
-struct htc_peer *edge_conn_pool(struct edge *en, struct flt_endpoint *e);
+void edge_send_abandon_silent(struct edge *en);
 
 /*
  * Continues a migrated run on `to`, which holds a copy of its KV cache under
@@ -366,6 +374,61 @@
 void edge_send_moved(struct edge_req *r, struct flt_endpoint *to,
 		     const char *handle);
 
+/* ---- edge_relay.c: the way to endpoints, direct or through an entry ---- */
+
+/*
+ * Timeout for connecting to an endpoint. A round trip takes less than 3 ms, and
+ * a request is late after a few hundred ms. A lost SYN is retransmitted only
+ * after 1 s, which is too late.
+ */
+#define EDGE_CONNECT_TIMEOUT_MS 250
+
+/* When connections to endpoints are given up. */
+struct ioc_timeouts edge_endpoint_timeouts(void);
+
+/* Closes and frees the endpoint's connections; a callback for flt_init(). */
+void edge_link_free(struct flt_endpoint *e);
+
+struct edge_way {
+	/* Owned by the endpoint; NULL: its address cannot be parsed. */
+	struct htc_peer *pool;
+	const char *relay; /* the entry that it goes through; NULL: direct */
+};
+
+/*
+ * The way to the endpoint. `avoid_direct`: a direct connection has just failed.
+ * Direct all the same if no entry relays.
+ */
+struct edge_way edge_way_to(struct edge *en, struct flt_endpoint *e,
+			    bool avoid_direct);
+
+/* True if another entry opens tunnels to endpoints. */
+bool edge_has_relay(const struct edge *en, int64_t now);
+
+/* The entry opened no tunnel: it is not asked for a while. */
+void edge_relay_failed(struct edge *en, const char *relay);
+
+/* What happened at `e` may mean that this entry is cut off: may begin a check. */
+void edge_reach_suspect(struct edge *en, enum reach_suspicion why,
+			const struct flt_endpoint *e);
+
+/*
+ * Begins a check with other endpoints than `e` unless one is in progress. True:
+ * edge_probe_decide() is called after it. False: this entry is cut off, or there
+ * is no other endpoint.
+ */
+bool edge_reach_verify(struct edge *en, const struct flt_endpoint *e);
+
+void edge_relay_tick(struct edge *en, int64_t now);
+
+/* ---- edge_tunnel.c: tunnels for other entries ---- */
+
+/* Answers the request for a tunnel, now or later. */
+void edge_tunnel_request(struct edge *en, struct hsc *c);
+
+/* Drops the request of this connection; false: it is none for a tunnel. */
+bool edge_tunnel_disconnected(struct edge *en, const struct hsc *c);
+
 /* ---- edge_statement.c: what endpoints state in their answers ---- */
 
 /* Takes over what the head of an answer (r->reply) states. */
@@ -398,6 +461,12 @@
  */
 bool edge_probe(struct edge *en, struct flt_endpoint *e);
 
+/*
+ * A check whether this entry is cut off has ended: decides what the probes found
+ * whose connections were refused meanwhile.
+ */
+void edge_probe_decide(struct edge *en);
+
 /* ---- edge_fatal.c: quarantine of poison requests ---- */
 
 /* Key prefix of the records of quarantined requests. */
@@ -486,6 +555,9 @@
  */
 void edge_send_unreached(struct edge_req *r, const char *why);
 
+/* The relay opened no tunnel: as above, but the endpoint is not at fault. */
+void edge_send_relay_failed(struct edge_req *r);
+
 /*
  * Time since any endpoint last sent a byte of an answer, ms; -1: none did since
  * the start.
--- a/lib/edge/edge_move.c
+++ b/lib/edge/edge_move.c
@@ -163,7 +163,8 @@
 static void start_move(struct edge_req *r)
 {
 	struct flt_endpoint *to = pick_target(r);
-	struct htc_peer *from = r->endpoint->link;
+	struct htc_peer *from =
+		edge_way_to(r->en, r->endpoint, r->relay[0]).pool;
 	struct buf wire = BUF_INIT;
 	struct edge_move *m;
 
--- a/lib/edge/edge_peer_http.c
+++ b/lib/edge/edge_peer_http.c
@@ -1,7 +1,7 @@
 /*
  * HTTP server for other entries: relays calls to the store for entries that
  * cannot reach it, serves changes to entries that follow the watches of this
- * one (followers), and serves the metrics.
+ * one (followers), opens tunnels to endpoints, and serves the metrics.
  */
 #include <assert.h>
 #include <stdio.h>
@@ -240,6 +240,8 @@
 	met_set(en->m.lines_dropped, (long long)jlog_dropped(en->log));
 	met_set(en->m.endpoints, (long long)en->fleet.count);
 	met_set(en->m.endpoints_limited, edge_statement_count_limited(en));
+	met_set(en->m.cut_off, en->reach.cut_off);
+	met_set(en->m.tunnels, en->nr_tunnels);
 	met_set(en->m.endpoints_unreached,
 		edge_count_unreached(en, edge_now(en)));
 	met_set(en->m.endpoint_age_ms, edge_endpoint_age(en, edge_now(en)));
@@ -267,6 +269,9 @@
 
 	if (!strcmp(url, "/metrics"))
 		serve_metrics(en, c);
+	else if (!strncmp(url, HTC_TUNNEL_PATH "?",
+			  strlen(HTC_TUNNEL_PATH "?")))
+		edge_tunnel_request(en, c);
 	else if (sto_parse_follow(url, &lane, &after, &wait_ms))
 		add_follower(en, c, lane, after, wait_ms);
 	else
@@ -278,6 +283,8 @@
 	struct edge_follower *f = find_follower(c->server->owner, c);
 	struct relayed_call *r = c->request;
 
+	if (edge_tunnel_disconnected(c->server->owner, c))
+		return;
 	if (f) {
 		cds_list_del(&f->node);
 		free(f);
--- a/lib/edge/edge_rank.c
+++ b/lib/edge/edge_rank.c
@@ -82,20 +82,29 @@
 	return n;
 }
 
+/* Adds the entries that accept requests and are, or are not, cut off. */
+static void add_accepting(struct edge *en, bool cut_off, int64_t now)
+{
+	struct prs_peer *p;
+
+	if (edge_is_ready(en) && en->reach.cut_off == cut_off)
+		rank_add(&en->ranking, en->conf->name, en->conf->zone, NULL);
+	cds_list_for_each_entry(p, &en->prs.core, role_node) {
+		if (prs_alive(p, now) && p->accepting && p->cut_off == cut_off)
+			rank_add(&en->ranking, p->info.name, p->info.zone, p);
+	}
+}
+
 size_t edge_advertised(struct edge *en, const char **out, size_t max,
 		       int64_t now)
 {
 	struct rank *r = &en->ranking;
-	struct prs_peer *p;
 	size_t nr_advertised, first, n;
 
 	rank_init(r, RANK_ADVERTISE);
-	if (edge_is_ready(en))
-		rank_add(r, en->conf->name, en->conf->zone, NULL);
-	cds_list_for_each_entry(p, &en->prs.core, role_node) {
-		if (prs_alive(p, now) && p->accepting)
-			rank_add(r, p->info.name, p->info.zone, p);
-	}
+	add_accepting(en, false, now);
+	if (!r->n)
+		add_accepting(en, true, now);
 	if (!r->n)
 		return registered_addresses(en, out, max);
 	rank_interleave_zones(r);
--- a/lib/edge/edge_send.c
+++ b/lib/edge/edge_send.c
@@ -7,59 +7,18 @@
 #include "edge/edge_rollout.h"
 #include "edge/explain.h"
 
-/*
- * Timeout for connecting to an endpoint. A round trip takes less than 3 ms, and
- * a request is late after a few hundred ms. A lost SYN is retransmitted only
- * after 1 s, which is too late.
- */
-#define CONNECT_TIMEOUT_MS 250
-/* TCP_USER_TIMEOUT: how long sent bytes may stay unacknowledged. */
-#define USER_TIMEOUT_MS 1000
-/* TCP keepalive starts after this silence; the connection fails 2 s later. */
-#define KEEPALIVE_S 1
-/* Idle connections are kept for this long unless the endpoint states less. */
-#define IDLE_TIMEOUT_MS 30000
 /* A request that must not be repeated uses only connections idle for less. */
 #define FRESH_CONN_MS 9000
 
+/*
+ * Time for which endpoints that this entry did not reach get requests through
+ * relays, if the service has no other ones.
+ */
+#define RELAY_INSTEAD_MS 2000
+
 /* Retry-After when no endpoint is known. */
 #define NO_ENDPOINT_RETRY_MS 1000
 
-/* ---- Endpoints' connections ---- */
-
-void edge_conn_pool_free(struct flt_endpoint *e)
-{
-	struct htc_peer *p = e->link;
-
-	if (!p)
-		return;
-	htc_peer_close(p);
-	free(p);
-	e->link = NULL;
-}
-
-struct htc_peer *edge_conn_pool(struct edge *en, struct flt_endpoint *e)
-{
-	static const struct htc_limits limits = {
-		.connect_ms = CONNECT_TIMEOUT_MS,
-		.user_timeout_ms = USER_TIMEOUT_MS,
-		.keepalive_s = KEEPALIVE_S,
-		.idle_ms = IDLE_TIMEOUT_MS,
-	};
-	struct sockaddr_in addr;
-	struct htc_peer *p;
-
-	if (e->link)
-		return e->link;
-	if (ioc_address(e->info.address, &addr, NULL))
-		return NULL;
-	p = malloc(sizeof(*p));
-	assert(p);
-	htc_peer_init(p, en->loop, en->clk, &addr, &limits);
-	e->link = p;
-	return p;
-}
-
 /* ---- Sending ---- */
 
 /*
@@ -124,6 +83,7 @@
 	jlog_str(en->log, "endpoint", p->endpoint->info.id);
 	jlog_int(en->log, "list_age_ms", edge_list_age(en, now));
 	jlog_str(en->log, "zone", p->endpoint->info.zone);
+	jlog_str(en->log, "relay", r->relay);
 	jlog_int(en->log, "candidates", p->candidates);
 	jlog_int(en->log, "withheld", p->withheld);
 	jlog_int(en->log, "wait_ms", (int64_t)p->wait_ms);
@@ -177,15 +137,19 @@
 		.resume_after = r->rq.started ? r->events.last_id : -1,
 		.copy_at = copy_at,
 	};
-	struct htc_peer *link = edge_conn_pool(en, p->endpoint);
+	const struct edge_way way =
+		edge_way_to(en, p->endpoint, r->avoid_direct);
 	struct buf wire = BUF_INIT;
 
+	str_copy(r->relay, way.relay ? way.relay : "", sizeof(r->relay));
 	assign_endpoint(r, p);
 	if (copy_at)
 		edge_prefill_done(r); /* the copy has the prompt's KV cache */
 	r->sends++;
 	r->sends_reached++;
 	met_inc(en->m.sends);
+	if (way.relay)
+		met_inc(en->m.sends_relayed);
 	if (p->endpoint->use == FLT_ON_TRIAL)
 		met_inc(en->m.sends_on_trial);
 	edge_statement_count_send(en, p->endpoint);
@@ -200,9 +164,9 @@
 				 &wire);
 	rq_sent(&r->rq);
 	edge_fatal_sent(r);
-	if (link)
+	if (way.pool)
 		r->call = htc_start(
-			link, &wire,
+			way.pool, &wire,
 			r->rq.kind == CFG_IDEMPOTENT ? 0 : FRESH_CONN_MS,
 			c->parse.msg.method == HTTP_HEAD, 0,
 			&edge_answer_vtable, r);
@@ -253,6 +217,36 @@
 	edge_req_answer(r, 503, why, retry_ms);
 }
 
+/*
+ * The endpoints that this entry did not reach get requests through relays
+ * instead. False: there are none, or no relay. An endpoint that a relay did not
+ * reach either stays in backoff.
+ */
+static bool relay_to_unreached(const struct edge_req *r)
+{
+	const int64_t now = edge_now(r->en);
+	struct flt_endpoint *e;
+	bool any = false;
+
+	if (!edge_has_relay(r->en, now))
+		return false;
+	cds_list_for_each_entry(e, &r->en->fleet.endpoints, node) {
+		if (now >= e->unreached_until_ms || now < e->relay_until_ms ||
+		    strcmp(e->info.service, r->service->name))
+			continue;
+		e->relay_until_ms = now + RELAY_INSTEAD_MS;
+		flt_forgive_unreached(e, now);
+		any = true;
+	}
+	return any;
+}
+
+/* Cut off from all endpoints, without an entry that relays. */
+static bool has_no_way(const struct edge *en)
+{
+	return en->reach.cut_off && !edge_has_relay(en, edge_now(en));
+}
+
 void edge_send(struct edge_req *r)
 {
 	struct pick_result p;
@@ -260,10 +254,21 @@
 
 	if (!edge_fatal_may_send(r))
 		return;
+	if (has_no_way(r->en)) {
+		if (r->rq.runs || r->rq.started) {
+			edge_step(r, rq_no_endpoint(&r->rq), EDGE_WHY_CUT_OFF);
+			return;
+		}
+		rq_no_endpoint(&r->rq);
+		edge_req_answer(r, 503, EDGE_WHY_CUT_OFF, EDGE_FULL_RETRY_MS);
+		return;
+	}
 	use = edge_rollout_use(r);
 	p = pick_for(r, use);
 	if (!p.endpoint && use != FLT_IN_USE)
 		p = pick_for(r, FLT_IN_USE);
+	if (!p.endpoint && relay_to_unreached(r))
+		p = pick_for(r, FLT_IN_USE);
 	if (!p.endpoint) {
 		if (r->rq.runs || r->rq.started) {
 			edge_step(r, rq_no_endpoint(&r->rq), "no endpoint");
--- /dev/null
+++ b/lib/edge/edge_tunnel.c
@@ -0,0 +1,287 @@
+/*
+ * Tunnels to endpoints for entries that do not reach them (edge_relay.c): this
+ * entry connects to the endpoint and passes bytes on, both ways. It does not
+ * read them: the other entry admits, limits and repeats its own requests, and
+ * has chosen the endpoint.
+ */
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "edge/edge_internal.h"
+
+/* Tunnels at the same time; each takes two descriptors. */
+#define MAX_TUNNELS 256
+
+/* Bytes queued for one side beyond which the other one is not read. */
+#define MAX_QUEUED_BYTES 65536
+
+/* Time for the other entry to close after the endpoint did, ms. */
+#define LINGER_MS 1000
+
+struct edge_tunnel {
+	struct cds_list_head node; /* in edge.tunnels */
+	struct edge *en;
+	char endpoint_id[FLT_NAME];
+	struct hsc *conn; /* the request for it; NULL once it was answered */
+	struct ioc *entry, *endpoint; /* NULL: not open */
+	bool endpoint_closed;	      /* in order, after its last byte */
+	bool established;
+	ev_timer timer; /* of connecting, then of lingering */
+	int64_t since_ms;
+};
+
+/* ---- End ---- */
+
+static void log_tunnel(const struct edge_tunnel *t, const char *outcome)
+{
+	struct edge *en = t->en;
+
+	jlog_begin(en->log, JLOG_INFO, "tunnel");
+	jlog_str(en->log, "endpoint", t->endpoint_id);
+	jlog_str(en->log, "outcome", outcome);
+	jlog_int(en->log, "took_ms", edge_now(en) - t->since_ms);
+	jlog_int(en->log, "tunnels", en->nr_tunnels);
+	jlog_end(en->log);
+}
+
+/* Closes what is open. `close_io`: ioc_close, or ioc_abort to reset. */
+static void tunnel_free(struct edge_tunnel *t, void (*close_io)(struct ioc *))
+{
+	ev_timer_stop(t->en->loop, &t->timer);
+	if (t->entry)
+		close_io(t->entry);
+	if (t->endpoint)
+		close_io(t->endpoint);
+	if (t->conn)
+		t->conn->request = NULL;
+	cds_list_del(&t->node);
+	t->en->nr_tunnels--;
+	free(t);
+}
+
+static void answer(struct hsc *c, int status)
+{
+	BUF_AUTO out = BUF_INIT;
+
+	c->request = NULL;
+	hmsg_put_status(&out, status);
+	hmsg_put_int(&out, "Content-Length", 0);
+	hmsg_put_end(&out);
+	hsc_write(c, out.data, out.len);
+	hsc_done(c, false);
+}
+
+/* No connection to the endpoint: this entry may be cut off too. */
+static void refuse(struct edge_tunnel *t, int status, const char *outcome)
+{
+	const struct flt_endpoint *e = flt_find(&t->en->fleet, t->endpoint_id);
+	struct hsc *c = t->conn;
+
+	if (e)
+		edge_reach_suspect(t->en, REACH_UNREACHED, e);
+	log_tunnel(t, outcome);
+	t->conn = NULL;
+	tunnel_free(t, ioc_close);
+	answer(c, status);
+}
+
+static void on_timer(struct ev_loop *loop, ev_timer *timer, int revents)
+{
+	struct edge_tunnel *t = timer->data;
+
+	(void)loop;
+	(void)revents;
+	if (t->established)
+		tunnel_free(t, ioc_close);
+	else
+		refuse(t, 504, "endpoint silent");
+}
+
+static void set_timer(struct edge_tunnel *t, int ms)
+{
+	ev_timer_stop(t->en->loop, &t->timer);
+	ev_timer_set(&t->timer, (double)ms / 1000, 0);
+	ev_timer_start(t->en->loop, &t->timer);
+}
+
+/* ---- The other entry's side ---- */
+
+static void on_entry_data(struct ioc *io, const char *data, size_t len)
+{
+	struct edge_tunnel *t = io->owner;
+
+	if (!t->endpoint)
+		return;
+	ioc_write(t->endpoint, data, len);
+	if (ioc_pending(t->endpoint) > MAX_QUEUED_BYTES)
+		ioc_pause(io, true);
+}
+
+static void on_entry_drained(struct ioc *io)
+{
+	struct edge_tunnel *t = io->owner;
+
+	if (t->endpoint)
+		ioc_pause(t->endpoint, false);
+	if (t->endpoint_closed)
+		shutdown(io->fd, SHUT_WR);
+}
+
+/* A reset cancels the request at the endpoint, so it is passed on as one. */
+static void on_entry_ended(struct ioc *io, enum ioc_end how)
+{
+	struct edge_tunnel *t = io->owner;
+
+	t->entry = NULL;
+	tunnel_free(t, how == IOC_END_CLOSED ? ioc_close : ioc_abort);
+}
+
+static const struct ioc_vtable entry_vtable = {
+	.data = on_entry_data,
+	.drained = on_entry_drained,
+	.ended = on_entry_ended,
+};
+
+/* ---- The endpoint's side ---- */
+
+static void on_endpoint_connected(struct ioc *io)
+{
+	static const char established[] =
+		"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+	struct edge_tunnel *t = io->owner;
+	struct hsc *c = t->conn;
+
+	ev_timer_stop(t->en->loop, &t->timer);
+	c->request = NULL;
+	t->entry = hsc_detach(c);
+	t->conn = NULL;
+	if (!t->entry) {
+		tunnel_free(t, ioc_close);
+		hsc_disconnect(c);
+		return;
+	}
+	t->entry->vt = &entry_vtable;
+	t->entry->owner = t;
+	t->established = true;
+	met_inc(t->en->m.tunnels_opened);
+	log_tunnel(t, "established");
+	ioc_write(t->entry, established, strlen(established));
+}
+
+static void on_endpoint_data(struct ioc *io, const char *data, size_t len)
+{
+	struct edge_tunnel *t = io->owner;
+
+	ioc_write(t->entry, data, len);
+	if (ioc_pending(t->entry) > MAX_QUEUED_BYTES)
+		ioc_pause(io, true);
+}
+
+static void on_endpoint_drained(struct ioc *io)
+{
+	struct edge_tunnel *t = io->owner;
+
+	if (t->entry)
+		ioc_pause(t->entry, false);
+}
+
+/*
+ * The end of the connection may be the end of an answer: an orderly close is
+ * passed on after the last byte, a reset as a reset.
+ */
+static void on_endpoint_ended(struct ioc *io, enum ioc_end how)
+{
+	struct edge_tunnel *t = io->owner;
+
+	t->endpoint = NULL;
+	if (!t->established) {
+		refuse(t, 502, "endpoint not reached");
+		return;
+	}
+	if (how != IOC_END_CLOSED) {
+		tunnel_free(t, ioc_abort);
+		return;
+	}
+	t->endpoint_closed = true;
+	ioc_pause(t->entry, false);
+	set_timer(t, LINGER_MS);
+	if (!ioc_pending(t->entry))
+		shutdown(t->entry->fd, SHUT_WR);
+}
+
+static const struct ioc_vtable endpoint_vtable = {
+	.connected = on_endpoint_connected,
+	.data = on_endpoint_data,
+	.drained = on_endpoint_drained,
+	.ended = on_endpoint_ended,
+};
+
+/* ---- Requests for tunnels ---- */
+
+/* The endpoint in the table with this address; NULL: none. */
+static const struct flt_endpoint *find_by_address(const struct edge *en,
+						  const char *address)
+{
+	const struct flt_endpoint *e;
+
+	cds_list_for_each_entry(e, &en->fleet.endpoints, node) {
+		if (!strcmp(e->info.address, address))
+			return e;
+	}
+	return NULL;
+}
+
+static bool takes_tunnels(const struct edge *en)
+{
+	return !en->stopping && !en->reach.cut_off &&
+	       en->nr_tunnels < MAX_TUNNELS;
+}
+
+void edge_tunnel_request(struct edge *en, struct hsc *c)
+{
+	const struct ioc_timeouts timeouts = edge_endpoint_timeouts();
+	const struct flt_endpoint *e;
+	struct sockaddr_in addr;
+	struct edge_tunnel *t;
+	char to[32] = "";
+
+	hmsg_query(hmsg_url(&c->parse.msg), "to", to, sizeof(to));
+	e = find_by_address(en, to);
+	if (!takes_tunnels(en) || !e || ioc_address(to, &addr, NULL)) {
+		met_inc(en->m.tunnels_refused);
+		answer(c, e ? 503 : 404);
+		return;
+	}
+	t = calloc(1, sizeof(*t));
+	assert(t);
+	t->en = en;
+	t->conn = c;
+	t->since_ms = edge_now(en);
+	str_copy(t->endpoint_id, e->info.id, sizeof(t->endpoint_id));
+	ev_timer_init(&t->timer, on_timer, 0, 0);
+	t->timer.data = t;
+	cds_list_add_tail(&t->node, &en->tunnels);
+	en->nr_tunnels++;
+	c->request = t;
+	set_timer(t, EDGE_CONNECT_TIMEOUT_MS);
+	t->endpoint = ioc_connect(en->loop, &addr, &timeouts, &endpoint_vtable,
+				  t, NULL);
+	if (!t->endpoint)
+		refuse(t, 502, "endpoint not reached");
+}
+
+bool edge_tunnel_disconnected(struct edge *en, const struct hsc *c)
+{
+	struct edge_tunnel *t;
+
+	cds_list_for_each_entry(t, &en->tunnels, node) {
+		if (t->conn != c)
+			continue;
+		t->conn = NULL;
+		tunnel_free(t, ioc_close);
+		return true;
+	}
+	return false;
+}
--- a/lib/fleet/flt.c
+++ b/lib/fleet/flt.c
@@ -388,6 +388,16 @@
 		e->backoff_until_ms = now + MAX_BACKOFF_MS;
 }
 
+void flt_forgive_unreached(struct flt_endpoint *e, int64_t now)
+{
+	e->connect_failures = 0;
+	if (now >= e->unreached_until_ms)
+		return;
+	if (e->backoff_until_ms == e->unreached_until_ms)
+		e->backoff_until_ms = now;
+	e->unreached_until_ms = 0;
+}
+
 void flt_mark_exited(struct flt_endpoint *e, int64_t now)
 {
 	e->exited = true;
--- a/lib/fleet/flt.h
+++ b/lib/fleet/flt.h
@@ -88,8 +88,9 @@
 	int64_t backoff_until_ms;   /* no new requests before */
 	int connect_failures;	    /* consecutive */
 	int64_t unreached_until_ms; /* in backoff for these until then */
-	bool probing;		    /* a probe connection is in progress */
-	bool exited;		    /* the process no longer listens */
+	int64_t relay_until_ms; /* reached through another entry until then */
+	bool probing;		/* a probe connection is in progress */
+	bool exited;		/* the process no longer listens */
 	int suspect_runs; /* requests of all entries suspected to crash it */
 	struct gate gate; /* what it stated in its answers */
 
@@ -281,6 +282,11 @@
  */
 void flt_mark_exited(struct flt_endpoint *e, int64_t now_ms);
 
+/*
+ * It was not the endpoint that failed: ends its backoff for failed connections.
+ */
+void flt_forgive_unreached(struct flt_endpoint *e, int64_t now_ms);
+
 /*
  * Returns the fraction of recent requests that failed, 0 to 1. Assumes some
  * successes in advance, so that few samples give a low rate.
--- a/lib/io/hsc.c
+++ b/lib/io/hsc.c
@@ -378,3 +378,19 @@
 {
 	drop(c, ioc_close);
 }
+
+static void keep_open(struct ioc *io)
+{
+	(void)io;
+}
+
+struct ioc *hsc_detach(struct hsc *c)
+{
+	struct ioc *io = c->io;
+
+	assert(c->state == HSC_RESPONDING);
+	if (c->pipelined.len)
+		return NULL;
+	drop(c, keep_open);
+	return io;
+}
--- a/lib/io/hsc.h
+++ b/lib/io/hsc.h
@@ -134,6 +134,14 @@
  */
 void hsc_disconnect(struct hsc *c);
 
+/*
+ * Ends the server's part in a connection instead of responding to its request,
+ * and returns it with the old vtable and owner, which the caller replaces. NULL
+ * if the client has sent more than the request: nothing happened then. The
+ * connection counts no longer, and `c` is freed.
+ */
+struct ioc *hsc_detach(struct hsc *c);
+
 /* True if the response must have "Connection: close". */
 bool hsc_must_close(const struct hsc *c);
 
--- a/lib/io/htc.c
+++ b/lib/io/htc.c
@@ -33,6 +33,8 @@
 	bool in_parser;	    /* the parser is on the stack */
 	bool free_pending;  /* freed when the parser returns */
 	enum htc_unreached unreached; /* unless it timed out */
+	bool tunnelling;	      /* the relay has not answered yet */
+	struct buf tunnel_answer;
 };
 
 struct htc_call {
@@ -63,6 +65,7 @@
 {
 	hparse_free(&k->parse);
 	buf_free(&k->wire);
+	buf_free(&k->tunnel_answer);
 	free(k);
 }
 
@@ -118,8 +121,9 @@
 		return;
 	}
 	if (!htc_sent(c)) {
-		c->unreached = why == HTC_TIMEOUT ? HTC_UNREACHED_TIMED_OUT
-						  : k->unreached;
+		c->unreached = why != HTC_TIMEOUT ? k->unreached
+			       : k->tunnelling	  ? HTC_UNREACHED_RELAY
+						  : HTC_UNREACHED_TIMED_OUT;
 		why = HTC_NOT_SENT;
 	}
 	/*
@@ -139,6 +143,13 @@
 	ev_timer_start(k->peer->loop, &k->timer);
 }
 
+/* The time for a connection to be established, with its tunnel, ms. */
+static int establish_ms(const struct htc_peer *p)
+{
+	return p->tunnel_to[0] ? 2 * p->limits.connect_ms
+			       : p->limits.connect_ms;
+}
+
 static void set_call_timer(struct htc_conn *k)
 {
 	const int64_t until = k->call->deadline_ms;
@@ -246,12 +257,81 @@
 	free(c);
 }
 
+/* The connection to the peer is established. */
+static void established(struct htc_conn *k)
+{
+	if (k->probe_done) {
+		end_probe(k, HTC_PROBE_CONNECTED);
+		return;
+	}
+	k->sent_before = k->io->sent;
+	set_call_timer(k);
+	ioc_write(k->io, k->wire.data, k->wire.len);
+	buf_free(&k->wire);
+}
+
+static void not_established(struct htc_conn *k, enum htc_unreached why)
+{
+	k->unreached = why;
+	if (k->probe_done)
+		end_probe(k, why == HTC_UNREACHED_REFUSED ? HTC_PROBE_REFUSED
+							  : HTC_PROBE_UNKNOWN);
+	else
+		fail(k, HTC_NOT_SENT);
+}
+
+static void request_tunnel(struct htc_conn *k)
+{
+	BUF_AUTO out = BUF_INIT;
+
+	buf_fmt(&out, "GET " HTC_TUNNEL_PATH "?to=%s HTTP/1.1\r\n",
+		k->peer->tunnel_to);
+	hmsg_put(&out, "Host", "relay");
+	hmsg_put_end(&out);
+	ioc_write(k->io, out.data, out.len);
+}
+
+/* Maximum length of a relay's answer, bytes. */
+#define MAX_TUNNEL_ANSWER 1024
+
+/* A relay's answer has no body: its bytes end with the head. */
+static void on_tunnel_answer(struct htc_conn *k, const char *data, size_t len)
+{
+	static const char version[] = "HTTP/1.1 ";
+	const char *head, *end;
+	int status;
+
+	buf_add(&k->tunnel_answer, data, len);
+	head = buf_cstr(&k->tunnel_answer);
+	end = strstr(head, "\r\n\r\n");
+	if (!end && k->tunnel_answer.len < MAX_TUNNEL_ANSWER)
+		return;
+	status = strncmp(head, version, strlen(version))
+			 ? 0
+			 : atoi(head + strlen(version));
+	if (end && status == 200 && end + 4 == head + k->tunnel_answer.len) {
+		buf_free(&k->tunnel_answer);
+		k->tunnelling = false;
+		established(k);
+	} else if (end && status == 502) {
+		not_established(k, HTC_UNREACHED_REFUSED);
+	} else if (end && status == 504) {
+		not_established(k, HTC_UNREACHED_TIMED_OUT);
+	} else {
+		not_established(k, HTC_UNREACHED_RELAY);
+	}
+}
+
 static void on_data(struct ioc *io, const char *data, size_t len)
 {
 	struct htc_conn *k = io->owner;
 	enum hparse_result r;
 	size_t used;
 
+	if (k->tunnelling) {
+		on_tunnel_answer(k, data, len);
+		return;
+	}
 	/*
 	 * Bytes on an idle connection are a late second response, which would
 	 * be taken for the response to the next call.
@@ -275,6 +355,16 @@
 		fail(k, HTC_MALFORMED);
 }
 
+/* Frees the idle connection and reports that it was lost. */
+static void idle_lost(struct htc_conn *k)
+{
+	struct htc_peer *p = k->peer;
+
+	fail(k, HTC_CONNECTION_LOST);
+	if (p->idle_lost)
+		p->idle_lost(p->idle_lost_arg);
+}
+
 static void on_ended(struct ioc *io, enum ioc_end how)
 {
 	struct htc_conn *k = io->owner;
@@ -295,11 +385,19 @@
 		finish(k, false);
 		return;
 	}
+	if (k->tunnelling) {
+		not_established(k, HTC_UNREACHED_RELAY);
+		return;
+	}
 	if (k->probe_done) {
 		end_probe(k, how == IOC_END_REFUSED ? HTC_PROBE_REFUSED
 						    : HTC_PROBE_UNKNOWN);
 		return;
 	}
+	if (!k->call && how != IOC_END_CLOSED) {
+		idle_lost(k);
+		return;
+	}
 	k->unreached = how == IOC_END_REFUSED ? HTC_UNREACHED_REFUSED
 					      : HTC_UNREACHED_OTHER;
 	fail(k, how == IOC_END_REFUSED || how == IOC_END_UNREACHABLE
@@ -311,13 +409,10 @@
 {
 	struct htc_conn *k = io->owner;
 
-	if (k->probe_done) {
-		end_probe(k, HTC_PROBE_CONNECTED);
-		return;
-	}
-	set_call_timer(k);
-	ioc_write(io, k->wire.data, k->wire.len);
-	buf_free(&k->wire);
+	if (k->tunnelling)
+		request_tunnel(k);
+	else
+		established(k);
 }
 
 static const struct ioc_vtable io_vtable = {
@@ -351,6 +446,14 @@
 	}
 }
 
+void htc_peer_tunnel(struct htc_peer *p, const struct sockaddr_in *relay,
+		     const char *to)
+{
+	htc_peer_close(p);
+	p->addr = *relay;
+	str_copy(p->tunnel_to, to, sizeof(p->tunnel_to));
+}
+
 static bool is_reusable(const struct htc_conn *k, int64_t now,
 			int64_t max_idle_ms)
 {
@@ -384,6 +487,7 @@
 
 	assert(k);
 	k->peer = p;
+	k->tunnelling = p->tunnel_to[0];
 	k->io = ioc_connect(p->loop, &p->addr, &timeouts, &io_vtable, k, NULL);
 	if (!k->io) {
 		free(k);
@@ -405,7 +509,7 @@
 		return false;
 	k->probe_done = done;
 	k->probe_arg = arg;
-	set_timer(k, p->limits.connect_ms);
+	set_timer(k, establish_ms(p));
 	return true;
 }
 
@@ -442,9 +546,8 @@
 	}
 	k->wire = *wire;
 	*wire = (struct buf)BUF_INIT;
-	set_timer(k, total_ms && total_ms < p->limits.connect_ms
-			     ? total_ms
-			     : p->limits.connect_ms);
+	set_timer(k, total_ms && total_ms < establish_ms(p) ? total_ms
+							    : establish_ms(p));
 	return c;
 }
 
@@ -478,5 +581,5 @@
 
 bool htc_sent(const struct htc_call *c)
 {
-	return c->conn->io->sent > c->conn->sent_before;
+	return !c->conn->tunnelling && c->conn->io->sent > c->conn->sent_before;
 }
--- a/lib/io/htc.h
+++ b/lib/io/htc.h
@@ -5,6 +5,9 @@
  * an idle connection or opens a new one, sends its request and passes the
  * response to its owner piece by piece. A connection is reused only after a
  * response that was complete, well-formed and not followed by excess bytes.
+ *
+ * Connections may be tunnelled: a relay connects to the peer and passes bytes on
+ * both ways (HTC_TUNNEL_PATH). A call is sent once the tunnel is established.
  */
 #ifndef HTC_H
 #define HTC_H
@@ -20,6 +23,14 @@
 
 struct htc_call;
 
+/*
+ * Path of the request for a tunnel, with the peer's address in the query. The
+ * relay answers 200, after which the connection is the tunnel; 502 if the peer
+ * refuses the connection, 504 if it does not answer; anything else if the relay
+ * opens none.
+ */
+#define HTC_TUNNEL_PATH "/tunnel"
+
 /* Result of htc_probe. */
 enum htc_probe_result {
 	HTC_PROBE_CONNECTED, /* the connection was established */
@@ -41,6 +52,8 @@
 	HTC_UNREACHED_REFUSED,	 /* the machine is up, but no process listens */
 	HTC_UNREACHED_TIMED_OUT, /* no answer within connect_ms */
 	HTC_UNREACHED_OTHER,
+	/* The relay was not reached, or refused: the peer may be well. */
+	HTC_UNREACHED_RELAY,
 };
 
 struct htc_vtable {
@@ -75,6 +88,10 @@
 	unsigned long opened;	   /* connections since htc_peer_init */
 	unsigned long reused;	   /* calls on idle connections */
 	unsigned long idle_closed; /* by the peer, or for unexpected bytes */
+	char tunnel_to[32]; /* `addr` is a relay's, the peer's is this; "" */
+	/* An idle connection was reset or timed out; NULL: not called. */
+	void (*idle_lost)(void *arg);
+	void *idle_lost_arg;
 };
 
 /* `clk` and `loop` must outlive the peer; `addr` and `limits` are copied. */
@@ -82,9 +99,16 @@
 		   const struct clk *clk, const struct sockaddr_in *addr,
 		   const struct htc_limits *limits);
 
-/* Closes the idle connections. There must be no call or probe in progress. */
+/* Closes the idle connections. Those in use go on. */
 void htc_peer_close(struct htc_peer *p);
 
+/*
+ * New connections are tunnelled through the relay at `relay` to the peer at
+ * `to` (IP:PORT, copied). Idle connections are closed.
+ */
+void htc_peer_tunnel(struct htc_peer *p, const struct sockaddr_in *relay,
+		     const char *to);
+
 /*
  * Opens a connection to test whether the peer accepts it; if so, it becomes an
  * idle connection. `done` is called once, never from within this call. The peer
--- a/lib/member/gsp.c
+++ b/lib/member/gsp.c
@@ -238,7 +238,7 @@
 	return TRUE;
 }
 
-/* Absent if there is none, and in datagrams of releases without statements. */
+/* Absent if there is nothing after it, and in earlier releases. */
 static bool_t xdr_statements(XDR *x, struct gsp_record *r)
 {
 	unsigned i;
@@ -256,6 +256,21 @@
 	return TRUE;
 }
 
+/* Absent in datagrams of releases without relays. */
+static bool_t xdr_relays(XDR *x, struct gsp_record *r)
+{
+	unsigned i;
+
+	if (!xdr_flag(x, &r->relays) || !xdr_flag(x, &r->cut_off))
+		return FALSE;
+	for (i = 0; i < r->nr_members; i += 32) {
+		if (!xdr_uint32_t(x, &r->members_relay[i / 32]) ||
+		    !xdr_uint32_t(x, &r->members_cut_off[i / 32]))
+			return FALSE;
+	}
+	return TRUE;
+}
+
 static bool xdr_record(XDR *x, struct gsp_record *r)
 {
 	return xdr_head(x, r) && xdr_demands(x, r) && xdr_loads(x, r) &&
@@ -292,7 +307,9 @@
 	    xdr_era_and_fatal(&x, (struct gsp_record *)r) &&
 	    xdr_rollouts(&x, (struct gsp_record *)r) &&
 	    xdr_membership(&x, (struct gsp_record *)r) &&
-	    (!r->nr_statements || xdr_statements(&x, (struct gsp_record *)r)))
+	    ((!r->nr_statements && !r->relays) ||
+	     xdr_statements(&x, (struct gsp_record *)r)) &&
+	    (!r->relays || xdr_relays(&x, (struct gsp_record *)r)))
 		n = xdr_getpos(&x);
 	xdr_destroy(&x);
 	return n;
@@ -340,6 +357,8 @@
 		ok = xdr_membership(&x, r);
 	if (ok && xdr_getpos(&x) < len)
 		ok = xdr_statements(&x, r);
+	if (ok && xdr_getpos(&x) < len)
+		ok = xdr_relays(&x, r);
 	xdr_destroy(&x);
 	return ok && r->name[0] && rates_valid(r);
 }
--- a/lib/member/gsp.h
+++ b/lib/member/gsp.h
@@ -133,6 +133,13 @@
 
 	unsigned nr_statements;
 
+	/* Absent, so false, in datagrams of releases without relays. */
+	bool relays;  /* opens tunnels to endpoints for other entries */
+	bool cut_off; /* from all endpoints; it relays its own requests */
+	/* Bit n: the same of members[n]. */
+	uint32_t members_relay[GSP_MAX_MEMBERS / 32];
+	uint32_t members_cut_off[GSP_MAX_MEMBERS / 32];
+
 	struct gsp_demand demands[GSP_MAX_DEMANDS];
 	struct gsp_load loads[GSP_MAX_LOADS];
 	struct gsp_service services[GSP_MAX_SERVICES];
@@ -145,6 +152,17 @@
 	struct gsp_statement statements[GSP_MAX_STATEMENTS];
 };
 
+/* Set and get bit `n` of a set of members. */
+static inline void gsp_set_member(uint32_t *set, unsigned n)
+{
+	set[n / 32] |= 1u << n % 32;
+}
+
+static inline bool gsp_has_member(const uint32_t *set, unsigned n)
+{
+	return set[n / 32] >> n % 32 & 1;
+}
+
 /*
  * Clear a record, and copy one without its demands, counts, members and
  * statements.
@@ -166,9 +184,8 @@
  * `r` is then undefined.
  *
  * Releases of different age run side by side while the fleet is upgraded.
- * Datagrams of earlier ones, and those without statements, end before the
- * statements;
- * those of yet earlier ones before the role and the members, before the
+ * Datagrams of earlier ones end before what is said of relays, or before the
+ * statements; those of yet earlier ones before the role and the members, before the
  * roll-outs (tallies, rolled_back), or before store_era and fatal already; what
  * is absent is decoded as 0 or none.
  * Earlier releases ignore the parts that they do not know.
--- a/lib/member/ovl.c
+++ b/lib/member/ovl.c
@@ -395,6 +395,10 @@
 			cut++;
 			continue;
 		}
+		if (peer->relays)
+			gsp_set_member(r->members_relay, r->nr_members);
+		if (peer->cut_off)
+			gsp_set_member(r->members_cut_off, r->nr_members);
 		r->members[r->nr_members++] = (struct gsp_member){
 			.entry = peer->id,
 			.age_ms = (uint32_t)(now - peer->received_ms),
@@ -408,5 +412,7 @@
 size_t ovl_fill_members(const struct prs *p, struct gsp_record *r, int64_t now)
 {
 	r->nr_members = 0;
+	memset(r->members_relay, 0, sizeof(r->members_relay));
+	memset(r->members_cut_off, 0, sizeof(r->members_cut_off));
 	return add_members(p, r, true, now) + add_members(p, r, false, now);
 }
--- a/lib/member/prs.c
+++ b/lib/member/prs.c
@@ -208,6 +208,8 @@
 	peer->unanswered_ms = 0;
 	peer->accepting = r->accepting;
 	peer->store_ok = r->store_ok;
+	peer->relays = r->relays;
+	peer->cut_off = r->cut_off;
 	peer->has_role = r->has_role;
 	peer->role = r->role;
 	peer->wants_members = r->wants_members;
@@ -233,8 +235,10 @@
 {
 	const struct gsp_member *m;
 	struct prs_peer *peer;
+	unsigned i;
 
-	for (m = r->members; m < r->members + r->nr_members; m++) {
+	for (i = 0; i < r->nr_members; i++) {
+		m = &r->members[i];
 		HASH_FIND(by_id, p->ids, &m->entry, sizeof(m->entry), peer);
 		if (!peer || sent_ms - m->age_ms <= peer->reported_ms)
 			continue;
@@ -244,6 +248,8 @@
 			continue;
 		peer->accepting = m->accepting;
 		peer->store_ok = m->store_ok;
+		peer->relays = gsp_has_member(r->members_relay, i);
+		peer->cut_off = gsp_has_member(r->members_cut_off, i);
 	}
 }
 
--- a/lib/member/prs.h
+++ b/lib/member/prs.h
@@ -78,6 +78,9 @@
 	int64_t stamp_ms; /* of its newest datagram, to be echoed */
 	int64_t acked_ms; /* our newest datagram that it echoed; 0: none */
 	bool accepting, store_ok;
+	bool relays;		   /* opens tunnels to endpoints for others */
+	bool cut_off;		   /* from all endpoints */
+	int64_t relay_failed_ms;   /* it opened no tunnel then; 0: it did */
 	bool selected;		   /* in the core by its rank (ovl.h) */
 	bool serves;		   /* clients may be directed to it */
 	bool hub;		   /* may be a hub by its rank */
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -267,6 +267,7 @@
 struct call {
 	int heads, ends, failures;
 	enum htc_failure why;
+	enum htc_unreached cause;
 	int status;
 	bool sent;
 	struct buf body;
@@ -306,6 +307,8 @@
 
 	c->failures++;
 	c->why = why;
+	if (why == HTC_NOT_SENT)
+		c->cause = htc_unreached(h);
 }
 
 static const struct htc_vtable call_vtable = { c_head, c_body, c_end,
@@ -531,6 +534,96 @@
 	CU_ASSERT_EQUAL(to.nr_open, 0);
 }
 
+/* ---- Tunnels ---- */
+
+/* Starts a call to 127.0.0.2:9 through the relay `p`, which answers `raw`. */
+static void call_through(struct htc_peer *to, struct peer *p, const char *raw,
+			 struct call *c)
+{
+	open_peer(p, raw);
+	htc_peer_init(to, loop, clk_real(), &p->addr, &call_limits);
+	htc_peer_tunnel(to, &p->addr, "127.0.0.2:9");
+	start(to, c, 0);
+	run_loop(0.05);
+	hsc_server_close(&p->server);
+}
+
+/*
+ * Guards against a request that counts as sent, and so as possibly run, although
+ * its relay had opened no tunnel for it.
+ */
+static void call_without_a_tunnel_is_not_sent(void)
+{
+	static const struct {
+		const char *answer;
+		enum htc_unreached cause;
+	} cases[] = {
+		{ "HTTP/1.1 502 X\r\n\r\n", HTC_UNREACHED_REFUSED },
+		{ "HTTP/1.1 504 X\r\n\r\n", HTC_UNREACHED_TIMED_OUT },
+		{ "HTTP/1.1 503 X\r\n\r\n", HTC_UNREACHED_RELAY },
+		{ "HTTP/1.1 404 X\r\n\r\n", HTC_UNREACHED_RELAY },
+		{ "no HTTP at all\r\n\r\n", HTC_UNREACHED_RELAY },
+		/* Bytes before the request was sent are no answer to it. */
+		{ "HTTP/1.1 200 X\r\n\r\nHTTP/1.1 200 X\r\n\r\n",
+		  HTC_UNREACHED_RELAY },
+	};
+	struct htc_peer to;
+	struct peer p;
+	struct call c;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		call_through(&to, &p, cases[i].answer, &c);
+		CU_ASSERT_EQUAL(c.failures, 1);
+		CU_ASSERT_EQUAL(c.heads, 0);
+		CU_ASSERT_EQUAL(c.why, HTC_NOT_SENT);
+		CU_ASSERT_EQUAL(c.cause, cases[i].cause);
+		CU_ASSERT_EQUAL(to.nr_open, 0);
+	}
+}
+
+/* A relay that opens the tunnel, and answers as the endpoint. */
+static void tunnel_request(struct hsc *c)
+{
+	struct peer *p = c->server->owner;
+	const char *answer = p->requests++ ? p->raw : "HTTP/1.1 200 X\r\n\r\n";
+
+	if (p->requests == 1)
+		CU_ASSERT_STRING_EQUAL(hmsg_url(&c->parse.msg),
+				       HTC_TUNNEL_PATH "?to=127.0.0.2:9");
+	hsc_write(c, answer, strlen(answer));
+	hsc_done(c, false);
+}
+
+static const struct hsc_vtable tunnel_vtable = { tunnel_request,
+						 peer_disconnected,
+						 peer_read_error, peer_limits };
+
+static void calls_share_a_tunnel(void)
+{
+	struct htc_peer to;
+	struct peer p;
+	struct call c;
+	int i;
+
+	open_peer(&p, OK(2, "hi"));
+	p.server.vt = &tunnel_vtable;
+	htc_peer_init(&to, loop, clk_real(), &p.addr, &call_limits);
+	htc_peer_tunnel(&to, &p.addr, "127.0.0.2:9");
+	for (i = 0; i < 2; i++) {
+		start(&to, &c, 0);
+		run_loop(0.03);
+		CU_ASSERT_EQUAL(c.ends, 1);
+		CU_ASSERT_STRING_EQUAL(buf_cstr(&c.body), "hi");
+		buf_free(&c.body);
+	}
+	CU_ASSERT_EQUAL(p.requests, 3);
+	CU_ASSERT_EQUAL(to.opened, 1);
+	htc_peer_close(&to);
+	run_loop(0.01);
+	hsc_server_close(&p.server);
+}
+
 static void call_to_a_silent_peer_times_out(void)
 {
 	struct htc_peer to;
@@ -829,6 +922,9 @@
 	  connection_of_a_probe_is_reused },
 	{ "a probe of a peer that has exited is refused",
 	  probe_of_an_exited_peer_is_refused },
+	{ "a call without a tunnel is not sent",
+	  call_without_a_tunnel_is_not_sent },
+	{ "calls share a tunnel", calls_share_a_tunnel },
 	{ "a call to a silent peer times out",
 	  call_to_a_silent_peer_times_out },
 	{ "the peer detects a cancelled call", peer_detects_a_cancelled_call },
--- a/tests/test_prs.c
+++ b/tests/test_prs.c
@@ -141,6 +141,29 @@
 	CU_ASSERT(incoming.statements[0].leaving);
 }
 
+/* Guards against a cut entry that is taken for a relay after an upgrade. */
+static void relays_and_cuts_round_trip(void)
+{
+	char bytes[GSP_MAX_BYTES];
+	size_t n, with;
+
+	fill(&outgoing, "edge-1", 4);
+	n = gsp_encode(&outgoing, bytes, sizeof(bytes));
+	outgoing.relays = outgoing.cut_off = true;
+	gsp_set_member(outgoing.members_cut_off, 0);
+	with = gsp_encode(&outgoing, bytes, sizeof(bytes));
+	CU_ASSERT(gsp_decode(&incoming, bytes, with));
+	CU_ASSERT(incoming.relays);
+	CU_ASSERT(incoming.cut_off);
+	CU_ASSERT(gsp_has_member(incoming.members_cut_off, 0));
+	CU_ASSERT_FALSE(gsp_has_member(incoming.members_relay, 0));
+	CU_ASSERT_FALSE(gsp_decode(&incoming, bytes, with - 1));
+	/* A datagram of an earlier release. */
+	CU_ASSERT(gsp_decode(&incoming, bytes, n));
+	CU_ASSERT_FALSE(incoming.relays);
+	CU_ASSERT_FALSE(incoming.cut_off);
+}
+
 /* Bytes of the role and of what else follows it, without members. */
 #define ROLE_BYTES (6 * sizeof(uint32_t) + sizeof(double))
 
@@ -601,6 +624,7 @@
 	{ "a record round-trips", record_round_trips },
 	{ "role, members and statements round-trip",
 	  role_members_and_statements_round_trip },
+	{ "relays and cuts round-trip", relays_and_cuts_round_trip },
 	{ "corrupt datagrams are rejected or valid",
 	  corrupt_datagrams_are_rejected_or_valid },
 	{ "a full record is bounded", full_record_is_bounded },
