io, edge: requests outlast an endpoint that is silent for a second or so

Callers of requests that must not be repeated got 502 when a sound endpoint's machine was silent for a second or so and then went on.

Cause: TCP_USER_TIMEOUT was 1,000 ms for all connections to endpoints. It gives up unacknowledged bytes after that time, and also decides when keep-alive probes give up, whatever their number: the comment reckoned with two more seconds.

It is 2,500 ms now, so that a silence of two seconds is outlasted. Requests that may run twice keep 1,000 ms, after which they are sent to another endpoint.

--- a/lib/edge/edge_relay.c
+++ b/lib/edge/edge_relay.c
@@ -13,9 +13,13 @@
 /* An entry that opened no tunnel is not asked again for this long, ms. */
 #define RELAY_PAUSE_MS 1000
 
-/* TCP_USER_TIMEOUT: how long sent bytes may stay unacknowledged. */
-#define USER_TIMEOUT_MS 1000
-/* TCP keepalive starts after this silence; the connection fails 2 s later. */
+/*
+ * How long an endpoint's machine may acknowledge nothing. A sound one may be
+ * silent for a second or so: to give it up sooner would lose requests that must
+ * not be repeated, and resume streams that it still runs.
+ */
+#define USER_TIMEOUT_MS 2500
+/* TCP keepalive starts after this silence. */
 #define KEEPALIVE_S 1
 /* Idle connections are kept for this long unless the endpoint states less. */
 #define IDLE_TIMEOUT_MS 30000
--- a/lib/edge/edge_send.c
+++ b/lib/edge/edge_send.c
@@ -10,6 +10,12 @@
 /* A request that must not be repeated uses only connections idle for less. */
 #define FRESH_CONN_MS 9000
 
+/*
+ * TCP_USER_TIMEOUT of requests that may run twice: they are repeated elsewhere
+ * before their endpoint counts as gone.
+ */
+#define REPEAT_AFTER_MS 1000
+
 /*
  * Time for which endpoints that this entry did not reach get requests through
  * relays, if the service has no other ones.
@@ -170,6 +176,8 @@
 			r->rq.kind == CFG_IDEMPOTENT ? 0 : FRESH_CONN_MS,
 			c->parse.msg.method == HTTP_HEAD, 0,
 			&edge_answer_vtable, r);
+	if (r->call && r->rq.kind == CFG_IDEMPOTENT)
+		htc_set_user_timeout(r->call, REPEAT_AFTER_MS);
 	if (r->call)
 		return;
 	buf_free(&wire);
--- a/lib/io/htc.h
+++ b/lib/io/htc.h
@@ -143,6 +143,9 @@
  */
 void htc_extend(struct htc_call *c, int ms);
 
+/* TCP_USER_TIMEOUT during this call, instead of the peer's user_timeout_ms. */
+void htc_set_user_timeout(struct htc_call *c, int ms);
+
 /* Why the call was not sent; valid in `failed` with HTC_NOT_SENT. */
 enum htc_unreached htc_unreached(const struct htc_call *c);
 
--- a/lib/io/ioc.c
+++ b/lib/io/ioc.c
@@ -272,6 +272,11 @@
 		ev_io_start(c->loop, &c->writer);
 }
 
+void ioc_set_user_timeout(struct ioc *c, int ms)
+{
+	setsockopt(c->fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
+}
+
 size_t ioc_pending(const struct ioc *c)
 {
 	return c->out.len - c->out_written;
--- a/lib/io/ioc.h
+++ b/lib/io/ioc.h
@@ -55,8 +55,12 @@
 
 /* When the kernel gives up a connection whose peer is silent. */
 struct ioc_timeouts {
-	int user_timeout_ms; /* TCP_USER_TIMEOUT; 0: the system's default */
-	int keepalive_s;     /* idle time before keep-alive probes; 0: none */
+	/*
+	 * TCP_USER_TIMEOUT, 0: the system's default. If set, it also decides
+	 * when keep-alive probes give up, whatever their number.
+	 */
+	int user_timeout_ms;
+	int keepalive_s; /* idle time before keep-alive probes; 0: none */
 };
 
 /* Parses "IP:PORT" (IPv4). Returns 0, or -1 with ERR_INVALID. */
@@ -86,6 +90,9 @@
  */
 void ioc_write(struct ioc *c, const void *data, size_t len);
 
+/* Replaces the user_timeout_ms of the connection. */
+void ioc_set_user_timeout(struct ioc *c, int ms);
+
 /* Number of queued bytes. */
 size_t ioc_pending(const struct ioc *c);
 
--- a/tests/preload/cut.c
+++ b/tests/preload/cut.c
@@ -3,8 +3,8 @@
  * it and all other processes share the loopback interface.
  *
  * Connections to 127.0.0.2, the endpoints' address, count as connections to
- * endpoints. The file CUT_FILE holds one word, and is read again at most every
- * CHECK_MS:
+ * endpoints. The file CUT_FILE holds one word, and after it the port of the only
+ * endpoint concerned (none: all). It is read again at most every CHECK_MS:
  *   pass    nothing happens
  *   hang    what endpoints send is lost, so that connections hang, new ones too
  *   reset   all connections are reset, and new ones are refused
@@ -38,8 +38,9 @@
 };
 
 static enum mode mode;
+static unsigned only_port; /* 0: all endpoints */
 static long long checked_ms;
-static bool to_endpoint[MAX_FDS];
+static unsigned endpoint_port[MAX_FDS]; /* 0: no connection to an endpoint */
 
 static long long now_ms(void)
 {
@@ -80,21 +81,27 @@
 	real_connect(fd, &nowhere, sizeof(nowhere));
 }
 
-static void change(enum mode to)
+static bool concerned(unsigned port)
+{
+	return port && (!only_port || port == only_port);
+}
+
+static void change(enum mode to, unsigned port)
 {
 	int fd;
 
 	for (fd = 0; fd < MAX_FDS; fd++) {
-		if (!to_endpoint[fd])
-			continue;
-		if (mode == HANG)
+		if (mode == HANG && concerned(endpoint_port[fd]))
 			lose_incoming(fd, false);
-		if (to == HANG)
+	}
+	mode = to;
+	only_port = port;
+	for (fd = 0; fd < MAX_FDS; fd++) {
+		if (mode == HANG && concerned(endpoint_port[fd]))
 			lose_incoming(fd, true);
-		if (to == RESET)
+		if (mode == RESET && concerned(endpoint_port[fd]))
 			reset(fd);
 	}
-	mode = to;
 }
 
 static void check(void)
@@ -102,9 +109,10 @@
 	static const char *const words[] = { "pass", "hang", "reset",
 					     "refuse" };
 	const char *path = getenv("CUT_FILE");
-	char word[16] = "";
+	char text[32] = "";
+	unsigned port;
+	size_t i, len;
 	ssize_t n;
-	size_t i;
 	int fd;
 
 	if (!path || now_ms() - checked_ms < CHECK_MS)
@@ -113,16 +121,20 @@
 	fd = open(path, O_RDONLY | O_CLOEXEC);
 	if (fd < 0)
 		return;
-	n = read(fd, word, sizeof(word) - 1);
+	n = read(fd, text, sizeof(text) - 1);
 	close(fd);
-	word[n > 0 ? n : 0] = '\0';
-	word[strcspn(word, "\n")] = '\0';
+	text[n > 0 ? n : 0] = '\0';
+	len = strcspn(text, " \n");
+	port = (unsigned)strtoul(text + len, NULL, 10);
 	for (i = 0; i < sizeof(words) / sizeof(words[0]); i++) {
-		if (!strcmp(word, words[i]) && mode != (enum mode)i)
-			change((enum mode)i);
+		if (strlen(words[i]) == len && !strncmp(text, words[i], len) &&
+		    (mode != (enum mode)i || only_port != port))
+			change((enum mode)i, port);
 	}
 }
 
+/* The system headers use reserved names. */
+/* NOLINTNEXTLINE(readability-inconsistent-declaration-parameter-name) */
 int connect(int fd, const struct sockaddr *to, socklen_t len)
 {
 	struct sockaddr_in at;
@@ -133,10 +145,10 @@
 	if (at.sin_addr.s_addr != inet_addr(ENDPOINTS))
 		return real_connect(fd, to, len);
 	check();
-	to_endpoint[fd] = true;
-	if (mode == HANG)
+	endpoint_port[fd] = ntohs(at.sin_port);
+	if (mode == HANG && concerned(endpoint_port[fd]))
 		lose_incoming(fd, true);
-	if (mode == RESET || mode == REFUSE)
+	if ((mode == RESET || mode == REFUSE) && concerned(endpoint_port[fd]))
 		at.sin_port = htons(REFUSING_PORT);
 	return real_connect(fd, (const struct sockaddr *)&at, sizeof(at));
 }
@@ -148,10 +160,11 @@
 	if (!next)
 		next = (int (*)(int))dlsym(RTLD_NEXT, "close");
 	if (fd >= 0 && fd < MAX_FDS)
-		to_endpoint[fd] = false;
+		endpoint_port[fd] = 0;
 	return next(fd);
 }
 
+/* NOLINTNEXTLINE(readability-inconsistent-declaration-parameter-name) */
 int epoll_wait(int fd, struct epoll_event *events, int max, int timeout)
 {
 	static int (*next)(int, struct epoll_event *, int, int);
