edge: brittle endpoints get no more requests than their slots

Endpoints may state (Server-Brittle: N) that they fall over when they have to refuse more than N requests in a second for want of room.

brittle.h decides, without I/O, how many requests an entry may have at such an endpoint: the entries that send share its slots, so that no refusal can occur where slots are the bound; a refusal halves what is shared, holds requests for a second and is reported to the other entries at once; new starts inherit it; a refused request goes to one other endpoint at most. Requests beyond that are refused at once, with a time to return.

Not covered: an endpoint that bears no refusal at all and has less room than slots, as its memory is full: its first refusal is a fall.

--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -100,6 +100,11 @@
 	x->answers_withheld = met_counter(
 		m, "answers_withheld_total",
 		"requests refused because endpoints take no more for now");
+	x->brittle_refusals =
+		met_counter(m, "brittle_refusals_total",
+			    "refusals of brittle endpoints for want of room");
+	x->endpoints_brittle =
+		met_gauge(m, "endpoints_brittle", "endpoints that state so");
 	x->endpoints_limited = met_gauge(m, "endpoints_limited",
 					 "endpoints that state a limit");
 }
@@ -331,6 +336,8 @@
 	jlog_int(en->log, "tunnels", en->nr_tunnels);
 	jlog_int(en->log, "unreached", edge_count_unreached(en, now));
 	jlog_int(en->log, "endpoint_age_ms", edge_endpoint_age(en, now));
+	jlog_int(en->log, "brittle", edge_statement_count_brittle(en));
+	jlog_int(en->log, "brittle_refusals", met_get(en->m.brittle_refusals));
 	jlog_int(en->log, "entries", en->nr_running);
 	jlog_int(en->log, "core", (int64_t)en->prs.nr_core);
 	jlog_int(en->log, "leaves", (int64_t)en->prs.nr_leaves);
--- a/lib/edge/edge_answer.c
+++ b/lib/edge/edge_answer.c
@@ -7,6 +7,9 @@
 /* A request is not sent again with less time than this left. */
 #define MIN_RETRY_TIME_MS 40
 
+/* Refusals by brittle endpoints before a last one ends the request. */
+#define MAX_BRITTLE_REFUSALS 1
+
 /* Maximum body of an answer without a stream; data beyond it is dropped. */
 #define MAX_ANSWER_BYTES (16u << 20)
 
@@ -143,10 +146,19 @@
 	edge_send_stop(r);
 }
 
+/* A request that goes from one brittle endpoint to the next ends them all. */
+static bool refused_enough(const struct edge_req *r)
+{
+	return r->rq.refusals >= MAX_BRITTLE_REFUSALS &&
+	       edge_statement_is_brittle(r->en, r->service->name);
+}
+
 void edge_send_not_run(struct edge_req *r, enum flt_outcome o, const char *why)
 {
+	const bool again = may_retry(r) && !refused_enough(r);
+
 	end_not_run(r, o, why, true);
-	edge_step(r, rq_refused(&r->rq, may_retry(r)), why);
+	edge_step(r, rq_refused(&r->rq, again), why);
 }
 
 void edge_send_unreached(struct edge_req *r, const char *why)
--- a/lib/edge/edge_gossip.c
+++ b/lib/edge/edge_gossip.c
@@ -225,7 +225,7 @@
 /* The number of rows of each kind that a group of datagrams begins with. */
 struct row_counts {
 	unsigned loads, services, fatal, tallies, rolled_back, members,
-		statements;
+		statements, brittle;
 };
 
 static struct row_counts count_rows(const struct gsp_record *r)
@@ -233,7 +233,7 @@
 	return (struct row_counts){
 		r->nr_loads,	  r->nr_services,    r->nr_fatal,
 		r->nr_tallies,	  r->nr_rolled_back, r->nr_members,
-		r->nr_statements,
+		r->nr_statements, r->nr_brittle,
 	};
 }
 
@@ -246,6 +246,7 @@
 	r->nr_rolled_back = n->rolled_back;
 	r->nr_members = n->members;
 	r->nr_statements = n->statements;
+	r->nr_brittle = n->brittle;
 }
 
 /* Leaves out the rows that the peer does not need. */
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -82,6 +82,7 @@
 		*sends_in_wait;
 	met_value *sends_unreached, *endpoints_unreached, *endpoint_age_ms;
 	met_value *cut_off, *reach_checks, *sends_relayed, *relay_failures;
+	met_value *brittle_refusals, *endpoints_brittle;
 	met_value *tunnels, *tunnels_opened, *tunnels_refused;
 	met_value *requests_suspected, *requests_convicted, *requests_withheld;
 	met_value *sends, *resends, *resumes, *sends_not_run, *sends_lost;
@@ -452,6 +453,12 @@
 /* The number of endpoints that state a limit. */
 unsigned edge_statement_count_limited(const struct edge *en);
 
+/* The number of endpoints that state that they are brittle. */
+unsigned edge_statement_count_brittle(const struct edge *en);
+
+/* True if an endpoint of the service does. */
+bool edge_statement_is_brittle(const struct edge *en, const char *service);
+
 /* ---- edge_probe.c: probes of endpoints after broken connections ---- */
 
 /*
--- a/lib/edge/edge_statement.c
+++ b/lib/edge/edge_statement.c
@@ -2,6 +2,8 @@
  * What endpoints state of themselves in their answers (gate.h). Entries pass it
  * on by gossip, and find out which of them share each limit.
  */
+#include <string.h>
+
 #include "base/hsh.h"
 #include "edge/edge_internal.h"
 
@@ -31,15 +33,35 @@
 	       EDGE_SENDING_PER_S;
 }
 
-static double share_of(const struct edge *en, const struct flt_endpoint *e,
-		       int64_t now)
+/* This entry's place among those that share an endpoint. */
+struct place {
+	unsigned rank, senders;
+};
+
+static struct place place_of(const struct edge *en,
+			     const struct flt_endpoint *e, bool any_sends,
+			     int64_t now)
 {
 	const uint64_t own =
 		hsh_rendezvous(e->hash, hsh_str(en->conf->name, 0));
+	struct place at = { 0, 1 };
+	const struct prs_peer *p;
+
+	cds_list_for_each_entry(p, &en->prs.core, role_node) {
+		if (!is_sharing(p, any_sends, now))
+			continue;
+		at.senders++;
+		at.rank += hsh_rendezvous(e->hash, p->id) > own;
+	}
+	return at;
+}
+
+static double share_of(const struct edge *en, const struct flt_endpoint *e,
+		       int64_t now)
+{
 	const bool self = sends_itself(en, now);
 	const bool any_sends = self || en->sending_peers;
-	unsigned rank = 0, senders = 1;
-	const struct prs_peer *p;
+	struct place at;
 
 	/* Cut off from the others, which may go on sending. */
 	if (!en->accounts.current)
@@ -47,13 +69,8 @@
 	/* A leaf does not know what others send, nor they of its requests. */
 	if (!en->ovl.core || (any_sends && !self))
 		return 0;
-	cds_list_for_each_entry(p, &en->prs.core, role_node) {
-		if (!is_sharing(p, any_sends, now))
-			continue;
-		senders++;
-		rank += hsh_rendezvous(e->hash, p->id) > own;
-	}
-	return gate_share(e->gate.limit_per_s, rank, senders);
+	at = place_of(en, e, any_sends, now);
+	return gate_share(e->gate.limit_per_s, at.rank, at.senders);
 }
 
 static void update_share(const struct edge *en, struct flt_endpoint *e,
@@ -63,12 +80,141 @@
 		gate_set_share(&e->gate, share_of(en, e, now), now);
 }
 
+/* ---- Brittle endpoints ---- */
+
+static void update_rank(const struct edge *en, struct flt_endpoint *e,
+			int64_t now)
+{
+	struct place at;
+
+	if (!e->gate.brittle.stated)
+		return;
+	at = place_of(en, e, true, now);
+	brittle_set_rank(&e->gate.brittle, (int)at.rank, (int)at.senders);
+}
+
+/* `id`, `from`: as for limit_changed(). */
+static void log_brittle(struct edge *en, const struct flt_endpoint *e,
+			const char *change, const char *id, const char *from)
+{
+	const struct brittle *b = &e->gate.brittle;
+	const int64_t now = edge_now(en);
+
+	jlog_begin(en->log, JLOG_INFO, "endpoint_brittle");
+	jlog_str(en->log, "endpoint", e->info.id);
+	jlog_str(en->log, "service", e->info.service);
+	jlog_str(en->log, "change", change);
+	jlog_int(en->log, "max_refusals", b->max_refusals);
+	jlog_num(en->log, "factor", brittle_factor(b, now));
+	jlog_int(en->log, "share", brittle_share(b, e->info.slots, now));
+	jlog_int(en->log, "running", e->running);
+	jlog_num(en->log, "peer_running", e->peer_running);
+	jlog_str(en->log, "id", id);
+	jlog_str(en->log, "from", from);
+	jlog_end(en->log);
+}
+
+/* The endpoint of this service that uses the least part of its slots. */
+static const struct flt_endpoint *find_brittle(const struct edge *en,
+					       const char *service, int64_t now)
+{
+	const struct flt_endpoint *e, *found = NULL;
+
+	cds_list_for_each_entry(e, &en->fleet.endpoints, node) {
+		if (!e->gate.brittle.stated ||
+		    strcmp(e->info.service, service) ||
+		    (found &&
+		     brittle_factor(&e->gate.brittle, now) >=
+			     brittle_factor(&found->gate.brittle, now)))
+			continue;
+		found = e;
+	}
+	return found;
+}
+
+/* Endpoints that have not answered yet are like the others of their service. */
+static void inherit_brittle(struct edge *en, struct flt_endpoint *e,
+			    int64_t now)
+{
+	const struct flt_endpoint *other;
+
+	if (e->gate.brittle.stated || e->gate.brittle.stated_ms)
+		return;
+	other = find_brittle(en, e->info.service, now);
+	if (!other)
+		return;
+	brittle_inherit(&e->gate.brittle, &other->gate.brittle, now);
+	update_rank(en, e, now);
+	log_brittle(en, e, "inherited", "", "");
+}
+
 void edge_statement_tick(struct edge *en, int64_t now)
 {
+	const bool any_brittle = edge_statement_count_brittle(en);
 	struct flt_endpoint *e;
 
-	cds_list_for_each_entry(e, &en->fleet.endpoints, node)
+	cds_list_for_each_entry(e, &en->fleet.endpoints, node) {
 		update_share(en, e, now);
+		if (brittle_expire(&e->gate.brittle, now))
+			log_brittle(en, e, "expired", "", "");
+		if (any_brittle)
+			inherit_brittle(en, e, now);
+		update_rank(en, e, now);
+	}
+}
+
+unsigned edge_statement_count_brittle(const struct edge *en)
+{
+	const struct flt_endpoint *e;
+	unsigned n = 0;
+
+	cds_list_for_each_entry(e, &en->fleet.endpoints, node)
+		n += e->gate.brittle.stated;
+	return n;
+}
+
+/* One that bears hardly a refusal: no other endpoint may find out by one. */
+#define VERY_BRITTLE 1
+
+static void brittle_refusal(struct edge_req *r, struct flt_endpoint *e)
+{
+	struct edge *en = r->en;
+	const int64_t now = edge_now(en);
+	struct flt_endpoint *o;
+
+	met_inc(en->m.brittle_refusals);
+	brittle_refused(&e->gate.brittle, now);
+	log_brittle(en, e, "refused", r->attempt.id, "");
+	if (e->gate.brittle.max_refusals <= VERY_BRITTLE) {
+		cds_list_for_each_entry(o, &en->fleet.endpoints, node) {
+			if (o != e && o->gate.brittle.stated &&
+			    !strcmp(o->info.service, e->info.service))
+				brittle_refused(&o->gate.brittle, now);
+		}
+	}
+	/* The others must not send there now. */
+	edge_gossip_broadcast(en, now);
+}
+
+static void brittle_answered_by(struct edge_req *r, struct flt_endpoint *e)
+{
+	struct edge *en = r->en;
+	const int64_t now = edge_now(en);
+
+	if (brittle_answered(&e->gate.brittle, r->reply.brittle, r->sent_ms,
+			     now)) {
+		update_rank(en, e, now);
+		log_brittle(en, e, e->gate.brittle.stated ? "began" : "ended",
+			    r->attempt.id, "");
+	}
+	if (e->gate.brittle.stated && r->reply.not_run &&
+	    r->reply.status == 503)
+		brittle_refusal(r, e);
+}
+
+bool edge_statement_is_brittle(const struct edge *en, const char *service)
+{
+	return find_brittle(en, service, edge_now(en)) != NULL;
 }
 
 unsigned edge_statement_count_limited(const struct edge *en)
@@ -176,6 +322,7 @@
 	}
 	if (r->reply.wait_ms > 0)
 		wait_answered(r, e);
+	brittle_answered_by(r, e);
 	if (e->removed)
 		flt_keep_statements(&r->en->fleet, e, edge_now(r->en));
 }
@@ -208,6 +355,65 @@
 	return age < UINT32_MAX ? (uint32_t)age : UINT32_MAX;
 }
 
+static bool reports_brittle(const struct brittle *b, int64_t now)
+{
+	return b->stated ||
+	       (b->stated_ms && now - b->stated_ms < REPORT_LIFTED_MS);
+}
+
+/* If there are too many, those that refused a request go first. */
+static void fill_brittle(const struct edge *en, struct gsp_record *r,
+			 int64_t now)
+{
+	const struct flt_endpoint *e;
+	const struct brittle *b;
+	int round;
+
+	for (round = 0; round < 2; round++) {
+		cds_list_for_each_entry(e, &en->fleet.endpoints, node) {
+			b = &e->gate.brittle;
+			if (!reports_brittle(b, now) ||
+			    (b->refused_ms > 0) == round ||
+			    r->nr_brittle == GSP_MAX_BRITTLE)
+				continue;
+			r->brittle[r->nr_brittle++] = (struct gsp_brittle){
+				.endpoint = e->hash,
+				.max_refusals = b->stated ? b->max_refusals
+							  : -1,
+				.age_ms = (uint32_t)(now - b->stated_ms),
+				.percent = (uint32_t)(100 *
+						      brittle_factor(b, now)),
+				.refused = b->refused_ms > 0,
+				.refused_ms = (uint32_t)(now - b->refused_ms),
+			};
+		}
+	}
+}
+
+static void apply_brittle(struct edge *en, const struct gsp_record *r,
+			  int64_t sent_ms, int64_t now)
+{
+	struct flt_endpoint *e;
+	unsigned i;
+
+	for (i = 0; i < r->nr_brittle; i++) {
+		const struct gsp_brittle *t = &r->brittle[i];
+		const struct brittle_report report = {
+			.max_refusals = t->max_refusals,
+			.stated_ms = sent_ms - t->age_ms,
+			.factor = (double)t->percent / 100,
+			.refused_ms = t->refused ? sent_ms - t->refused_ms : 0,
+		};
+
+		e = flt_find_by_hash(&en->fleet, t->endpoint);
+		if (!e || !brittle_reported(&e->gate.brittle, &report, now))
+			continue;
+		update_rank(en, e, now);
+		log_brittle(en, e, e->gate.brittle.stated ? "began" : "ended",
+			    "", r->name);
+	}
+}
+
 /* If there are too many, the next datagram begins where this one ends. */
 void edge_statement_fill_gossip(struct edge *en, struct gsp_record *r,
 				int64_t now)
@@ -215,6 +421,7 @@
 	const struct flt_endpoint *e;
 	unsigned i = 0;
 
+	fill_brittle(en, r, now);
 	cds_list_for_each_entry(e, &en->fleet.endpoints, node) {
 		if (!is_reported(e, now) || i++ < en->statements_from)
 			continue;
@@ -240,6 +447,7 @@
 	double former;
 	unsigned i;
 
+	apply_brittle(en, r, sent_ms, now);
 	for (i = 0; i < r->nr_statements; i++) {
 		const struct gsp_statement *t = &r->statements[i];
 
--- a/lib/fleet/flt.c
+++ b/lib/fleet/flt.c
@@ -322,9 +322,22 @@
 	return !e->missing_since_ms || now < e->grace_until_ms;
 }
 
+int64_t flt_open_ms(const struct flt_endpoint *e, int64_t now)
+{
+	const struct brittle_load load = {
+		.slots = e->info.slots,
+		.running = e->running,
+		.elsewhere = e->peer_running,
+	};
+	const int64_t gate = gate_open_ms(&e->gate, now);
+	const int64_t room = brittle_open_ms(&e->gate.brittle, &load, now);
+
+	return gate > room ? gate : room;
+}
+
 bool flt_usable(const struct flt_endpoint *e, int64_t now)
 {
-	return flt_in_service(e, now) && gate_open_ms(&e->gate, now) <= now;
+	return flt_in_service(e, now) && flt_open_ms(e, now) <= now;
 }
 
 void flt_set_use(struct flt_endpoint *e, enum flt_use use, bool move_streams,
--- a/lib/fleet/flt.h
+++ b/lib/fleet/flt.h
@@ -238,9 +238,15 @@
  */
 bool flt_in_service(const struct flt_endpoint *e, int64_t now_ms);
 
+/*
+ * Returns the earliest time at which what the endpoint stated in its answers
+ * allows one more request; at most `now_ms`: now.
+ */
+int64_t flt_open_ms(const struct flt_endpoint *e, int64_t now_ms);
+
 /*
  * True if the endpoint may get a request now: it is in service, and what it
- * stated in its answers allows one more (gate.h).
+ * stated in its answers allows one more (gate.h, brittle.h).
  */
 bool flt_usable(const struct flt_endpoint *e, int64_t now_ms);
 
--- a/lib/fleet/gate.c
+++ b/lib/fleet/gate.c
@@ -132,5 +132,6 @@
 
 bool gate_states_anything(const struct gate *g, int64_t now)
 {
-	return g->limit_per_s > 0 || g->leaving || gate_waits(g, now);
+	return g->limit_per_s > 0 || g->leaving || g->brittle.stated ||
+	       gate_waits(g, now);
 }
--- a/lib/fleet/gate.h
+++ b/lib/fleet/gate.h
@@ -8,6 +8,8 @@
  * alone would exceed a small limit. The entries are selected by rendezvous hash,
  * without messages.
  *
+ * Brittle endpoints: see brittle.h.
+ *
  * A wait applies to this entry alone: nothing is sent until it is over.
  *
  * Pure functions: no I/O, the clock is passed in. Times are monotonic, in ms.
@@ -18,6 +20,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "fleet/brittle.h"
+
 /* What one endpoint stated. All zero: nothing. */
 struct gate {
 	double limit_per_s;    /* requests of all entries; 0: no limit */
@@ -28,6 +32,7 @@
 	int64_t sent_ms;       /* last request under the limit; 0: none */
 	bool leaving;	       /* the endpoint is shutting down */
 	int64_t wait_until_ms; /* it wants no requests before; 0: no wait */
+	struct brittle brittle;
 };
 
 enum gate_change {
--- a/lib/member/gsp.c
+++ b/lib/member/gsp.c
@@ -256,6 +256,26 @@
 	return TRUE;
 }
 
+static bool_t xdr_brittle(XDR *x, struct gsp_record *r)
+{
+	unsigned i;
+
+	if (!xdr_u_int(x, &r->nr_brittle) || r->nr_brittle > GSP_MAX_BRITTLE)
+		return FALSE;
+	for (i = 0; i < r->nr_brittle; i++) {
+		struct gsp_brittle *b = &r->brittle[i];
+
+		if (!xdr_uint64_t(x, &b->endpoint) ||
+		    !xdr_int32_t(x, &b->max_refusals) ||
+		    !xdr_uint32_t(x, &b->age_ms) ||
+		    !xdr_uint32_t(x, &b->percent) ||
+		    !xdr_flag(x, &b->refused) ||
+		    !xdr_uint32_t(x, &b->refused_ms))
+			return FALSE;
+	}
+	return TRUE;
+}
+
 /* Absent in datagrams of releases without relays. */
 static bool_t xdr_relays(XDR *x, struct gsp_record *r)
 {
@@ -268,7 +288,7 @@
 		    !xdr_uint32_t(x, &r->members_cut_off[i / 32]))
 			return FALSE;
 	}
-	return TRUE;
+	return xdr_brittle(x, r);
 }
 
 static bool xdr_record(XDR *x, struct gsp_record *r)
@@ -294,6 +314,7 @@
 	memcpy(to->rolled_back, from->rolled_back,
 	       from->nr_rolled_back * sizeof(from->rolled_back[0]));
 	to->nr_demands = to->nr_counts = to->nr_members = to->nr_statements = 0;
+	to->nr_brittle = 0;
 }
 
 size_t gsp_encode(const struct gsp_record *r, char *out, size_t size)
--- a/lib/member/gsp.h
+++ b/lib/member/gsp.h
@@ -33,6 +33,7 @@
 #define GSP_MAX_ROLLED_BACK 8
 #define GSP_MAX_MEMBERS 256
 #define GSP_MAX_STATEMENTS 32
+#define GSP_MAX_BRITTLE 32
 
 #define GSP_MAX_BYTES 8192 /* of an encoded datagram */
 
@@ -92,6 +93,16 @@
 	bool leaving;	   /* it is shutting down, and takes none */
 };
 
+/* An endpoint that is brittle, or was (brittle.h). */
+struct gsp_brittle {
+	uint64_t endpoint;    /* hash of its id */
+	int32_t max_refusals; /* -1: not any more */
+	uint32_t age_ms;      /* of the answer that stated it */
+	uint32_t percent;     /* part of its slots that is used */
+	bool refused;	      /* it refused a request */
+	uint32_t refused_ms;  /* age of the last refusal */
+};
+
 struct gsp_record {
 	char name[GSP_NAME_SIZE];
 	uint64_t boot;	  /* random, drawn at the start of the process */
@@ -139,6 +150,7 @@
 	/* Bit n: the same of members[n]. */
 	uint32_t members_relay[GSP_MAX_MEMBERS / 32];
 	uint32_t members_cut_off[GSP_MAX_MEMBERS / 32];
+	unsigned nr_brittle;
 
 	struct gsp_demand demands[GSP_MAX_DEMANDS];
 	struct gsp_load loads[GSP_MAX_LOADS];
@@ -150,6 +162,7 @@
 	uint64_t rolled_back[GSP_MAX_ROLLED_BACK]; /* roll-out orders */
 	struct gsp_member members[GSP_MAX_MEMBERS];
 	struct gsp_statement statements[GSP_MAX_STATEMENTS];
+	struct gsp_brittle brittle[GSP_MAX_BRITTLE];
 };
 
 /* Set and get bit `n` of a set of members. */
--- a/lib/request/attempt.h
+++ b/lib/request/attempt.h
@@ -43,6 +43,11 @@
 	 */
 	double limit_per_s;
 	bool leaving; /* it states that the endpoint is shutting down */
+	/*
+	 * The endpoint is brittle: with more refusals than this in a second for
+	 * want of room it falls over; -1: it does not state so.
+	 */
+	int brittle;
 	/*
 	 * A refusal (503) states that the endpoint wants no requests of this
 	 * entry for this long; -1: it does not.
--- a/lib/route/pick.c
+++ b/lib/route/pick.c
@@ -161,7 +161,7 @@
 	cds_list_for_each_entry(e, &f->endpoints, node) {
 		if (!is_asked_for(q, e) || !flt_in_service(e, q->now_ms))
 			continue;
-		at = gate_open_ms(&e->gate, q->now_ms);
+		at = flt_open_ms(e, q->now_ms);
 		if (at <= q->now_ms) {
 			r->candidates += !excluded(q, e);
 			continue;
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -103,6 +103,8 @@
 	add cut_test $?
 	BIN=$BUILD/bin scripts/silence_test.sh 2 >"$OUT" 2>/dev/null
 	add silence_test $?
+	BIN=$BUILD/bin scripts/brittle_test.sh 4 >"$OUT" 2>/dev/null
+	add brittle_test $?
 	BIN=$BUILD/bin scripts/older_copy_test.sh >"$OUT" 2>/dev/null
 	add older_copy_test $?
 	BIN=$BUILD/bin scripts/rollout_test.sh >"$OUT" 2>/dev/null
--- a/scripts/edge_load.sh
+++ b/scripts/edge_load.sh
@@ -3,6 +3,8 @@
 
 # Requests in flight at each entry.
 LOADS=${LOADS:-1}
+# Not empty: no two requests have the same body.
+UNIQUE=${UNIQUE:-}
 
 # serves N: entry N has the configuration and knows endpoints.
 serves() {
@@ -20,7 +22,8 @@
 		curl -s -m 8 -o /dev/null -D "$head" -w '%{http_code}\n' \
 			-H 'Host: t.example' -H 'Deadline-Ms: 6000' \
 			-H "Attempt-Id: e$n-$BASHPID-$i" \
-			-H 'Authorization: Bearer k1' -d hello \
+			-H 'Authorization: Bearer k1' \
+			-d "hello${UNIQUE:+ $n-$BASHPID-$i}" \
 			"http://$at$2" >>"$DIR/statuses"
 		grep -i '^retry-after' "$head" >>"$DIR/retries"
 		sleep 0.03
--- a/tests/standin/platform.c
+++ b/tests/standin/platform.c
@@ -136,7 +136,10 @@
 	int64_t lapse_ms; /* endpoints that left are off the list again then */
 	int gap_ms;
 	int nr_ended; /* endpoints */
-	bool mended;  /* no body ends an endpoint any more */
+	int nr_fell;  /* of them: brittle ones that refused too much */
+	int nr_full;  /* requests refused for want of room */
+	struct stm_brittle brittle; /* service "": none */
+	bool mended;		    /* no body ends an endpoint any more */
 	int nr_usage, nr_scale, wrong_fence, usage_twice;
 	int64_t last_fence;
 	char usage[64][512];
@@ -754,6 +757,25 @@
 	hsc_done(c, false);
 }
 
+/* Refuses a request for want of room; too many end a brittle endpoint. */
+static bool refuse_if_full(struct endpoint *e, struct hsc *c, const char *id)
+{
+	const struct stream *s;
+	int running = 0;
+
+	cds_list_for_each_entry(s, &w.streams, node)
+		running += s->at == e;
+	if (e->end_ms || !stm_is_full(&e->statements, running, now_ms()))
+		return false;
+	w.nr_full++;
+	if (stm_refused(&e->statements, now_ms())) {
+		w.nr_fell++;
+		e->end_ms = now_ms();
+	}
+	refuse(e, c, id);
+	return true;
+}
+
 static void endpoint_request(struct hsc *c)
 {
 	struct endpoint *e = c->server->owner;
@@ -778,6 +800,8 @@
 		refuse(e, c, id);
 		return;
 	}
+	if (refuse_if_full(e, c, id))
+		return;
 	if (copy && !take_copy(copy, id)) {
 		refuse(e, c, id);
 		return;
@@ -842,6 +866,8 @@
 	snprintf(e->id, sizeof(e->id), "i-%d", w.nr_endpoints);
 	str_copy(e->service, service, sizeof(e->service));
 	str_copy(e->version, version, sizeof(e->version));
+	if (!strcmp(w.brittle.service, service))
+		e->statements.brittle = &w.brittle;
 	register_endpoint(e);
 	return e;
 }
@@ -1048,10 +1074,11 @@
 		"runs %d once %d once_twice %d to_leaving %d usage %d usage_twice %d "
 		"orders %d wrong_fence %d revision %lld config_told %d "
 		"ended %d over_limit %u most_in_window %u "
-		"to_stated_leaving %u in_wait %u\n",
+		"to_stated_leaving %u in_wait %u fell %d full %d\n",
 		w.nr_runs, once, twice, late, w.nr_usage, w.usage_twice,
 		w.nr_scale, w.wrong_fence, (long long)w.revision, w.config_told,
-		w.nr_ended, over_limit, most, stated_leaving, in_wait);
+		w.nr_ended, over_limit, most, stated_leaving, in_wait,
+		w.nr_fell, w.nr_full);
 	for (i = 0; i < w.nr_endpoints; i++)
 		buf_fmt(&out, "%s %s %d\n", w.endpoints[i].id,
 			w.endpoints[i].service, per[i]);
@@ -1084,6 +1111,28 @@
 	reply(c, 200, buf_cstr(&out));
 }
 
+/* The endpoints of a service are brittle from now on; n=-1: no more. */
+static void set_brittle(const char *url)
+{
+	char n[16] = "-1", room[16] = "0", service[32] = "";
+	int i;
+
+	hmsg_query(url, "service", service, sizeof(service));
+	hmsg_query(url, "n", n, sizeof(n));
+	hmsg_query(url, "room", room, sizeof(room));
+	memset(&w.brittle, 0, sizeof(w.brittle));
+	if (atoi(n) >= 0)
+		str_copy(w.brittle.service, service, sizeof(w.brittle.service));
+	w.brittle.max_refusals = (unsigned)atoi(n);
+	w.brittle.room = atoi(room);
+	w.brittle.since_ms = now_ms();
+	for (i = 0; i < w.nr_endpoints; i++)
+		w.endpoints[i].statements.brittle =
+			strcmp(w.brittle.service, w.endpoints[i].service)
+				? NULL
+				: &w.brittle;
+}
+
 static void excuse(int entry)
 {
 	int i;
@@ -1149,6 +1198,8 @@
 	} else if (!strncmp(url, "/test/keys", 10)) {
 		list_keys(c);
 		return;
+	} else if (!strncmp(url, "/test/brittle", 13)) {
+		set_brittle(url);
 	} else if (!strncmp(url, "/test/mended", 12)) {
 		w.mended = true;
 	} else if (!strncmp(url, "/test/excuse", 12)) {
--- a/tests/support/statements.c
+++ b/tests/support/statements.c
@@ -7,13 +7,12 @@
 
 /*
  * The rule of the limit: over a window, half more than the limit and a few
- * requests. It holds from STABLE_MS on after the limit was first stated, for
+ * requests. It holds from STM_STABLE_MS on after the limit was first stated, for
  * entries to which an answer stated it KNOWN_MS before.
  */
 #define WINDOW_MS 4000
 #define WINDOW_FACTOR 1.5
 #define WINDOW_SLACK 5
-#define STABLE_MS 3000
 #define KNOWN_MS 500
 
 /*
@@ -58,8 +57,8 @@
 	const int64_t told = s->limit_told_ms[entry];
 	unsigned n;
 
-	if (s->limit_per_s <= 0 || now - s->limited_ms < STABLE_MS || !told ||
-	    now - told < KNOWN_MS)
+	if (s->limit_per_s <= 0 || now - s->limited_ms < STM_STABLE_MS ||
+	    !told || now - told < KNOWN_MS)
 		return;
 	s->arrivals_ms[s->nr_arrivals++ % STM_MAX_ARRIVALS] = now;
 	n = count_window(s, now);
@@ -86,6 +85,22 @@
 	return s->wait_ms > 0;
 }
 
+bool stm_is_full(const struct stm *s, int running, int64_t now)
+{
+	return s->brittle && now - s->brittle->since_ms >= STM_STABLE_MS &&
+	       running >= s->brittle->room;
+}
+
+bool stm_refused(struct stm *s, int64_t now)
+{
+	unsigned i, n = 0;
+
+	s->refusals_ms[s->nr_refusals++ % STM_MAX_REFUSALS] = now;
+	for (i = 0; i < s->nr_refusals && i < STM_MAX_REFUSALS; i++)
+		n += now - s->refusals_ms[i] < 1000;
+	return n > s->brittle->max_refusals;
+}
+
 void stm_arrived(struct stm *s, const char *id, int64_t now)
 {
 	const unsigned entry = entry_of(id);
@@ -123,6 +138,9 @@
 		buf_str(out, "Server-Leaving: 1\r\n");
 		first_told(&s->leaving_told_ms[entry], now);
 	}
+	if (s->brittle)
+		buf_fmt(out, "Server-Brittle: %u\r\n",
+			s->brittle->max_refusals);
 	if (s->wait_ms > 0) {
 		buf_fmt(out, "Retry-After: %.3f\r\n",
 			(double)s->wait_ms / 1000);
--- a/tests/support/statements.h
+++ b/tests/support/statements.h
@@ -16,6 +16,8 @@
 #define STM_MAX_ENTRIES 64
 #define STM_MAX_ARRIVALS 1024
 #define STM_MAX_WAITS 32 /* of one entry at the same time */
+#define STM_MAX_REFUSALS 256
+#define STM_STABLE_MS 3000
 
 /* A refusal with which the endpoint asked an entry for a wait. */
 struct stm_wait {
@@ -41,6 +43,19 @@
 	struct stm_wait waits[STM_MAX_ENTRIES][STM_MAX_WAITS]; /* rings */
 	unsigned nr_waits[STM_MAX_ENTRIES];
 	unsigned in_wait; /* arrivals beyond those that a wait allows */
+
+	const struct stm_brittle
+		*brittle; /* of the service; NULL: not brittle */
+	int64_t refusals_ms[STM_MAX_REFUSALS]; /* for want of room; a ring */
+	unsigned nr_refusals;
+};
+
+/* The endpoints of a service are brittle. */
+struct stm_brittle {
+	char service[32];
+	unsigned max_refusals; /* in a second; with one more it falls over */
+	int room;	       /* requests that one has room for */
+	int64_t since_ms;      /* all room is there until STM_STABLE_MS later */
 };
 
 /* States another limit from now on; 0: none any more. */
@@ -52,6 +67,12 @@
 /* True if the endpoint refuses all requests. */
 bool stm_refuses(const struct stm *s);
 
+/* True if the brittle endpoint, which runs `running`, has no room for more. */
+bool stm_is_full(const struct stm *s, int running, int64_t now_ms);
+
+/* It refused a request for want of room. True: it falls over. */
+bool stm_refused(struct stm *s, int64_t now_ms);
+
 /* A request arrived. `id`: of the attempt; may be NULL. */
 void stm_arrived(struct stm *s, const char *id, int64_t now_ms);
 
