--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -130,7 +130,7 @@
 				       "requests sent through another entry");
 	x->relay_failures =
 		met_counter(m, "relay_failures_total",
-			    "entries that were asked for a tunnel in vain");
+			    "requests for tunnels that other entries refused");
 	x->tunnels = met_gauge(m, "tunnels",
 			       "tunnels to endpoints for other entries");
 	x->tunnels_opened =
--- a/lib/edge/edge_answer.c
+++ b/lib/edge/edge_answer.c
@@ -180,7 +180,7 @@
 
 int64_t edge_endpoint_age(const struct edge *en, int64_t now)
 {
-	return en->endpoint_heard_ms ? now - en->endpoint_heard_ms : -1;
+	return en->endpoint_received_ms ? now - en->endpoint_received_ms : -1;
 }
 
 unsigned edge_count_unreached(const struct edge *en, int64_t now)
@@ -238,13 +238,13 @@
 
 /* ---- Answers ---- */
 
-static void note_heard(const struct edge_req *r)
+static void note_received(const struct edge_req *r)
 {
 	struct edge *en = r->en;
 
-	en->endpoint_heard_ms = edge_now(en);
+	en->endpoint_received_ms = edge_now(en);
 	if (!r->relay[0])
-		en->direct_heard_ms = en->endpoint_heard_ms;
+		en->direct_received_ms = en->endpoint_received_ms;
 }
 
 static bool on_head(struct htc_call *call, const struct hmsg *m)
@@ -252,7 +252,7 @@
 	struct edge_req *r = htc_owner(call);
 	struct edge *en = r->en;
 
-	note_heard(r);
+	note_received(r);
 	en->wire->decode_answer(m, &r->attempt, &r->reply);
 	if (r->reply.other_attempt) {
 		jlog_begin(en->log, JLOG_WARN, "foreign_answer");
@@ -332,7 +332,7 @@
 {
 	struct edge_req *r = htc_owner(call);
 
-	note_heard(r);
+	note_received(r);
 	if (r->streaming) {
 		pass_events(r, data, len);
 		return;
@@ -566,7 +566,7 @@
 	const int64_t now = edge_now(en);
 	struct edge_req *r;
 
-	if (now - en->direct_heard_ms < REACH_SILENCE_MS)
+	if (now - en->direct_received_ms < REACH_SILENCE_MS)
 		return;
 	/* What ends one request may end others too. */
 	while ((r = find_silent(en, now)))
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -209,11 +209,11 @@
 	struct cds_list_head awaiting_config; /* of edge_req.wait_node */
 	struct edge_lease lease;
 
-	struct flt fleet;	   /* the endpoints */
-	int64_t endpoint_heard_ms; /* last bytes of any of them; 0: none yet */
-	int64_t direct_heard_ms;   /* the same without those through relays */
-	struct reach reach;	   /* of endpoints by own connections */
-	int64_t links_revised_ms;  /* connections through relays */
+	struct flt fleet;	      /* the endpoints */
+	int64_t endpoint_received_ms; /* last bytes of any of them; 0: none yet */
+	int64_t direct_received_ms; /* the same without those through relays */
+	struct reach reach;	    /* of endpoints by own connections */
+	int64_t links_revised_ms;   /* connections through relays */
 	struct cds_list_head held_probes; /* of edge_probe.node */
 	struct cds_list_head tunnels;	  /* of edge_tunnel.node */
 	unsigned nr_tunnels;
@@ -406,7 +406,7 @@
 /* True if another entry opens tunnels to endpoints. */
 bool edge_has_relay(const struct edge *en, int64_t now);
 
-/* The entry opened no tunnel: it is not asked for a while. */
+/* The entry opened no tunnel: it is no relay for a while. */
 void edge_relay_failed(struct edge *en, const char *relay);
 
 /* What happened at `e` may mean that this entry is cut off: may begin a check. */
@@ -469,8 +469,8 @@
 bool edge_probe(struct edge *en, struct flt_endpoint *e);
 
 /*
- * A check whether this entry is cut off has ended: decides what the probes found
- * whose connections were refused meanwhile.
+ * A check has ended: decides whether the endpoints whose probes were refused
+ * meanwhile have exited, or this entry is cut off.
  */
 void edge_probe_decide(struct edge *en);
 
@@ -562,7 +562,7 @@
  */
 void edge_send_unreached(struct edge_req *r, const char *why);
 
-/* The relay opened no tunnel: as above, but the endpoint is not at fault. */
+/* The relay opened no tunnel: as above, without an outcome of the endpoint. */
 void edge_send_relay_failed(struct edge_req *r);
 
 /*
--- a/lib/edge/edge_relay.c
+++ b/lib/edge/edge_relay.c
@@ -10,7 +10,7 @@
 #include "base/hsh.h"
 #include "edge/edge_internal.h"
 
-/* An entry that opened no tunnel is not asked again for this long, ms. */
+/* An entry that opened no tunnel is no relay for this long, ms. */
 #define RELAY_PAUSE_MS 1000
 
 /*
@@ -242,7 +242,7 @@
 	jlog_end(en->log);
 }
 
-/* The endpoints are not at fault: they are used again, through relays. */
+/* Endpoints in backoff did not fail: they are used again, through relays. */
 static void on_cut_off(struct edge *en, int64_t now)
 {
 	struct flt_endpoint *e;
@@ -250,7 +250,7 @@
 
 	log_change(en, "cut_off", now);
 	cds_list_for_each_entry(e, &en->fleet.endpoints, node) {
-		flt_forgive_unreached(e, now);
+		flt_clear_unreached(e, now);
 		l = e->link;
 		if (l)
 			htc_peer_close(&l->direct);
@@ -291,7 +291,7 @@
 	enum reach_step step;
 
 	if (connected)
-		flt_forgive_unreached(p->e, now);
+		flt_clear_unreached(p->e, now);
 	flt_unref(&en->fleet, p->e);
 	free(p);
 	change = reach_probed(&en->reach, connected, edge_has_relay(en, now),
@@ -401,7 +401,8 @@
 {
 	const struct edge_req *r;
 
-	if (en->reach.cut_off || now - en->direct_heard_ms < REACH_SILENCE_MS)
+	if (en->reach.cut_off ||
+	    now - en->direct_received_ms < REACH_SILENCE_MS)
 		return;
 	cds_list_for_each_entry(r, &en->requests, node) {
 		if (!r->call || r->relay[0] ||
--- a/lib/edge/edge_send.c
+++ b/lib/edge/edge_send.c
@@ -243,7 +243,7 @@
 		    strcmp(e->info.service, r->service->name))
 			continue;
 		e->relay_until_ms = now + RELAY_INSTEAD_MS;
-		flt_forgive_unreached(e, now);
+		flt_clear_unreached(e, now);
 		any = true;
 	}
 	return any;
--- a/lib/edge/edge_statement.c
+++ b/lib/edge/edge_statement.c
@@ -173,7 +173,7 @@
 	return n;
 }
 
-/* One that bears hardly a refusal: no other endpoint may find out by one. */
+/* Up to this bound a refusal counts for all endpoints of the service. */
 #define VERY_BRITTLE 1
 
 static void brittle_refusal(struct edge_req *r, struct flt_endpoint *e)
--- a/lib/fleet/brittle.c
+++ b/lib/fleet/brittle.c
@@ -8,7 +8,7 @@
 
 /*
  * The part of the slots rises again by this much a second for each refusal that
- * the endpoint bears, up to the maximum: each rise risks another refusal.
+ * the endpoint tolerates, up to the maximum: each rise risks another refusal.
  */
 #define RISE_PER_REFUSAL 0.01
 #define MAX_RISE 0.05
@@ -18,7 +18,7 @@
 
 /*
  * With less of its slots taken, a few entries may exceed their share by one
- * request: no more of them than the endpoint bears refusals, since reports are
+ * request: no more of them than refusals are tolerated, since reports are
  * late and all of them may be wrong at once.
  */
 #define EMPTY_FRACTION 0.5
--- a/lib/fleet/flt.c
+++ b/lib/fleet/flt.c
@@ -401,7 +401,7 @@
 		e->backoff_until_ms = now + MAX_BACKOFF_MS;
 }
 
-void flt_forgive_unreached(struct flt_endpoint *e, int64_t now)
+void flt_clear_unreached(struct flt_endpoint *e, int64_t now)
 {
 	e->connect_failures = 0;
 	if (now >= e->unreached_until_ms)
--- a/lib/fleet/flt.h
+++ b/lib/fleet/flt.h
@@ -291,7 +291,7 @@
 /*
  * It was not the endpoint that failed: ends its backoff for failed connections.
  */
-void flt_forgive_unreached(struct flt_endpoint *e, int64_t now_ms);
+void flt_clear_unreached(struct flt_endpoint *e, int64_t now_ms);
 
 /*
  * Returns the fraction of recent requests that failed, 0 to 1. Assumes some
--- a/lib/io/htc.h
+++ b/lib/io/htc.h
@@ -99,7 +99,10 @@
 		   const struct clk *clk, const struct sockaddr_in *addr,
 		   const struct htc_limits *limits);
 
-/* Closes the idle connections. Those in use go on. */
+/*
+ * Closes the idle connections. Those in use go on; they must have ended before
+ * the peer is freed.
+ */
 void htc_peer_close(struct htc_peer *p);
 
 /*
--- a/tests/test_brittle.c
+++ b/tests/test_brittle.c
@@ -59,7 +59,7 @@
 }
 
 /* Guards against an endpoint that falls over each time its share has risen. */
-static void share_of_an_endpoint_that_bears_no_refusal_does_not_rise(void)
+static void share_of_an_endpoint_that_tolerates_no_refusal_does_not_rise(void)
 {
 	struct brittle b = { 0 };
 
@@ -218,8 +218,8 @@
 	{ "shares add up to the slots", shares_add_up_to_the_slots },
 	{ "a refusal halves the share, and holds",
 	  refusal_halves_the_share_and_holds },
-	{ "the share of an endpoint that bears no refusal does not rise",
-	  share_of_an_endpoint_that_bears_no_refusal_does_not_rise },
+	{ "the share of an endpoint that tolerates no refusal does not rise",
+	  share_of_an_endpoint_that_tolerates_no_refusal_does_not_rise },
 	{ "the newest statement holds at all entries",
 	  newest_statement_holds_at_all_entries },
 	{ "an endpoint without answers is like the others",
