edge: endpoints that answered do not inherit that they are brittle

While some endpoints of a service stated that they are brittle and others answered without it, brittle_inherit() refused the latter, but its result was ignored: a line "inherited" was logged for each of them at every tick. Found by reading; no test shows the lines. No request is sent otherwise than before. brittle_test: 10 passed; test_brittle: 7 passed.

--- a/lib/edge/edge_statement.c
+++ b/lib/edge/edge_statement.c
@@ -141,9 +141,9 @@
 	if (e->gate.brittle.stated || e->gate.brittle.stated_ms)
 		return;
 	other = find_brittle(en, e->info.service, now);
-	if (!other)
+	if (!other ||
+	    !brittle_inherit(&e->gate.brittle, &other->gate.brittle, now))
 		return;
-	brittle_inherit(&e->gate.brittle, &other->gate.brittle, now);
 	update_rank(en, e, now);
 	log_brittle(en, e, "inherited", "", "");
 }
