edge: one way on after sends that reached no endpoint

edge_send_unreached() and edge_send_relay_failed() ended in the same three lines, now step_unreached(). Without any way edge_send() decided itself what rq_no_endpoint() and edge_step() decide: 503 with the same Retry-After, 502 after a run, a cut within a stream. Same behaviour. cut_test: 24 passed, edge_test: 57, wait_test: 12, brittle_test: 10.

--- a/lib/edge/edge_answer.c
+++ b/lib/edge/edge_answer.c
@@ -161,21 +161,27 @@
 	edge_step(r, rq_refused(&r->rq, again), why);
 }
 
+/* Continues after a send that reached no endpoint and has been stopped. */
+static void step_unreached(struct edge_req *r, const char *why)
+{
+	r->sends_reached--;
+	edge_retry_refund(r);
+	edge_step(r, rq_unreached(&r->rq, may_retry(r)), why);
+}
+
 void edge_send_unreached(struct edge_req *r, const char *why)
 {
+	/* A relay may reach the endpoint that this entry does not. */
+	const bool relay_next = !r->relay[0] &&
+				edge_has_relay(r->en, edge_now(r->en));
+
 	met_inc(r->en->m.sends_unreached);
 	if (!r->relay[0])
 		edge_reach_suspect(r->en, REACH_UNREACHED, r->endpoint);
-	/* A relay may reach the endpoint that this entry does not. */
-	if (r->relay[0] || !edge_has_relay(r->en, edge_now(r->en))) {
-		end_not_run(r, FLT_UNREACHABLE, why, true);
-	} else {
+	if (relay_next)
 		r->avoid_direct = true;
-		end_not_run(r, FLT_UNREACHABLE, why, false);
-	}
-	r->sends_reached--;
-	edge_retry_refund(r);
-	edge_step(r, rq_unreached(&r->rq, may_retry(r)), why);
+	end_not_run(r, FLT_UNREACHABLE, why, !relay_next);
+	step_unreached(r, why);
 }
 
 int64_t edge_endpoint_age(const struct edge *en, int64_t now)
@@ -198,9 +204,7 @@
 	edge_relay_failed(r->en, r->relay);
 	edge_log_send_ended(r, "relay failed", 0);
 	edge_send_stop(r);
-	r->sends_reached--;
-	edge_retry_refund(r);
-	edge_step(r, rq_unreached(&r->rq, may_retry(r)), "relay failed");
+	step_unreached(r, "relay failed");
 }
 
 /* Logs a failed connection, and what else speaks of the way to endpoints. */
--- a/lib/edge/edge_relay.c
+++ b/lib/edge/edge_relay.c
@@ -164,7 +164,7 @@
 	return l;
 }
 
-/* Leads new connections through the relay, and closes those that do not. */
+/* New connections go through `p`; idle ones through another are closed. */
 static void set_relay(struct edge_link *l, const struct prs_peer *p)
 {
 	if (!strcmp(l->relay, p->info.name))
--- a/lib/edge/edge_send.c
+++ b/lib/edge/edge_send.c
@@ -263,12 +263,7 @@
 	if (!edge_fatal_may_send(r))
 		return;
 	if (has_no_way(r->en)) {
-		if (r->rq.runs || r->rq.started) {
-			edge_step(r, rq_no_endpoint(&r->rq), EDGE_WHY_CUT_OFF);
-			return;
-		}
-		rq_no_endpoint(&r->rq);
-		edge_req_answer(r, 503, EDGE_WHY_CUT_OFF, EDGE_FULL_RETRY_MS);
+		edge_step(r, rq_no_endpoint(&r->rq), EDGE_WHY_CUT_OFF);
 		return;
 	}
 	use = edge_rollout_use(r);
