edge: log which version began a stream and which stream a caller continues

The log could not tell how: the line of a send has the version of the endpoint but not that of the stream's first event, a caller's own Last-Event-Id was logged as -1, and the header that names the continued stream was not read.

A send now logs the version that began the stream, the attempt that it resumes and the caller's last event; a move logs both versions. Two counters: streams_taken_up_total and streams_mixed_total. marldock-explain adds the attempts by which a caller continued a stream.

No decision changes.

--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -168,6 +168,12 @@
 			       "runs copied away from leaving endpoints");
 	x->moves_failed = met_counter(m, "moves_failed_total",
 				      "copies of runs that failed");
+	x->streams_taken_up =
+		met_counter(m, "streams_taken_up_total",
+			    "streams that callers continue after a break");
+	x->streams_mixed = met_counter(
+		m, "streams_mixed_total",
+		"sends of the rest of a stream to another version than began it");
 	x->probes = met_counter(m, "probes_total",
 				"looks whether an endpoint is still there");
 	x->endpoints_ended =
--- a/lib/edge/edge_answer.c
+++ b/lib/edge/edge_answer.c
@@ -280,6 +280,8 @@
 static void put_stream_head(struct edge_req *r, struct buf *out)
 {
 	rq_started(&r->rq);
+	str_copy(r->began_version, r->endpoint->info.version,
+		 sizeof(r->began_version));
 	buf_add(out, r->answer_head.data, r->answer_head.len);
 	hmsg_put(out, "Transfer-Encoding", "chunked");
 	r->announced_close = hsc_must_close(r->conn);
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -75,6 +75,7 @@
 	met_value *requests, *answers_passed, *answers_refused, *answers_failed,
 		*streams_cut, *callers_gone, *requests_denied;
 	met_value *moves, *moves_failed;
+	met_value *streams_taken_up, *streams_mixed;
 	met_value *probes, *endpoints_ended;
 	met_value *limits_stated, *statements_malformed, *sends_to_limited,
 		*endpoints_limited, *answers_withheld;
@@ -327,9 +328,10 @@
 	bool streaming;		/* the current answer is a stream of events */
 	bool announced_close;	/* the head has "Connection: close" */
 	bool usage_counted;	/* in the account's usage */
-	int64_t first_event_ms; /* passed on; 0: none yet */
-	int64_t last_event_ms;	/* passed on; 0: none yet */
-	int64_t max_pause_ms;	/* longest time between two events */
+	char began_version[FLT_NAME]; /* of the first event passed on here */
+	int64_t first_event_ms;	      /* passed on; 0: none yet */
+	int64_t last_event_ms;	      /* passed on; 0: none yet */
+	int64_t max_pause_ms;	      /* longest time between two events */
 };
 
 /* ---- edge_req.c: admission ---- */
--- a/lib/edge/edge_move.c
+++ b/lib/edge/edge_move.c
@@ -40,6 +40,8 @@
 	jlog_str(en->log, "id", r->attempt.id);
 	jlog_str(en->log, "from", r->endpoint->info.id);
 	jlog_str(en->log, "to", m->to->info.id);
+	jlog_str(en->log, "from_version", r->endpoint->info.version);
+	jlog_str(en->log, "to_version", m->to->info.version);
 	jlog_str(en->log, "outcome", outcome);
 	jlog_int(en->log, "status", m->status);
 	jlog_int(en->log, "made", m->moved.created);
--- a/lib/edge/edge_send.c
+++ b/lib/edge/edge_send.c
@@ -97,9 +97,13 @@
 	jlog_int(en->log, "running", p->endpoint->running);
 	jlog_int(en->log, "peer_running", (int64_t)p->endpoint->peer_running);
 	jlog_str(en->log, "version", p->endpoint->info.version);
+	jlog_str(en->log, "began_version", r->began_version);
 	jlog_int(en->log, "send", r->sends);
 	jlog_bool(en->log, "apart", r->isolated);
-	jlog_int(en->log, "resume_after", f->resume_after);
+	jlog_str(en->log, "resumes", r->attempt.resumes);
+	jlog_int(en->log, "resume_after",
+		 f->resume_after >= 0 ? f->resume_after
+				      : r->attempt.resume_after);
 	jlog_int(en->log, "left_ms", f->deadline_ms);
 	jlog_end(en->log);
 }
@@ -161,6 +165,11 @@
 	edge_statement_count_send(en, p->endpoint);
 	if (r->sends > 1)
 		met_inc(r->rq.started ? en->m.resumes : en->m.resends);
+	else if (r->attempt.resume_after >= 0)
+		met_inc(en->m.streams_taken_up);
+	if (r->rq.started &&
+	    strcmp(r->began_version, p->endpoint->info.version) != 0)
+		met_inc(en->m.streams_mixed);
 	r->sent_ms = now;
 	r->sent_true_ms = walltime_now(&en->walltime, now);
 	memset(&r->reply, 0, sizeof(r->reply));
--- a/lib/edge/explain.c
+++ b/lib/edge/explain.c
@@ -23,6 +23,7 @@
 struct explain {
 	char *id;
 	struct log_lines request_lines; /* with the request's id */
+	struct log_lines continuations; /* of attempts that resume its stream */
 	struct log_lines context;	/* of endpoints, store, configuration */
 	size_t unparsed;
 };
@@ -48,6 +49,7 @@
 void explain_free(struct explain *x)
 {
 	free_lines(&x->request_lines);
+	free_lines(&x->continuations);
 	free_lines(&x->context);
 	free(x->id);
 	free(x);
@@ -84,6 +86,24 @@
 	return false;
 }
 
+/*
+ * True for the lines of an attempt by which the caller continued the stream:
+ * the line of its send, and those that come after it.
+ */
+static bool is_continuation(const struct explain *x, struct json_object *o)
+{
+	const char *id = jsn_str(o, "id", "");
+	size_t i;
+
+	if (!strcmp(jsn_str(o, "resumes", ""), x->id))
+		return true;
+	for (i = 0; *id && i < x->continuations.n; i++) {
+		if (!strcmp(jsn_str(x->continuations.all[i].o, "id", ""), id))
+			return true;
+	}
+	return false;
+}
+
 void explain_line(struct explain *x, const char *line)
 {
 	const char *at = strchr(line, '{');
@@ -95,6 +115,8 @@
 	}
 	if (!strcmp(jsn_str(o, "id", ""), x->id))
 		add_line(&x->request_lines, o);
+	else if (is_continuation(x, o))
+		add_line(&x->continuations, o);
 	else if (x->context.n < MAX_CONTEXT &&
 		 is_context(jsn_str(o, "event", "")))
 		add_line(&x->context, o);
@@ -127,6 +149,23 @@
 	buf_str(out, "\n");
 }
 
+/* The attempts by which the caller continued the stream, with their ids. */
+static void write_continuations(struct explain *x, struct buf *out)
+{
+	size_t i;
+
+	if (!x->continuations.n)
+		return;
+	qsort(x->continuations.all, x->continuations.n,
+	      sizeof(*x->continuations.all), by_time);
+	buf_str(out, "continued by the caller:\n");
+	for (i = 0; i < x->continuations.n; i++) {
+		buf_fmt(out, "%s ",
+			jsn_str(x->continuations.all[i].o, "id", ""));
+		write_line(out, &x->continuations.all[i]);
+	}
+}
+
 static const struct log_line *last_of(const struct log_lines *l,
 				      const char *event)
 {
@@ -244,10 +283,11 @@
 	if (!end) {
 		buf_str(out, "no end: the entry exited during the "
 			     "request, or lines are missing\n");
-		return true;
+	} else {
+		buf_str(out, "deciding: ");
+		write_line(out, end);
+		write_cause(x, end, out);
 	}
-	buf_str(out, "deciding: ");
-	write_line(out, end);
-	write_cause(x, end, out);
+	write_continuations(x, out);
 	return true;
 }
--- a/lib/request/attempt.h
+++ b/lib/request/attempt.h
@@ -20,7 +20,12 @@
 	char key[ATTEMPT_KEY];	 /* API key of the client account; "": none */
 	int64_t deadline_ms;	 /* remaining client timeout; -1: not given */
 	int64_t resume_after;	 /* id of the last event received; -1: none */
-	bool has_token_counts;	 /* the two counts below are given */
+	/*
+	 * Id of the attempt that brought the first event of the stream that
+	 * this one continues; "": not stated.
+	 */
+	char resumes[ATTEMPT_ID];
+	bool has_token_counts; /* the two counts below are given */
 	double prompt_tokens;
 	double output_tokens; /* upper bound */
 	uint64_t prefix_hash; /* hash of the prompt's shared parts; 0: none */
--- a/tests/test_explain.c
+++ b/tests/test_explain.c
@@ -38,6 +38,9 @@
 	AT("550", "edge-1", "answer",
 	   "\"id\":\"r6\",\"status\":503,\"why\":\"endpoints take no more for "
 	   "now\",\"retry_ms\":2900"),
+	AT("560", "edge-1", "send", "\"id\":\"r10\",\"resumes\":\"\""),
+	AT("570", "edge-2", "send", "\"id\":\"r11\",\"resumes\":\"r10\""),
+	AT("580", "edge-2", "passed", "\"id\":\"r11\",\"status\":200"),
 	"not a line of ours",
 	"",
 };
@@ -115,12 +118,25 @@
 	CU_ASSERT_PTR_NOT_NULL(strstr(open.data, "no end: "));
 }
 
+static void continued_by_the_caller(void)
+{
+	BUF_AUTO out = BUF_INIT;
+	const char *rest;
+
+	CU_ASSERT(explain("r10", &out));
+	rest = strstr(out.data, "continued by the caller:\n");
+	CU_ASSERT_PTR_NOT_NULL_FATAL(rest);
+	CU_ASSERT_PTR_NOT_NULL(strstr(rest, "r11 "));
+	CU_ASSERT_PTR_NOT_NULL(strstr(rest, "edge-2 passed"));
+}
+
 static const struct unit_test tests[] = {
 	{ "a refused request", refused_request },
 	{ "a request that no endpoint takes", request_that_no_endpoint_takes },
 	{ "a cut stream", cut_stream },
 	{ "a timed-out request", timed_out_request },
 	{ "passed, unknown and unfinished", passed_unknown_and_unfinished },
+	{ "a stream continued by the caller", continued_by_the_caller },
 };
 
 UNIT_MAIN("explain", tests)
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -239,6 +239,21 @@
 	hparse_free(&p);
 }
 
+static void continued_stream_is_named(void)
+{
+	struct err e = ERR_INIT;
+	struct hparse p;
+	struct attempt a;
+
+	parse(&p, true,
+	      "POST /x/1 HTTP/1.1\r\nHost: a\r\nAttempt-Id: 2\r\n"
+	      "Last-Event-Id: 7\r\nResumes: 1\r\n\r\n");
+	CU_ASSERT_EQUAL(pf_wire()->decode_request(&p.msg, &a, &e), 0);
+	CU_ASSERT_STRING_EQUAL(a.resumes, "1");
+	CU_ASSERT_EQUAL(a.resume_after, 7);
+	hparse_free(&p);
+}
+
 static void wrong_heads_are_refused(void)
 {
 	static const char *const bad[] = {
@@ -255,6 +270,15 @@
 		"Token-Count: 1e999,2\r\n\r\n",
 		"GET / HTTP/1.1\r\nHost: a\r\nAttempt-Id: 1\r\n"
 		"Authorization: Bearer a\r\nAuthorization: Bearer b\r\n\r\n",
+		"GET / HTTP/1.1\r\nHost: a\r\nAttempt-Id: 1\r\n"
+		"Resumes: 2\r\nResumes: 3\r\n\r\n",
+		"GET / HTTP/1.1\r\nHost: a\r\nAttempt-Id: 1\r\n"
+		"Resumes:\r\n\r\n",
+		"GET / HTTP/1.1\r\nHost: a\r\nAttempt-Id: 1\r\n"
+		"Resumes: 1\r\n\r\n",
+		"GET / HTTP/1.1\r\nHost: a\r\nAttempt-Id: 1\r\n"
+		"Resumes: 0123456789012345678901234567890123456789012345678901"
+		"2345678901234567890123456789\r\n\r\n",
 	};
 	size_t i;
 
@@ -633,6 +657,7 @@
 	{ "entries of other writers name no endpoint",
 	  entries_of_other_writers_name_no_endpoint },
 	{ "an attempt is decoded", attempt_is_decoded },
+	{ "a continued stream is named", continued_stream_is_named },
 	{ "wrong heads are refused", wrong_heads_are_refused },
 	{ "forged headers do not pass", forged_headers_do_not_pass },
 	{ "answers are told apart", answers_are_told_apart },
