tests: streams of a service that runs several versions (known red)

Reproduces what callers saw: streams that begin at one version and go on at another, after an endpoint broke off, off a draining endpoint, when callers continue them at any entry, also after entries were killed, with three versions, with one that is down to two endpoints, and at the end of a roll-out. Endpoints of the stand-in write their version into each event; callers continue streams with Last-Event-Id and Resumes.

The stand-in's streams in rollout_test.sh last longer, so that some run at the hand-over; its checks are the same and one more.

--- a/scripts/edge_cluster.sh
+++ b/scripts/edge_cluster.sh
@@ -5,6 +5,9 @@
 EDGE_SERVICES_EACH=${EDGE_SERVICES_EACH:-3}
 # Entries up to which there is no overlay of gossip.
 MAX_MESH=${MAX_MESH:-128}
+# Share of the requests that a new version gets before it is decided about; 0: no
+# version is withheld.
+EXPOSURE=${EXPOSURE:-0.1}
 # Not empty: entries can be cut off from all endpoints, see cut_off().
 CUTTABLE=${CUTTABLE:-}
 
@@ -19,7 +22,7 @@
 		"store": { "address": "$PLATFORM" },
 		"cloud": { "address": "$PLATFORM", "duties": ["usage"] },
 		"bounds": { "usage_window_s": 1, "usage_late_s": 10,
-			"exposure_share": 0.1, "exposure_slack": 50 },
+			"exposure_share": $EXPOSURE, "exposure_slack": 50 },
 		"policy": { "max_mesh": $MAX_MESH }
 	}
 	END
@@ -125,3 +128,65 @@
 
 # in_force N VERSION: entry N has had it in force.
 in_force() { grep -q "\"event\":\"config_in_force\",\"config\":$2," "$DIR/edge-$1.out"; }
+
+# whole_events FILE: "ID piece N of VERSION" for each event that is whole.
+whole_events() {
+	awk '/^id: / { id = $2 } /^data: / { data = substr($0, 7) }
+		/^$/ { if (id != "" && data != "") print id, data
+			id = data = "" }' "$1" 2>/dev/null
+}
+
+# stream ID TRIES LEAVE_S PICK: reads a stream; PICK prints the entry for each try.
+# Leaves a try after LEAVE_S, as a client does that goes elsewhere; the last one is
+# read to its end. A stream that breaks off is continued where it ended. Notes its
+# events in $DIR/events-ID, and for each try in $DIR/tries-ID:
+# KIND ENTRY STATUS:EXIT_CODE EVENTS TRY_ID; KIND: new, again (without an event
+# before) or continued.
+stream() {
+	local id=$1 tries=$2 leave=$3 pick=$4 first= last=0 try n status got kind
+	local events=$DIR/events-$id args
+	: >"$events"
+	for try in $(seq 1 "$tries"); do
+		n=$($pick "$try")
+		args=() kind=new
+		[ "$try" -gt 1 ] && kind=again
+		[ -n "$first" ] && kind=continued &&
+			args=(-H "Last-Event-Id: $last" -H "Resumes: $first")
+		[ "$try" = "$tries" ] && leave=8
+		status=$(curl -s -m "$leave" -o "$DIR/part-$id" \
+			-w '%{http_code}' -H 'Host: t.example' \
+			-H "Attempt-Id: e$n-$id-$try" -H 'Deadline-Ms: 8000' \
+			-H 'Authorization: Bearer k1' "${args[@]}" -d hello \
+			"http://$(cat "$DIR/front-$n")/s/x"; echo ":$?")
+		whole_events "$DIR/part-$id" >"$DIR/got-$id"
+		rm -f "$DIR/part-$id"
+		got=$(wc -l <"$DIR/got-$id")
+		cat "$DIR/got-$id" >>"$events"
+		echo "$kind $n $status $got e$n-$id-$try" >>"$DIR/tries-$id"
+		[ "$got" -gt 0 ] && last=$(tail -1 "$events" | cut -d' ' -f1) &&
+			[ -z "$first" ] && first=e$n-$id-$try
+		[ "$status" = 200:0 ] || [ "$last" -ge 20 ] && break
+		sleep "0.$((RANDOM % 3))"
+	done
+	rm -f "$DIR/got-$id"
+}
+
+# versions_mixed: the streams with events of more than one version.
+versions_mixed() {
+	local f
+	for f in "$DIR"/events-*; do
+		[ "$(cut -d' ' -f5 "$f" | sort -u | wc -l)" -gt 1 ] && echo "$f"
+	done
+}
+
+# pieces_wrong: the streams in which a piece is missing, doubled or out of order.
+pieces_wrong() {
+	awk 'FNR == 1 { next_id = 1 } $1 != next_id++ || $1 != $3 { print FILENAME }' \
+		"$DIR"/events-* | sort -u
+}
+
+# went_on KIND...: "SERVED TRIES": tries of these kinds that brought an event.
+went_on() {
+	awk -v kinds=" $* " 'index(kinds, " " $1 " ") { n++; served += $4 > 0 }
+		END { print served + 0, n + 0 }' "$DIR"/tries-* 2>/dev/null
+}
--- a/scripts/rollout_test.sh
+++ b/scripts/rollout_test.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/.." || exit 1
 EDGES=${EDGES:-4}
 EDGE_SERVICES_EACH=4
-PLATFORM_ARGS="--gap 20"
+PLATFORM_ARGS="--gap 60"
 . scripts/cluster.sh
 . scripts/edge_cluster.sh
 trap cluster_stop EXIT
@@ -46,7 +46,7 @@
 	local i=0
 	while [ ! -e "$DIR/stop" ]; do
 		i=$((i + 1))
-		curl -s -m 20 -o /dev/null -w '%{http_code}\n' \
+		curl -s -m 20 -o "$DIR/body-$1-$i" -w '%{http_code}\n' \
 			-H 'Host: t.example' -H "Attempt-Id: $1-$i" \
 			-H 'Deadline-Ms: 8000' -H 'Authorization: Bearer k1' \
 			"http://$(address $((i % EDGES + 1)) callers)$2$1-$i" \
@@ -65,7 +65,7 @@
 		send_requests "look-$RUN-$i" /l/ & CALLERS="$CALLERS $!"
 		send_requests "submit-$RUN-$i" /u/ & CALLERS="$CALLERS $!"
 	done
-	for i in 1 2 3 4 5 6; do
+	for i in $(seq 1 20); do
 		send_requests "stream-$RUN-$i" /o/ & CALLERS="$CALLERS $!"
 	done
 	RUN=$((RUN + 1))
@@ -77,6 +77,15 @@
 	wait $CALLERS
 }
 
+# of_two_versions: the streams with events of two versions.
+of_two_versions() {
+	local f
+	for f in "$DIR"/body-stream-*; do
+		[ "$(whole_events "$f" | cut -d' ' -f5 | sort -u | wc -l)" -gt 1 ] &&
+			echo "$f"
+	done
+}
+
 failed_requests() { cat "$DIR"/answers-* | grep -vc '^200$'; }
 
 # within_exposure SERVICE VERSION BEFORE: succeeds if VERSION ran at most a tenth
@@ -140,6 +149,9 @@
 sleep 1
 end_calls
 expect "all requests are answered" is "$(failed_requests)" 0
+# Guards against streams that a roll-out hands over to a version that cannot
+# continue them.
+expect "a stream stays with the version that began it" [ -z "$(of_two_versions)" ]
 expect "the former endpoints have stopped" is "$(alive app v1) $(alive llm v1)" "0 0"
 
 # The lease holder is killed during a roll-out.
--- a/tests/standin/platform.c
+++ b/tests/standin/platform.c
@@ -1021,7 +1021,8 @@
 		cut_stream(s);
 		return;
 	}
-	buf_fmt(&event, "id: %d\ndata: piece %d\n\n", s->next, s->next);
+	buf_fmt(&event, "id: %d\ndata: piece %d of %s\n\n", s->next, s->next,
+		s->at->version);
 	hmsg_put_chunk(&out, event.data, event.len);
 	if (s->next == s->last)
 		hmsg_put_chunk(&out, "", 0);
@@ -1162,6 +1163,10 @@
 	} else if (!strncmp(url, "/test/drain", 11)) {
 		e->draining = true;
 		register_endpoint(e);
+	} else if (!strncmp(url, "/test/end", 9)) {
+		hmsg_query(url, "ms", number, sizeof(number));
+		e->end_ms = now_ms() + atoll(number);
+		e->started_again = true;
 	} else if (!strncmp(url, "/test/fail", 10)) {
 		e->fail = true;
 	} else if (!strncmp(url, "/test/mute", 10)) {
@@ -1226,6 +1231,9 @@
 	} else if (!strncmp(url, "/test/versions", 14)) {
 		list_versions(c);
 		return;
+	} else if (!strncmp(url, "/test/version?", 14)) {
+		reply(c, 200, e ? e->version : "");
+		return;
 	} else if (!strncmp(url, "/test/forget", 12)) {
 		w.forgotten = w.revision;
 	} else if (!e || !change_endpoint(e, url)) {
