rollout: streams end at the version that began them

At the end of a roll-out callers got the rest of their streams from the target: the hand-over copied running streams from the former version's endpoints to those of the target, and what two versions write does not fit together. The check "a stream stays with the version that began it" in rollout_test.sh failed before.

The stage waits instead until no stream runs at the former endpoints, 7.5 s at most, and completion stops them only then. Roll-outs move no streams any more, nor does a roll-back: its streams end where they are. The former limit of 1.2 s for the hand-over is gone, with it the part of the exposure that was kept for moved streams.

--- a/lib/edge/edge_rollout.c
+++ b/lib/edge/edge_rollout.c
@@ -136,15 +136,10 @@
 	return weights[chosen - 1];
 }
 
-static void set_use(struct edge *en, const struct edge_rollout *ro,
-		    struct flt_endpoint *e, bool chosen)
+static void set_use(const struct edge_rollout *ro, struct flt_endpoint *e,
+		    bool chosen)
 {
-	const bool move_streams = ro->recorded &&
-				  rol_moves_streams(&ro->record);
-	const enum flt_use use =
-		rol_use(record_of(ro), ro->established, &e->info, chosen);
-
-	flt_set_use(e, use, use == FLT_WITHHELD && move_streams, edge_now(en));
+	e->use = rol_use(record_of(ro), ro->established, &e->info, chosen);
 }
 
 static void update_uses(struct edge *en, struct edge_rollout *ro)
@@ -158,7 +153,7 @@
 	ro->uses_updated_ms = edge_now(en);
 	cds_list_for_each_entry(e, &en->fleet.endpoints, node) {
 		if (belongs_to(ro, e))
-			set_use(en, ro, e,
+			set_use(ro, e,
 				trial && hsh_rendezvous(order, e->hash) >=
 						 min_weight);
 	}
@@ -172,7 +167,7 @@
 		return;
 	ro = edge_rollout_of(en, e->info.service);
 	update_established(en, ro, e);
-	set_use(en, ro, e, e->use == FLT_ON_TRIAL);
+	set_use(ro, e, e->use == FLT_ON_TRIAL);
 	/* Deferred to the next tick to avoid quadratic time at startup. */
 	ro->uses_outdated = true;
 }
@@ -466,7 +461,7 @@
 
 	return ro && ro->recorded &&
 	       (ro->record.stage == ROL_SHIFT ||
-		ro->record.stage == ROL_HAND_OVER);
+		ro->record.stage == ROL_RUN_OUT);
 }
 
 bool edge_rollout_is_replaced(const struct edge *en,
--- a/lib/fleet/flt.c
+++ b/lib/fleet/flt.c
@@ -340,22 +340,10 @@
 	return flt_in_service(e, now) && flt_open_ms(e, now) <= now;
 }
 
-void flt_set_use(struct flt_endpoint *e, enum flt_use use, bool move_streams,
-		 int64_t now)
-{
-	e->use = use;
-	if (!move_streams)
-		e->move_streams_since_ms = 0;
-	else if (!e->move_streams_since_ms)
-		e->move_streams_since_ms = now;
-}
-
 int64_t flt_leaving_ms(const struct flt_endpoint *e, int64_t now)
 {
 	if (e->draining_since_ms)
 		return now - e->draining_since_ms;
-	if (e->move_streams_since_ms)
-		return now - e->move_streams_since_ms;
 	/* While it is only missing, it may be alive: see the grace period. */
 	return e->removed ? now - e->missing_since_ms : -1;
 }
--- a/lib/fleet/flt.h
+++ b/lib/fleet/flt.h
@@ -78,7 +78,6 @@
 	unsigned refs;		   /* of requests, and one of the table */
 	bool removed;		   /* no longer in the table */
 	enum flt_use use;
-	int64_t move_streams_since_ms; /* its streams are moved away; 0: not */
 
 	/* From this entry's own requests. */
 	int running;		    /* in flight */
@@ -251,17 +250,9 @@
 bool flt_usable(const struct flt_endpoint *e, int64_t now_ms);
 
 /*
- * Sets which requests the endpoint gets. `move_streams`: its running streams
- * are to be moved to other endpoints.
- */
-void flt_set_use(struct flt_endpoint *e, enum flt_use use, bool move_streams,
-		 int64_t now_ms);
-
-/*
- * Returns the time in ms since the endpoint began to drain, since its streams
- * were first moved to other endpoints or, if it was removed, since it went
- * missing. -1: none of these; a missing endpoint in its grace period may be
- * alive.
+ * Returns the time in ms since the endpoint began to drain or, if it was
+ * removed, since it went missing. -1: neither; a missing endpoint in its grace
+ * period may be alive.
  */
 int64_t flt_leaving_ms(const struct flt_endpoint *e, int64_t now_ms);
 
--- a/lib/rollout/rollout.c
+++ b/lib/rollout/rollout.c
@@ -36,7 +36,7 @@
 /*
  * Some faults appear late, so the trial runs until the shift has to begin. The
  * remaining exposure determines the duration of the shift, within these limits.
- * The minimum covers propagation to all entries and the hand-over of streams.
+ * The minimum covers propagation to all entries.
  */
 #define MIN_SHIFT_MS 700
 #define MIN_FULL_SHIFT_MS 500
@@ -45,8 +45,14 @@
 /* Fraction of the shift during which the target gets half of the traffic. */
 #define HALF_SHIFT_FRACTION 0.25
 
-/* Time to hand over all streams and to receive the counts that show it. */
-#define HAND_OVER_MS 1200
+/* Time for entries to learn of the shift, and for their counts to arrive. */
+#define SETTLE_MS 1200
+
+/*
+ * Streams of the former version cannot go on at the target. They have this
+ * time to end before completion stops their endpoints.
+ */
+#define MAX_RUN_OUT_MS 7500
 
 /*
  * A change of the lease holder may delay the shift of all traffic past the
@@ -98,12 +104,7 @@
 bool rol_in_progress(const struct rol_record *r)
 {
 	return r->stage == ROL_TRIAL || r->stage == ROL_SHIFT ||
-	       r->stage == ROL_HAND_OVER;
-}
-
-bool rol_moves_streams(const struct rol_record *r)
-{
-	return r->stage != ROL_TRIAL && r->stage != ROL_SHIFT;
+	       r->stage == ROL_RUN_OUT;
 }
 
 bool rol_matches_order(const struct rol_record *r, const struct rol_order *o)
@@ -177,12 +178,8 @@
 	/* During the first part the target gets half of the traffic. */
 	const double per_ms =
 		request_rate(r, s) * (1 - HALF_SHIFT_FRACTION / 2);
-	double time =
-		(remaining_exposure(r, l, s) - s->former_running) / per_ms;
+	const double time = remaining_exposure(r, l, s) / per_ms;
 
-	/* If the hand-over does not fit, it runs after the deadline. */
-	if (time < MIN_SHIFT_MS + HAND_OVER_MS)
-		time = remaining_exposure(r, l, s) / per_ms;
 	if (!(time < max)) /* also if the rate is 0 */
 		return (int64_t)max;
 	return time > MIN_SHIFT_MS ? (int64_t)time : MIN_SHIFT_MS;
@@ -253,19 +250,7 @@
 	return true;
 }
 
-/* True if the streams and all requests until the deadline fit the limit. */
-static bool hand_over_fits(const struct rol_record *r,
-			   const struct rol_limits *l,
-			   const struct rol_observation *s)
-{
-	const double left_ms = (double)(deadline_of(r) - s->now_ms);
-
-	return remaining_exposure(r, l, s) >=
-	       s->former_running + request_rate(r, s) * left_ms;
-}
-
-static bool step_shift(struct rol_record *r, const struct rol_limits *l,
-		       const struct rol_observation *s)
+static bool step_shift(struct rol_record *r, const struct rol_observation *s)
 {
 	const int64_t left_ms = deadline_of(r) - s->now_ms;
 	const int64_t in_stage_ms = s->now_ms - r->changed_ms;
@@ -277,21 +262,19 @@
 		set_stage(r, ROL_SHIFT, 1, "shift", s->now_ms);
 		return true;
 	}
-	if (in_stage_ms < MIN_FULL_SHIFT_MS ||
-	    (left_ms > 0 &&
-	     (left_ms > HAND_OVER_MS || !hand_over_fits(r, l, s))))
+	if (in_stage_ms < MIN_FULL_SHIFT_MS || left_ms > SETTLE_MS)
 		return false;
-	set_stage(r, ROL_HAND_OVER, 1,
-		  left_ms > 0 ? "hand-over" : "deadline reached", s->now_ms);
+	set_stage(r, ROL_RUN_OUT, 1,
+		  left_ms > 0 ? "streams run out" : "deadline reached",
+		  s->now_ms);
 	return true;
 }
 
 /* Completion stops the former version's endpoints, so they have to be idle. */
-static bool step_hand_over(struct rol_record *r,
-			   const struct rol_observation *s)
+static bool step_run_out(struct rol_record *r, const struct rol_observation *s)
 {
 	if (!s->counts_complete || (s->former_running >= 1 &&
-				    s->now_ms - r->changed_ms < HAND_OVER_MS))
+				    s->now_ms - r->changed_ms < MAX_RUN_OUT_MS))
 		return false;
 	set_stage(r, ROL_COMPLETED, 1, "answers as well as the former version",
 		  s->now_ms);
@@ -324,9 +307,9 @@
 	case ROL_TRIAL:
 		return step_trial(r, l, s);
 	case ROL_SHIFT:
-		return step_shift(r, l, s);
-	case ROL_HAND_OVER:
-		return step_hand_over(r, s);
+		return step_shift(r, s);
+	case ROL_RUN_OUT:
+		return step_run_out(r, s);
 	default:
 		return false;
 	}
@@ -359,7 +342,7 @@
 						      : FLT_WITHHELD;
 		return from ? FLT_IN_USE : FLT_WITHHELD;
 	case ROL_SHIFT:
-	case ROL_HAND_OVER:
+	case ROL_RUN_OUT:
 		if (target)
 			return r->share < 1 ? FLT_ON_TRIAL : FLT_IN_USE;
 		return from && r->share < 1 ? FLT_IN_USE : FLT_WITHHELD;
@@ -398,11 +381,9 @@
 /* ---- The record ---- */
 
 static const char *const stage_names[] = {
-	[ROL_TRIAL] = "trial",
-	[ROL_SHIFT] = "shift",
-	[ROL_HAND_OVER] = "hand_over",
-	[ROL_COMPLETED] = "completed",
-	[ROL_ROLLED_BACK] = "rolled_back",
+	[ROL_TRIAL] = "trial",	       [ROL_SHIFT] = "shift",
+	[ROL_RUN_OUT] = "hand_over", /* the name that earlier releases read */
+	[ROL_COMPLETED] = "completed", [ROL_ROLLED_BACK] = "rolled_back",
 	[ROL_UNORDERED] = "open",
 };
 
--- a/lib/rollout/rollout.h
+++ b/lib/rollout/rollout.h
@@ -14,9 +14,8 @@
  *
  * Until the deadline, the target gets no more requests than the exposure limit,
  * regardless of its answers: the shift begins when the remaining exposure
- * covers the traffic until the deadline. Streams are handed over before the
- * deadline only if they fit the limit too; otherwise the roll-out ends after
- * it.
+ * covers the traffic until the deadline. Streams end at the version that began
+ * them, for which the roll-out may be completed after the deadline.
  *
  * The state is one record in the store, so that a new lease holder can
  * continue. Decisions are pure functions of the record, the observations and
@@ -46,9 +45,9 @@
 
 /* Stages of a roll-out, stored under the names of rol_stage_name(). */
 enum rol_stage {
-	ROL_TRIAL,     /* a share of the requests goes to the target */
-	ROL_SHIFT,     /* half of the new requests, then all, go there */
-	ROL_HAND_OVER, /* running streams are handed over as well */
+	ROL_TRIAL,   /* a share of the requests goes to the target */
+	ROL_SHIFT,   /* half of the new requests, then all, go there */
+	ROL_RUN_OUT, /* streams of the former version end */
 	ROL_COMPLETED,
 	ROL_ROLLED_BACK,
 	ROL_UNORDERED, /* both versions serve, without an order */
@@ -99,7 +98,7 @@
 /* Sets the stage to rolled back; `why` is copied and truncated to ROL_WHY. */
 void rol_roll_back(struct rol_record *r, const char *why, int64_t now_ms);
 
-/* True in the stages trial, shift and hand-over. */
+/* True in the stages trial, shift and run-out. */
 bool rol_in_progress(const struct rol_record *r);
 
 /*
@@ -113,9 +112,6 @@
 
 /* ---- Per-entry routing ---- */
 
-/* True if streams are moved off withheld endpoints. */
-bool rol_moves_streams(const struct rol_record *r);
-
 /*
  * Returns which requests an endpoint gets. `r` may be NULL: only `established`
  * serves then, or any version if it is "". `chosen`: the endpoint is selected
