edge: a stream goes on only at the version that began it

After an endpoint broke off, and when a draining endpoint's streams were copied away, callers got the rest of their streams from another version of the service. The endpoint was picked as for a new request, by service and load: the version was no part of the question.

The version of the first event that is passed on binds the stream. From then on only endpoints of that version are picked, by every send and for every move, also while they get no new requests in a roll-out; those of a version that was rolled back get nothing, since the limit of its exposure goes first. Before the first event a retry may go anywhere. Without an endpoint of the version, a stream at a leaving endpoint stays there (moves_untargeted_total), and one that broke off ends with the true reason.

--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -168,6 +168,9 @@
 			       "runs copied away from leaving endpoints");
 	x->moves_failed = met_counter(m, "moves_failed_total",
 				      "copies of runs that failed");
+	x->moves_untargeted = met_counter(
+		m, "moves_untargeted_total",
+		"streams at leaving endpoints, without another of their version");
 	x->streams_taken_up =
 		met_counter(m, "streams_taken_up_total",
 			    "streams that callers continue after a break");
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -74,7 +74,7 @@
 struct edge_metrics {
 	met_value *requests, *answers_passed, *answers_refused, *answers_failed,
 		*streams_cut, *callers_gone, *requests_denied;
-	met_value *moves, *moves_failed;
+	met_value *moves, *moves_failed, *moves_untargeted;
 	met_value *streams_taken_up, *streams_mixed;
 	met_value *probes, *endpoints_ended;
 	met_value *limits_stated, *statements_malformed, *sends_to_limited,
@@ -325,10 +325,14 @@
 	struct evs events;
 	struct hand hand;	/* state of the migration off this endpoint */
 	struct edge_move *move; /* the migration's call; NULL: none */
+	bool move_untargeted;	/* there was no endpoint to move it to */
 	bool streaming;		/* the current answer is a stream of events */
 	bool announced_close;	/* the head has "Connection: close" */
 	bool usage_counted;	/* in the account's usage */
-	char began_version[FLT_NAME]; /* of the first event passed on here */
+	/* Only this version, flt_version(), can continue the stream. */
+	bool bound;
+	uint64_t version;
+	char began_version[FLT_NAME]; /* its name */
 	int64_t first_event_ms;	      /* passed on; 0: none yet */
 	int64_t last_event_ms;	      /* passed on; 0: none yet */
 	int64_t max_pause_ms;	      /* longest time between two events */
--- a/lib/edge/edge_move.c
+++ b/lib/edge/edge_move.c
@@ -153,6 +153,8 @@
 		.model = edge_service_model(en, r->service->name),
 		.zone = en->conf->zone,
 		.engine = true,
+		.bound = true,
+		.version = r->version,
 		.now_ms = edge_now(en),
 		.nr_excluded = 1,
 		.excluded = { r->endpoint },
@@ -170,6 +172,10 @@
 	struct buf wire = BUF_INIT;
 	struct edge_move *m;
 
+	if (!to && !r->move_untargeted) {
+		r->move_untargeted = true;
+		met_inc(r->en->m.moves_untargeted);
+	}
 	/*
 	 * Charged as a retry. If the budget does not allow one, the run is not
 	 * stopped, since it could not be sent again.
--- a/lib/edge/edge_rollout.c
+++ b/lib/edge/edge_rollout.c
@@ -278,8 +278,8 @@
 {
 	const struct edge_rollout *ro;
 
-	/* Retries and resumed streams go to the former version. */
-	if (!enabled(r->en) || r->nr_tried || r->rq.started)
+	/* Retries go to the former version. */
+	if (!enabled(r->en) || r->nr_tried || r->bound)
 		return FLT_IN_USE;
 	ro = find(r->en, r->service->name);
 	if (!ro || !ro->recorded ||
--- a/lib/edge/edge_send.c
+++ b/lib/edge/edge_send.c
@@ -61,6 +61,8 @@
 				       ? hsh_str(r->attempt.id, r->sends) | 1
 				       : 0,
 		.use = use,
+		.bound = r->bound,
+		.version = r->version,
 		.shared_tokens = r->attempt.prefix_tokens,
 		.unshared_tokens =
 			r->attempt.prompt_tokens - r->attempt.prefix_tokens,
@@ -167,8 +169,7 @@
 		met_inc(r->rq.started ? en->m.resumes : en->m.resends);
 	else if (r->attempt.resume_after >= 0)
 		met_inc(en->m.streams_taken_up);
-	if (r->rq.started &&
-	    strcmp(r->began_version, p->endpoint->info.version) != 0)
+	if (r->bound && r->version != p->endpoint->version)
 		met_inc(en->m.streams_mixed);
 	r->sent_ms = now;
 	r->sent_true_ms = walltime_now(&en->walltime, now);
@@ -227,6 +228,8 @@
 	} else if (r->rq.refusals) {
 		why = "endpoints are full";
 		retry_ms = EDGE_FULL_RETRY_MS;
+	} else if (r->bound) {
+		why = EDGE_WHY_NO_VERSION;
 	} else if (any_unreached(r)) {
 		why = "endpoints not reached";
 		retry_ms = EDGE_FULL_RETRY_MS;
@@ -283,7 +286,9 @@
 		p = pick_for(r, FLT_IN_USE);
 	if (!p.endpoint) {
 		if (r->rq.runs || r->rq.started) {
-			edge_step(r, rq_no_endpoint(&r->rq), "no endpoint");
+			edge_step(r, rq_no_endpoint(&r->rq),
+				  r->bound ? EDGE_WHY_NO_VERSION
+					   : "no endpoint");
 			return;
 		}
 		rq_no_endpoint(&r->rq);
--- a/lib/edge/explain.h
+++ b/lib/edge/explain.h
@@ -20,6 +20,9 @@
 /* Why it is refused if the entry reaches no endpoint, nor a relay to one. */
 #define EDGE_WHY_CUT_OFF "cut off from all endpoints"
 
+/* Why a stream is not continued: it began at a version that has no endpoint. */
+#define EDGE_WHY_NO_VERSION "no endpoint of the stream's version"
+
 struct explain;
 
 /*
--- a/lib/fleet/flt.c
+++ b/lib/fleet/flt.c
@@ -90,6 +90,11 @@
 	return hsh_str(info->id, (uint64_t)info->started_ms);
 }
 
+uint64_t flt_version(const char *name)
+{
+	return hsh_str(name, 0);
+}
+
 static void remember_removed(struct flt *f, uint64_t hash, int64_t now)
 {
 	f->removed[f->nr_removed % FLT_MAX_REMOVED].hash = hash;
@@ -252,6 +257,7 @@
 		*change = FLT_RELISTED;
 	}
 	e->info = *info;
+	e->version = flt_version(info->version);
 	e->missing_since_ms = 0;
 	if (info->draining && flt_mark_leaving(e, now) &&
 	    (*change == FLT_UNCHANGED || *change == FLT_RELISTED))
--- a/lib/fleet/flt.h
+++ b/lib/fleet/flt.h
@@ -57,8 +57,9 @@
  */
 enum flt_use {
 	FLT_IN_USE,   /* all except trial requests */
-	FLT_ON_TRIAL, /* trial requests only */
-	FLT_WITHHELD, /* none */
+	FLT_ON_TRIAL, /* trial requests, and streams that its version began */
+	FLT_WITHHELD, /* only streams that its version began */
+	FLT_REJECTED, /* none: its version was rolled back */
 };
 
 /*
@@ -71,6 +72,7 @@
 	UT_hash_handle by_hash;	   /* in flt.hashes */
 	struct flt_info info;
 	uint64_t hash; /* of id and start; key in peers' reports and hashing */
+	uint64_t version; /* hash of info.version */
 	int64_t first_seen_ms;
 	int64_t draining_since_ms; /* first seen draining; 0: not draining */
 	int64_t missing_since_ms;  /* not in the list since; 0: listed */
@@ -212,6 +214,9 @@
 		void (*on_expired)(struct flt_endpoint *e, void *arg),
 		void *arg);
 
+/* Hash of a version's name; "": versions that are not stated are one version. */
+uint64_t flt_version(const char *name);
+
 /* Finds an endpoint by id or by hash. Returns NULL if there is none. */
 struct flt_endpoint *flt_find(struct flt *f, const char *id);
 struct flt_endpoint *flt_find_by_hash(struct flt *f, uint64_t hash);
--- a/lib/rollout/rollout.c
+++ b/lib/rollout/rollout.c
@@ -350,6 +350,8 @@
 		return target || started_after(r, info) ? FLT_IN_USE
 							: FLT_WITHHELD;
 	case ROL_ROLLED_BACK:
+		if (target)
+			return FLT_REJECTED;
 		return from ? FLT_IN_USE : FLT_WITHHELD;
 	case ROL_UNORDERED:
 		break;
--- a/lib/route/pick.c
+++ b/lib/route/pick.c
@@ -51,7 +51,11 @@
 static bool is_asked_for(const struct pick_query *q,
 			 const struct flt_endpoint *e)
 {
-	return e->use == q->use && !strcmp(e->info.service, q->service);
+	if (strcmp(e->info.service, q->service) != 0)
+		return false;
+	if (q->bound)
+		return e->version == q->version && e->use != FLT_REJECTED;
+	return e->use == q->use;
 }
 
 static bool is_candidate(const struct pick_query *q,
--- a/lib/route/pick.h
+++ b/lib/route/pick.h
@@ -39,8 +39,10 @@
 	uint64_t sample_seed;	/* differs for each send; 0 disables sampling */
 	unsigned sending_peers; /* other entries that send requests */
 	bool isolate;		/* may crash its endpoint: avoid busy ones */
-	enum flt_use use;	/* endpoints that may be picked */
-	struct parts *parts;	/* where shared parts were sent; may be NULL */
+	enum flt_use use;    /* endpoints that may be picked, unless `bound` */
+	bool bound;	     /* continues a stream: `version` only */
+	uint64_t version;    /* that began it, flt_version() */
+	struct parts *parts; /* where shared parts were sent; may be NULL */
 };
 
 struct pick_result {
--- a/tests/test_flt.c
+++ b/tests/test_flt.c
@@ -680,6 +680,47 @@
 	flt_free(&f);
 }
 
+/*
+ * Guards against streams that go on at another version than the one that began
+ * them, whichever version is rolled out.
+ */
+static void bound_requests_go_to_their_version_only(void)
+{
+	static const struct {
+		const char *version;
+		enum flt_use use;
+		bool picked;
+	} cases[] = {
+		{ "v1", FLT_IN_USE, true },   { "v1", FLT_ON_TRIAL, true },
+		{ "v1", FLT_WITHHELD, true }, { "v1", FLT_REJECTED, false },
+		{ "v2", FLT_IN_USE, false },  { "v2", FLT_ON_TRIAL, false },
+		{ "", FLT_IN_USE, false },    { "v1.1", FLT_IN_USE, false },
+	};
+	struct flt_info info = { .id = "i-1",
+				 .service = "llm",
+				 .address = "10.0.0.1:80",
+				 .zone = "z1",
+				 .slots = 8 };
+	enum flt_change change;
+	struct parts none;
+	size_t i;
+
+	parts_init(&none);
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct pick_query q = query(0, &none);
+		struct flt f;
+
+		flt_init(&f, NULL);
+		str_copy(info.version, cases[i].version, sizeof(info.version));
+		flt_upsert(&f, &info, 1, &change)->use = cases[i].use;
+		q.bound = true;
+		q.version = flt_version("v1");
+		CU_ASSERT_EQUAL(pick_endpoint(&f, &q).endpoint != NULL,
+				cases[i].picked);
+		flt_free(&f);
+	}
+}
+
 static void excluded_and_unusable_endpoints_are_not_picked(void)
 {
 	struct flt f;
@@ -778,6 +819,8 @@
 	  few_sending_peers_consider_all_endpoints },
 	{ "a sampled pick returns an endpoint",
 	  sampled_pick_returns_an_endpoint },
+	{ "bound requests go to their version only",
+	  bound_requests_go_to_their_version_only },
 	{ "excluded and unusable endpoints are not picked",
 	  excluded_and_unusable_endpoints_are_not_picked },
 };
--- a/tests/test_rollout.c
+++ b/tests/test_rollout.c
@@ -655,7 +655,8 @@
 	v1.started_ms = 60000; /* started after the former endpoints stopped */
 	CU_ASSERT_EQUAL(rol_use(&r, "v1", &v1, false), FLT_IN_USE);
 	rol_roll_back(&r, "", 1);
-	CU_ASSERT_EQUAL(rol_use(&r, "v1", &v2, true), FLT_WITHHELD);
+	CU_ASSERT_EQUAL(rol_use(&r, "v1", &v2, true), FLT_REJECTED);
+	CU_ASSERT_EQUAL(rol_use(&r, "v1", &v3, true), FLT_WITHHELD);
 	CU_ASSERT_EQUAL(rol_use(&r, "v1", &v1, false), FLT_IN_USE);
 }
 
