edge: callers continue streams at the version that began them, at any entry

Their attempt was handled as a new request. Which version began the stream was known to the entry that had passed on its first event, if to any, and the header that names that attempt was not used.

lib/stream/bnd binds a stream, named by the client account and the first attempt, to a service and version at its first event. While a service has several versions, the entry reports the binding to three others, its homes, which are selected by rendezvous hash in different zones: at once, once more in the next round of gossip, and again to entries that took the place of homes that were lost or restarted. An entry that does not know a stream asks four; 100 ms at most. If nobody knows it and there are several versions, the request is refused at once with that reason: a guess would be wrong as often as the versions are many. With one version nothing is sent, unless this entry has run for less than 30 s or its list of endpoints is old. What an entry sends does not grow with the fleet.

A continued stream goes to the service that began it, if the route still leads there. The choice among a route's services is by the first attempt's id, so that it holds without any binding too.

--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -177,6 +177,17 @@
 	x->streams_mixed = met_counter(
 		m, "streams_mixed_total",
 		"sends of the rest of a stream to another version than began it");
+	x->bindings = met_gauge(m, "bindings",
+				"streams whose first version is known");
+	x->bindings_asked = met_counter(
+		m, "bindings_asked_total",
+		"queries for the version of a stream that a caller continues");
+	x->bindings_unknown =
+		met_counter(m, "bindings_unknown_total",
+			    "streams not continued as it was not known");
+	x->binding_datagrams =
+		met_counter(m, "binding_datagrams_total",
+			    "datagrams about the versions of streams");
 	x->probes = met_counter(m, "probes_total",
 				"looks whether an endpoint is still there");
 	x->endpoints_ended =
--- a/lib/edge/edge_answer.c
+++ b/lib/edge/edge_answer.c
@@ -280,10 +280,7 @@
 static void put_stream_head(struct edge_req *r, struct buf *out)
 {
 	rq_started(&r->rq);
-	r->bound = true;
-	r->version = r->endpoint->version;
-	str_copy(r->began_version, r->endpoint->info.version,
-		 sizeof(r->began_version));
+	edge_bind_started(r);
 	buf_add(out, r->answer_head.data, r->answer_head.len);
 	hmsg_put(out, "Transfer-Encoding", "chunked");
 	r->announced_close = hsc_must_close(r->conn);
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -55,6 +55,7 @@
 #include "store/mir.h"
 #include "store/snap.h"
 #include "store/sto.h"
+#include "stream/bnd.h"
 #include "stream/evs.h"
 #include "stream/hand.h"
 
@@ -76,6 +77,8 @@
 		*streams_cut, *callers_gone, *requests_denied;
 	met_value *moves, *moves_failed, *moves_untargeted;
 	met_value *streams_taken_up, *streams_mixed;
+	met_value *bindings, *bindings_asked, *bindings_unknown,
+		*binding_datagrams;
 	met_value *probes, *endpoints_ended;
 	met_value *limits_stated, *statements_malformed, *sends_to_limited,
 		*endpoints_limited, *answers_withheld;
@@ -227,6 +230,10 @@
 	struct cds_list_head rollouts; /* of edge_rollout, one per service */
 	int64_t rollout_reported_ms;   /* last report of bad answers */
 
+	struct bnd bindings; /* of streams to the versions that began them */
+	uint64_t binding_members;  /* entries of the core, to see changes */
+	int64_t versions_noted_ms; /* of all listed endpoints */
+
 	struct fatal fatal;	     /* suspected poison requests */
 	struct cds_list_head parked; /* of edge_req.wait_node */
 	ev_timer fatal_gossip_timer; /* batches gossip about suspects */
@@ -329,6 +336,18 @@
 	bool streaming;		/* the current answer is a stream of events */
 	bool announced_close;	/* the head has "Connection: close" */
 	bool usage_counted;	/* in the account's usage */
+	struct hsh128 stream;	/* bnd_stream() of a stream */
+	/* Query for the binding of a stream that the caller continues. */
+	struct {
+		bool active;
+		bool repeated;
+		bool over;  /* it ended, or there was no entry to ask */
+		bool mixed; /* a home knows of several versions */
+		unsigned nr_asked;
+		struct sockaddr_in asked[BND_MAX_ASKED];
+		bool answered[BND_MAX_ASKED]; /* that it does not know it */
+		ev_timer timer;
+	} query;
 	/* Only this version, flt_version(), can continue the stream. */
 	bool bound;
 	uint64_t version;
@@ -381,6 +400,30 @@
 void edge_send_moved(struct edge_req *r, struct flt_endpoint *to,
 		     const char *handle);
 
+/* ---- edge_bind.c: the versions that began streams ---- */
+
+/*
+ * True if the request may be sent: it is a new one, or the version that began
+ * its stream is known (r->bound) or the only one. False: a query for it was
+ * begun, after which the request is sent, or the request was refused and freed.
+ */
+bool edge_bind_ready(struct edge_req *r);
+
+/* Cancels the query, if one is active. */
+void edge_bind_cancel(struct edge_req *r);
+
+/* The stream's first event is passed on: binds it to the endpoint's version. */
+void edge_bind_started(struct edge_req *r);
+
+void edge_bind_endpoint_listed(struct edge *en, const struct flt_endpoint *e);
+
+/* Handles a datagram of another entry; false: it is none about bindings. */
+bool edge_bind_datagram(struct edge *en, const char *bytes, size_t n,
+			const struct sockaddr_in *from);
+
+/* Reports bindings that their homes lack; in each round of gossip. */
+void edge_bind_tick(struct edge *en, int64_t now);
+
 /* ---- edge_relay.c: the way to endpoints, direct or through an entry ---- */
 
 /*
--- a/lib/edge/edge_peer.c
+++ b/lib/edge/edge_peer.c
@@ -124,16 +124,22 @@
 {
 	struct edge *en = w->data;
 	char bytes[GSP_MAX_BYTES];
+	struct sockaddr_in from;
+	socklen_t size;
 	ssize_t n;
 	int i;
 
 	(void)loop;
 	(void)revents;
 	for (i = 0; i < READ_BATCH; i++) {
-		n = recv(en->gossip_fd, bytes, sizeof(bytes), MSG_DONTWAIT);
+		size = sizeof(from);
+		n = recvfrom(en->gossip_fd, bytes, sizeof(bytes), MSG_DONTWAIT,
+			     (struct sockaddr *)&from, &size);
 		if (n < 0)
 			return;
 		met_inc(en->m.gossip_received);
+		if (edge_bind_datagram(en, bytes, (size_t)n, &from))
+			continue;
 		if (gsp_decode(&en->gossip_in, bytes, (size_t)n))
 			apply_record(en, &en->gossip_in, edge_now(en));
 	}
@@ -286,6 +292,7 @@
 	edge_peer_sum_demands(en, now);
 	edge_peer_sum_loads(en, now);
 	edge_statement_tick(en, now);
+	edge_bind_tick(en, now);
 	compare_clocks(en, now);
 	edge_serve_followers(en, now);
 	prs_expire(&en->prs, now);
--- a/lib/edge/edge_req.c
+++ b/lib/edge/edge_req.c
@@ -51,6 +51,7 @@
 
 	ev_timer_stop(en->loop, &r->deadline_timer);
 	ev_timer_stop(en->loop, &r->verify_timer);
+	edge_bind_cancel(r);
 	edge_send_stop(r);
 	while (r->nr_tried)
 		flt_unref(&en->fleet, r->tried[--r->nr_tried]);
@@ -316,17 +317,21 @@
 	r->retry_charged = false;
 }
 
-/* Selects one of the route's services by weight, from a hash of the id. */
+/*
+ * Selects one of the route's services by weight, from a hash of the id: of the
+ * first attempt, if the request continues its stream.
+ */
 static const struct cfg_service *choose_service(const struct edge_req *r)
 {
 	const struct cfg_route *route = r->route;
+	const char *id = *r->attempt.resumes ? r->attempt.resumes
+					     : r->attempt.id;
 	double sum = 0, at;
 	size_t i;
 
 	for (i = 0; i < route->nr_shares; i++)
 		sum += route->shares[i].weight;
-	at = (double)(hsh_str(r->attempt.id, 7) >> 11) / (double)(1ull << 53) *
-	     sum;
+	at = (double)(hsh_str(id, 7) >> 11) / (double)(1ull << 53) * sum;
 	for (i = 0; i + 1 < route->nr_shares; i++) {
 		at -= route->shares[i].weight;
 		if (at < 0)
@@ -398,7 +403,8 @@
 	evs_init(&r->events);
 	again_earn(retry_budget(r), &l, en->nr_running, now);
 	arm_deadline_timer(r);
-	edge_send(r);
+	if (edge_bind_ready(r))
+		edge_send(r);
 }
 
 void edge_req_resume_waiting(struct edge *en)
--- a/lib/edge/edge_store.c
+++ b/lib/edge/edge_store.c
@@ -97,6 +97,7 @@
 		return;
 	ep = flt_upsert(&en->fleet, &info, edge_now(en), &change);
 	edge_rollout_endpoint_listed(en, ep);
+	edge_bind_endpoint_listed(en, ep);
 	if (change_names[change] && is_logged(en, change))
 		log_endpoint(en, ep, change_names[change]);
 }
--- a/lib/edge/explain.h
+++ b/lib/edge/explain.h
@@ -20,6 +20,13 @@
 /* Why it is refused if the entry reaches no endpoint, nor a relay to one. */
 #define EDGE_WHY_CUT_OFF "cut off from all endpoints"
 
+/*
+ * Why a stream is not continued: the version that began it is not known, or the
+ * route has been moved to another service.
+ */
+#define EDGE_WHY_UNBOUND "version of the stream not known"
+#define EDGE_WHY_OTHER_SERVICE "stream of another service"
+
 /* Why a stream is not continued: it began at a version that has no endpoint. */
 #define EDGE_WHY_NO_VERSION "no endpoint of the stream's version"
 
--- a/scripts/edge_cluster.sh
+++ b/scripts/edge_cluster.sh
@@ -156,7 +156,7 @@
 		status=$(curl -s -m "$leave" -o "$DIR/part-$id" \
 			-w '%{http_code}' -H 'Host: t.example' \
 			-H "Attempt-Id: e$n-$id-$try" -H 'Deadline-Ms: 8000' \
-			-H 'Authorization: Bearer k1' "${args[@]}" -d hello \
+			-H 'Authorization: Bearer k1' "${args[@]}" -d "$id" \
 			"http://$(cat "$DIR/front-$n")/s/x"; echo ":$?")
 		whole_events "$DIR/part-$id" >"$DIR/got-$id"
 		rm -f "$DIR/part-$id"
