rollout: all versions serve while there is no order

When a third version was listed without an order, the second one got no requests any more: the record names two versions, and the third was accepted in place of the second, 5 s after it was listed. Without an order all versions serve side by side; a later order starts its trial as before. Found while looking for other ways on which versions are confused; the new test failed before.

--- a/lib/rollout/rollout.c
+++ b/lib/rollout/rollout.c
@@ -356,7 +356,8 @@
 	case ROL_UNORDERED:
 		break;
 	}
-	return target || from ? FLT_IN_USE : FLT_WITHHELD;
+	/* Further versions come in the same way. */
+	return FLT_IN_USE;
 }
 
 unsigned rol_trial_endpoints(const struct rol_record *r, unsigned n)
--- a/lib/rollout/rollout.h
+++ b/lib/rollout/rollout.h
@@ -50,7 +50,7 @@
 	ROL_RUN_OUT, /* streams of the former version end */
 	ROL_COMPLETED,
 	ROL_ROLLED_BACK,
-	ROL_UNORDERED, /* both versions serve, without an order */
+	ROL_UNORDERED, /* all versions serve, without an order */
 };
 
 /* State of a roll-out, as stored. Timestamps are ms since the Unix epoch. */
--- a/tests/test_rollout.c
+++ b/tests/test_rollout.c
@@ -660,6 +660,19 @@
 	CU_ASSERT_EQUAL(rol_use(&r, "v1", &v1, false), FLT_IN_USE);
 }
 
+/* Guards against a second version that is withheld when a third one comes. */
+static void all_versions_serve_without_an_order(void)
+{
+	struct rol_record r = begin_rollout("v2", 9000);
+	struct flt_info v1 = { .version = "v1" }, v2 = { .version = "v2" };
+	struct flt_info v3 = { .version = "v3" };
+
+	r.stage = ROL_UNORDERED;
+	CU_ASSERT_EQUAL(rol_use(&r, "v1", &v1, false), FLT_IN_USE);
+	CU_ASSERT_EQUAL(rol_use(&r, "v1", &v2, false), FLT_IN_USE);
+	CU_ASSERT_EQUAL(rol_use(&r, "v1", &v3, false), FLT_IN_USE);
+}
+
 static void a_key_stays_with_one_version(void)
 {
 	struct rol_record r = begin_rollout("v2", 9000);
@@ -782,6 +795,8 @@
 	{ "a restored order matches its record",
 	  a_restored_order_matches_its_record },
 	{ "an unknown version is withheld", an_unknown_version_is_withheld },
+	{ "all versions serve without an order",
+	  all_versions_serve_without_an_order },
 	{ "a key stays with one version", a_key_stays_with_one_version },
 	{ "records are decoded as encoded", records_are_decoded_as_encoded },
 	{ "invalid orders are refused", invalid_orders_are_refused },
