--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -120,6 +120,8 @@
 	add statement_soak $?
 	BIN=$BUILD/bin CUTS=1 scripts/fault_soak.sh 6 1 2 3 >"$OUT" 2>&1
 	add cut_soak $?
+	BIN=$BUILD/bin VERSIONS=1 scripts/fault_soak.sh 6 1 2 3 4 >"$OUT" 2>&1
+	add version_soak $?
 fi
 rm -f "$OUT"
 echo "$passed passed, $failed failed"
--- a/scripts/fault_soak.sh
+++ b/scripts/fault_soak.sh
@@ -10,6 +10,9 @@
 # their answers, at any moment, alone and together.
 # With CUTS=1 entries are also cut off from all endpoints, in each of the ways of
 # tests/preload/cut.c, and services are brittle at times.
+# With VERSIONS=1 endpoints of several software versions come and go, and callers
+# continue streams that break off, at any entry. In half of the seeds versions that
+# nobody ordered are withheld at first.
 # Usage: fault_soak.sh SECONDS SEED...
 cd "$(dirname "$0")/.." || exit 1
 . scripts/cluster.sh
@@ -24,6 +27,7 @@
 CUTTABLE=$CUTS
 NR_FAULTS=11
 [ -n "$CUTS" ] && NR_FAULTS=15
+VERSIONS=${VERSIONS:-}
 BASE=$DIR
 
 # proxy NAME TO: starts a proxy, prints its address.
@@ -39,7 +43,7 @@
 # it was told: ID PATH STATUS EVENTS LAST. The id names the entry, for the
 # stand-in.
 caller() {
-	local k=$1 n=0 id path at status to
+	local k=$1 n=0 id path at status to leave
 	RANDOM=$((SEED * 100 + k))
 	while [ ! -e "$DIR/stop" ]; do
 		n=$((n + 1))
@@ -51,6 +55,12 @@
 		esac
 		to=$((RANDOM % EDGES + 1))
 		id=e$to-c$k-$n
+		if [ -n "$VERSIONS" ] && [ "$path" != /u/x ]; then
+			leave=8
+			[ $((RANDOM % 2)) = 0 ] && leave=0.$((RANDOM % 3 + 2))
+			stream "c$k-$n" 3 "$leave" any_entry
+			continue
+		fi
 		at=$(cat "$DIR/front-$to" 2>/dev/null)
 		status=$(curl -s -m 8 -o "$DIR/body-$k" -w '%{http_code}' \
 			-H 'Host: t.example' -H "Attempt-Id: $id" \
@@ -64,6 +74,26 @@
 	done
 }
 
+any_entry() { echo $((RANDOM % EDGES + 1)); }
+
+# A version comes, and an endpoint of any version leaves or crashes.
+change_version() {
+	local e=i-$((RANDOM % $(platform_test seen | grep -c '^i-') + 1)) v=v$((RANDOM % 3 + 1))
+	echo "version $v, and $e leaves"
+	platform_test "start?service=llm&version=$v&n=1" >/dev/null
+	[ "$(platform_test seen | grep -c "^$e llm ")" = 1 ] || return 0
+	platform_test "drain?id=$e" >/dev/null
+	platform_test "end?id=$e&ms=$((RANDOM % 2 * 2500))" >/dev/null
+}
+
+versions() {
+	RANDOM=$((SEED * 100 + 98))
+	while [ ! -e "$DIR/stop" ]; do
+		change_version >>"$DIR/versions"
+		sleep "0.$((RANDOM % 9 + 1))"
+	done
+}
+
 # front N: callers reach entry N by this proxy, also after its next start.
 front() {
 	FRONT_OF[$1]=front-$1-$(date +%s%N)
@@ -179,7 +209,8 @@
 	expect "$SEED: every start of an entry succeeded" \
 		[ -z "$(cat "$DIR"/edge-*.log)" ]
 	expect "$SEED: something was served" \
-		[ "$(grep -c ' 200:0 ' "$told")" -gt 10 ]
+		[ "$(cat "$told" "$DIR"/tries-* 2>/dev/null |
+			grep -c ' 200:0 ')" -gt 10 ]
 	expect "$SEED: nothing ran twice that may run once" \
 		[ "$(seen once_twice)" = 0 ]
 	expect "$SEED: no fence went back" [ "$(seen wrong_fence)" = 0 ]
@@ -203,6 +234,13 @@
 		[ "$(seen in_wait)" = 0 ]
 	expect "$SEED: brittle endpoints stay up" \
 		[ "$(seen fell)" -le $((2 * $(grep -c brittle "$DIR/faults"))) ]
+	if [ -n "$VERSIONS" ]; then
+		expect "$SEED: a stream goes on only at the version that began it" \
+			[ -z "$(versions_mixed)" ]
+		expect "$SEED: no piece of a stream is missing or comes twice" \
+			[ -z "$(pieces_wrong)" ]
+		echo "seed $SEED: begun $(went_on new again), continued $(went_on continued)"
+	fi
 	expect "$SEED: no entry ended by itself" \
 		[ -z "$(grep -lE 'Sanitizer|Assertion' "$DIR"/*.log)" ]
 }
@@ -214,7 +252,9 @@
 	VERSION=2
 	STORE_OF=() FRONT_OF=()
 	RANDOM=$SEED
-	start platform "$BIN/standin-platform" --endpoints 3 --era 1
+	[ -n "$VERSIONS" ] && [ $((SEED % 2)) = 0 ] && EXPOSURE=0 || EXPOSURE=0.1
+	start platform "$BIN/standin-platform" --endpoints 3 --era 1 \
+		${VERSIONS:+--gap 30}
 	STORE=$(ready platform) || return 1
 	for i in $(seq 1 $EDGES); do
 		proxy "store-$i" "$STORE"
@@ -229,6 +269,7 @@
 		caller "$i" &
 		done
 	[ -n "$STATEMENTS" ] && { statements & }
+	[ -n "$VERSIONS" ] && { versions & }
 	end=$((SECONDS + SECONDS_EACH))
 	while [ $SECONDS -lt $end ]; do
 		fault >>"$DIR/faults"
