edge: pauses between refusals only while there are several versions

A continued stream of a service with one version, refused by two of its many endpoints, paused before it tried the third. As before, it goes on at once.

--- a/lib/edge/edge_answer.c
+++ b/lib/edge/edge_answer.c
@@ -169,7 +169,7 @@
 {
 	const bool again = may_retry(r);
 	const bool pause =
-		r->bound &&
+		edge_bind_comes_first(r) &&
 		(!again || (r->rq.refusals + 1) % REFUSALS_BETWEEN_WAITS == 0);
 	enum rq_step step;
 
