fleet: long names of versions stay different

Names of versions were cut off at 63 bytes, so that two versions with the same beginning counted as one and streams could go on at either. A longer name now ends with a hash of all of it.

--- a/lib/fleet/flt.c
+++ b/lib/fleet/flt.c
@@ -1,9 +1,11 @@
 #include "fleet/flt.h"
 
 #include <assert.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/buf.h"
 #include "base/decay.h"
 #include "base/hsh.h"
 
@@ -90,6 +92,14 @@
 	return hsh_str(info->id, (uint64_t)info->started_ms);
 }
 
+void flt_copy_version(char out[FLT_NAME], const char *name)
+{
+	str_copy(out, name, FLT_NAME);
+	if (strlen(name) >= FLT_NAME)
+		snprintf(out + FLT_NAME - 18, 18, "~%016llx",
+			 (unsigned long long)hsh_str(name, 0));
+}
+
 uint64_t flt_version(const char *name)
 {
 	return hsh_str(name, 0);
--- a/lib/fleet/flt.h
+++ b/lib/fleet/flt.h
@@ -214,6 +214,12 @@
 		void (*on_expired)(struct flt_endpoint *e, void *arg),
 		void *arg);
 
+/*
+ * Copies the name of a version. One that is too long is cut off and ends with a
+ * hash of all of it, so that different versions stay different.
+ */
+void flt_copy_version(char out[FLT_NAME], const char *name);
+
 /* Hash of a version's name; "": versions that are not stated are one version. */
 uint64_t flt_version(const char *name);
 
--- a/tests/test_flt.c
+++ b/tests/test_flt.c
@@ -680,6 +680,25 @@
 	flt_free(&f);
 }
 
+/* Guards against versions that count as one as their long names begin alike. */
+static void long_names_of_versions_stay_different(void)
+{
+	char name[200], a[FLT_NAME], b[FLT_NAME];
+
+	memset(name, 'x', sizeof(name));
+	name[FLT_NAME - 1] = '\0';
+	flt_copy_version(a, name);
+	CU_ASSERT_STRING_EQUAL(a, name);
+	name[FLT_NAME - 1] = 'x';
+	name[sizeof(name) - 1] = '\0';
+	flt_copy_version(a, name);
+	name[sizeof(name) - 2] = 'y';
+	flt_copy_version(b, name);
+	CU_ASSERT_EQUAL(strlen(a), FLT_NAME - 1);
+	CU_ASSERT(strcmp(a, b) != 0);
+	CU_ASSERT(flt_version(a) != flt_version(b));
+}
+
 /*
  * Guards against streams that go on at another version than the one that began
  * them, whichever version is rolled out.
@@ -819,6 +838,8 @@
 	  few_sending_peers_consider_all_endpoints },
 	{ "a sampled pick returns an endpoint",
 	  sampled_pick_returns_an_endpoint },
+	{ "long names of versions stay different",
+	  long_names_of_versions_stay_different },
 	{ "bound requests go to their version only",
 	  bound_requests_go_to_their_version_only },
 	{ "excluded and unusable endpoints are not picked",
