edge: a stream may wait for a place again after a later break

The time for which a request waits for a place at its version was counted from its first wait, so that a stream that broke off twice was cut at once the second time. It begins anew with each event. For the retry budget only requests of services with several versions wait. Found while reading the change.

--- a/lib/edge/edge_answer.c
+++ b/lib/edge/edge_answer.c
@@ -345,6 +345,8 @@
 		count_usage(r, walltime_now(&en->walltime, edge_now(en)));
 	}
 	update_max_pause(r);
+	/* After another break the request may wait anew. */
+	r->place.since_ms = r->place.retry_ms = 0;
 	if (!r->rq.started)
 		put_stream_head(r, &out);
 	hmsg_put_chunk(&out, events.data, events.len);
--- a/lib/edge/edge_bind.c
+++ b/lib/edge/edge_bind.c
@@ -29,7 +29,7 @@
  */
 #define MAX_PLACE_WAIT_MS 1200
 #define PLACE_RETRY_MS 300
-#define MIN_PLACE_WAIT_MS 20
+#define MIN_PLACE_WAIT_MS 50
 
 /* Interval at which the versions of all listed endpoints are noted. */
 #define VERSIONS_INTERVAL_MS 1000
--- a/lib/edge/edge_send.c
+++ b/lib/edge/edge_send.c
@@ -306,7 +306,7 @@
 	 */
 	r->retry_charged = r->sends_reached > 0;
 	if (r->retry_charged && !edge_may_retry(r, true)) {
-		if (edge_bind_wait(r))
+		if (edge_bind_comes_first(r) && edge_bind_wait(r))
 			return;
 		edge_step(r, rq_no_endpoint(&r->rq), "no repeats left");
 		return;
