--- a/lib/edge/edge_answer.c
+++ b/lib/edge/edge_answer.c
@@ -38,7 +38,7 @@
 	edge_prefill_done(r);
 	r->endpoint->running--;
 	if (r->reply.status && !r->reply.not_run)
-		edge_bind_place_free(r->en, r->endpoint);
+		edge_place_freed(r->en, r->endpoint);
 	flt_unref(&r->en->fleet, r->endpoint);
 	r->endpoint = NULL;
 	edge_fatal_stopped(r);
@@ -169,7 +169,7 @@
 {
 	const bool again = may_retry(r);
 	const bool pause =
-		edge_bind_comes_first(r) &&
+		edge_place_comes_first(r) &&
 		(!again || (r->rq.refusals + 1) % REFUSALS_BETWEEN_WAITS == 0);
 	enum rq_step step;
 
@@ -177,7 +177,7 @@
 	step = rq_refused(&r->rq, (again || (pause && has_time(r))) &&
 					  !refused_enough(r));
 	if (pause && (step == RQ_SEND || step == RQ_RESUME) &&
-	    edge_bind_wait(r))
+	    edge_place_wait(r))
 		return;
 	edge_step(r, step, why);
 }
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -417,36 +417,44 @@
  */
 bool edge_bind_ready(struct edge_req *r);
 
-/* Ends the query, or the wait for a place. */
+/* Ends the query, if one is active. */
 void edge_bind_cancel(struct edge_req *r);
 
+/* The stream's first event is passed on: binds it to the endpoint's version. */
+void edge_bind_started(struct edge_req *r);
+
+void edge_bind_endpoint_listed(struct edge *en, const struct flt_endpoint *e);
+
+/* Handles a datagram of another entry; false: it is none about bindings. */
+bool edge_bind_datagram(struct edge *en, const char *bytes, size_t n,
+			const struct sockaddr_in *from);
+
+/* Reports bindings that their homes lack; in each round of gossip. */
+void edge_bind_tick(struct edge *en, int64_t now);
+
+/* True if the service, by the hash of its name, has several versions. */
+bool edge_bind_is_mixed(const struct edge *en, uint64_t service, int64_t now);
+
+/* ---- edge_place.c: places for streams at their version ---- */
+
 /*
  * There is no endpoint for the request now. True: one of its stream's version may
  * be open soon, and the request is sent then. False: it is bound to no version,
  * or there is none in time.
  */
-bool edge_bind_wait(struct edge_req *r);
+bool edge_place_wait(struct edge_req *r);
 
 /* A request ended at the endpoint: one that waits for a place is sent. */
-void edge_bind_place_free(struct edge *en, const struct flt_endpoint *e);
+void edge_place_freed(struct edge *en, const struct flt_endpoint *e);
 
 /*
  * True if the request continues a stream of a service with several versions: a
  * new one can go to each of them.
  */
-bool edge_bind_comes_first(const struct edge_req *r);
-
-/* The stream's first event is passed on: binds it to the endpoint's version. */
-void edge_bind_started(struct edge_req *r);
-
-void edge_bind_endpoint_listed(struct edge *en, const struct flt_endpoint *e);
+bool edge_place_comes_first(const struct edge_req *r);
 
-/* Handles a datagram of another entry; false: it is none about bindings. */
-bool edge_bind_datagram(struct edge *en, const char *bytes, size_t n,
-			const struct sockaddr_in *from);
-
-/* Reports bindings that their homes lack; in each round of gossip. */
-void edge_bind_tick(struct edge *en, int64_t now);
+/* Ends the wait, if there is one. */
+void edge_place_cancel(struct edge_req *r);
 
 /* ---- edge_relay.c: the way to endpoints, direct or through an entry ---- */
 
