edge, stream: one rule for who continues a stream; plainer names

From a second reading of the streams that stay with their version; no decision changes.

- flt_continues() is the rule that pick and the wait for a place both had.
- The versions of a service's endpoints are counted only for new streams, not for each pick of each request.
- xdr_flag() and the hash's encoding are in base/xdr.h; gossip and the datagrams of bindings had a copy each.
- A request is bound to a version in one function instead of three places.
- bnd_place is bnd_origin: a place is a free slot elsewhere.
Comments reworded; one claimed that bnd_next() is called before each send, which it is not.

--- a/lib/edge/edge_answer.c
+++ b/lib/edge/edge_answer.c
@@ -169,7 +169,7 @@
 {
 	const bool again = may_retry(r);
 	const bool pause =
-		edge_place_comes_first(r) &&
+		edge_bind_comes_first(r) &&
 		(!again || (r->rq.refusals + 1) % REFUSALS_BETWEEN_WAITS == 0);
 	enum rq_step step;
 
@@ -345,7 +345,7 @@
 		count_usage(r, walltime_now(&en->walltime, edge_now(en)));
 	}
 	update_max_pause(r);
-	/* After another break the request may wait anew. */
+	/* The next break begins a new wait. */
 	r->place.since_ms = r->place.retry_ms = 0;
 	if (!r->rq.started)
 		put_stream_head(r, &out);
--- a/lib/edge/edge_bind.c
+++ b/lib/edge/edge_bind.c
@@ -27,13 +27,24 @@
 /* A list of endpoints that is older may lack a version. */
 #define MAX_LIST_AGE_MS 1000
 
-bool edge_bind_is_mixed(const struct edge *en, uint64_t service, int64_t now)
+static uint64_t service_of(const struct edge_req *r)
+{
+	return hsh_str(r->service->name, 0);
+}
+
+/* True if the service has several versions. */
+static bool is_mixed(const struct edge *en, uint64_t service, int64_t now)
 {
 	uint64_t version;
 
 	return bnd_count_versions(&en->bindings, service, now, &version) > 1;
 }
 
+bool edge_bind_comes_first(const struct edge_req *r)
+{
+	return r->bound && is_mixed(r->en, service_of(r), edge_now(r->en));
+}
+
 /* ---- Homes ---- */
 
 struct home {
@@ -42,11 +53,6 @@
 	uint64_t weight;
 };
 
-static bool same_home(const struct home *a, const struct home *b)
-{
-	return a->peer == b->peer;
-}
-
 /* Better: in a zone that has none of the `n` homes yet, then by weight. */
 static bool is_better(const struct home *h, const struct home *best,
 		      const struct home *homes, unsigned n)
@@ -55,7 +61,7 @@
 	unsigned i;
 
 	for (i = 0; i < n; i++) {
-		if (same_home(h, &homes[i]))
+		if (h->peer == homes[i].peer)
 			return false;
 		zone_taken |= !strcmp(h->zone, homes[i].zone);
 		best_zone_taken |= best->zone &&
@@ -151,8 +157,10 @@
 
 static void flush(struct edge *en, struct batches *b)
 {
-	while (b->n--)
-		send_msg(en, &b->all[b->n].to->addr, &b->all[b->n].msg);
+	unsigned i;
+
+	for (i = 0; i < b->n; i++)
+		send_msg(en, &b->all[i].to->addr, &b->all[i].msg);
 	b->n = 0;
 }
 
@@ -179,7 +187,7 @@
 		m->nr_rows = 0;
 	}
 	m->rows[m->nr_rows++] =
-		(struct bnd_msg_row){ row->stream, row->at, true, false };
+		(struct bnd_msg_row){ row->stream, row->origin, true, false };
 }
 
 static bool has_row(const struct bnd_row *row, uint64_t process)
@@ -193,7 +201,7 @@
 	return false;
 }
 
-/* Reports the binding to its homes; unless `all`, to those that lack it. */
+/* Reports the binding to the homes that lack it, or to `all` of them. */
 static void report(struct edge *en, struct batches *b, struct bnd_row *row,
 		   bool all, int64_t now)
 {
@@ -230,7 +238,7 @@
 	b.n = 0;
 	HASH_ITER(hh, en->bindings.rows, row, next)
 	{
-		if (!row->own || !edge_bind_is_mixed(en, row->at.service, now))
+		if (!row->own || !is_mixed(en, row->origin.service, now))
 			continue;
 		all = row->repeat || !row->reported_ms ||
 		      is_due_again(row, now);
@@ -244,28 +252,32 @@
 
 /* ---- Streams that begin ---- */
 
-static struct bnd_place place_of(const struct flt_endpoint *e)
+static struct bnd_origin origin_of(const struct flt_endpoint *e)
 {
-	return (struct bnd_place){ hsh_str(e->info.service, 0), e->version };
+	return (struct bnd_origin){ hsh_str(e->info.service, 0), e->version };
+}
+
+static void bind_request(struct edge_req *r, uint64_t version, const char *name)
+{
+	r->bound = true;
+	r->version = version;
+	str_copy(r->began_version, name, sizeof(r->began_version));
 }
 
 void edge_bind_started(struct edge_req *r)
 {
 	struct edge *en = r->en;
 	const int64_t now = edge_now(en);
-	const struct bnd_place at = place_of(r->endpoint);
+	const struct bnd_origin origin = origin_of(r->endpoint);
 	struct batches b;
 	struct bnd_row *row;
 
 	b.n = 0;
-	r->bound = true;
-	r->version = at.version;
-	str_copy(r->began_version, r->endpoint->info.version,
-		 sizeof(r->began_version));
+	bind_request(r, origin.version, r->endpoint->info.version);
 	if (r->route->kind != CFG_STREAM)
 		return;
-	row = bnd_put(&en->bindings, r->stream, at, true, now);
-	if (row->reported_ms || !edge_bind_is_mixed(en, at.service, now))
+	row = bnd_put(&en->bindings, r->stream, origin, true, now);
+	if (row->reported_ms || !is_mixed(en, origin.service, now))
 		return;
 	/* At once: the caller may be back before the next round of gossip. */
 	report(en, &b, row, true, now);
@@ -339,7 +351,7 @@
 /* False: the request was refused and freed. */
 static bool bind_to(struct edge_req *r, const struct bnd_row *row)
 {
-	const struct cfg_service *s = find_service(r, row->at.service);
+	const struct cfg_service *s = find_service(r, row->origin.service);
 
 	if (!s) {
 		edge_req_answer(r, 503, EDGE_WHY_OTHER_SERVICE,
@@ -347,10 +359,8 @@
 		return false;
 	}
 	r->service = s;
-	r->bound = true;
-	r->version = row->at.version;
-	str_copy(r->began_version, version_name(r->en, r->version),
-		 sizeof(r->began_version));
+	bind_request(r, row->origin.version,
+		     version_name(r->en, row->origin.version));
 	log_continued(r,
 		      row->own		  ? "own"
 		      : r->query.nr_asked ? "asked"
@@ -362,16 +372,15 @@
 /* There is one version, which therefore began the stream. */
 static void bind_to_only_version(struct edge_req *r)
 {
-	r->bound = bnd_count_versions(&r->en->bindings,
-				      hsh_str(r->service->name, 0),
-				      edge_now(r->en), &r->version) == 1;
-	if (r->bound)
-		str_copy(r->began_version, version_name(r->en, r->version),
-			 sizeof(r->began_version));
+	uint64_t version;
+
+	if (bnd_count_versions(&r->en->bindings, service_of(r), edge_now(r->en),
+			       &version) == 1)
+		bind_request(r, version, version_name(r->en, version));
 	log_continued(r, "only version", -1);
 }
 
-/* True if this entry would know of another version of a service. */
+/* True if all versions of the last BND_KEEP_MS were listed here. */
 static bool knows_versions(const struct edge *en, int64_t now)
 {
 	const int64_t age = edge_list_age(en, now);
@@ -386,7 +395,7 @@
 	unsigned i;
 
 	m.rows[0].stream = r->stream;
-	m.rows[0].at.service = hsh_str(r->service->name, 0);
+	m.rows[0].origin.service = service_of(r);
 	for (i = 0; i < r->query.nr_asked; i++) {
 		if (!r->query.answered[i])
 			send_msg(r->en, &r->query.asked[i], &m);
@@ -465,8 +474,7 @@
 		return true;
 	row = bnd_find(&en->bindings, r->stream, now);
 	s.known = row != NULL;
-	s.mixed = r->query.mixed ||
-		  edge_bind_is_mixed(en, hsh_str(r->service->name, 0), now);
+	s.mixed = r->query.mixed || is_mixed(en, service_of(r), now);
 	/* Without the first attempt's id there is nothing to ask for. */
 	s.asked = r->query.over || !*r->attempt.resumes;
 	switch (bnd_next(&s)) {
@@ -502,8 +510,8 @@
 	unsigned i;
 
 	for (i = 0; i < m->nr_rows; i++)
-		bnd_put(&en->bindings, m->rows[i].stream, m->rows[i].at, false,
-			now);
+		bnd_put(&en->bindings, m->rows[i].stream, m->rows[i].origin,
+			false, now);
 }
 
 static void on_query(struct edge *en, const struct bnd_msg *m,
@@ -517,10 +525,9 @@
 		row = bnd_find(&en->bindings, m->rows[i].stream, now);
 		answer.rows[i] = (struct bnd_msg_row){
 			.stream = m->rows[i].stream,
-			.at = row ? row->at : m->rows[i].at,
+			.origin = row ? row->origin : m->rows[i].origin,
 			.known = row != NULL,
-			.mixed = edge_bind_is_mixed(en, m->rows[i].at.service,
-						    now),
+			.mixed = is_mixed(en, m->rows[i].origin.service, now),
 		};
 	}
 	send_msg(en, from, &answer);
@@ -570,7 +577,7 @@
 	struct edge_req *r;
 
 	if (row->known) {
-		bnd_put(&en->bindings, row->stream, row->at, false, now);
+		bnd_put(&en->bindings, row->stream, row->origin, false, now);
 		/* What ends one request may end others too. */
 		while ((r = find_query(en, row->stream)))
 			end_query(r);
@@ -612,7 +619,7 @@
 
 void edge_bind_endpoint_listed(struct edge *en, const struct flt_endpoint *e)
 {
-	bnd_listed(&en->bindings, place_of(e), edge_now(en));
+	bnd_listed(&en->bindings, origin_of(e), edge_now(en));
 }
 
 static void note_versions(struct edge *en, int64_t now)
@@ -621,7 +628,7 @@
 
 	en->versions_noted_ms = now;
 	cds_list_for_each_entry(e, &en->fleet.endpoints, node)
-		bnd_listed(&en->bindings, place_of(e), now);
+		bnd_listed(&en->bindings, origin_of(e), now);
 }
 
 void edge_bind_tick(struct edge *en, int64_t now)
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -432,8 +432,11 @@
 /* Reports bindings that their homes lack; in each round of gossip. */
 void edge_bind_tick(struct edge *en, int64_t now);
 
-/* True if the service, by the hash of its name, has several versions. */
-bool edge_bind_is_mixed(const struct edge *en, uint64_t service, int64_t now);
+/*
+ * True if the request continues a stream of a service with several versions: a
+ * new one can go to each of them.
+ */
+bool edge_bind_comes_first(const struct edge_req *r);
 
 /* ---- edge_place.c: places for streams at their version ---- */
 
@@ -447,12 +450,6 @@
 /* A request ended at the endpoint: one that waits for a place is sent. */
 void edge_place_freed(struct edge *en, const struct flt_endpoint *e);
 
-/*
- * True if the request continues a stream of a service with several versions: a
- * new one can go to each of them.
- */
-bool edge_place_comes_first(const struct edge_req *r);
-
 /* Ends the wait, if there is one. */
 void edge_place_cancel(struct edge_req *r);
 
--- a/lib/edge/edge_place.c
+++ b/lib/edge/edge_place.c
@@ -2,15 +2,12 @@
  * Places for streams that are bound to a version (bnd.h): the version may have few
  * endpoints, and a request waits until one of them is free.
  */
-#include <string.h>
-
 #include "edge/edge_internal.h"
 
 /*
- * A stream's version may have few endpoints: time for which a request waits for
- * a place at one of them, and time after which those that refused it are tried
- * again, doubled each time, since the retry budget covers few refusals. Clients
- * give up after a pause of two seconds.
+ * Maximum wait for a place; clients give up after a pause of two seconds. Delay
+ * before endpoints that refused the request are tried again, doubled each time,
+ * since the retry budget covers few refusals.
  */
 #define MAX_PLACE_WAIT_MS 1200
 #define PLACE_RETRY_MS 300
@@ -20,9 +17,8 @@
 
 static bool is_of_stream(const struct edge_req *r, const struct flt_endpoint *e)
 {
-	return e->version == r->version && e->use != FLT_REJECTED &&
-	       !e->removed && !e->draining_since_ms && !e->exited &&
-	       !strcmp(e->info.service, r->service->name);
+	return flt_continues(e, r->service->name, r->version) && !e->removed &&
+	       !e->draining_since_ms && !e->exited;
 }
 
 static bool was_tried(const struct edge_req *r, const struct flt_endpoint *e)
@@ -132,10 +128,3 @@
 	send_in(r, at < now + MIN_PLACE_WAIT_MS ? MIN_PLACE_WAIT_MS : at - now);
 	return true;
 }
-
-bool edge_place_comes_first(const struct edge_req *r)
-{
-	return r->bound &&
-	       edge_bind_is_mixed(r->en, hsh_str(r->service->name, 0),
-				  edge_now(r->en));
-}
--- a/lib/edge/edge_send.c
+++ b/lib/edge/edge_send.c
@@ -40,7 +40,7 @@
 
 	if (!r->service->has_engine || !r->en->conf->policy.urgency)
 		return -1;
-	return urgency && edge_place_comes_first(r) ? urgency - 1 : urgency;
+	return urgency && edge_bind_comes_first(r) ? urgency - 1 : urgency;
 }
 
 /* Picks among the endpoints with this use, without those already tried. */
@@ -306,7 +306,7 @@
 	 */
 	r->retry_charged = r->sends_reached > 0;
 	if (r->retry_charged && !edge_may_retry(r, true)) {
-		if (edge_place_comes_first(r) && edge_place_wait(r))
+		if (edge_bind_comes_first(r) && edge_place_wait(r))
 			return;
 		edge_step(r, rq_no_endpoint(&r->rq), "no repeats left");
 		return;
--- a/lib/edge/explain.c
+++ b/lib/edge/explain.c
@@ -87,8 +87,8 @@
 }
 
 /*
- * True for the lines of an attempt by which the caller continued the stream:
- * the line of its send, and those that come after it.
+ * True for the lines of an attempt that resumes the stream: the first one that
+ * names it, and all later ones.
  */
 static bool is_continuation(const struct explain *x, struct json_object *o)
 {
--- a/lib/fleet/flt.c
+++ b/lib/fleet/flt.c
@@ -338,6 +338,13 @@
 	return !e->missing_since_ms || now < e->grace_until_ms;
 }
 
+bool flt_continues(const struct flt_endpoint *e, const char *service,
+		   uint64_t version)
+{
+	return e->version == version && e->use != FLT_REJECTED &&
+	       !strcmp(e->info.service, service);
+}
+
 int64_t flt_open_ms(const struct flt_endpoint *e, int64_t now)
 {
 	const struct brittle_load load = {
--- a/lib/fleet/flt.h
+++ b/lib/fleet/flt.h
@@ -248,6 +248,14 @@
  */
 bool flt_in_service(const struct flt_endpoint *e, int64_t now_ms);
 
+/*
+ * True if the endpoint may get the rest of a stream of this service that began at
+ * `version`, whichever version is rolled out. Does not consider whether it takes
+ * requests now.
+ */
+bool flt_continues(const struct flt_endpoint *e, const char *service,
+		   uint64_t version);
+
 /*
  * Returns the earliest time at which what the endpoint stated in its answers
  * allows one more request; at most `now_ms`: now.
--- a/lib/member/gsp.c
+++ b/lib/member/gsp.c
@@ -1,10 +1,11 @@
 #include "member/gsp.h"
 
 #include <math.h>
-#include <rpc/rpc.h>
 #include <stddef.h>
 #include <string.h>
 
+#include "base/xdr.h"
+
 /*
  * First word of a datagram: identifies the protocol and its layout, so that
  * stray datagrams are dropped.
@@ -21,16 +22,6 @@
 	return xdr_int64_t(x, v);
 }
 
-static bool_t xdr_flag(XDR *x, bool *v)
-{
-	bool_t b = *v;
-
-	if (!xdr_bool(x, &b))
-		return FALSE;
-	*v = b;
-	return TRUE;
-}
-
 static bool_t xdr_head(XDR *x, struct gsp_record *r)
 {
 	uint32_t magic = GSP_MAGIC;
@@ -141,16 +132,11 @@
 	return TRUE;
 }
 
-static bool_t xdr_wide(XDR *x, struct hsh128 *h)
-{
-	return xdr_uint64_t(x, &h->hi) && xdr_uint64_t(x, &h->lo);
-}
-
 static bool_t xdr_fatal(XDR *x, struct fatal_gossip *t)
 {
 	unsigned i;
 
-	if (!xdr_wide(x, &t->content) || !xdr_uint64_t(x, &t->running_at) ||
+	if (!xdr_hsh128(x, &t->content) || !xdr_uint64_t(x, &t->running_at) ||
 	    !xdr_u_int(x, &t->nr_crashes) || t->nr_crashes > FATAL_MAX_CRASHES)
 		return FALSE;
 	for (i = 0; i < t->nr_crashes; i++) {
--- a/lib/route/pick.c
+++ b/lib/route/pick.c
@@ -62,11 +62,9 @@
 static bool is_asked_for(const struct pick_query *q,
 			 const struct flt_endpoint *e)
 {
-	if (strcmp(e->info.service, q->service) != 0)
-		return false;
 	if (q->bound)
-		return e->version == q->version && e->use != FLT_REJECTED;
-	return e->use == q->use;
+		return flt_continues(e, q->service, q->version);
+	return e->use == q->use && !strcmp(e->info.service, q->service);
 }
 
 static bool is_candidate(const struct pick_query *q,
@@ -166,7 +164,10 @@
 	return cost + crash_risk_cost(q, e);
 }
 
-/* The versions among the endpoints of the service that take requests. */
+/*
+ * The versions among the endpoints of the service that take requests; none if it
+ * does not matter which one the request goes to.
+ */
 struct versions {
 	unsigned n;
 	struct {
@@ -182,6 +183,8 @@
 	unsigned i;
 
 	v->n = 0;
+	if (!q->stream || q->bound)
+		return;
 	cds_list_for_each_entry(e, &f->endpoints, node) {
 		if (!is_asked_for(q, e) || !flt_in_service(e, q->now_ms))
 			continue;
@@ -198,13 +201,12 @@
 	}
 }
 
-static double rare_version_cost(const struct pick_query *q,
-				const struct versions *v,
+static double rare_version_cost(const struct versions *v,
 				const struct flt_endpoint *e)
 {
 	unsigned i;
 
-	if (!q->stream || q->bound || v->n < 2)
+	if (v->n < 2)
 		return 0;
 	for (i = 0; i < v->n; i++) {
 		if (v->all[i].version == e->version)
@@ -274,7 +276,7 @@
 		    (best.endpoint || remaining))
 			continue;
 		r.cost_ms = cost_of(q, e, p_cached, &r) +
-			    rare_version_cost(q, &versions, e);
+			    rare_version_cost(&versions, e);
 		if (best.endpoint && r.cost_ms >= best.cost_ms)
 			continue;
 		best = r;
--- a/lib/stream/bnd.c
+++ b/lib/stream/bnd.c
@@ -52,7 +52,7 @@
 }
 
 struct bnd_row *bnd_put(struct bnd *b, struct hsh128 stream,
-			struct bnd_place at, bool own, int64_t now)
+			struct bnd_origin origin, bool own, int64_t now)
 {
 	struct bnd_row *r = bnd_find(b, stream, now);
 
@@ -65,7 +65,7 @@
 	r = calloc(1, sizeof(*r));
 	assert(r);
 	r->stream = stream;
-	r->at = at;
+	r->origin = origin;
 	r->own = own;
 	r->bound_ms = r->used_ms = now;
 	link_row(b, r);
@@ -106,20 +106,20 @@
 	return oldest;
 }
 
-void bnd_listed(struct bnd *b, struct bnd_place at, int64_t now)
+void bnd_listed(struct bnd *b, struct bnd_origin origin, int64_t now)
 {
-	struct bnd_service *s = service_of(b, at.service);
+	struct bnd_service *s = service_of(b, origin.service);
 	unsigned i;
 
 	for (i = 0; i < s->nr_versions; i++) {
-		if (s->versions[i].version == at.version)
+		if (s->versions[i].version == origin.version)
 			break;
 	}
 	if (i == BND_MAX_VERSIONS)
 		i = oldest_version(s);
 	else if (i == s->nr_versions)
 		s->nr_versions++;
-	s->versions[i].version = at.version;
+	s->versions[i].version = origin.version;
 	s->versions[i].seen_ms = now;
 }
 
--- a/lib/stream/bnd.h
+++ b/lib/stream/bnd.h
@@ -46,14 +46,14 @@
 #define BND_MAX_VERSIONS 16
 
 /* Hashes of the names of a service and of a version of its software. */
-struct bnd_place {
+struct bnd_origin {
 	uint64_t service, version;
 };
 
 struct bnd_row {
 	UT_hash_handle hh;    /* in bnd.rows, least recently used first */
 	struct hsh128 stream; /* the client account and the first attempt */
-	struct bnd_place at;
+	struct bnd_origin origin;
 	int64_t bound_ms; /* or reported by another entry */
 	int64_t used_ms;
 	bool own; /* this entry passed on events of it, and reports it */
@@ -92,7 +92,7 @@
  * events. Returns the row, valid until the table changes.
  */
 struct bnd_row *bnd_put(struct bnd *b, struct hsh128 stream,
-			struct bnd_place at, bool own, int64_t now_ms);
+			struct bnd_origin origin, bool own, int64_t now_ms);
 
 /* Returns the stream's binding and marks it as used; NULL: unknown. */
 struct bnd_row *bnd_find(struct bnd *b, struct hsh128 stream, int64_t now_ms);
@@ -103,7 +103,7 @@
 /* ---- Versions ---- */
 
 /* An endpoint of this service and version is listed. */
-void bnd_listed(struct bnd *b, struct bnd_place at, int64_t now_ms);
+void bnd_listed(struct bnd *b, struct bnd_origin origin, int64_t now_ms);
 
 /*
  * Returns the number of versions of the service that were listed in the last
@@ -126,12 +126,14 @@
 	bool continues; /* the client has events of it */
 	bool known;	/* its binding is */
 	bool mixed; /* the service has several versions, here or at a home */
-	/* This entry would know of another version: see BND_KEEP_MS. */
-	bool sure;
+	bool sure;  /* all versions of the last BND_KEEP_MS were listed here */
 	bool asked; /* the homes answered, or did not in time */
 };
 
-/* To be asked before each send: first, retry, resumption, move, relay. */
+/*
+ * To be called before the first send. A request that is bound, then or by its
+ * first event, stays so for all further sends (flt_continues()).
+ */
 enum bnd_step bnd_next(const struct bnd_state *s);
 
 #endif
--- a/lib/stream/bnd_msg.c
+++ b/lib/stream/bnd_msg.c
@@ -1,26 +1,15 @@
 #include "stream/bnd_msg.h"
 
-#include <rpc/rpc.h>
+#include "base/xdr.h"
 
 /* First word of a datagram, unlike that of gossip. */
 #define BND_MAGIC 0x6d646201
 
-static bool_t xdr_flag(XDR *x, bool *v)
-{
-	bool_t b = *v;
-
-	if (!xdr_bool(x, &b))
-		return FALSE;
-	*v = b;
-	return TRUE;
-}
-
 static bool_t xdr_row(XDR *x, struct bnd_msg_row *r)
 {
-	return xdr_uint64_t(x, &r->stream.hi) &&
-	       xdr_uint64_t(x, &r->stream.lo) &&
-	       xdr_uint64_t(x, &r->at.service) &&
-	       xdr_uint64_t(x, &r->at.version) && xdr_flag(x, &r->known) &&
+	return xdr_hsh128(x, &r->stream) &&
+	       xdr_uint64_t(x, &r->origin.service) &&
+	       xdr_uint64_t(x, &r->origin.version) && xdr_flag(x, &r->known) &&
 	       xdr_flag(x, &r->mixed);
 }
 
--- a/lib/stream/bnd_msg.h
+++ b/lib/stream/bnd_msg.h
@@ -21,9 +21,10 @@
 
 struct bnd_msg_row {
 	struct hsh128 stream;
-	struct bnd_place at; /* of a query, and if not `known`: the service */
-	bool known;	     /* of an answer: the sender has the binding */
-	bool mixed; /* of an answer: the sender knows of several versions */
+	struct bnd_origin
+		origin; /* of a query, and if not `known`: the service */
+	bool known;	/* of an answer: the sender has the binding */
+	bool mixed;	/* of an answer: the sender knows of several versions */
 };
 
 struct bnd_msg {
--- a/tests/test_bnd.c
+++ b/tests/test_bnd.c
@@ -7,14 +7,11 @@
 #include "stream/bnd_msg.h"
 #include "support/unit.h"
 
-static const struct bnd_place v1 = { 7, 1 }, v2 = { 7, 2 };
+static const struct bnd_origin v1 = { 7, 1 }, v2 = { 7, 2 };
 
 /* ---- Decision ---- */
 
-/*
- * Every way on which a request is sent asks the same question. Guards against
- * streams that go on at a version that is guessed.
- */
+/* Guards against streams that go on at a version that is guessed. */
 static void only_a_known_or_the_only_version_continues_a_stream(void)
 {
 	static const struct {
@@ -25,7 +22,7 @@
 		{ { .continues = false, .mixed = true }, BND_ANY },
 		{ { .continues = false, .mixed = true, .asked = true },
 		  BND_ANY },
-		/* Resumed, moved, relayed or taken up: known. */
+		/* A stream of which the version is known. */
 		{ { .continues = true, .known = true }, BND_BOUND },
 		{ { .continues = true, .known = true, .mixed = true },
 		  BND_BOUND },
@@ -77,7 +74,7 @@
 
 	CU_ASSERT_PTR_NULL(bnd_find(&b, stream(1), 0));
 	CU_ASSERT_FALSE(bnd_put(&b, stream(1), v1, false, 0)->own);
-	CU_ASSERT_EQUAL(bnd_put(&b, stream(1), v2, true, 5)->at.version, 1);
+	CU_ASSERT_EQUAL(bnd_put(&b, stream(1), v2, true, 5)->origin.version, 1);
 	CU_ASSERT(bnd_find(&b, stream(1), 10)->own);
 	CU_ASSERT_PTR_NULL(bnd_find(&b, stream(2), 10));
 	bnd_free(&b);
@@ -124,7 +121,7 @@
 			1);
 	CU_ASSERT_EQUAL(version, 2);
 	for (i = 0; i < 3 * BND_MAX_VERSIONS; i++)
-		bnd_listed(&b, (struct bnd_place){ 7, 100 + i },
+		bnd_listed(&b, (struct bnd_origin){ 7, 100 + i },
 			   2000 + BND_KEEP_MS);
 	CU_ASSERT_EQUAL(bnd_count_versions(&b, 7, 2000 + BND_KEEP_MS, &version),
 			BND_MAX_VERSIONS);
@@ -152,7 +149,8 @@
 	CU_ASSERT_EQUAL(out.nr_rows, m.nr_rows);
 	for (i = 0; i < m.nr_rows; i++) {
 		CU_ASSERT(hsh128_equal(out.rows[i].stream, m.rows[i].stream));
-		CU_ASSERT_EQUAL(out.rows[i].at.version, m.rows[i].at.version);
+		CU_ASSERT_EQUAL(out.rows[i].origin.version,
+				m.rows[i].origin.version);
 		CU_ASSERT_EQUAL(out.rows[i].known, m.rows[i].known);
 		CU_ASSERT_EQUAL(out.rows[i].mixed, m.rows[i].mixed);
 	}
