tests: callers in one loop; refusals and choice of bound and new streams

cut_test, order_test and the load of the statements' tests had the loop that runs callers at all entries in a copy each; it is with_callers() now, with the same callers, pauses and order. Two rules that only order_test played have unit tests: how often a bound request may be refused, and that new streams prefer versions with more endpoints.

--- a/scripts/cut_test.sh
+++ b/scripts/cut_test.sh
@@ -50,19 +50,9 @@
 # load COMMAND...: sends to all entries while the command runs; leaves what
 # callers got in $DIR/told.
 load() {
-	local n k pids=
-	rm -f "$DIR/stop" "$DIR"/told-*
+	rm -f "$DIR"/told-*
 	phase before
-	for n in $(seq 1 "$EDGES"); do
-		for k in 1 2 3; do
-			caller "$n" "$k" &
-			pids="$pids $!"
-		done
-	done
-	sleep 1
-	"$@"
-	: >"$DIR/stop"
-	wait $pids
+	with_callers caller 3 "$@"
 	cat "$DIR"/told-* >"$DIR/told"
 }
 
--- a/scripts/edge_cluster.sh
+++ b/scripts/edge_cluster.sh
@@ -129,6 +129,25 @@
 # in_force N VERSION: entry N has had it in force.
 in_force() { grep -q "\"event\":\"config_in_force\",\"config\":$2," "$DIR/edge-$1.out"; }
 
+# with_callers CALLER EACH COMMAND...: runs `CALLER N K` for each entry N and for K
+# from 1 to EACH, in the background, while the command runs. They end when
+# $DIR/stop exists.
+with_callers() {
+	local caller=$1 each=$2 n k pids=
+	shift 2
+	rm -f "$DIR/stop"
+	for n in $(seq 1 "$EDGES"); do
+		for k in $(seq 1 "$each"); do
+			"$caller" "$n" "$k" &
+			pids="$pids $!"
+		done
+	done
+	sleep 1
+	"$@"
+	: >"$DIR/stop"
+	wait $pids
+}
+
 # whole_events FILE: "ID piece N of VERSION" for each event that is whole.
 whole_events() {
 	awk '/^id: / { id = $2 } /^data: / { data = substr($0, 7) }
--- a/scripts/edge_load.sh
+++ b/scripts/edge_load.sh
@@ -12,7 +12,7 @@
 		is "$(request "$1" "e$1-$RANDOM" /s/x -d hello)" 200
 }
 
-# load_entry N PATH: sends to entry N until $DIR/stop exists, and notes the
+# load_entry N: sends to $LOAD_PATH of entry N until $DIR/stop exists, and notes the
 # statuses. The attempt's id names the entry, for the stand-in.
 load_entry() {
 	local n=$1 i=0 at head=$DIR/head-$1-$BASHPID
@@ -24,7 +24,7 @@
 			-H "Attempt-Id: e$n-$BASHPID-$i" \
 			-H 'Authorization: Bearer k1' \
 			-d "hello${UNIQUE:+ $n-$BASHPID-$i}" \
-			"http://$at$2" >>"$DIR/statuses"
+			"http://$at$LOAD_PATH" >>"$DIR/statuses"
 		grep -i '^retry-after' "$head" >>"$DIR/retries"
 		sleep 0.03
 	done
@@ -32,20 +32,16 @@
 
 # load PATH COMMAND...: sends to all entries while the command runs.
 load() {
-	local path=$1 n k pids=
+	LOAD_PATH=$1
 	shift
-	rm -f "$DIR/stop" "$DIR/statuses" "$DIR/retries"
-	for n in $(seq 1 "$EDGES"); do
-		for k in $(seq 1 "$LOADS"); do
-			load_entry "$n" "$path" &
-			pids="$pids $!"
-		done
-	done
-	sleep 1
+	rm -f "$DIR/statuses" "$DIR/retries"
+	with_callers load_entry "$LOADS" after_seen "$@"
+}
+
+# after_seen COMMAND...: runs it after what the stand-in saw until then was noted.
+after_seen() {
 	platform_test seen >"$DIR/before"
 	"$@"
-	: >"$DIR/stop"
-	wait $pids
 }
 
 # unchanged NAME: a count of the stand-in is what it was when the load began.
--- a/scripts/fault_soak.sh
+++ b/scripts/fault_soak.sh
@@ -11,8 +11,8 @@
 # With CUTS=1 entries are also cut off from all endpoints, in each of the ways of
 # tests/preload/cut.c, and services are brittle at times.
 # With VERSIONS=1 endpoints of several software versions come and go, and callers
-# continue streams that break off, at any entry. In half of the seeds versions that
-# nobody ordered are withheld at first.
+# continue streams that break off, at any entry. With odd seeds a version without an
+# order is withheld at first.
 # Usage: fault_soak.sh SECONDS SEED...
 cd "$(dirname "$0")/.." || exit 1
 . scripts/cluster.sh
--- a/scripts/order_test.sh
+++ b/scripts/order_test.sh
@@ -39,18 +39,8 @@
 
 # load COMMAND...: streams at all entries while the command runs.
 load() {
-	local n k pids=
-	rm -f "$DIR/stop" "$DIR"/events-* "$DIR"/tries-*
-	for n in $(seq 1 "$EDGES"); do
-		for k in $(seq 1 "$CALLERS_EACH"); do
-			caller "$n" "$k" &
-			pids="$pids $!"
-		done
-	done
-	sleep 1
-	"$@"
-	: >"$DIR/stop"
-	wait $pids
+	rm -f "$DIR"/events-* "$DIR"/tries-*
+	with_callers caller "$CALLERS_EACH" "$@"
 }
 
 # each CALL ID...: a call for each endpoint.
@@ -173,7 +163,7 @@
 	expect "$CASE: a stream goes on only at the version that began it" \
 		none versions_mixed
 	expect "$CASE: no piece is missing or comes twice" none pieces_wrong
-	# Without any entry that was up, nobody knows a version.
+	# The bindings are lost with the entries.
 	[ "$CASE" = all ] || expect \
 		"$CASE: continued streams go on as often as new ones begin" \
 		[ -n "$SHARE" ]
--- a/tests/test_flt.c
+++ b/tests/test_flt.c
@@ -740,6 +740,34 @@
 	}
 }
 
+/* Guards against new streams that take the places of a version with few ones. */
+static void new_streams_prefer_versions_with_more_endpoints(void)
+{
+	struct flt_info info = { .service = "llm", .zone = "z1", .slots = 8 };
+	static const char *const versions[] = { "v1", "v2", "v2" };
+	struct pick_query q;
+	enum flt_change change;
+	struct parts none;
+	struct flt f;
+	size_t i;
+
+	parts_init(&none);
+	flt_init(&f, NULL);
+	for (i = 0; i < sizeof(versions) / sizeof(versions[0]); i++) {
+		snprintf(info.id, sizeof(info.id), "e%zu", i);
+		str_copy(info.version, versions[i], sizeof(info.version));
+		flt_upsert(&f, &info, 1, &change);
+	}
+	q = query(0, &none);
+	CU_ASSERT_STRING_EQUAL(pick_endpoint(&f, &q).endpoint->info.id, "e0");
+	q.stream = true;
+	CU_ASSERT_STRING_EQUAL(pick_endpoint(&f, &q).endpoint->info.id, "e1");
+	q.bound = true;
+	q.version = flt_version("v1");
+	CU_ASSERT_STRING_EQUAL(pick_endpoint(&f, &q).endpoint->info.id, "e0");
+	flt_free(&f);
+}
+
 static void excluded_and_unusable_endpoints_are_not_picked(void)
 {
 	struct flt f;
@@ -842,6 +870,8 @@
 	  long_names_of_versions_stay_different },
 	{ "bound requests go to their version only",
 	  bound_requests_go_to_their_version_only },
+	{ "new streams prefer versions with more endpoints",
+	  new_streams_prefer_versions_with_more_endpoints },
 	{ "excluded and unusable endpoints are not picked",
 	  excluded_and_unusable_endpoints_are_not_picked },
 };
--- a/tests/test_rq.c
+++ b/tests/test_rq.c
@@ -228,6 +228,25 @@
 	CU_ASSERT_EQUAL(rq_lost(&r, true), RQ_BAD_GATEWAY);
 }
 
+/* Guards against streams that are cut as the few endpoints left were full. */
+static void bound_request_is_refused_more_often(void)
+{
+	const struct cfg_route route = { .kind = CFG_STREAM,
+					 .resumable = true,
+					 .max_endpoints = 1 };
+	struct rq r;
+	int i;
+
+	rq_init(&r, &route);
+	rq_bound(&r);
+	for (i = 0; i < RQ_MAX_REFUSALS_BOUND; i++) {
+		rq_sent(&r);
+		CU_ASSERT_EQUAL(rq_refused(&r, true), RQ_SEND);
+	}
+	rq_sent(&r);
+	CU_ASSERT_EQUAL(rq_refused(&r, true), RQ_NOT_RUN);
+}
+
 /* After a refusal ("not run") the request may go to another endpoint. */
 static void refused_request_is_sent_again(void)
 {
@@ -377,6 +396,8 @@
 	{ "the variant that trusts broken connections is detected",
 	  variant_that_trusts_broken_connections_is_detected },
 	{ "a lost request is not repeated", lost_request_is_not_repeated },
+	{ "a bound request is refused more often",
+	  bound_request_is_refused_more_often },
 	{ "a refused request is sent again", refused_request_is_sent_again },
 	{ "a timeout after the send is not reported as not run",
 	  timeout_after_send_is_not_reported_as_not_run },
