edge: log the shared parts of prompts, and answers that end with their connection

While endpoints crashed one after the other, the logs could not tell apart three causes: requests that differ in their content but share what crashes the endpoint; crashes that look like whole answers and clear the suspect; an entry that takes itself to be cut off and drops the evidence. The parts of the prompt were in no line, `cleared` only at level debug, and no line said how an answer ended.

- `send_ended` says whether the answer was unframed.
- An entry logs the suspects that its own answers clear, and counts them (marldock_requests_cleared_total).

--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -205,6 +205,8 @@
 					    "ends held against a request");
 	x->requests_convicted = met_counter(m, "requests_convicted_total",
 					    "requests known to end endpoints");
+	x->requests_cleared = met_counter(m, "requests_cleared_total",
+					  "suspects cleared by a whole answer");
 	x->requests_withheld =
 		met_counter(m, "requests_withheld_total",
 			    "attempts of such requests not sent");
--- a/lib/edge/edge_answer.c
+++ b/lib/edge/edge_answer.c
@@ -55,6 +55,7 @@
 	jlog_str(en->log, "endpoint", r->endpoint->info.id);
 	jlog_str(en->log, "outcome", outcome);
 	jlog_int(en->log, "status", status);
+	jlog_bool(en->log, "unframed", r->unframed);
 	jlog_int(en->log, "events", (int64_t)r->events.events);
 	jlog_int(en->log, "first_ms",
 		 r->first_event_ms ? r->first_event_ms - r->sent_ms : -1);
@@ -511,6 +512,7 @@
 	struct edge_req *r = htc_owner(call);
 
 	r->call = NULL;
+	r->unframed = htc_ended_by_close(call);
 	if (r->reply.not_run) {
 		edge_send_not_run(
 			r, r->reply.misdirected ? FLT_MISDIRECTED : FLT_BUSY,
--- a/lib/edge/edge_fatal.c
+++ b/lib/edge/edge_fatal.c
@@ -93,14 +93,17 @@
 
 	/*
 	 * Convictions, and crashes that this entry saw, are warnings. Other
-	 * changes are logged as such by the entry that saw them.
+	 * changes are logged by the entry that saw them.
 	 */
 	log_suspect(en, row,
 		    endpoint || change == FATAL_CONVICTED ? JLOG_WARN
-							  : JLOG_DEBUG,
+		    : en->fatal_from_others		  ? JLOG_DEBUG
+							  : JLOG_INFO,
 		    changes[change], e ? e->info.id : "");
 	if (change == FATAL_SUSPECTED)
 		met_inc(en->m.requests_suspected);
+	if (change == FATAL_CLEARED)
+		met_inc(en->m.requests_cleared);
 	if (change == FATAL_CONVICTED) {
 		met_inc(en->m.requests_convicted);
 		/* This entry saw the crash, so it writes the record. */
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -88,7 +88,8 @@
 	met_value *cut_off, *reach_checks, *sends_relayed, *relay_failures;
 	met_value *brittle_refusals, *endpoints_brittle;
 	met_value *tunnels, *tunnels_opened, *tunnels_refused;
-	met_value *requests_suspected, *requests_convicted, *requests_withheld;
+	met_value *requests_suspected, *requests_convicted, *requests_cleared,
+		*requests_withheld;
 	met_value *sends, *resends, *resumes, *sends_not_run, *sends_lost;
 	met_value *store_calls[STO_KINDS], *store_followed, *store_relayed;
 	met_value *store_failures, *store_returns, *config_checks;
@@ -323,6 +324,7 @@
 	unsigned sends_reached; /* sends that may have reached an endpoint */
 	bool retry_charged;	/* the current send, to the retry budget */
 	struct reply reply;
+	bool unframed;		/* the answer ended with its connection */
 	struct buf answer_head; /* until the first event was passed on */
 	struct buf answer_body; /* of an answer without a stream */
 	struct {
--- a/lib/edge/edge_send.c
+++ b/lib/edge/edge_send.c
@@ -77,6 +77,17 @@
 	return pick_endpoint(&en->fleet, &q);
 }
 
+/* Adds the ids of the prompt's shared parts, separated by commas. */
+static void log_parts(struct edge *en, const struct attempt *a)
+{
+	BUF_AUTO ids = BUF_INIT;
+	unsigned i;
+
+	for (i = 0; i < a->nr_parts; i++)
+		buf_fmt(&ids, "%s%s", i ? "," : "", a->parts[i].id);
+	jlog_str(en->log, "parts", buf_cstr(&ids));
+}
+
 static void log_send(struct edge_req *r, const struct pick_result *p,
 		     const struct forward *f)
 {
@@ -86,6 +97,7 @@
 	jlog_begin(en->log, JLOG_INFO, "send");
 	jlog_str(en->log, "id", r->attempt.id);
 	edge_log_content(en, r->content);
+	log_parts(en, &r->attempt);
 	jlog_str(en->log, "route", r->route->name);
 	jlog_str(en->log, "account", r->account ? r->account->name : "");
 	jlog_int(en->log, "config", r->cfg->version);
@@ -176,6 +188,7 @@
 	r->sent_ms = now;
 	r->sent_true_ms = walltime_now(&en->walltime, now);
 	memset(&r->reply, 0, sizeof(r->reply));
+	r->unframed = false;
 	evs_drop_partial(&r->events);
 	log_send(r, p, &f);
 	en->wire->encode_request(&c->parse.msg, &c->body, &r->attempt, &f,
--- a/lib/io/htc.c
+++ b/lib/io/htc.c
@@ -46,6 +46,7 @@
 	enum htc_unreached unreached;
 	bool no_body;
 	bool head_delivered; /* the owner accepted the head */
+	bool ended_by_close; /* the response has no framing */
 };
 
 static void idle_add(struct htc_conn *k)
@@ -383,6 +384,7 @@
 	}
 	if (complete) {
 		k->closing = true;
+		k->call->ended_by_close = true;
 		finish(k, false);
 		return;
 	}
@@ -590,6 +592,11 @@
 	return c->unreached;
 }
 
+bool htc_ended_by_close(const struct htc_call *c)
+{
+	return c->ended_by_close;
+}
+
 void *htc_owner(const struct htc_call *c)
 {
 	return c->owner;
--- a/lib/io/htc.h
+++ b/lib/io/htc.h
@@ -152,6 +152,12 @@
 /* Why the call was not sent; valid in `failed` with HTC_NOT_SENT. */
 enum htc_unreached htc_unreached(const struct htc_call *c);
 
+/*
+ * True if the response has neither a length nor chunks, and ended with its
+ * connection: it may have been cut short. Valid in `end`.
+ */
+bool htc_ended_by_close(const struct htc_call *c);
+
 /* The `owner` given to htc_start. */
 void *htc_owner(const struct htc_call *c);
 
--- a/lib/request/attempt.h
+++ b/lib/request/attempt.h
@@ -13,6 +13,17 @@
 #define ATTEMPT_HOST 256
 #define ATTEMPT_KEY 256
 #define ATTEMPT_MALFORMED 64
+#define ATTEMPT_PART 20
+
+/* Parts of a prompt that are kept: of more, the first and the last ones. */
+#define ATTEMPT_MAX_PARTS 32
+
+/* A part of a prompt, which any number of requests may share. */
+struct attempt_part {
+	/* Of its id, a hexadecimal number: not of the way it is written. */
+	uint64_t hash;
+	char id[ATTEMPT_PART]; /* for logs; may be cut off */
+};
 
 struct attempt {
 	char id[ATTEMPT_ID];
@@ -30,6 +41,9 @@
 	double output_tokens; /* upper bound */
 	uint64_t prefix_hash; /* hash of the prompt's shared parts; 0: none */
 	double prefix_tokens; /* length of these parts */
+	/* Each of them once, without the last one, the request's own. */
+	struct attempt_part parts[ATTEMPT_MAX_PARTS];
+	unsigned nr_parts;
 };
 
 /* The decoded head of an endpoint's response. */
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -239,6 +239,85 @@
 	hparse_free(&p);
 }
 
+/* Decodes a request with this Prefix-Hash. */
+static void decode_parts(const char *value, struct attempt *a)
+{
+	struct err e = ERR_INIT;
+	BUF_AUTO head = BUF_INIT;
+	struct hparse p;
+
+	buf_fmt(&head,
+		"POST /x/1 HTTP/1.1\r\nHost: a\r\nAttempt-Id: 2\r\n"
+		"Prefix-Hash: %s\r\n\r\n",
+		value);
+	parse(&p, true, buf_cstr(&head));
+	CU_ASSERT_EQUAL(pf_wire()->decode_request(&p.msg, a, &e), 0);
+	hparse_free(&p);
+}
+
+static void shared_parts_are_decoded_one_by_one(void)
+{
+	struct attempt a, b;
+
+	decode_parts("5c1e07a2:800,91bd3f06:410,e4402b7d:250", &a);
+	CU_ASSERT_EQUAL_FATAL(a.nr_parts, 2);
+	CU_ASSERT_STRING_EQUAL(a.parts[0].id, "5c1e07a2");
+	CU_ASSERT_STRING_EQUAL(a.parts[1].id, "91bd3f06");
+	/* The same parts in another place, with another length. */
+	decode_parts("aa:1,91bd3f06:7,5c1e07a2:800,e4402b7d:250", &b);
+	CU_ASSERT_EQUAL_FATAL(b.nr_parts, 3);
+	CU_ASSERT_EQUAL(b.parts[2].hash, a.parts[0].hash);
+	CU_ASSERT_EQUAL(b.parts[1].hash, a.parts[1].hash);
+	CU_ASSERT_NOT_EQUAL(b.parts[0].hash, a.parts[0].hash);
+	decode_parts("e4402b7d:250", &a);
+	CU_ASSERT_EQUAL(a.nr_parts, 0);
+}
+
+static void unusual_lists_of_parts(void)
+{
+	static const struct {
+		const char *value;
+		unsigned parts;
+	} all[] = {
+		{ ",", 0 },
+		{ ",,,", 0 },
+		{ ":5,:6,7:1", 0 },
+		{ "5c1e,91bd,e440", 2 },
+		{ "aa:1,aa:2,b:3", 1 },
+		{ "not hex:1,b:2", 1 },
+		{ " aa:1 , AA:1,b:2", 1 },
+		{ "0aa:1,aa:1,b:2", 1 },
+		{ "0:1,00:1,b:2", 1 },
+		{ "aa:1:2,b:2", 1 },
+		{ "aa:-1,ab:nan,b:2", 2 },
+		{ "0123456789abcdef0123456789abcdef:1,b:2", 1 },
+	};
+	struct attempt a;
+	size_t i;
+
+	for (i = 0; i < sizeof(all) / sizeof(all[0]); i++) {
+		decode_parts(all[i].value, &a);
+		CU_ASSERT_EQUAL(a.nr_parts, all[i].parts);
+	}
+}
+
+/* Of a list that is too long the first and the last shared parts are kept. */
+static void long_lists_of_parts_are_bounded(void)
+{
+	BUF_AUTO list = BUF_INIT;
+	struct attempt a;
+	int i;
+
+	for (i = 0; i < 700; i++)
+		buf_fmt(&list, "%x:1,", 0x1000 + i);
+	buf_str(&list, "ffff:1");
+	decode_parts(buf_cstr(&list), &a);
+	CU_ASSERT_EQUAL(a.nr_parts, ATTEMPT_MAX_PARTS);
+	CU_ASSERT_STRING_EQUAL(a.parts[0].id, "1000");
+	CU_ASSERT_STRING_EQUAL(a.parts[ATTEMPT_MAX_PARTS / 2 - 1].id, "100f");
+	CU_ASSERT_STRING_EQUAL(a.parts[ATTEMPT_MAX_PARTS - 1].id, "12bb");
+}
+
 static void continued_stream_is_named(void)
 {
 	struct err e = ERR_INIT;
@@ -657,6 +736,10 @@
 	{ "entries of other writers name no endpoint",
 	  entries_of_other_writers_name_no_endpoint },
 	{ "an attempt is decoded", attempt_is_decoded },
+	{ "shared parts are decoded one by one",
+	  shared_parts_are_decoded_one_by_one },
+	{ "unusual lists of parts", unusual_lists_of_parts },
+	{ "long lists of parts are bounded", long_lists_of_parts_are_bounded },
 	{ "a continued stream is named", continued_stream_is_named },
 	{ "wrong heads are refused", wrong_heads_are_refused },
 	{ "forged headers do not pass", forged_headers_do_not_pass },
