tests: parts of prompts that crash endpoints (known red)

parts_test plays what the incident showed, with six real entries and twelve endpoints on the stand-in: one part of a prompt crashes each endpoint that begins to write an answer on it, three such requests a second, no two alike, each tried again at another entry; sound ones share the account, the first part and a pool of others. Cases: connections reset and closed in order, within an event, between two events of an answer with neither length nor chunks, before the head; the part first of all; two parts, and two in one request; random crashes, killed entries, entries that are cut off, draining endpoints, endpoints that come back under the same id, a second version.

The stand-in's endpoints crash by part, at a chosen place of the answer; come back after a chosen time, at the same address and under the same id; and answer without framing.

--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -93,6 +93,8 @@
 	# Each of many entries has a small part of the budget of repeats.
 	BIN=$BUILD/bin EDGES=16 scripts/ending_test.sh >"$OUT" 2>/dev/null
 	add ending_test_16 $?
+	BIN=$BUILD/bin scripts/parts_test.sh 3 >"$OUT" 2>/dev/null
+	add parts_test $?
 	BIN=$BUILD/bin scripts/limit_test.sh >"$OUT" 2>/dev/null
 	add limit_test $?
 	BIN=$BUILD/bin scripts/leaving_test.sh >"$OUT" 2>/dev/null
--- a/tests/standin/platform.c
+++ b/tests/standin/platform.c
@@ -14,18 +14,20 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include "base/clk.h"
 #include "base/jsn.h"
 #include "base/rnd.h"
 #include "io/hsc.h"
+#include "support/poison.h"
 #include "support/slow_link.h"
 #include "support/statements.h"
 
 #define MAX_KEYS 1024
 #define MAX_RUNS 20000
-#define MAX_ENDPOINTS 512
+#define MAX_ENDPOINTS 1024
 #define MAX_AT_START 16 /* of each service */
 #define HISTORY 4096
 #define MAX_LEASES 256
@@ -43,6 +45,12 @@
 #define START_AGAIN_MS 700
 #define LAPSE_MS 1500
 
+/* The same for a part of its prompt: from the send to the crash, or the head. */
+#define POISON_MS 100
+
+/* An endpoint crashes while it writes the answer to a body with this word. */
+#define TORN "torn"
+
 struct item {
 	char key[200];
 	char *value; /* base64, as it came; NULL: not there */
@@ -64,12 +72,14 @@
 
 struct endpoint {
 	struct hsc_server server;
-	char id[32];
+	char id[32], address[32]; /* address: once it has ended */
 	char service[32], version[32];
+	int64_t born_ms;
 	int error_percent; /* percentage of answers that are errors */
 	bool draining, gone, fail, mute, break_streams;
 	int64_t gone_ms;
 	int64_t end_ms; /* it ends then; 0: it does not */
+	bool reset;	/* its connections are reset then */
 	bool ended, started_again, lapsed;
 	unsigned seen; /* requests since it was drained */
 	int room;      /* requests that run at the same time; 0: any number */
@@ -103,7 +113,17 @@
 	struct hsc *conn;
 	struct endpoint *at;
 	int next, last;
+	int made; /* here, without those before the stream was resumed */
 	int64_t due_ms;
+	unsigned poison; /* the parts that crash the endpoint, psn_sent() */
+	bool unframed;
+};
+
+/* How an endpoint comes back after a crash. */
+enum again {
+	AGAIN_ELSEWHERE,  /* another id at another address */
+	AGAIN_SAME_PLACE, /* another id at the same address */
+	AGAIN_SAME_ID,	  /* the same id, born later, at the same address */
 };
 
 static struct {
@@ -141,6 +161,10 @@
 	int nr_full;  /* requests refused for want of room */
 	struct stm_brittle brittle; /* service "": none */
 	bool mended;		    /* no body ends an endpoint any more */
+	struct psn poison;
+	bool unframed; /* answers have neither a length nor chunks */
+	int start_again_ms;
+	enum again again;
 	int nr_usage, nr_scale, wrong_fence, usage_twice;
 	int64_t last_fence;
 	char usage[64][512];
@@ -625,9 +649,9 @@
 	snprintf(text, sizeof(text),
 		 "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"north\","
 		 "\"version\":\"%s\",\"slots\":8,\"state\":\"%s\","
-		 "\"coldLeftMs\":0,\"seqNo\":1}",
+		 "\"coldLeftMs\":0,\"born\":%lld,\"seqNo\":1}",
 		 e->service, address, e->version,
-		 e->draining ? "draining" : "ready");
+		 e->draining ? "draining" : "ready", (long long)e->born_ms);
 	write_text(key, text);
 }
 
@@ -654,12 +678,20 @@
 	stm_put(&e->statements, id, out, now_ms());
 	if (stream) {
 		hmsg_put(out, "Content-Type", "text/event-stream");
-		hmsg_put(out, "Transfer-Encoding", "chunked");
+		if (!w.unframed)
+			hmsg_put(out, "Transfer-Encoding", "chunked");
 		hmsg_put_end(out);
 	}
 }
 
-static void start_stream(struct endpoint *e, struct hsc *c, const char *id)
+/* Ends an answer without framing, which its connection ends. */
+static void close_after_answer(struct hsc *c)
+{
+	hsc_done(c, true);
+}
+
+static void start_stream(struct endpoint *e, struct hsc *c, const char *id,
+			 unsigned poison)
 {
 	const char *after = hmsg_find(&c->parse.msg, "Last-Event-Id");
 	struct stream *s = calloc(1, sizeof(*s));
@@ -672,7 +704,9 @@
 	s->at = e;
 	s->next = after ? atoi(after) + 1 : 1;
 	s->last = 20;
-	s->due_ms = now_ms() + w.gap_ms;
+	s->poison = poison;
+	s->unframed = w.unframed;
+	s->due_ms = now_ms() + (poison ? POISON_MS : w.gap_ms);
 	c->request = s;
 	cds_list_add_tail(&s->node, &w.streams);
 }
@@ -692,11 +726,22 @@
 	buf_fmt(&body, "%s ran %s for %s", e->id, id,
 		account ? account : "nobody");
 	put_head(e, &out, answers_error(e) ? 500 : 200, id, false);
-	hmsg_put_int(&out, "Content-Length", (int64_t)body.len);
+	if (!w.unframed)
+		hmsg_put_int(&out, "Content-Length", (int64_t)body.len);
 	hmsg_put_end(&out);
+	if (!w.mended && strstr(buf_cstr(&c->body), TORN)) {
+		buf_add(&out, body.data, body.len / 2);
+		hsc_write(c, out.data, out.len);
+		if (!e->end_ms)
+			e->end_ms = now_ms();
+		return;
+	}
 	buf_add(&out, body.data, body.len);
 	hsc_write(c, out.data, out.len);
-	hsc_done(c, false);
+	if (w.unframed)
+		close_after_answer(c);
+	else
+		hsc_done(c, false);
 }
 
 /* Ends a stream without its end. */
@@ -781,6 +826,16 @@
 	return true;
 }
 
+/* Parts of a prompt crash the endpoint, `ms` from now. */
+static void crash_by(struct endpoint *e, unsigned poison, int ms)
+{
+	if (e->end_ms)
+		return;
+	e->end_ms = now_ms() + ms;
+	e->reset = psn_first(&w.poison, poison)->reset;
+	psn_crashed(&w.poison, poison, e->end_ms);
+}
+
 static void endpoint_request(struct hsc *c)
 {
 	struct endpoint *e = c->server->owner;
@@ -788,6 +843,7 @@
 	const char *id = hmsg_find(m, "Attempt-Id");
 	const char *expected = hmsg_find(m, "Expect-Replica");
 	const char *copy = hmsg_find(m, "Kv-From");
+	unsigned poison;
 	struct run *r;
 
 	if (!strcmp(hmsg_url(m), "/v1/kv-move")) {
@@ -824,11 +880,17 @@
 			e->end_ms = now_ms() + FATAL_MS;
 		return;
 	}
+	poison = psn_sent(&w.poison, hmsg_find(m, "Prefix-Hash"), id,
+			  e->version, now_ms());
+	if (poison && psn_first(&w.poison, poison)->events < 0) {
+		crash_by(e, poison, POISON_MS);
+		return;
+	}
 	/* One that fails has an error in place of the rest of a stream. */
 	if (strstr(e->service, "llm") &&
 	    !((e->fail && hmsg_find(m, "Last-Event-Id")) ||
 	      (e->error_percent && answers_error(e))))
-		start_stream(e, c, id);
+		start_stream(e, c, id, poison);
 	else
 		answer_plain(e, c, id);
 }
@@ -860,15 +922,20 @@
 						   endpoint_gone, no_fault,
 						   limits };
 
-static struct endpoint *open_endpoint(const char *service, const char *version)
+/* `address`: IP:PORT; `id`: NULL for one of its own. */
+static struct endpoint *open_endpoint_at(const char *service,
+					 const char *version,
+					 const char *address, const char *id)
 {
 	struct endpoint *e = &w.endpoints[w.nr_endpoints++];
 	struct sockaddr_in addr;
 
-	/* An address of their own: cut.c tells connections to them by it. */
-	ioc_address("127.0.0.2:0", &addr, NULL);
+	ioc_address(address, &addr, NULL);
 	hsc_server_open(&e->server, w.loop, &addr, &endpoint_vtable, e, NULL);
 	snprintf(e->id, sizeof(e->id), "i-%d", w.nr_endpoints);
+	if (id)
+		str_copy(e->id, id, sizeof(e->id));
+	e->born_ms = now_ms();
 	str_copy(e->service, service, sizeof(e->service));
 	str_copy(e->version, version, sizeof(e->version));
 	if (!strcmp(w.brittle.service, service))
@@ -877,6 +944,38 @@
 	return e;
 }
 
+/* They have an IP of their own: cut.c tells connections to them by it. */
+#define ENDPOINT_ADDRESS "127.0.0.2:0"
+
+static struct endpoint *open_endpoint(const char *service, const char *version)
+{
+	return open_endpoint_at(service, version, ENDPOINT_ADDRESS, NULL);
+}
+
+/* After a crash of `e`. */
+static void start_again(const struct endpoint *e)
+{
+	char id[sizeof(e->id)], address[32];
+
+	str_copy(id, e->id, sizeof(id));
+	str_copy(address, e->address, sizeof(address));
+	open_endpoint_at(e->service, e->version,
+			 w.again == AGAIN_ELSEWHERE ? ENDPOINT_ADDRESS
+						    : address,
+			 w.again == AGAIN_SAME_ID ? id : NULL);
+}
+
+/* Closing the connections sends resets. */
+static void reset_on_close(struct endpoint *e)
+{
+	const struct linger none = { .l_onoff = 1 };
+	struct hsc *c;
+
+	cds_list_for_each_entry(c, &e->server.conns, node)
+		setsockopt(c->io->fd, SOL_SOCKET, SO_LINGER, &none,
+			   sizeof(none));
+}
+
 /* The process ends, and takes all that runs there with it. */
 static void end_endpoint(struct endpoint *e)
 {
@@ -891,6 +990,9 @@
 	}
 	e->ended = true;
 	w.nr_ended++;
+	hsc_server_address(&e->server, e->address, sizeof(e->address));
+	if (e->reset)
+		reset_on_close(e);
 	hsc_server_close(&e->server);
 }
 
@@ -1002,10 +1104,11 @@
 		return;
 	if (!e->ended && now >= e->end_ms)
 		end_endpoint(e);
-	if (!e->started_again && now >= e->end_ms + START_AGAIN_MS &&
+	if (!e->started_again && now >= e->end_ms + w.start_again_ms &&
 	    w.nr_endpoints < MAX_ENDPOINTS) {
 		e->started_again = true;
-		open_endpoint(e->service, e->version);
+		start_again(e);
+		e->lapsed |= w.again == AGAIN_SAME_ID;
 	}
 	if (!e->lapsed && now >= e->end_ms + LAPSE_MS) {
 		e->lapsed = true;
@@ -1014,30 +1117,54 @@
 	}
 }
 
+static void write_piece(struct stream *s, const char *data, size_t len)
+{
+	BUF_AUTO out = BUF_INIT;
+
+	if (s->unframed) {
+		hsc_write(s->conn, data, len);
+		return;
+	}
+	hmsg_put_chunk(&out, data, len);
+	hsc_write(s->conn, out.data, out.len);
+}
+
 static void stream_step(struct stream *s)
 {
+	const struct psn_part *part;
 	BUF_AUTO event = BUF_INIT;
 	BUF_AUTO out = BUF_INIT;
 
 	if (s->at->break_streams && s->next == s->last / 2) {
 		/* In the middle of an event. */
-		hmsg_put_chunk(&out, "id: 999\nda", 10);
-		hsc_write(s->conn, out.data, out.len);
+		write_piece(s, "id: 999\nda", 10);
 		cut_stream(s);
 		return;
 	}
 	buf_fmt(&event, "id: %d\ndata: piece %d of %s\n\n", s->next, s->next,
 		s->at->version);
-	hmsg_put_chunk(&out, event.data, event.len);
-	if (s->next == s->last)
-		hmsg_put_chunk(&out, "", 0);
-	hsc_write(s->conn, out.data, out.len);
+	part = psn_first(&w.poison, s->poison);
+	if (part && s->made == part->events) {
+		if (part->within)
+			write_piece(s, event.data, event.len / 2);
+		crash_by(s->at, s->poison, 0);
+		s->due_ms = INT64_MAX;
+		return;
+	}
+	write_piece(s, event.data, event.len);
+	s->made++;
 	s->due_ms = now_ms() + w.gap_ms;
 	if (s->next++ < s->last)
 		return;
 	cds_list_del(&s->node);
 	s->conn->request = NULL;
-	hsc_done(s->conn, false);
+	if (s->unframed) {
+		close_after_answer(s->conn);
+	} else {
+		hmsg_put_chunk(&out, "", 0);
+		hsc_write(s->conn, out.data, out.len);
+		hsc_done(s->conn, false);
+	}
 	free(s);
 }
 
@@ -1061,6 +1188,8 @@
 	BUF_AUTO out = BUF_INIT;
 	int i, twice = 0, once = 0, late = 0, per[MAX_ENDPOINTS] = { 0 };
 	unsigned over_limit = 0, most = 0, stated_leaving = 0, in_wait = 0;
+	unsigned sends = 0, crashes = 0, poison_late = 0, poison_known = 0;
+	int64_t known_ms = 0;
 
 	for (i = 0; i < w.nr_runs; i++) {
 		once += w.runs[i].once;
@@ -1076,6 +1205,20 @@
 		stated_leaving += s->to_leaving;
 		in_wait += s->in_wait;
 	}
+	for (i = 0; i < (int)w.poison.nr_parts; i++) {
+		const struct psn_part *p = &w.poison.parts[i];
+
+		sends += p->sends;
+		crashes += p->crashes;
+		poison_late = p->late > poison_late ? p->late : poison_late;
+		poison_known += p->known_ms != 0;
+		known_ms = p->known_ms > known_ms ? p->known_ms : known_ms;
+	}
+	buf_fmt(&out,
+		"poison_sends %u poison_crashes %u poison_late %u "
+		"poison_known %u poison_known_age %lld ",
+		sends, crashes, poison_late, poison_known,
+		(long long)(known_ms ? now_ms() - known_ms : -1));
 	buf_fmt(&out,
 		"runs %d once %d once_twice %d to_leaving %d usage %d usage_twice %d "
 		"orders %d wrong_fence %d revision %lld config_told %d "
@@ -1145,6 +1288,7 @@
 
 	for (i = 0; i < w.nr_endpoints; i++)
 		stm_excuse(&w.endpoints[i].statements, (unsigned)entry);
+	psn_excuse(&w.poison, (unsigned)entry, now_ms());
 }
 
 /* False: no such call. */
@@ -1218,6 +1362,19 @@
 	} else if (!strncmp(url, "/test/excuse", 12)) {
 		hmsg_query(url, "entry", number, sizeof(number));
 		excuse(atoi(number));
+	} else if (!strncmp(url, "/test/poison", 12)) {
+		psn_add(&w.poison, url);
+	} else if (!strncmp(url, "/test/antidote", 14)) {
+		psn_clear(&w.poison);
+	} else if (!strncmp(url, "/test/unframed", 14)) {
+		hmsg_query(url, "n", number, sizeof(number));
+		w.unframed = atoi(number);
+	} else if (!strncmp(url, "/test/again", 11)) {
+		hmsg_query(url, "ms", number, sizeof(number));
+		w.start_again_ms = atoi(number);
+		str_copy(number, "0", sizeof(number));
+		hmsg_query(url, "how", number, sizeof(number));
+		w.again = (enum again)atoi(number);
 	} else if (!strncmp(url, "/test/down", 10)) {
 		hmsg_query(url, "ms", number, sizeof(number));
 		w.down_until_ms = now_ms() + atoll(number);
@@ -1342,6 +1499,7 @@
 	int i, endpoints = 2;
 
 	w.gap_ms = 10;
+	w.start_again_ms = START_AGAIN_MS;
 	for (i = 1; i + 1 < argc; i += 2) {
 		if (!strcmp(argv[i], "--endpoints"))
 			endpoints = atoi(argv[i + 1]);
