--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -201,12 +201,25 @@
 	x->endpoints_ended =
 		met_counter(m, "endpoints_ended_total",
 			    "endpoints that ended under our requests");
-	x->requests_suspected = met_counter(m, "requests_suspected_total",
-					    "ends held against a request");
-	x->requests_convicted = met_counter(m, "requests_convicted_total",
-					    "requests known to end endpoints");
-	x->requests_cleared = met_counter(m, "requests_cleared_total",
-					  "suspects cleared by a whole answer");
+	x->suspects[0] = (struct edge_suspect_metrics){
+		met_counter(m, "requests_suspected_total",
+			    "ends held against a request"),
+		met_counter(m, "requests_convicted_total",
+			    "requests known to end endpoints"),
+		met_counter(m, "requests_cleared_total",
+			    "suspects cleared by a whole answer"),
+	};
+	x->suspects[1] = (struct edge_suspect_metrics){
+		met_counter(m, "parts_suspected_total",
+			    "crashes that count against a part of prompts"),
+		met_counter(m, "parts_convicted_total",
+			    "parts of prompts that crash endpoints"),
+		met_counter(m, "parts_cleared_total",
+			    "suspected parts cleared by a complete answer"),
+	};
+	x->sends_quarantined =
+		met_counter(m, "sends_quarantined_total",
+			    "sends of requests that are quarantined: 0");
 	x->requests_withheld =
 		met_counter(m, "requests_withheld_total",
 			    "attempts of such requests not sent");
--- a/lib/edge/edge_fatal.c
+++ b/lib/edge/edge_fatal.c
@@ -36,12 +36,35 @@
 
 /* ---- Log ---- */
 
+static const struct {
+	/* Of the kind in the log, and of its value: a digest, or the name. */
+	const char *name, *value;
+} kinds[] = {
+	[FATAL_CONTENT] = { "content", "" },
+	[FATAL_PART] = { "part", "part" },
+	[FATAL_NR_KINDS] = { "unknown", "" },
+};
+
+/* Adds the fields by which requests with the feature, and its record, are found. */
+static void log_feature(struct edge *en, enum fatal_kind kind,
+			struct hsh128 key, const char *name)
+{
+	char digits[33];
+
+	hsh128_hex(key, digits);
+	jlog_str(en->log, "kind", kinds[kind].name);
+	jlog_str(en->log, kind == FATAL_CONTENT ? "content" : "feature",
+		 digits);
+	if (*kinds[kind].value)
+		jlog_str(en->log, kinds[kind].value, name);
+}
+
 static void log_suspect(struct edge *en, const struct fatal_row *row,
 			enum jlog_level level, const char *what,
 			const char *endpoint)
 {
 	jlog_begin(en->log, level, "request_suspect");
-	edge_log_content(en, row->content);
+	log_feature(en, row->kind, row->key, row->name);
 	jlog_str(en->log, "change", what);
 	jlog_str(en->log, "endpoint", endpoint);
 	jlog_int(en->log, "ends", fatal_crash_count(row));
@@ -78,6 +101,20 @@
 
 /* ---- Changes of suspicion ---- */
 
+static void count_change(struct edge *en, const struct fatal_row *row,
+			 enum fatal_change change)
+{
+	const struct edge_suspect_metrics *m =
+		&en->m.suspects[row->kind == FATAL_PART];
+
+	if (change == FATAL_SUSPECTED)
+		met_inc(m->suspected);
+	if (change == FATAL_CONVICTED)
+		met_inc(m->convicted);
+	if (change == FATAL_CLEARED)
+		met_inc(m->cleared);
+}
+
 static void on_changed(void *arg, const struct fatal_row *row,
 		       enum fatal_change change, uint64_t endpoint)
 {
@@ -100,15 +137,11 @@
 		    : en->fatal_from_others		  ? JLOG_DEBUG
 							  : JLOG_INFO,
 		    changes[change], e ? e->info.id : "");
-	if (change == FATAL_SUSPECTED)
-		met_inc(en->m.requests_suspected);
-	if (change == FATAL_CLEARED)
-		met_inc(en->m.requests_cleared);
+	count_change(en, row, change);
 	if (change == FATAL_CONVICTED) {
-		met_inc(en->m.requests_convicted);
 		/* This entry saw the crash, so it writes the record. */
 		if (endpoint)
-			fatal_find(&en->fatal, row->content)->store_next_ms =
+			fatal_find(&en->fatal, row->key)->store_next_ms =
 				edge_now(en);
 	}
 	/*
@@ -119,37 +152,40 @@
 		gossip_soon(en);
 }
 
-static const struct fatal_vtable fatal_callbacks = { on_changed };
+static bool has_feature(const struct edge_req *r, struct hsh128 key)
+{
+	unsigned i;
 
-/* ---- Gossip ---- */
+	for (i = 0; i < r->fatal.nr_features; i++) {
+		if (hsh128_equal(r->fatal.features[i].key, key))
+			return true;
+	}
+	return false;
+}
 
-/* A request with this content that is in flight here; NULL: none. */
-static const struct edge_req *find_in_flight(const struct edge *en,
-					     struct hsh128 content)
+static uint64_t on_running_at(void *arg, struct hsh128 key)
 {
+	const struct edge *en = arg;
 	const struct edge_req *r;
 
 	cds_list_for_each_entry(r, &en->requests, node) {
-		if (r->endpoint && hsh128_equal(r->content, content))
-			return r;
+		if (r->endpoint && has_feature(r, key))
+			return r->endpoint->hash;
 	}
-	return NULL;
+	return 0;
 }
 
-/* Hash of the endpoint at which this entry runs the content; 0: none. */
-static uint64_t endpoint_of(void *arg, struct hsh128 content)
-{
-	const struct edge_req *r = find_in_flight(arg, content);
+static const struct fatal_vtable fatal_callbacks = { on_changed,
+						     on_running_at };
 
-	return r ? r->endpoint->hash : 0;
-}
+/* ---- Gossip ---- */
 
 void edge_fatal_fill_gossip(struct edge *en, struct gsp_record *out,
 			    int64_t now)
 {
-	out->nr_fatal =
-		fatal_collect_gossip(&en->fatal, out->fatal, FATAL_MAX_GOSSIP,
-				     &en->nr_fatal_news, endpoint_of, en, now);
+	out->nr_fatal = fatal_collect_gossip(&en->fatal, out->fatal,
+					     FATAL_MAX_GOSSIP,
+					     &en->nr_fatal_news, now);
 }
 
 void edge_fatal_apply_gossip(struct edge *en, const struct gsp_record *r,
@@ -188,7 +224,7 @@
 	cds_list_for_each_entry(row, &en->fatal.rows, node) {
 		if (fatal_crash_count(row) < FATAL_STRONG_CRASHES)
 			continue;
-		add_suspect(en, endpoint_of(en, row->content));
+		add_suspect(en, on_running_at(en, row->key));
 		for (i = 0; i < row->nr_runs; i++)
 			add_suspect(en, row->runs[i].endpoint);
 	}
@@ -209,19 +245,30 @@
 		edge_req_answer(r, 503, why, retry_ms);
 }
 
+/* Says what crashes the endpoints, as the caller wrote it. */
+static void quarantine(struct edge_req *r, const struct fatal_feature *x)
+{
+	char why[80];
+
+	jlog_begin(r->en->log, JLOG_INFO, "request_quarantined");
+	jlog_str(r->en->log, "id", r->attempt.id);
+	log_feature(r->en, x->kind, x->key, x->name);
+	jlog_end(r->en->log);
+	if (x->kind == FATAL_PART)
+		snprintf(why, sizeof(why),
+			 "part %s of the prompt crashes endpoints", x->name);
+	else
+		str_copy(why, "ends the endpoints that run it", sizeof(why));
+	give_up(r, why, QUARANTINE_RETRY_MS);
+}
+
 bool edge_fatal_may_send(struct edge_req *r)
 {
 	struct edge *en = r->en;
-	bool duplicate;
+	const struct fatal_feature *x;
 
 	r->isolated = false;
-	/* Fast path: nearly all requests are unknown to the table. */
-	if (!fatal_find(&en->fatal, r->content))
-		return true;
-	/* Never `r` itself, which has no endpoint before it is sent. */
-	duplicate = find_in_flight(en, r->content) != NULL;
-	switch (fatal_check_send(&en->fatal, r->content, duplicate,
-				 edge_now(en))) {
+	switch (fatal_check_send(&en->fatal, &r->fatal, &x, edge_now(en))) {
 	case FATAL_SEND:
 		return true;
 	case FATAL_ISOLATE:
@@ -236,13 +283,20 @@
 			BUSY_RETRY_MS);
 		return false;
 	case FATAL_QUARANTINED:
-		give_up(r, "ends the endpoints that run it",
-			QUARANTINE_RETRY_MS);
+		quarantine(r, x);
 		return false;
 	}
 	return true;
 }
 
+bool edge_fatal_is_quarantined(const struct edge_req *r)
+{
+	const struct fatal_feature *x;
+
+	return fatal_check_send(&r->en->fatal, &r->fatal, &x,
+				edge_now(r->en)) == FATAL_QUARANTINED;
+}
+
 /* A probe ended: sends the requests that were waiting for its result. */
 static void release_parked(struct edge *en)
 {
@@ -265,17 +319,12 @@
 	struct edge *en = r->en;
 	struct flt_endpoint *e = r->endpoint;
 	const int64_t now = edge_now(en);
-	struct fatal_row *row;
 
 	/* The endpoint left as announced: no request is suspected. */
 	if (flt_leaving_ms(e, now) >= 0 && !e->exited)
 		return;
-	row = fatal_send_broke(&en->fatal, r->content, e->hash,
-			       now - r->sent_ms,
-			       !e->exited && edge_probe(en, e), now);
-	str_copy(row->route, r->route->name, sizeof(row->route));
-	if (r->account)
-		str_copy(row->account, r->account->name, sizeof(row->account));
+	fatal_send_broke(&en->fatal, &r->fatal, e->hash, now - r->sent_ms,
+			 !e->exited && edge_probe(en, e), now);
 	if (e->exited)
 		fatal_endpoint_crashed(&en->fatal, e->hash, now);
 }
@@ -310,19 +359,29 @@
 
 void edge_fatal_answered(struct edge_req *r)
 {
-	fatal_answer_complete(&r->en->fatal, r->content, edge_now(r->en));
+	fatal_answer_complete(&r->en->fatal, &r->fatal, edge_now(r->en));
 }
 
-void edge_fatal_sent(struct edge_req *r)
+static bool is_strong_suspect(const struct edge_req *r)
 {
 	const struct fatal_row *row;
+	unsigned i;
 
+	for (i = 0; i < r->fatal.nr_features; i++) {
+		row = fatal_find(&r->en->fatal, r->fatal.features[i].key);
+		if (row && fatal_crash_count(row) >= FATAL_STRONG_CRASHES)
+			return true;
+	}
+	return false;
+}
+
+void edge_fatal_sent(struct edge_req *r)
+{
 	if (!r->isolated)
 		return;
 	edge_fatal_mark_endpoints(r->en);
 	/* Other entries delay a strong suspect, and avoid its endpoint. */
-	row = fatal_find(&r->en->fatal, r->content);
-	if (row && fatal_crash_count(row) >= FATAL_STRONG_CRASHES)
+	if (is_strong_suspect(r))
 		gossip_soon(r->en);
 }
 
@@ -339,10 +398,10 @@
 
 static void record_key(const struct fatal_row *row, char *out, size_t size)
 {
-	char content[33];
+	char digits[33];
 
-	hsh128_hex(row->content, content);
-	snprintf(out, size, "%s%s", EDGE_FATAL_PREFIX, content);
+	hsh128_hex(row->key, digits);
+	snprintf(out, size, "%s%s", EDGE_FATAL_PREFIX, digits);
 }
 
 static void write_record(struct edge *en, const struct fatal_row *row,
@@ -359,6 +418,10 @@
 	buf_json(&value, row->route);
 	buf_str(&value, ",\"account\":");
 	buf_json(&value, row->account);
+	if (row->kind == FATAL_PART) {
+		buf_str(&value, ",\"part\":");
+		buf_json(&value, row->name);
+	}
 	buf_fmt(&value, ",\"ends\":%u,\"at_ms\":%lld}", fatal_crash_count(row),
 		(long long)walltime_now(&en->walltime, now));
 	c.conditions[0] = (struct sto_condition){ key, 0 };
@@ -383,7 +446,7 @@
 static bool should_write(const struct edge *en, const struct fatal_row *row,
 			 int64_t now)
 {
-	if (!fatal_is_convicted(row) ||
+	if (!fatal_is_convicted(&en->fatal, row, now) ||
 	    (row->recorded_wall_ms && !row->record_lost))
 		return false;
 	if (row->record_lost)
@@ -419,34 +482,34 @@
 			    size_t len)
 {
 	JSN_AUTO *o = jsn_parse(value, len);
-	struct hsh128 content;
+	struct hsh128 feature;
 
-	if (!o || !hsh128_parse(key + strlen(EDGE_FATAL_PREFIX), &content)) {
+	if (!o || !hsh128_parse(key + strlen(EDGE_FATAL_PREFIX), &feature)) {
 		edge_log_unreadable(en, key, "not a quarantine record");
 		return;
 	}
 	en->fatal_from_others = true; /* all entries read the store */
-	fatal_record_found(&en->fatal, content, jsn_int(o, "at_ms", 0),
+	fatal_record_found(&en->fatal, feature, jsn_int(o, "at_ms", 0),
 			   edge_now(en));
 	en->fatal_from_others = false;
 }
 
 void edge_fatal_record_lost(struct edge *en, const char *key)
 {
-	struct hsh128 content;
+	struct hsh128 feature;
 
-	if (hsh128_parse(key + strlen(EDGE_FATAL_PREFIX), &content))
-		fatal_record_lost(&en->fatal, content);
+	if (hsh128_parse(key + strlen(EDGE_FATAL_PREFIX), &feature))
+		fatal_record_lost(&en->fatal, feature);
 }
 
 void edge_fatal_record_deleted(struct edge *en, const char *key)
 {
-	struct hsh128 content;
+	struct hsh128 feature;
 
-	if (!hsh128_parse(key + strlen(EDGE_FATAL_PREFIX), &content))
+	if (!hsh128_parse(key + strlen(EDGE_FATAL_PREFIX), &feature))
 		return;
 	en->fatal_from_others = true;
-	fatal_release(&en->fatal, content, edge_now(en));
+	fatal_release(&en->fatal, feature, edge_now(en));
 	en->fatal_from_others = false;
 }
 
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -88,8 +88,11 @@
 	met_value *cut_off, *reach_checks, *sends_relayed, *relay_failures;
 	met_value *brittle_refusals, *endpoints_brittle;
 	met_value *tunnels, *tunnels_opened, *tunnels_refused;
-	met_value *requests_suspected, *requests_convicted, *requests_cleared,
-		*requests_withheld;
+	/* Of whole requests, and of parts of their prompts. */
+	struct edge_suspect_metrics {
+		met_value *suspected, *convicted, *cleared;
+	} suspects[2];
+	met_value *requests_withheld, *sends_quarantined;
 	met_value *sends, *resends, *resumes, *sends_not_run, *sends_lost;
 	met_value *store_calls[STO_KINDS], *store_followed, *store_relayed;
 	met_value *store_failures, *store_returns, *config_checks;
@@ -295,10 +298,11 @@
 	struct rq rq; /* what was sent, and what may be sent again */
 	/* Hash of account, host, path and body: the same for all retries. */
 	struct hsh128 content;
-	bool awaiting_config; /* in edge.awaiting_config */
-	bool parked;	      /* in edge.parked, until a probe has ended */
-	bool isolated;	      /* suspect: sent where few other requests run */
-	bool config_checked;  /* the configuration was checked after arrival */
+	struct fatal_request fatal; /* its features, once it is admitted */
+	bool awaiting_config;	    /* in edge.awaiting_config */
+	bool parked;	     /* in edge.parked, until a probe has ended */
+	bool isolated;	     /* suspect: sent where few other requests run */
+	bool config_checked; /* the configuration was checked after arrival */
 	int64_t arrived_ms;
 	int64_t deadline_at_ms; /* the earlier of deadline and route timeout */
 	int64_t sent_true_ms;	/* the current send */
@@ -568,6 +572,9 @@
  */
 bool edge_fatal_may_send(struct edge_req *r);
 
+/* True if the request has what crashes endpoints. */
+bool edge_fatal_is_quarantined(const struct edge_req *r);
+
 /* A send of the request began; a send ended, however it ended. */
 void edge_fatal_sent(struct edge_req *r);
 void edge_fatal_stopped(struct edge_req *r);
--- a/lib/edge/edge_req.c
+++ b/lib/edge/edge_req.c
@@ -213,6 +213,9 @@
 		r->attempt.host, hmsg_url(m));
 	r->content = hsh128_combine(hsh128(head.data, head.len),
 				    hsh128(buf_cstr(body), body->len));
+	fatal_request_init(&r->fatal, r->content, &r->attempt);
+	r->fatal.route = r->route->name;
+	r->fatal.account = r->account ? r->account->name : "";
 }
 
 /* The request's charge to its account's limit, in requests or tokens. */
--- a/lib/edge/edge_send.c
+++ b/lib/edge/edge_send.c
@@ -194,6 +194,8 @@
 	en->wire->encode_request(&c->parse.msg, &c->body, &r->attempt, &f,
 				 &wire);
 	rq_sent(&r->rq);
+	if (edge_fatal_is_quarantined(r))
+		met_inc(en->m.sends_quarantined);
 	edge_fatal_sent(r);
 	if (way.pool)
 		r->call = htc_start(
--- a/lib/member/gsp.c
+++ b/lib/member/gsp.c
@@ -136,7 +136,7 @@
 {
 	unsigned i;
 
-	if (!xdr_hsh128(x, &t->content) || !xdr_uint64_t(x, &t->running_at) ||
+	if (!xdr_hsh128(x, &t->key) || !xdr_uint64_t(x, &t->running_at) ||
 	    !xdr_u_int(x, &t->nr_crashes) || t->nr_crashes > FATAL_MAX_CRASHES)
 		return FALSE;
 	for (i = 0; i < t->nr_crashes; i++) {
--- a/lib/request/fatal.c
+++ b/lib/request/fatal.c
@@ -2,6 +2,7 @@
 
 #include <math.h>
 
+#include "base/buf.h"
 #include "request/fatal_internal.h"
 
 /*
@@ -55,26 +56,77 @@
 	return false;
 }
 
-enum fatal_verdict fatal_check_send(struct fatal *f, struct hsh128 content,
-				    bool in_flight, int64_t now)
+/*
+ * A part that was answered here this recently is in many sound requests: they are
+ * not delayed while it is suspected.
+ */
+#define IN_USE_MS 10000
+
+static bool is_in_use(struct fatal *f, const struct fatal_row *row, int64_t now)
 {
-	const struct fatal_row *row = fatal_find(f, content);
-	unsigned nr_crashes, nr_probing;
+	const int64_t answered_ms = fatal_answered_ms(f, row->key);
 
-	if (!row)
-		return FATAL_SEND;
-	if (fatal_is_convicted(row))
+	return answered_ms && now - answered_ms < IN_USE_MS;
+}
+
+/* The verdict because of one feature of the request. */
+static enum fatal_verdict check_row(struct fatal *f,
+				    const struct fatal_row *row,
+				    const struct fatal_request *q, int64_t now)
+{
+	const unsigned nr_crashes = fatal_crash_count(row);
+	const unsigned nr_probing = count_probing(row);
+
+	if (fatal_convicts(f, row, q, now))
 		return FATAL_QUARANTINED;
-	nr_crashes = fatal_crash_count(row);
-	nr_probing = count_probing(row);
+	if (is_in_use(f, row, now))
+		return nr_crashes ? FATAL_ISOLATE : FATAL_SEND;
 	if (nr_probing && nr_crashes + nr_probing >= FATAL_CONVICT_CRASHES)
 		return FATAL_WAIT;
+	if (fatal_is_evident(row) && fatal_is_settling(row, now))
+		return FATAL_BUSY;
 	if (nr_crashes >= FATAL_STRONG_CRASHES &&
-	    (in_flight || runs_elsewhere(row, now)))
+	    (runs_elsewhere(row, now) || f->vt->running_at(f->arg, row->key)))
 		return FATAL_BUSY;
 	return nr_crashes ? FATAL_ISOLATE : FATAL_SEND;
 }
 
+/* What the request shows of a feature that may be known by gossip only. */
+static void name_row(struct fatal_row *row, const struct fatal_request *q,
+		     const struct fatal_feature *x)
+{
+	if (row->kind != FATAL_NR_KINDS)
+		return;
+	row->kind = x->kind;
+	str_copy(row->name, x->name, sizeof(row->name));
+	str_copy(row->route, q->route, sizeof(row->route));
+	str_copy(row->account, q->account, sizeof(row->account));
+}
+
+enum fatal_verdict fatal_check_send(struct fatal *f,
+				    const struct fatal_request *q,
+				    const struct fatal_feature **why,
+				    int64_t now)
+{
+	enum fatal_verdict verdict, worst = FATAL_SEND;
+	struct fatal_row *row;
+	unsigned i;
+
+	*why = NULL;
+	for (i = 0; i < q->nr_features; i++) {
+		row = fatal_find(f, q->features[i].key);
+		if (!row)
+			continue;
+		name_row(row, q, &q->features[i]);
+		verdict = check_row(f, row, q, now);
+		if (verdict <= worst)
+			continue;
+		worst = verdict;
+		*why = &q->features[i];
+	}
+	return worst;
+}
+
 /* ---- Crashes ---- */
 
 static struct fatal_pending *pending_at(struct fatal_row *row,
@@ -94,17 +146,30 @@
 	*d = row->pending[--row->nr_pending];
 }
 
-struct fatal_row *fatal_send_broke(struct fatal *f, struct hsh128 content,
-				   uint64_t endpoint, int64_t ran_ms,
-				   bool probing, int64_t now)
+static void feature_broke(struct fatal *f, const struct fatal_request *q,
+			  const struct fatal_feature *x,
+			  const struct fatal_pending *d)
 {
-	struct fatal_row *row = fatal_get(f, content, now);
+	struct fatal_row *row;
+
+	if (x->kind == FATAL_PART && fatal_was_answered(f, x->key, d->at_ms))
+		return;
+	row = fatal_get(f, x->key, d->at_ms);
+	name_row(row, q, x);
+	if (!pending_at(row, d->endpoint) &&
+	    row->nr_pending < FATAL_MAX_PENDING)
+		row->pending[row->nr_pending++] = *d;
+}
+
+void fatal_send_broke(struct fatal *f, const struct fatal_request *q,
+		      uint64_t endpoint, int64_t ran_ms, bool probing,
+		      int64_t now)
+{
+	const struct fatal_pending d = { endpoint, now, ran_ms, probing };
+	unsigned i;
 
-	if (!pending_at(row, endpoint) && row->nr_pending < FATAL_MAX_PENDING)
-		row->pending[row->nr_pending++] =
-			(struct fatal_pending){ endpoint, now, ran_ms,
-						probing };
-	return row;
+	for (i = 0; i < q->nr_features; i++)
+		feature_broke(f, q, &q->features[i], &d);
 }
 
 static bool ran_at(struct fatal_row *row, uint64_t endpoint)
@@ -127,12 +192,12 @@
 }
 
 /*
- * The highest crash count among the requests that ran at an endpoint, without
+ * The highest crash count among the features that ran at an endpoint, without
  * the crash of that endpoint.
  */
 struct suspicion {
 	unsigned max_crashes;
-	unsigned tied; /* number of requests that have it */
+	unsigned tied; /* number of features that have it */
 };
 
 static struct suspicion strongest_suspicion(struct fatal *f, uint64_t endpoint)
@@ -188,6 +253,26 @@
 		crashes_elsewhere(row, endpoint) < b->max_crashes);
 }
 
+/*
+ * Weight at most of the crash of a part that ran there with others of which none is
+ * a strong suspect: one in ten, as any of their many features may have caused it.
+ */
+#define MAX_WEIGHT_AMONG_OTHERS 100
+
+static unsigned weight_of(const struct fatal *f, struct fatal_row *row,
+			  uint64_t endpoint, const struct suspicion *b,
+			  int64_t ran_ms, int64_t now)
+{
+	const unsigned weight = chance_weight(f, ran_ms, now);
+
+	if (is_shared(row, endpoint, b))
+		return FATAL_WEIGHT_SHARED;
+	if (row->kind == FATAL_PART && b->max_crashes < FATAL_STRONG_CRASHES &&
+	    weight > MAX_WEIGHT_AMONG_OTHERS)
+		return MAX_WEIGHT_AMONG_OTHERS;
+	return weight;
+}
+
 /*
  * Turns the pending sends at this endpoint into crashes, and moves the rows
  * that got one to the list `suspects`.
@@ -204,13 +289,11 @@
 		d = pending_at(row, endpoint);
 		if (!d)
 			continue;
-		weight = is_shared(row, endpoint, &b)
-				 ? FATAL_WEIGHT_SHARED
-				 : chance_weight(f, d->ran_ms, now);
+		weight = weight_of(f, row, endpoint, &b, d->ran_ms, now);
 		if (b.max_crashes < FATAL_STRONG_CRASHES)
 			decay_sum_add(&f->crashed_sends, 1, RATE_MS, now);
 		drop_pending(row, d);
-		row->was_convicted = fatal_is_convicted(row);
+		row->seen_at = endpoint;
 		if (!fatal_add_crash(f, row, endpoint, weight, now))
 			continue;
 		cds_list_del(&row->node);
@@ -226,9 +309,7 @@
 	attribute_crash(f, endpoint, now, &suspects);
 	cds_list_for_each_entry_safe(row, next, &suspects, node) {
 		fatal_touch(f, row, now);
-		fatal_report_crash(f, row, row->was_convicted, endpoint);
-		if (fatal_is_convicted(row))
-			fatal_explain_others(f, row, now);
+		fatal_report_crash(f, row, endpoint, now);
 	}
 }
 
@@ -267,49 +348,56 @@
 	for (i = 0; i < row->nr_crashes; i++)
 		row->crashes[i].cleared = true;
 	row->nr_pending = 0;
+	fatal_set_convicted(f, row, false);
 	if (!any)
 		return;
 	fatal_touch(f, row, now);
 	f->vt->changed(f->arg, row, FATAL_CLEARED, 0);
 }
 
-void fatal_answer_complete(struct fatal *f, struct hsh128 content, int64_t now)
+void fatal_answer_complete(struct fatal *f, const struct fatal_request *q,
+			   int64_t now)
 {
-	struct fatal_row *row = fatal_find(f, content);
+	struct fatal_row *row;
+	unsigned i;
 
-	if (!row)
-		return;
-	clear(f, row, now);
-	if (fatal_empty(row))
-		fatal_drop(f, row);
+	for (i = 0; i < q->nr_features; i++) {
+		if (q->features[i].kind == FATAL_PART)
+			fatal_note_answered(f, q->features[i].key, now);
+		row = fatal_find(f, q->features[i].key);
+		if (!row)
+			continue;
+		clear(f, row, now);
+		if (fatal_empty(row))
+			fatal_drop(f, row);
+	}
 }
 
 /* ---- Records and expiry ---- */
 
-void fatal_record_found(struct fatal *f, struct hsh128 content, int64_t wall_ms,
+void fatal_record_found(struct fatal *f, struct hsh128 key, int64_t wall_ms,
 			int64_t now)
 {
-	struct fatal_row *row = fatal_get(f, content, now);
-	const bool was_convicted = fatal_is_convicted(row);
+	struct fatal_row *row = fatal_get(f, key, now);
 
 	row->recorded_wall_ms = wall_ms > 0 ? wall_ms : 1;
 	row->record_lost = false;
 	fatal_touch(f, row, now);
-	if (!was_convicted)
-		fatal_report_crash(f, row, false, 0);
+	if (!row->convicted)
+		fatal_report_crash(f, row, 0, now);
 }
 
-void fatal_record_lost(struct fatal *f, struct hsh128 content)
+void fatal_record_lost(struct fatal *f, struct hsh128 key)
 {
-	struct fatal_row *row = fatal_find(f, content);
+	struct fatal_row *row = fatal_find(f, key);
 
 	if (row)
 		row->record_lost = true;
 }
 
-void fatal_release(struct fatal *f, struct hsh128 content, int64_t now)
+void fatal_release(struct fatal *f, struct hsh128 key, int64_t now)
 {
-	struct fatal_row *row = fatal_find(f, content);
+	struct fatal_row *row = fatal_find(f, key);
 
 	if (!row)
 		return;
@@ -341,8 +429,29 @@
 		return true;
 	if (!fatal_crash_count(row))
 		return !row->nr_pending && age > KEEP_CLEARED_MS;
-	return age >
-	       (fatal_is_convicted(row) ? FATAL_KEEP_MS : KEEP_SUSPECT_MS);
+	return age > (row->convicted ? FATAL_KEEP_MS : KEEP_SUSPECT_MS);
+}
+
+/* The endpoint of the latest crash, if it was observed here; else 0. */
+static uint64_t last_seen_here(const struct fatal_row *row)
+{
+	const struct fatal_crash *last = &row->crashes[0];
+	unsigned i;
+
+	for (i = 1; i < row->nr_crashes; i++) {
+		if (row->crashes[i].at_ms > last->at_ms)
+			last = &row->crashes[i];
+	}
+	return last->endpoint == row->seen_at ? row->seen_at : 0;
+}
+
+static void report_convicted(struct fatal *f, struct fatal_row *row,
+			     int64_t now)
+{
+	if (row->convicted || !fatal_is_convicted(f, row, now))
+		return;
+	fatal_touch(f, row, now);
+	fatal_report_crash(f, row, last_seen_here(row), now);
 }
 
 void fatal_expire(struct fatal *f, int64_t now)
@@ -353,5 +462,7 @@
 		expire_pending(row, now);
 		if (is_expired(row, now))
 			fatal_drop(f, row);
+		else
+			report_convicted(f, row, now);
 	}
 }
--- a/lib/request/fatal.h
+++ b/lib/request/fatal.h
@@ -4,18 +4,25 @@
  *
  * A client retries under a new id and at any entry (a process that accepts
  * client requests), so neither an attempt nor an entry sees that it is the
- * third endpoint that crashed. Crashes are therefore counted by content, and
- * gossiped as a set: sets can be merged in any order, any number of times.
- * Without this, one request would crash endpoint after endpoint, and each crash
- * would abort all other requests that run there.
+ * third endpoint that crashed. What crashes the endpoint may be in all of a
+ * request, or in a part of its prompt that other requests share. Crashes are
+ * therefore counted by feature, and gossiped as a set: sets can be merged in any
+ * order, any number of times. Without this, one request would crash endpoint
+ * after endpoint, and each crash would abort all other requests that run there.
  *
- * A crash counts against all requests that were running on the endpoint, unless
- * one of them is more suspect. The less likely a request of that duration is to
- * meet a crash by chance, the more the crash weighs. A complete answer clears a
- * request. A convicted request is quarantined, and its crashes count little
- * against the other requests that were there. A suspect runs isolated from
- * others, and after FATAL_STRONG_CRASHES crashes one at a time, so that the
- * last crash aborts no other request.
+ * A crash counts against the features of all requests that were running on the
+ * endpoint, unless one of them is more suspect. The less likely a request of
+ * that duration is to meet a crash by chance, the more the crash weighs. Guilt
+ * is found by elimination: a complete answer clears all features of its request,
+ * and a crash does not count against a part that was answered just before. A
+ * convicted feature is quarantined, and its crashes count little against the
+ * others that were there. A suspect runs isolated from others, and after
+ * FATAL_STRONG_CRASHES crashes one at a time, so that the last crash aborts no
+ * other request.
+ *
+ * Two features that were in the same crashes, and in no answer, cannot be told
+ * apart. Requests with both are quarantined, and those with one of them run one
+ * at a time: the first one either crashes its endpoint or is answered.
  */
 #ifndef FATAL_H
 #define FATAL_H
@@ -27,6 +34,7 @@
 #include "base/decay.h"
 #include "base/hsh.h"
 #include "base/tab.h"
+#include "request/attempt.h"
 
 /*
  * Number of crashes that convict a request if each of them is unlikely to be
@@ -36,6 +44,11 @@
 #define FATAL_CONVICT_CRASHES 3
 #define FATAL_CONVICT_ALWAYS_CRASHES 5
 
+/*
+ * Of the latter, those that no other convicted feature explains.
+ */
+#define FATAL_CONVICT_UNEXPLAINED 3
+
 /*
  * Number of crashes that makes a request a strong suspect: it then runs one at
  * a time across all entries, on an endpoint that other requests avoid.
@@ -43,14 +56,14 @@
 #define FATAL_STRONG_CRASHES (FATAL_CONVICT_CRASHES - 1)
 
 /*
- * Per request: crashes kept, runs at other entries, and endpoints whose crash
- * is not confirmed yet.
+ * Per feature: the latest crashes, runs at other entries, and endpoints whose
+ * crash is not confirmed yet.
  */
 #define FATAL_MAX_CRASHES 6
 #define FATAL_MAX_RUNS 8
-#define FATAL_MAX_PENDING 4
+#define FATAL_MAX_PENDING 8
 
-/* Rows kept, one per content: clients can send any number of contents. */
+/* Rows kept, one per feature: clients can send any number of them. */
 #define FATAL_MAX_ROWS 512
 
 /* Duration of the quarantine after the last crash, unless released: 1 h. */
@@ -62,6 +75,28 @@
 /* Size of route and account names in bytes, with the null byte. */
 #define FATAL_NAME 64
 
+/* What a request may have that crashes endpoints. */
+enum fatal_kind {
+	FATAL_CONTENT, /* all of it: account, host, path and body */
+	FATAL_PART,    /* a part of its prompt */
+	FATAL_NR_KINDS,
+};
+
+struct fatal_feature {
+	enum fatal_kind kind;
+	struct hsh128 key; /* hash of kind and value */
+	const char *name;  /* of a part, as clients write it; else "" */
+};
+
+#define FATAL_MAX_FEATURES (1 + ATTEMPT_MAX_PARTS)
+
+/* The features of a request; the strings belong to the request. */
+struct fatal_request {
+	struct fatal_feature features[FATAL_MAX_FEATURES];
+	unsigned nr_features;
+	const char *route, *account; /* for logs and records */
+};
+
 struct fatal_crash {
 	uint64_t endpoint; /* hash, the same at all entries */
 	int64_t at_ms;
@@ -77,23 +112,28 @@
 	bool probing;	/* a probe is in flight; its result comes shortly */
 };
 
-/* A run of the content at another entry. */
+/* A run of a request with the feature at another entry. */
 struct fatal_run {
 	uint64_t entry, endpoint; /* hashes */
 	int64_t updated_ms;	  /* last gossip about it */
 };
 
-/* All that is known of one content. */
+/* All that is known of one feature. */
 struct fatal_row {
 	struct cds_list_head node; /* in fatal.rows, the last changed last */
-	UT_hash_handle by_content;
-	struct hsh128 content; /* hash of the request's content */
-	char route[FATAL_NAME], account[FATAL_NAME]; /* "": not known here */
+	UT_hash_handle by_key;
+	struct hsh128 key;
+	/* FATAL_NR_KINDS: known by gossip only. The same for the names: "". */
+	enum fatal_kind kind;
+	char name[ATTEMPT_PART];
+	char route[FATAL_NAME], account[FATAL_NAME];
 	struct fatal_crash crashes[FATAL_MAX_CRASHES];
-	bool was_convicted; /* before the crash that is being reported */
+	bool convicted;	  /* it was reported, and nothing has cleared it */
+	uint64_t seen_at; /* endpoint of the last crash observed here; 0 */
 	struct fatal_pending pending[FATAL_MAX_PENDING];
 	struct fatal_run runs[FATAL_MAX_RUNS];
 	unsigned nr_crashes, nr_pending, nr_runs;
+	unsigned gossiped; /* times since the last change */
 	int64_t changed_ms;
 	int64_t recorded_wall_ms; /* wall clock of the record; 0: no record */
 	int64_t store_next_ms;	  /* earliest next write of the record */
@@ -117,19 +157,35 @@
 	 */
 	void (*changed)(void *arg, const struct fatal_row *row,
 			enum fatal_change change, uint64_t endpoint);
+	/*
+	 * Returns the endpoint at which this entry runs a request with the
+	 * feature; 0: none.
+	 */
+	uint64_t (*running_at)(void *arg, struct hsh128 key);
 };
 
+/* Parts that were answered lately: sets, and parts in each of them. */
+#define FATAL_ANSWERED_SETS 256
+#define FATAL_ANSWERED_WAYS 4
+
 struct fatal {
 	const struct fatal_vtable *vt;
 	void *arg; /* passed to the callbacks */
 	struct cds_list_head rows;
-	struct fatal_row *table; /* by content */
+	struct fatal_row *table; /* by key */
 	unsigned count;		 /* rows */
+	unsigned nr_convicted;	 /* of them */
+	/* The least recently answered part of a set is replaced. */
+	struct fatal_answered {
+		struct hsh128 key;
+		int64_t at_ms; /* 0: empty */
+	} answered[FATAL_ANSWERED_SETS][FATAL_ANSWERED_WAYS];
 	/* Decayed sums, for the rate at which sends meet a crash by chance. */
 	struct decay_sum
 		crashed_sends;	 /* aborted by a crash, no strong suspect */
 	struct decay_sum ran_ms; /* total duration of sends */
-	unsigned next_in_turn;	 /* next row to gossip in rotation */
+	/* Next rows to gossip in rotation: convicted ones, and others. */
+	unsigned next_convicted, next_other;
 };
 
 /* `vt` and `arg` must stay valid until fatal_free(). */
@@ -138,17 +194,22 @@
 /* Frees all rows. */
 void fatal_free(struct fatal *f);
 
+/* Makes the request's features of its content and the parts of its prompt. */
+void fatal_request_init(struct fatal_request *q, struct hsh128 content,
+			const struct attempt *a);
+
 /*
- * Returns the row, or NULL if nothing is known of the content. The row is owned
+ * Returns the row, or NULL if nothing is known of the feature. The row is owned
  * by `f`, which may free it in any later call.
  */
-struct fatal_row *fatal_find(struct fatal *f, struct hsh128 content);
+struct fatal_row *fatal_find(struct fatal *f, struct hsh128 key);
 
-/* Number of crashes that count against the request (not cleared). */
+/* Number of crashes that count against the feature (not cleared). */
 unsigned fatal_crash_count(const struct fatal_row *row);
 
-/* True if the request is quarantined. */
-bool fatal_is_convicted(const struct fatal_row *row);
+/* True if all requests with the feature are quarantined. */
+bool fatal_is_convicted(const struct fatal *f, const struct fatal_row *row,
+			int64_t now_ms);
 
 enum fatal_verdict {
 	FATAL_SEND,	   /* without restriction */
@@ -159,22 +220,24 @@
 };
 
 /*
- * Decides whether a request may be sent. `in_flight`: another attempt of this
- * entry with the same content is at an endpoint.
+ * Decides whether the request may be sent, by the worst of its features, which
+ * *why is set to (NULL: none of them is suspected). The request itself is not at
+ * an endpoint.
  */
-enum fatal_verdict fatal_check_send(struct fatal *f, struct hsh128 content,
-				    bool in_flight, int64_t now_ms);
+enum fatal_verdict fatal_check_send(struct fatal *f,
+				    const struct fatal_request *q,
+				    const struct fatal_feature **why,
+				    int64_t now_ms);
 
 /*
  * Notes that a send broke off after `ran_ms` at an endpoint that has not
  * announced its shutdown. With `probing`, a call of fatal_endpoint_crashed(),
  * fatal_endpoint_alive() or fatal_endpoint_silent() must follow. Beyond
- * FATAL_MAX_PENDING endpoints the send is not noted. Returns the content's row,
- * owned by `f`, made if there was none.
+ * FATAL_MAX_PENDING endpoints of a feature the send is not noted for it.
  */
-struct fatal_row *fatal_send_broke(struct fatal *f, struct hsh128 content,
-				   uint64_t endpoint, int64_t ran_ms,
-				   bool probing, int64_t now_ms);
+void fatal_send_broke(struct fatal *f, const struct fatal_request *q,
+		      uint64_t endpoint, int64_t ran_ms, bool probing,
+		      int64_t now_ms);
 
 /*
  * Adds the duration of a send that is over, of any content. The rate of crashes
@@ -197,15 +260,15 @@
  */
 void fatal_endpoint_silent(struct fatal *f, uint64_t endpoint);
 
-/* A complete answer to the content arrived: clears it. */
-void fatal_answer_complete(struct fatal *f, struct hsh128 content,
+/* A complete answer to the request arrived: clears its features. */
+void fatal_answer_complete(struct fatal *f, const struct fatal_request *q,
 			   int64_t now_ms);
 
 /* ---- Gossip between entries ---- */
 
 /* A row as it is gossiped. */
 struct fatal_gossip {
-	struct hsh128 content;
+	struct hsh128 key;
 	unsigned nr_crashes;
 	struct {
 		uint64_t endpoint;
@@ -216,18 +279,13 @@
 	uint64_t running_at; /* endpoint where the sender runs it; 0: none */
 };
 
-/* Returns the endpoint at which this entry runs the content; 0: none. */
-typedef uint64_t (*fatal_running_at)(void *arg, struct hsh128 content);
-
 /*
  * Fills `out` with at most `max` rows: first those that changed recently or run
- * here, whose number is stored in *fresh, then the others in rotation. Returns
- * the number of rows.
+ * here, the most suspect ones first, whose number is stored in *fresh; then the
+ * others in rotation. Returns the number of rows.
  */
 unsigned fatal_collect_gossip(struct fatal *f, struct fatal_gossip *out,
-			      unsigned max, unsigned *fresh,
-			      fatal_running_at running_at, void *arg,
-			      int64_t now_ms);
+			      unsigned max, unsigned *fresh, int64_t now_ms);
 
 /* Merges `n` rows from another entry; `entry` is that entry's hash. */
 void fatal_merge_gossip(struct fatal *f, uint64_t entry,
@@ -237,16 +295,19 @@
 /* ---- Quarantine records in the store ---- */
 
 /* The store has a record of the conviction, made at `wall_ms` (wall clock). */
-void fatal_record_found(struct fatal *f, struct hsh128 content, int64_t wall_ms,
+void fatal_record_found(struct fatal *f, struct hsh128 key, int64_t wall_ms,
 			int64_t now_ms);
 
 /* The store lost the record: sets record_lost, and the conviction stands. */
-void fatal_record_lost(struct fatal *f, struct hsh128 content);
+void fatal_record_lost(struct fatal *f, struct hsh128 key);
 
 /* The record was deleted from the store: ends the quarantine. */
-void fatal_release(struct fatal *f, struct hsh128 content, int64_t now_ms);
+void fatal_release(struct fatal *f, struct hsh128 key, int64_t now_ms);
 
-/* Drops rows and pending sends past their lifetime. Call it periodically. */
+/*
+ * Drops rows and pending sends past their lifetime, and reports the features that
+ * are convicted now that other entries had time to report. Call it periodically.
+ */
 void fatal_expire(struct fatal *f, int64_t now_ms);
 
 #endif
--- /dev/null
+++ b/lib/request/fatal_evidence.c
@@ -0,0 +1,214 @@
+/*
+ * What speaks against a feature and for it: whether its crashes convict it, which
+ * other features may have caused them, and which parts were answered lately.
+ */
+#include "request/fatal_internal.h"
+
+/*
+ * A crash does not count against a part that was answered this long before it or
+ * later. Shared parts are in most crashes and most answers of their service: so
+ * they make no rows, which would push out that of the guilty one.
+ */
+#define ANSWERED_MS 1000
+
+/*
+ * A crash counts for a conviction of a part once all entries had this long to
+ * report what else ran there, and what was answered since. In a large fleet news
+ * takes up to a second.
+ */
+#define SETTLE_MS 1000
+
+/* ---- Parts that were answered lately ---- */
+
+static struct fatal_answered *answered_set(struct fatal *f, struct hsh128 key)
+{
+	return f->answered[key.lo % FATAL_ANSWERED_SETS];
+}
+
+void fatal_note_answered(struct fatal *f, struct hsh128 key, int64_t now)
+{
+	struct fatal_answered *set = answered_set(f, key), *at = set;
+	unsigned i;
+
+	for (i = 0; i < FATAL_ANSWERED_WAYS; i++) {
+		if (set[i].at_ms && hsh128_equal(set[i].key, key)) {
+			at = &set[i];
+			break;
+		}
+		if (set[i].at_ms < at->at_ms)
+			at = &set[i];
+	}
+	/* 0 means empty. */
+	*at = (struct fatal_answered){ key, now ? now : 1 };
+}
+
+int64_t fatal_answered_ms(struct fatal *f, struct hsh128 key)
+{
+	const struct fatal_answered *set = answered_set(f, key);
+	unsigned i;
+
+	for (i = 0; i < FATAL_ANSWERED_WAYS; i++) {
+		if (set[i].at_ms && hsh128_equal(set[i].key, key))
+			return set[i].at_ms;
+	}
+	return 0;
+}
+
+bool fatal_was_answered(struct fatal *f, struct hsh128 key, int64_t crash_ms)
+{
+	const struct fatal_row *row = fatal_find(f, key);
+	const int64_t answered_ms = fatal_answered_ms(f, key);
+	unsigned i;
+
+	if (answered_ms && answered_ms > crash_ms - ANSWERED_MS)
+		return true;
+	/* Another entry cleared a crash, so there was an answer after it. */
+	for (i = 0; row && i < row->nr_crashes; i++) {
+		if (row->crashes[i].cleared &&
+		    row->crashes[i].at_ms > crash_ms - ANSWERED_MS)
+			return true;
+	}
+	return false;
+}
+
+/* ---- Conviction ---- */
+
+static unsigned total_weight(const struct fatal_row *row)
+{
+	unsigned i, weight = 0;
+
+	for (i = 0; i < row->nr_crashes; i++)
+		weight += row->crashes[i].cleared ? 0 : row->crashes[i].weight;
+	return weight;
+}
+
+bool fatal_is_evident(const struct fatal_row *row)
+{
+	return row->recorded_wall_ms ||
+	       fatal_crash_count(row) >= FATAL_CONVICT_ALWAYS_CRASHES ||
+	       total_weight(row) >= FATAL_CONVICT_WEIGHT;
+}
+
+static bool crashed_at(const struct fatal_row *row, uint64_t endpoint)
+{
+	unsigned i;
+
+	for (i = 0; i < row->nr_crashes; i++) {
+		if (row->crashes[i].endpoint == endpoint)
+			return !row->crashes[i].cleared;
+	}
+	return false;
+}
+
+static bool has_feature(const struct fatal_request *q, struct hsh128 key)
+{
+	unsigned i;
+
+	for (i = 0; q && i < q->nr_features; i++) {
+		if (hsh128_equal(q->features[i].key, key))
+			return true;
+	}
+	return false;
+}
+
+/*
+ * True if `other`, which `q` does not have, may have caused crashes of the row: it
+ * is at least as suspect, or was convicted before.
+ */
+static bool is_suspect_instead(const struct fatal_row *other,
+			       const struct fatal_row *row,
+			       const struct fatal_request *q)
+{
+	return other != row &&
+	       (fatal_crash_count(other) >= fatal_crash_count(row) ||
+		(other->convicted && !row->convicted)) &&
+	       !has_feature(q, other->key);
+}
+
+/* The number of crashes of `row` at which `other` was, too. */
+static unsigned shared_crashes(const struct fatal_row *row,
+			       const struct fatal_row *other)
+{
+	unsigned i, n = 0;
+
+	for (i = 0; i < row->nr_crashes; i++)
+		n += !row->crashes[i].cleared &&
+		     crashed_at(other, row->crashes[i].endpoint);
+	return n;
+}
+
+/* True if there is another suspect that was in all crashes of the row. */
+static bool has_rival(const struct fatal *f, const struct fatal_row *row,
+		      const struct fatal_request *q)
+{
+	const struct fatal_row *other;
+
+	cds_list_for_each_entry(other, &f->rows, node) {
+		if (is_suspect_instead(other, row, q) &&
+		    shared_crashes(row, other) == fatal_crash_count(row))
+			return true;
+	}
+	return false;
+}
+
+/* True if another one that is at least as suspect was at the endpoint. */
+static bool is_explained(const struct fatal *f, const struct fatal_row *row,
+			 uint64_t endpoint, const struct fatal_request *q)
+{
+	const struct fatal_row *other;
+
+	cds_list_for_each_entry(other, &f->rows, node) {
+		if (is_suspect_instead(other, row, q) &&
+		    crashed_at(other, endpoint))
+			return true;
+	}
+	return false;
+}
+
+/* The number of settled crashes that no other suspect explains. */
+static unsigned unexplained_crashes(const struct fatal *f,
+				    const struct fatal_row *row,
+				    const struct fatal_request *q, int64_t now)
+{
+	unsigned i, n = 0;
+
+	for (i = 0; i < row->nr_crashes; i++)
+		n += !row->crashes[i].cleared &&
+		     now - row->crashes[i].at_ms >= SETTLE_MS &&
+		     !is_explained(f, row, row->crashes[i].endpoint, q);
+	return n;
+}
+
+bool fatal_is_settling(const struct fatal_row *row, int64_t now)
+{
+	unsigned i;
+
+	for (i = 0; i < row->nr_crashes; i++) {
+		if (!row->crashes[i].cleared &&
+		    now - row->crashes[i].at_ms < SETTLE_MS)
+			return true;
+	}
+	return false;
+}
+
+bool fatal_convicts(const struct fatal *f, const struct fatal_row *row,
+		    const struct fatal_request *q, int64_t now)
+{
+	if (row->recorded_wall_ms)
+		return true;
+	if (!fatal_is_evident(row))
+		return false;
+	/*
+	 * Only the same request again has the same content. Sound requests may
+	 * share a part, and are refused until the record is deleted.
+	 */
+	return row->kind == FATAL_CONTENT ||
+	       (!has_rival(f, row, q) && unexplained_crashes(f, row, q, now) >=
+						 FATAL_CONVICT_UNEXPLAINED);
+}
+
+bool fatal_is_convicted(const struct fatal *f, const struct fatal_row *row,
+			int64_t now)
+{
+	return fatal_convicts(f, row, NULL, now);
+}
--- a/lib/request/fatal_internal.h
+++ b/lib/request/fatal_internal.h
@@ -1,6 +1,7 @@
 /*
  * Internals that the parts of fatal share: the rows (fatal_rows.c), the gossip
- * (fatal_told.c), and the attribution of crashes (fatal.c).
+ * (fatal_told.c), the evidence (fatal_evidence.c), and the attribution of crashes
+ * (fatal.c).
  */
 #ifndef FATAL_INTERNAL_H
 #define FATAL_INTERNAL_H
@@ -19,11 +20,14 @@
 #define FATAL_CONVICT_WEIGHT 600
 
 /*
- * Returns the content's row, owned by `f`; made if there is none. At
+ * Returns the feature's row, owned by `f`; made if there is none. At
  * FATAL_MAX_ROWS this drops another row.
  */
-struct fatal_row *fatal_get(struct fatal *f, struct hsh128 content,
-			    int64_t now_ms);
+struct fatal_row *fatal_get(struct fatal *f, struct hsh128 key, int64_t now_ms);
+
+/* Sets row->convicted. */
+void fatal_set_convicted(struct fatal *f, struct fatal_row *row,
+			 bool convicted);
 
 /* Removes and frees the row. */
 void fatal_drop(struct fatal *f, struct fatal_row *row);
@@ -38,8 +42,9 @@
 struct fatal_crash *fatal_crash_at(struct fatal_row *row, uint64_t endpoint);
 
 /*
- * Adds a crash, with less weight if a convicted request explains it. Returns
- * false if the row has this crash already, or no room for it.
+ * Adds a crash, with less weight if a convicted request explains it, in place of
+ * the oldest one if there is no room. Returns false if the row has this crash
+ * already, or only later ones.
  */
 bool fatal_add_crash(struct fatal *f, struct fatal_row *row, uint64_t endpoint,
 		     unsigned weight, int64_t at_ms);
@@ -60,10 +65,32 @@
 			  int64_t now_ms);
 
 /*
- * Reports one more crash to the callback. `was_convicted`: the request was
- * convicted before it. `endpoint` 0: the crash was not observed here.
+ * Reports one more crash to the callback, and what it does to the others if it
+ * convicts the row. `endpoint` 0: the crash was not observed here.
  */
-void fatal_report_crash(struct fatal *f, const struct fatal_row *row,
-			bool was_convicted, uint64_t endpoint);
+void fatal_report_crash(struct fatal *f, struct fatal_row *row,
+			uint64_t endpoint, int64_t now_ms);
+
+/* True if the row's crashes would convict it if there was no other suspect. */
+bool fatal_is_evident(const struct fatal_row *row);
+
+/* True if other entries may not have reported yet what concerns its crashes. */
+bool fatal_is_settling(const struct fatal_row *row, int64_t now_ms);
+
+/*
+ * True if a request that has the features of `q` (NULL: only this one) is
+ * quarantined because of the row.
+ */
+bool fatal_convicts(const struct fatal *f, const struct fatal_row *row,
+		    const struct fatal_request *q, int64_t now_ms);
+
+/* A complete answer to a request with the part arrived. */
+void fatal_note_answered(struct fatal *f, struct hsh128 key, int64_t now_ms);
+
+/* When an answer to a request with the part last arrived here; 0: not lately. */
+int64_t fatal_answered_ms(struct fatal *f, struct hsh128 key);
+
+/* True if the part was answered, here or elsewhere, after or just before it. */
+bool fatal_was_answered(struct fatal *f, struct hsh128 key, int64_t crash_ms);
 
 #endif
--- a/lib/request/fatal_rows.c
+++ b/lib/request/fatal_rows.c
@@ -1,10 +1,34 @@
-/* The rows: one for each content, with its crashes and their weights. */
+/* The rows: one for each feature, with its crashes and their weights. */
 #include <assert.h>
+#include <limits.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "request/fatal_internal.h"
 
+/* ---- Features ---- */
+
+/* Of the part's id alone: whatever else the request has, it is the same part. */
+static struct hsh128 part_key(const struct attempt_part *p)
+{
+	static const struct hsh128 kind = { 0, FATAL_PART };
+
+	return hsh128_combine(kind, (struct hsh128){ 0, p->hash });
+}
+
+void fatal_request_init(struct fatal_request *q, struct hsh128 content,
+			const struct attempt *a)
+{
+	unsigned i;
+
+	q->nr_features = 1 + a->nr_parts;
+	q->features[0] = (struct fatal_feature){ FATAL_CONTENT, content, "" };
+	for (i = 0; i < a->nr_parts; i++)
+		q->features[1 + i] = (struct fatal_feature){
+			FATAL_PART, part_key(&a->parts[i]), a->parts[i].id
+		};
+}
+
 void fatal_init(struct fatal *f, const struct fatal_vtable *vt, void *arg)
 {
 	memset(f, 0, sizeof(*f));
@@ -17,20 +41,27 @@
 
 /* uthash's macros expand to about fifty statements. */
 /* NOLINTNEXTLINE(readability-function-size) */
-struct fatal_row *fatal_find(struct fatal *f, struct hsh128 content)
+struct fatal_row *fatal_find(struct fatal *f, struct hsh128 key)
 {
 	struct fatal_row *row = NULL;
 
 	if (f->count)
-		HASH_FIND(by_content, f->table, &content, sizeof(content), row);
+		HASH_FIND(by_key, f->table, &key, sizeof(key), row);
 	return row;
 }
 
+void fatal_set_convicted(struct fatal *f, struct fatal_row *row, bool convicted)
+{
+	f->nr_convicted += convicted - row->convicted;
+	row->convicted = convicted;
+}
+
 /* NOLINTNEXTLINE(readability-function-size) */
 void fatal_drop(struct fatal *f, struct fatal_row *row)
 {
 	/* NOLINTNEXTLINE(clang-analyzer-core.NullDereference) */
-	HASH_DELETE(by_content, f->table, row);
+	HASH_DELETE(by_key, f->table, row);
+	fatal_set_convicted(f, row, false);
 	cds_list_del(&row->node);
 	f->count--;
 	free(row);
@@ -54,39 +85,32 @@
 	return n;
 }
 
-bool fatal_is_convicted(const struct fatal_row *row)
-{
-	unsigned i, weight = 0;
-
-	if (row->recorded_wall_ms ||
-	    fatal_crash_count(row) >= FATAL_CONVICT_ALWAYS_CRASHES)
-		return true;
-	for (i = 0; i < row->nr_crashes; i++)
-		weight += row->crashes[i].cleared ? 0 : row->crashes[i].weight;
-	return weight >= FATAL_CONVICT_WEIGHT;
-}
-
 /*
- * Evicts the least recently changed row, convicted ones last: clients can send
- * any number of new contents, which must not evict convicted ones.
+ * Evicts the row with the weakest evidence, of several the least recently changed
+ * one: clients can send any number of new features while endpoints crash, which
+ * must evict neither convicted ones nor the next one to be convicted.
  */
 static void evict_row(struct fatal *f)
 {
-	struct fatal_row *row;
+	struct fatal_row *row, *weakest = NULL;
+	unsigned strength, least = 0;
 
 	cds_list_for_each_entry(row, &f->rows, node) {
-		if (!fatal_is_convicted(row)) {
-			fatal_drop(f, row);
-			return;
-		}
+		strength = row->recorded_wall_ms
+				   ? UINT_MAX
+				   : fatal_crash_count(row) + row->nr_pending;
+		if (weakest && strength >= least)
+			continue;
+		weakest = row;
+		least = strength;
 	}
-	fatal_drop(f, cds_list_first_entry(&f->rows, struct fatal_row, node));
+	fatal_drop(f, weakest);
 }
 
 /* NOLINTNEXTLINE(readability-function-size) */
-struct fatal_row *fatal_get(struct fatal *f, struct hsh128 content, int64_t now)
+struct fatal_row *fatal_get(struct fatal *f, struct hsh128 key, int64_t now)
 {
-	struct fatal_row *row = fatal_find(f, content);
+	struct fatal_row *row = fatal_find(f, key);
 
 	if (row)
 		return row;
@@ -94,9 +118,10 @@
 		evict_row(f);
 	row = calloc(1, sizeof(*row));
 	assert(row);
-	row->content = content;
+	row->key = key;
+	row->kind = FATAL_NR_KINDS;
 	row->changed_ms = now;
-	HASH_ADD(by_content, f->table, content, sizeof(row->content), row);
+	HASH_ADD(by_key, f->table, key, sizeof(row->key), row);
 	cds_list_add_tail(&row->node, &f->rows);
 	f->count++;
 	return row;
@@ -109,6 +134,7 @@
 void fatal_touch(struct fatal *f, struct fatal_row *row, int64_t now)
 {
 	row->changed_ms = now;
+	row->gossiped = 0;
 	cds_list_del(&row->node);
 	cds_list_add_tail(&row->node, &f->rows);
 }
@@ -143,29 +169,35 @@
 {
 	struct fatal_row *other;
 
+	if (!f->nr_convicted)
+		return false;
 	cds_list_for_each_entry(other, &f->rows, node) {
-		if (other != row && fatal_is_convicted(other) &&
+		if (other != row && other->convicted &&
 		    fatal_crash_at(other, endpoint))
 			return true;
 	}
 	return false;
 }
 
-/* Returns a free slot, or else the oldest cleared crash's; NULL: neither. */
-static struct fatal_crash *crash_slot(struct fatal_row *row)
+/*
+ * Returns a free slot, or else that of a cleared crash, or of the oldest one if it
+ * is older than `at`; NULL: none. The same crashes, in any order, leave the same
+ * ones.
+ */
+static struct fatal_crash *crash_slot(struct fatal_row *row, int64_t at)
 {
+	struct fatal_crash *oldest = &row->crashes[0];
 	unsigned i;
 
 	if (row->nr_crashes < FATAL_MAX_CRASHES)
 		return &row->crashes[row->nr_crashes++];
 	for (i = 0; i < row->nr_crashes; i++) {
-		if (!row->crashes[i].cleared)
-			continue;
-		memmove(&row->crashes[i], &row->crashes[i + 1],
-			(row->nr_crashes - i - 1) * sizeof(row->crashes[0]));
-		return &row->crashes[row->nr_crashes - 1];
+		if (row->crashes[i].cleared)
+			return &row->crashes[i];
+		if (row->crashes[i].at_ms < oldest->at_ms)
+			oldest = &row->crashes[i];
 	}
-	return NULL;
+	return oldest->at_ms < at ? oldest : NULL;
 }
 
 bool fatal_add_crash(struct fatal *f, struct fatal_row *row, uint64_t endpoint,
@@ -175,7 +207,7 @@
 
 	if (fatal_crash_at(row, endpoint))
 		return false;
-	e = crash_slot(row);
+	e = crash_slot(row, at);
 	if (!e)
 		return false;
 	*e = (struct fatal_crash){
@@ -183,7 +215,7 @@
 		.at_ms = at,
 		.weight = weight < FATAL_MAX_WEIGHT ? weight : FATAL_MAX_WEIGHT,
 	};
-	if (!fatal_is_convicted(row) && is_explained(f, row, endpoint))
+	if (!row->convicted && is_explained(f, row, endpoint))
 		fatal_lower_weight(e, FATAL_WEIGHT_SHARED);
 	return true;
 }
@@ -195,7 +227,7 @@
 	bool changed;
 
 	cds_list_for_each_entry(row, &f->rows, node) {
-		if (row == by || fatal_is_convicted(row))
+		if (row == by || row->convicted)
 			continue;
 		changed = false;
 		for (i = 0; i < row->nr_crashes; i++) {
@@ -210,14 +242,17 @@
 	}
 }
 
-void fatal_report_crash(struct fatal *f, const struct fatal_row *row,
-			bool was_convicted, uint64_t endpoint)
+void fatal_report_crash(struct fatal *f, struct fatal_row *row,
+			uint64_t endpoint, int64_t now)
 {
 	enum fatal_change change = FATAL_SUSPECTED;
 
-	if (was_convicted)
+	if (row->convicted)
 		change = FATAL_CRASHED_AGAIN;
-	else if (fatal_is_convicted(row))
+	else if (fatal_is_convicted(f, row, now))
 		change = FATAL_CONVICTED;
+	fatal_set_convicted(f, row, change != FATAL_SUSPECTED);
 	f->vt->changed(f->arg, row, change, endpoint);
+	if (change == FATAL_CONVICTED)
+		fatal_explain_others(f, row, now);
 }
--- a/lib/request/fatal_told.c
+++ b/lib/request/fatal_told.c
@@ -12,7 +12,7 @@
 	unsigned i;
 
 	memset(out, 0, sizeof(*out));
-	out->content = row->content;
+	out->key = row->key;
 	out->running_at = running_at;
 	out->nr_crashes = row->nr_crashes;
 	for (i = 0; i < row->nr_crashes; i++) {
@@ -24,50 +24,104 @@
 	}
 }
 
-/* Adds the other rows that have crashes, in rotation, up to `max`. */
+/*
+ * Adds rows that have not changed lately, in rotation from *next on, up to `max`:
+ * the convicted ones, or the others that have crashes.
+ */
 static unsigned collect_in_turn(struct fatal *f, struct fatal_gossip *out,
-				unsigned max, int64_t now)
+				unsigned max, bool convicted, unsigned *next,
+				int64_t now)
 {
 	const struct fatal_row *row;
 	unsigned i = 0, n = 0;
 
-	if (f->next_in_turn >= f->count)
-		f->next_in_turn = 0;
 	cds_list_for_each_entry(row, &f->rows, node) {
-		if (i++ < f->next_in_turn || !row->nr_crashes ||
-		    now - row->changed_ms < FRESH_MS)
+		if (i++ < *next || !row->nr_crashes ||
+		    now - row->changed_ms < FRESH_MS ||
+		    row->convicted != convicted)
 			continue;
 		if (n == max)
 			return n;
 		fill_row(row, 0, &out[n++], now);
-		f->next_in_turn = i;
+		*next = i;
 	}
-	f->next_in_turn = 0;
+	*next = 0;
 	return n;
 }
 
-unsigned fatal_collect_gossip(struct fatal *f, struct fatal_gossip *out,
-			      unsigned max, unsigned *fresh,
-			      fatal_running_at running_at, void *arg,
-			      int64_t now)
-{
-	const struct fatal_row *row;
-	unsigned n = 0;
+/* A row to be gossiped, and where the request runs here. */
+struct candidate {
+	struct fatal_row *row;
 	uint64_t at;
+};
+
+/*
+ * Of rows that are equally suspect, those gossiped less often come first. Cleared
+ * crashes count: that they are is as urgent as the suspicion.
+ */
+static bool comes_before(const struct candidate *a, const struct candidate *b)
+{
+	if (a->row->nr_crashes != b->row->nr_crashes)
+		return a->row->nr_crashes > b->row->nr_crashes;
+	return a->row->gossiped < b->row->gossiped;
+}
+
+/* Inserts `c` into the `n` candidates in order; of more than `max` drops one. */
+static unsigned insert(struct candidate *all, unsigned n, unsigned max,
+		       const struct candidate *c)
+{
+	unsigned i = n;
+
+	if (n == max && (!max || !comes_before(c, &all[n - 1])))
+		return n;
+	if (n == max)
+		i--;
+	for (; i && comes_before(c, &all[i - 1]); i--)
+		all[i] = all[i - 1];
+	all[i] = *c;
+	return n < max ? n + 1 : n;
+}
 
-	cds_list_for_each_entry_reverse(row, &f->rows, node)
+/* While endpoints crash, more rows change than a datagram has room for. */
+static unsigned collect_fresh(struct fatal *f, struct fatal_gossip *out,
+			      unsigned max, int64_t now)
+{
+	struct candidate all[FATAL_MAX_GOSSIP], c;
+	unsigned i, n = 0;
+
+	if (max > FATAL_MAX_GOSSIP)
+		max = FATAL_MAX_GOSSIP;
+	cds_list_for_each_entry_reverse(c.row, &f->rows, node)
 	{
-		if (!row->nr_crashes || n == max)
+		if (!c.row->nr_crashes)
 			continue;
-		at = fatal_crash_count(row) ? running_at(arg, row->content) : 0;
-		if (at || now - row->changed_ms < FRESH_MS)
-			fill_row(row, at, &out[n++], now);
+		c.at = fatal_crash_count(c.row) >= FATAL_STRONG_CRASHES
+			       ? f->vt->running_at(f->arg, c.row->key)
+			       : 0;
+		if (c.at || now - c.row->changed_ms < FRESH_MS)
+			n = insert(all, n, max, &c);
+	}
+	for (i = 0; i < n; i++) {
+		all[i].row->gossiped++;
+		fill_row(all[i].row, all[i].at, &out[i], now);
 	}
+	return n;
+}
+
+unsigned fatal_collect_gossip(struct fatal *f, struct fatal_gossip *out,
+			      unsigned max, unsigned *fresh, int64_t now)
+{
+	unsigned n = collect_fresh(f, out, max, now);
+
 	*fresh = n;
-	return n + collect_in_turn(f, out + n, max - n, now);
+	/* One convicted row comes first: an entry that was away lacks it. */
+	n += collect_in_turn(f, out + n, n < max, true, &f->next_convicted,
+			     now);
+	return n +
+	       collect_in_turn(f, out + n, max - n, false, &f->next_other, now);
 }
 
-/* Sets where another entry runs the content; `endpoint` 0: nowhere. */
+/* Sets where another entry runs the request; `endpoint` 0: nowhere. */
 static void update_run(struct fatal_row *row, uint64_t entry, uint64_t endpoint,
 		       int64_t now)
 {
@@ -94,32 +148,33 @@
 		      const struct fatal_gossip *received, int64_t now)
 {
 	const unsigned before = fatal_crash_count(row);
-	const bool was_convicted = fatal_is_convicted(row);
 	bool is_news = false;
 	unsigned i, after;
 
 	for (i = 0; i < received->nr_crashes; i++) {
 		const uint64_t endpoint = received->crashes[i].endpoint;
+		const int64_t at = now - received->crashes[i].age_ms;
+		const bool cleared = received->crashes[i].cleared;
 		struct fatal_crash *e;
 
+		if (!cleared && !fatal_crash_at(row, endpoint) &&
+		    fatal_was_answered(f, row->key, at))
+			continue;
 		is_news |= fatal_add_crash(f, row, endpoint,
-					   received->crashes[i].weight,
-					   now - received->crashes[i].age_ms);
+					   received->crashes[i].weight, at);
 		e = fatal_crash_at(row, endpoint);
 		if (!e)
 			continue;
 		is_news |= fatal_lower_weight(e, received->crashes[i].weight);
-		is_news |= received->crashes[i].cleared && !e->cleared;
-		e->cleared |= received->crashes[i].cleared;
+		is_news |= cleared && !e->cleared;
+		e->cleared |= cleared;
 	}
 	if (!is_news)
 		return;
 	fatal_touch(f, row, now);
 	after = fatal_crash_count(row);
 	if (after > before)
-		fatal_report_crash(f, row, was_convicted, 0);
-	if (after > before && fatal_is_convicted(row))
-		fatal_explain_others(f, row, now);
+		fatal_report_crash(f, row, 0, now);
 	else if (before && !after)
 		f->vt->changed(f->arg, row, FATAL_CLEARED, 0);
 }
@@ -134,7 +189,7 @@
 	for (i = 0; i < n; i++) {
 		if (!received[i].nr_crashes)
 			continue;
-		row = fatal_get(f, received[i].content, now);
+		row = fatal_get(f, received[i].key, now);
 		merge_row(f, row, &received[i], now);
 		update_run(row, entry, received[i].running_at, now);
 	}
--- a/tests/support/poison.h
+++ b/tests/support/poison.h
@@ -27,6 +27,7 @@
 	unsigned sends, late;
 	unsigned crashes;
 	int64_t known_ms; /* of crash PSN_KNOWN_CRASHES; 0: none */
+	int64_t last_ms;  /* of the last of the first PSN_KNOWN_CRASHES */
 };
 
 struct psn {
