edge: an answer without framing is complete only if its endpoint lives

What callers saw: beginnings of answers as whole ones. A crashed endpoint closes its connections in order; where the answer has neither a length nor chunks and the crash falls between two events, or anywhere in a plain body, that looks like its end. The entry passed it on as complete, and cleared the suspect with it, so that the part went on crashing endpoints.

Now such an answer is held at its end until a probe that began after it says that the endpoint accepts connections: then it is complete. Else it is a broken send: resumed or repeated if that is allowed, and evidence. Events are passed on as before; only the end of the answer waits for the probe, and only unframed answers cost one.

--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -201,6 +201,9 @@
 	x->endpoints_ended =
 		met_counter(m, "endpoints_ended_total",
 			    "endpoints that ended under our requests");
+	x->answers_verified =
+		met_counter(m, "answers_verified_total",
+			    "answers without framing, probed for a crash");
 	x->suspects[0] = (struct edge_suspect_metrics){
 		met_counter(m, "requests_suspected_total",
 			    "ends held against a request"),
--- a/lib/edge/edge_answer.c
+++ b/lib/edge/edge_answer.c
@@ -33,6 +33,9 @@
 	if (r->call)
 		htc_cancel(r->call);
 	r->call = NULL;
+	if (r->unverified)
+		cds_list_del(&r->wait_node);
+	r->unverified = false;
 	edge_move_cancel(r);
 	memset(&r->hand, 0, sizeof(r->hand));
 	edge_prefill_done(r);
@@ -507,6 +510,68 @@
 	handle_lost(r, FLT_FAILED, why);
 }
 
+/* ---- Answers without framing ---- */
+
+static void finish(struct edge_req *r)
+{
+	if (r->streaming)
+		finish_stream(r);
+	else
+		finish_answer(r);
+}
+
+/*
+ * An answer with neither a length nor chunks ends with its connection, also if the
+ * endpoint crashes in the middle of it. It is complete if the endpoint accepts
+ * connections after that.
+ */
+static void verify_whole(struct edge_req *r)
+{
+	struct flt_endpoint *e = r->endpoint;
+	/* One that is in progress may have connected before the answer ended. */
+	const bool in_progress = e->probing;
+
+	met_inc(r->en->m.answers_verified);
+	if (e->exited || !edge_probe(r->en, e)) {
+		handle_broken(r, EDGE_WHY_UNVERIFIED, true);
+		return;
+	}
+	r->unverified = true;
+	r->probe_again = in_progress;
+	cds_list_add_tail(&r->wait_node, &r->en->unverified);
+}
+
+static void on_verified(struct edge_req *r, bool connected)
+{
+	cds_list_del(&r->wait_node);
+	r->unverified = false;
+	if (connected && r->probe_again)
+		verify_whole(r);
+	else if (connected)
+		finish(r);
+	else
+		handle_broken(r, EDGE_WHY_UNVERIFIED, true);
+}
+
+void edge_answer_verified(struct edge *en, const struct flt_endpoint *e,
+			  bool connected)
+{
+	struct edge_req *r, *next;
+	CDS_LIST_HEAD(all);
+
+	/* A request may begin another wait. */
+	cds_list_for_each_entry_safe(r, next, &en->unverified, wait_node) {
+		if (r->endpoint != e)
+			continue;
+		cds_list_del(&r->wait_node);
+		cds_list_add_tail(&r->wait_node, &all);
+	}
+	while (!cds_list_empty(&all))
+		on_verified(cds_list_first_entry(&all, struct edge_req,
+						 wait_node),
+			    connected);
+}
+
 static void on_end(struct htc_call *call)
 {
 	struct edge_req *r = htc_owner(call);
@@ -519,14 +584,15 @@
 			"refused by endpoint");
 		return;
 	}
-	if (!r->streaming) {
-		finish_answer(r);
-		return;
-	}
-	if (evs_has_partial(&r->events))
+	if (r->streaming && evs_has_partial(&r->events))
 		handle_broken(r, "stream ended within an event", true);
-	else if (!migration_continues(r, hand_on_stream_closed(&r->hand)))
-		finish_stream(r);
+	else if (r->streaming &&
+		 migration_continues(r, hand_on_stream_closed(&r->hand)))
+		return;
+	else if (r->unframed)
+		verify_whole(r);
+	else
+		finish(r);
 }
 
 static void on_failed(struct htc_call *call, enum htc_failure why)
--- a/scripts/parts_test.sh
+++ b/scripts/parts_test.sh
@@ -18,7 +18,7 @@
 trap cluster_stop EXIT
 SECONDS_EACH=${1:-4}
 CALLERS_EACH=${CALLERS_EACH:-2}
-CASES=${CASES:-reset within unframed head first two both crashes killed relayed moved again versions}
+CASES=${CASES:-reset within unframed torn head first two both crashes killed relayed moved again versions}
 
 # The rule: of such requests, those that reach endpoints from 3 s after the fifth
 # crash on; and from 6 s after it, sound requests begin half as often as before.
@@ -224,6 +224,27 @@
 # A crash between two events looks like the end of the answer.
 platform_test 'unframed?n=1' >/dev/null
 case_of unframed 'part=BAD&events=2'
+# whole I: the answer to attempt whole-I of a plain service.
+whole() {
+	is "$(request $(($1 % EDGES + 1)) "whole-$1" "$2")" 200 &&
+		grep -q "ran whole-$1 for one$" "$DIR/body"
+}
+# Guards against the beginning of a plain answer that is passed on as all of it.
+case " $CASES " in *" torn "*)
+	WHOLE=0
+	for I in $(seq 1 12); do
+		whole "$I" /l/x && WHOLE=$((WHOLE + 1))
+		whole "$I" /u/x && WHOLE=$((WHOLE + 1))
+	done
+	expect "torn: answers without framing are passed on" is $WHOLE 24
+	for I in 1 2 3 4 5 6; do
+		echo "$(request "$I" "torn-$I" /l/x -d "torn $I")"
+		echo "$(request "$I" "once-$I" /u/x -d "torn once $I")"
+	done >"$DIR/statuses"
+	expect "torn: one that is cut short by a crash is not" \
+		is "$(grep -c 200 "$DIR/statuses")" 0
+	sleep 3 ;;
+esac
 platform_test 'unframed?n=0' >/dev/null
 case_of head 'part=BAD&events=-1&reset=1'
 case_of first 'part=BAD&events=1'
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -270,6 +270,7 @@
 	enum htc_unreached cause;
 	int status;
 	bool sent;
+	bool by_close; /* htc_ended_by_close */
 	struct buf body;
 	const char *skip_id; /* skip responses with this Id header */
 	int extend_ms; /* htc_extend at each piece of the body; 0: do not */
@@ -298,7 +299,10 @@
 
 static void c_end(struct htc_call *h)
 {
-	((struct call *)htc_owner(h))->ends++;
+	struct call *c = htc_owner(h);
+
+	c->ends++;
+	c->by_close = htc_ended_by_close(h);
 }
 
 static void c_failed(struct htc_call *h, enum htc_failure why)
@@ -321,13 +325,20 @@
 	.idle_ms = 5000,
 };
 
-static struct htc_call *start(struct htc_peer *to, struct call *c, int total)
+static struct htc_call *start_as(const char *method, struct htc_peer *to,
+				 struct call *c, int total)
 {
 	struct buf wire = BUF_INIT;
 
 	memset(c, 0, sizeof(*c));
-	buf_str(&wire, "GET / HTTP/1.1\r\nHost: x\r\n\r\n");
-	return htc_start(to, &wire, 0, false, total, &call_vtable, c);
+	buf_fmt(&wire, "%s / HTTP/1.1\r\nHost: x\r\n\r\n", method);
+	return htc_start(to, &wire, 0, !strcmp(method, "HEAD"), total,
+			 &call_vtable, c);
+}
+
+static struct htc_call *start(struct htc_peer *to, struct call *c, int total)
+{
+	return start_as("GET", to, c, total);
 }
 
 #define OK(body_len, body) \
@@ -475,6 +486,53 @@
 	hsc_server_close(&p.server);
 }
 
+/* Guards against responses that may be cut short and are taken for complete. */
+static void responses_that_may_be_cut_short(void)
+{
+	static const struct {
+		const char *method, *raw;
+		bool by_close;
+	} cases[] = {
+		{ "GET", "HTTP/1.1 200 OK\r\n\r\nbody", true },
+		{ "GET", "HTTP/1.1 200 OK\r\n\r\n", true },
+		{ "GET", "HTTP/1.0 200 OK\r\n\r\nbody", true },
+		{ "GET", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nb",
+		  true },
+		{ "GET", "HTTP/1.1 200 OK\r\nConnection: keep-alive\r\n\r\nb",
+		  true },
+		{ "GET", "HTTP/1.1 503 X\r\n\r\nbody", true },
+		{ "GET", "HTTP/1.1 421 X\r\n\r\n", true },
+		{ "GET", "HTTP/1.1 204 X\r\n\r\n", false },
+		{ "GET", "HTTP/1.1 304 X\r\n\r\n", false },
+		{ "HEAD", "HTTP/1.1 200 OK\r\n\r\n", false },
+		{ "GET", OK(4, "body"), false },
+		{ "GET",
+		  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+		  "1\r\na\r\n0\r\n\r\n",
+		  false },
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct htc_peer to;
+		struct peer p;
+		struct call c;
+
+		open_peer(&p, cases[i].raw);
+		p.disconnect = true;
+		htc_peer_init(&to, loop, clk_real(), &p.addr, &call_limits);
+		start_as(cases[i].method, &to, &c, 0);
+		run_loop(0.03);
+		CU_ASSERT_EQUAL(c.ends, 1);
+		CU_ASSERT_EQUAL(c.by_close, cases[i].by_close);
+		/* Nothing that follows may be taken for another response. */
+		CU_ASSERT(!cases[i].by_close || !to.nr_open);
+		buf_free(&c.body);
+		htc_peer_close(&to);
+		hsc_server_close(&p.server);
+	}
+}
+
 static void call_on_refused_connection_is_not_sent(void)
 {
 	struct htc_peer to;
@@ -914,6 +972,7 @@
 	  truncated_and_malformed_responses_fail },
 	{ "an unframed response ends with its connection",
 	  unframed_response_ends_with_its_connection },
+	{ "responses that may be cut short", responses_that_may_be_cut_short },
 	{ "a call on a refused connection is not sent",
 	  call_on_refused_connection_is_not_sent },
 	{ "a slow response does not time out",
