edge: streams with a suspected part are not moved to another endpoint

Of the ways on which a request reaches endpoints, the migration off a draining endpoint did not ask whether the request may be sent: a running stream whose part was convicted meanwhile was moved, and would have crashed the target. First tries, retries, resumes, relayed and trial sends, and all versions go through edge_send(), which asks.

A suspect is not moved, and a run that was stopped for its copy is not sent on once its part is convicted. marldock_sends_quarantined_total counts at the one place where all sends begin, so a way that is forgotten shows.

--- a/lib/edge/edge_fatal.c
+++ b/lib/edge/edge_fatal.c
@@ -289,12 +289,21 @@
 	return true;
 }
 
-bool edge_fatal_is_quarantined(const struct edge_req *r)
+static enum fatal_verdict check(const struct edge_req *r)
 {
 	const struct fatal_feature *x;
 
-	return fatal_check_send(&r->en->fatal, &r->fatal, &x,
-				edge_now(r->en)) == FATAL_QUARANTINED;
+	return fatal_check_send(&r->en->fatal, &r->fatal, &x, edge_now(r->en));
+}
+
+bool edge_fatal_is_quarantined(const struct edge_req *r)
+{
+	return check(r) == FATAL_QUARANTINED;
+}
+
+bool edge_fatal_is_suspect(const struct edge_req *r)
+{
+	return check(r) != FATAL_SEND;
 }
 
 /* A probe ended: sends the requests that were waiting for its result. */
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -576,8 +576,9 @@
  */
 bool edge_fatal_may_send(struct edge_req *r);
 
-/* True if the request has what crashes endpoints. */
+/* True if the request has what crashes endpoints, or may have it. */
 bool edge_fatal_is_quarantined(const struct edge_req *r);
+bool edge_fatal_is_suspect(const struct edge_req *r);
 
 /* A send of the request began; a send ended, however it ended. */
 void edge_fatal_sent(struct edge_req *r);
--- a/lib/edge/edge_move.c
+++ b/lib/edge/edge_move.c
@@ -208,7 +208,9 @@
 	if (!e || !r->call || !r->streaming || !r->rq.started ||
 	    r->hand.state != HAND_NONE || !r->service->engine.kv_movable)
 		return false;
-	return flt_leaving_ms(e, now) >= MOVE_DELAY_MS;
+	/* A suspect may crash the target, too. */
+	return flt_leaving_ms(e, now) >= MOVE_DELAY_MS &&
+	       !edge_fatal_is_suspect(r);
 }
 
 void edge_move_tick(struct edge *en, int64_t now)
--- a/lib/edge/edge_send.c
+++ b/lib/edge/edge_send.c
@@ -337,7 +337,8 @@
 	char copy_at[sizeof(r->endpoint->info.address) + 64];
 
 	/* Its limit was charged when the copy was requested. */
-	if (!flt_in_service(to, edge_now(r->en)) ||
+	if (edge_fatal_is_quarantined(r) ||
+	    !flt_in_service(to, edge_now(r->en)) ||
 	    gate_waits(&to->gate, edge_now(r->en))) {
 		edge_send_lost(r, "no way to the copy");
 		return;
--- a/scripts/parts_test.sh
+++ b/scripts/parts_test.sh
@@ -18,7 +18,7 @@
 trap cluster_stop EXIT
 SECONDS_EACH=${1:-4}
 CALLERS_EACH=${CALLERS_EACH:-2}
-CASES=${CASES:-reset within unframed torn head first two both crashes killed relayed moved again versions}
+CASES=${CASES:-reset within unframed torn head first two both crashes killed relayed moved carried again versions}
 
 # The rule: of such requests, those that reach endpoints from 3 s after the fifth
 # crash on; and from 6 s after it, sound requests begin half as often as before.
@@ -254,6 +254,51 @@
 case_of killed 'part=BAD&events=0&reset=1'
 case_of relayed 'part=BAD&events=0&reset=1' cut_some
 case_of moved 'part=BAD&events=16&reset=1' drain_some
+# digest: of the part, in the key of its record.
+digest() {
+	grep -h '"event":"request_suspect"' "$DIR"/edge-*.out |
+		grep "\"part\":\"$BAD\"" | head -1 |
+		sed 's/.*"feature":"\([0-9a-f]*\)".*/\1/'
+}
+# convicted N: entry N knows that the part crashes endpoints.
+convicted() {
+	grep -h '"event":"request_suspect"' "$DIR/edge-$1.out" |
+		grep "\"feature\":\"$(digest)\"" |
+		grep -q '"change":"convicted"'
+}
+llm_endpoints() {
+	platform_test seen | sed -n 's/^\(i-[0-9]*\) llm .*/\1/p' |
+		tail -$((EDGE_SERVICES_EACH + 8))
+}
+# Guards against a run whose part is convicted meanwhile, and which is moved off an
+# endpoint that drains.
+case " $CASES " in *" carried "*)
+	BAD=bad99 CASE=carried
+	platform_test 'gap?ms=400' >/dev/null
+	for N in $(seq 1 "$EDGES"); do
+		send "$N" "long-$N" "f$N:100,c$N:50,$BAD:70,l$N:9" >>"$DIR/long" &
+	done
+	sleep 0.5
+	# Runs that began before stay sound in the stand-in.
+	poisonous "part=$BAD&events=0&reset=1"
+	poison_request 1
+	curl -s -o /dev/null -d "{\"at_ms\":$(date +%s)000}" \
+		"http://$PLATFORM/test/put?key=md/fatal/$(digest)"
+	expect "carried: the part is convicted" wait_for everywhere convicted
+	SENDS=$(seen poison_sends) RUN=$(llm_endpoints)
+	platform_test "start?service=llm&version=v1&n=$EDGE_SERVICES_EACH" >/dev/null
+	sleep 0.5
+	for I in $RUN; do platform_test "drain?id=$I" >/dev/null; done
+	sleep 2
+	expect "carried: no run with the part is moved to another endpoint" \
+		is "$(seen poison_sends)" "$SENDS"
+	for I in $RUN; do platform_test "end?id=$I&ms=0" >/dev/null; done
+	platform_test antidote >/dev/null
+	platform_test 'gap?ms=20' >/dev/null
+	sleep 3
+	wait_for everywhere begins ;;
+esac
+
 # They come back under the same id, at the same address, born later.
 platform_test 'again?ms=3000&how=2' >/dev/null
 case_of again 'part=BAD&events=0&reset=1'
--- a/tests/standin/platform.c
+++ b/tests/standin/platform.c
@@ -707,6 +707,9 @@
 	s->poison = poison;
 	s->unframed = w.unframed;
 	s->due_ms = now_ms() + (poison ? POISON_MS : w.gap_ms);
+	/* Nothing is left to be written, and nothing crashes. */
+	if (s->next > s->last)
+		s->poison = 0;
 	c->request = s;
 	cds_list_add_tail(&s->node, &w.streams);
 }
@@ -1129,11 +1132,26 @@
 	hsc_write(s->conn, out.data, out.len);
 }
 
+static void end_stream(struct stream *s)
+{
+	BUF_AUTO out = BUF_INIT;
+
+	cds_list_del(&s->node);
+	s->conn->request = NULL;
+	if (s->unframed) {
+		close_after_answer(s->conn);
+	} else {
+		hmsg_put_chunk(&out, "", 0);
+		hsc_write(s->conn, out.data, out.len);
+		hsc_done(s->conn, false);
+	}
+	free(s);
+}
+
 static void stream_step(struct stream *s)
 {
 	const struct psn_part *part;
 	BUF_AUTO event = BUF_INIT;
-	BUF_AUTO out = BUF_INIT;
 
 	if (s->at->break_streams && s->next == s->last / 2) {
 		/* In the middle of an event. */
@@ -1143,6 +1161,10 @@
 	}
 	buf_fmt(&event, "id: %d\ndata: piece %d of %s\n\n", s->next, s->next,
 		s->at->version);
+	if (s->next > s->last) {
+		end_stream(s);
+		return;
+	}
 	part = psn_first(&w.poison, s->poison);
 	/* One that goes on at another endpoint crashes that as soon as it begins. */
 	if (part && (s->made == part->events || s->made < s->next - 1)) {
@@ -1155,18 +1177,8 @@
 	write_piece(s, event.data, event.len);
 	s->made++;
 	s->due_ms = now_ms() + w.gap_ms;
-	if (s->next++ < s->last)
-		return;
-	cds_list_del(&s->node);
-	s->conn->request = NULL;
-	if (s->unframed) {
-		close_after_answer(s->conn);
-	} else {
-		hmsg_put_chunk(&out, "", 0);
-		hsc_write(s->conn, out.data, out.len);
-		hsc_done(s->conn, false);
-	}
-	free(s);
+	if (s->next++ == s->last)
+		end_stream(s);
 }
 
 /* ---- Faults and what was seen ---- */
