edge: an answer without a new event clears no suspect

A caller that has all events of a stream and continues it gets an answer that is complete and has none: the endpoint had nothing to write, and did not get to the crash. It cleared the part all the same, and the part went on crashing endpoints.

--- a/lib/edge/edge_answer.c
+++ b/lib/edge/edge_answer.c
@@ -406,7 +406,9 @@
 	hmsg_put_chunk(&out, "", 0);
 	rq_answered(&r->rq, true, false);
 	flt_record_outcome(r->endpoint, FLT_GOOD, edge_now(r->en));
-	edge_fatal_answered(r);
+	/* An endpoint that had nothing left to write did not get to a crash. */
+	if (r->events.events > r->events_before_send)
+		edge_fatal_answered(r);
 	edge_learn_completed(r);
 	edge_log_send_ended(r, "complete", r->reply.status);
 	log_passed(r);
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -341,6 +341,7 @@
 		bool answered;
 	} tally; /* how the current send is counted in a roll-out (tally.h) */
 	struct evs events;
+	uint64_t events_before_send; /* events.events when it began */
 	struct hand hand;	/* state of the migration off this endpoint */
 	struct edge_move *move; /* the migration's call; NULL: none */
 	bool move_untargeted;	/* there was no endpoint to move it to */
--- a/lib/edge/edge_send.c
+++ b/lib/edge/edge_send.c
@@ -190,6 +190,7 @@
 	memset(&r->reply, 0, sizeof(r->reply));
 	r->unframed = false;
 	evs_drop_partial(&r->events);
+	r->events_before_send = r->events.events;
 	log_send(r, p, &f);
 	en->wire->encode_request(&c->parse.msg, &c->body, &r->attempt, &f,
 				 &wire);
--- a/scripts/parts_test.sh
+++ b/scripts/parts_test.sh
@@ -18,7 +18,7 @@
 trap cluster_stop EXIT
 SECONDS_EACH=${1:-4}
 CALLERS_EACH=${CALLERS_EACH:-2}
-CASES=${CASES:-reset within unframed torn head first two both crashes killed relayed moved carried again versions}
+CASES=${CASES:-reset within unframed torn head first two both crashes killed relayed moved carried ended again versions}
 
 # The rule: of such requests, those that reach endpoints from 3 s after the fifth
 # crash on; and from 6 s after it, sound requests begin half as often as before.
@@ -299,6 +299,19 @@
 	wait_for everywhere begins ;;
 esac
 
+# Callers that have all events of a stream continue it: such answers are complete
+# without one. Guards against a part that they clear.
+continue_after_end() {
+	local i=0
+	while [ ! -e "$DIR/stop" ]; do
+		i=$((i + 1))
+		send "$(any_entry)" "$CASE-over-$i" "$(poison_parts "o$i")" \
+			-H 'Last-Event-Id: 20' >>"$DIR/over"
+		sleep 0.1
+	done
+}
+case_of ended 'part=BAD&events=0&reset=1' continue_after_end
+
 # They come back under the same id, at the same address, born later.
 platform_test 'again?ms=3000&how=2' >/dev/null
 case_of again 'part=BAD&events=0&reset=1'
