tests: parts that crash endpoints in the fault soak

With POISON=1 up to two parts of prompts crash endpoints, before the head, after it or after some events, in order or by reset, at any place of the prompt and both in one request, while answers have no framing at times and endpoints come back under another id, at the same address or under the same id. Checked: at most three requests with such a part reach endpoints 3 s after the fifth crash from entries that were not restarted, frozen or cut off; sound requests begin once the other faults are over; streams are whole.

--- a/scripts/fault_soak.sh
+++ b/scripts/fault_soak.sh
@@ -13,6 +13,8 @@
 # With VERSIONS=1 endpoints of several software versions come and go, and callers
 # continue streams that break off, at any entry. With odd seeds a version without an
 # order is withheld at first.
+# With POISON=1 parts of prompts crash endpoints, at any place of the answer, which
+# has no framing at times; endpoints come back after a while, some under the same id.
 # Usage: fault_soak.sh SECONDS SEED...
 cd "$(dirname "$0")/.." || exit 1
 . scripts/cluster.sh
@@ -28,6 +30,7 @@
 NR_FAULTS=11
 [ -n "$CUTS" ] && NR_FAULTS=15
 VERSIONS=${VERSIONS:-}
+POISON=${POISON:-}
 BASE=$DIR
 
 # proxy NAME TO: starts a proxy, prints its address.
@@ -43,7 +46,7 @@
 # it was told: ID PATH STATUS EVENTS LAST. The id names the entry, for the
 # stand-in.
 caller() {
-	local k=$1 n=0 id path at status to leave
+	local k=$1 n=0 id path at status to leave body parts ms
 	RANDOM=$((SEED * 100 + k))
 	while [ ! -e "$DIR/stop" ]; do
 		n=$((n + 1))
@@ -62,14 +65,19 @@
 			continue
 		fi
 		at=$(cat "$DIR/front-$to" 2>/dev/null)
+		body=hello parts=()
+		# Or the same request is in all crashes.
+		[ -n "$POISON" ] && body="hello $id" &&
+			parts=(-H "Prefix-Hash: f1:100,a$((RANDOM % 12)):50,$k$n:9")
+		ms=$((${EPOCHREALTIME/./} / 1000))
 		status=$(curl -s -m 8 -o "$DIR/body-$k" -w '%{http_code}' \
 			-H 'Host: t.example' -H "Attempt-Id: $id" \
 			-H 'Deadline-Ms: 6000' -H 'Authorization: Bearer k1' \
-			-d hello "http://$at$path"; echo ":$?")
-		printf '%s %s %s %s %s\n' "$id" "$path" "$status" \
+			"${parts[@]}" -d "$body" "http://$at$path"; echo ":$?")
+		printf '%s %s %s %s %s %s\n' "$id" "$path" "$status" \
 			"$(grep -c '^id: ' "$DIR/body-$k" 2>/dev/null)" \
 			"$(grep '^id: ' "$DIR/body-$k" 2>/dev/null | sort -u | wc -l)" \
-			>>"$DIR/told-$k"
+			"$ms" >>"$DIR/told-$k"
 		rm -f "$DIR/body-$k"
 	done
 }
@@ -94,6 +102,60 @@
 	done
 }
 
+# One more part that crashes endpoints, two at most, and how they answer.
+poison_fault() {
+	local n=$((RANDOM % 4))
+	if [ $n = 0 ] && [ "$(wc -l <"$DIR/parts")" -lt 2 ]; then
+		echo "bad$SEED$RANDOM" >>"$DIR/parts"
+		echo "part $(tail -1 "$DIR/parts") crashes endpoints"
+		platform_test "poison?part=$(tail -1 "$DIR/parts")&events=$((RANDOM % 6 - 1))&within=$((RANDOM % 2))&reset=$((RANDOM % 2))"
+	fi
+	[ $n = 1 ] && platform_test "unframed?n=$((RANDOM % 2))"
+	[ $n = 2 ] && platform_test "again?ms=$((RANDOM % 2500 + 300))&how=$((RANDOM % 3))"
+}
+
+# Requests with one of these parts, at random places, or both; no two alike.
+poisoned_request() {
+	local part="$(shuf -n 1 "$DIR/parts"):70" list
+	[ $((RANDOM % 5)) = 0 ] && part=$(sed 's/$/:70/' "$DIR/parts" | paste -sd,)
+	list="f1:100,a$((RANDOM % 12)):50,$part"
+	[ $((RANDOM % 3)) = 0 ] && list="$part,f1:100"
+	[ $((RANDOM % 3)) = 0 ] && list="f1:100,$part,a$((RANDOM % 12)):50"
+	curl -s -m 4 -o /dev/null -H 'Host: t.example' \
+		-H "Attempt-Id: e$1-p$2" -H 'Deadline-Ms: 3000' \
+		-H 'Authorization: Bearer k1' -H "Prefix-Hash: $list,p$2:9" \
+		-d "poison $2" "http://$(cat "$DIR/front-$1")/s/x"
+}
+
+poison() {
+	local n=0
+	RANDOM=$((SEED * 100 + 97))
+	: >"$DIR/parts"
+	while [ ! -e "$DIR/stop" ]; do
+		n=$((n + 1))
+		[ -e "$DIR/calm" ] || poison_fault >>"$DIR/poisons"
+		[ -s "$DIR/parts" ] &&
+			{ poisoned_request $((RANDOM % EDGES + 1)) "$n" & }
+		sleep 0.2
+	done
+	wait
+}
+
+# Some seconds without other faults.
+calm() {
+	: >"$DIR/calm"
+	sleep 6
+	CALM_MS=$((${EPOCHREALTIME/./} / 1000))
+	sleep 4
+}
+
+# begins_again: sound streams begin as long as some parts crash endpoints.
+begins_again() {
+	awk -v from="$CALM_MS" '$6 >= from && $2 ~ /[so]\/x/ { n++; begun += $4 > 0 }
+		END { print "begun", begun + 0, "of", n + 0; exit 2 * begun < n }' \
+		"$DIR/told"
+}
+
 # front N: callers reach entry N by this proxy, also after its next start.
 front() {
 	FRONT_OF[$1]=front-$1-$(date +%s%N)
@@ -122,9 +184,12 @@
 
 cut_for() {
 	cut_off "$2" "$3"
-	for_a_while "$1" cut_off pass "$3"
+	excuse "$3"
+	for_a_while "$1" heal_cut "$3"
 }
 
+heal_cut() { cut_off pass "$1"; excuse "$1"; }
+
 next_version() {
 	VERSION=$((VERSION + 2))
 	put_document $VERSION '"k1","k2"' "$1"
@@ -241,6 +306,13 @@
 			[ -z "$(pieces_wrong)" ]
 		echo "seed $SEED: begun $(went_on new again), continued $(went_on continued)"
 	fi
+	if [ -n "$POISON" ]; then
+		expect "$SEED: requests with a part that crashes endpoints are not sent" \
+			[ "$(seen poison_late)" -le 3 ]
+		expect "$SEED: sound requests begin" begins_again
+		echo "seed $SEED: $(seen poison_sends) sends with such a part," \
+			"$(seen poison_crashes) crashes, $(seen poison_late) late"
+	fi
 	expect "$SEED: no entry ended by itself" \
 		[ -z "$(grep -lE 'Sanitizer|Assertion' "$DIR"/*.log)" ]
 }
@@ -253,8 +325,8 @@
 	STORE_OF=() FRONT_OF=()
 	RANDOM=$SEED
 	[ -n "$VERSIONS" ] && [ $((SEED % 2)) = 0 ] && EXPOSURE=0 || EXPOSURE=0.1
-	start platform "$BIN/standin-platform" --endpoints 3 --era 1 \
-		${VERSIONS:+--gap 30}
+	start platform "$BIN/standin-platform" --endpoints ${POISON:+1}3 \
+		--era 1 ${VERSIONS:+--gap 30}
 	STORE=$(ready platform) || return 1
 	for i in $(seq 1 $EDGES); do
 		proxy "store-$i" "$STORE"
@@ -270,11 +342,13 @@
 		done
 	[ -n "$STATEMENTS" ] && { statements & }
 	[ -n "$VERSIONS" ] && { versions & }
+	[ -n "$POISON" ] && { poison & }
 	end=$((SECONDS + SECONDS_EACH))
 	while [ $SECONDS -lt $end ]; do
 		fault >>"$DIR/faults"
 		sleep "0.$((RANDOM % 8))"
 	done
+	[ -n "$POISON" ] && calm
 	: >"$DIR/stop"
 	sleep 9
 	check
