fatal: strictly more suspect parts explain crashes of a content; less gossip merged

Crashes at which a more suspect part ran do not count for a content either; two that count are needed. The log's names of kinds are a plain table.

--- a/lib/edge/edge_fatal.c
+++ b/lib/edge/edge_fatal.c
@@ -13,7 +13,10 @@
 /* Retry-After of a quarantined request. */
 #define QUARANTINE_RETRY_MS 60000
 
-/* Retry-After while a suspect is in flight: its outcome is known by then. */
+/*
+ * Retry-After while a suspect is in flight, or its last crashes settle: more is
+ * known by then.
+ */
 #define BUSY_RETRY_MS 300
 
 /* Delay that batches gossip of crashes; minimum time between broadcasts. */
@@ -36,27 +39,24 @@
 
 /* ---- Log ---- */
 
-static const struct {
-	/* Of the kind in the log, and of its value: a digest, or the name. */
-	const char *name, *value;
-} kinds[] = {
-	[FATAL_CONTENT] = { "content", "" },
-	[FATAL_PART] = { "part", "part" },
-	[FATAL_NR_KINDS] = { "unknown", "" },
-};
-
 /* Adds the fields by which requests with the feature, and its record, are found. */
 static void log_feature(struct edge *en, enum fatal_kind kind,
 			struct hsh128 key, const char *name)
 {
+	static const char *const kinds[] = {
+		[FATAL_CONTENT] = "content",
+		[FATAL_PART] = "part",
+		[FATAL_NR_KINDS] = "unknown",
+	};
 	char digits[33];
 
 	hsh128_hex(key, digits);
-	jlog_str(en->log, "kind", kinds[kind].name);
+	jlog_str(en->log, "kind", kinds[kind]);
+	/* `content` is also in the lines of the requests. */
 	jlog_str(en->log, kind == FATAL_CONTENT ? "content" : "feature",
 		 digits);
-	if (*kinds[kind].value)
-		jlog_str(en->log, kinds[kind].value, name);
+	if (kind == FATAL_PART)
+		jlog_str(en->log, "part", name);
 }
 
 static void log_suspect(struct edge *en, const struct fatal_row *row,
@@ -279,7 +279,7 @@
 		cds_list_add_tail(&r->wait_node, &en->parked);
 		return false;
 	case FATAL_BUSY:
-		give_up(r, "suspected of ending endpoints, and under way",
+		give_up(r, "suspected of crashing endpoints, not sent for now",
 			BUSY_RETRY_MS);
 		return false;
 	case FATAL_QUARANTINED:
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -577,8 +577,10 @@
  */
 bool edge_fatal_may_send(struct edge_req *r);
 
-/* True if the request has what crashes endpoints, or may have it. */
+/* True if the request has what crashes endpoints: it must not be sent. */
 bool edge_fatal_is_quarantined(const struct edge_req *r);
+
+/* True if it may crash its endpoint, or is known to. */
 bool edge_fatal_is_suspect(const struct edge_req *r);
 
 /* A send of the request began; a send ended, however it ended. */
--- a/lib/request/fatal.h
+++ b/lib/request/fatal.h
@@ -44,10 +44,9 @@
 #define FATAL_CONVICT_CRASHES 3
 #define FATAL_CONVICT_ALWAYS_CRASHES 5
 
-/*
- * Of the latter, those that no other convicted feature explains.
- */
+/* Of a part's crashes, and of a content's, those that no other suspect explains. */
 #define FATAL_CONVICT_UNEXPLAINED 3
+#define FATAL_CONVICT_UNEXPLAINED_CONTENT 2
 
 /*
  * Number of crashes that makes a request a strong suspect: it then runs one at
@@ -215,7 +214,8 @@
 	FATAL_SEND,	   /* without restriction */
 	FATAL_ISOLATE,	   /* suspect: send where few other requests run */
 	FATAL_WAIT,	   /* convicted if the probes find crashes: wait */
-	FATAL_BUSY,	   /* strong suspect, and in flight already */
+	FATAL_BUSY,	   /* strong suspect: wait for its last crash to settle,
+			      or for one that is in flight */
 	FATAL_QUARANTINED, /* convicted: do not send */
 };
 
--- a/lib/request/fatal_evidence.c
+++ b/lib/request/fatal_evidence.c
@@ -113,14 +113,18 @@
 
 /*
  * True if `other`, which `q` does not have, may have caused crashes of the row: it
- * is at least as suspect, or was convicted before.
+ * is at least as suspect as a part, or more than a content, which only the same
+ * request again has; or it was convicted before.
  */
 static bool is_suspect_instead(const struct fatal_row *other,
 			       const struct fatal_row *row,
 			       const struct fatal_request *q)
 {
+	const unsigned least =
+		fatal_crash_count(row) + (row->kind == FATAL_CONTENT);
+
 	return other != row &&
-	       (fatal_crash_count(other) >= fatal_crash_count(row) ||
+	       (fatal_crash_count(other) >= least ||
 		(other->convicted && !row->convicted)) &&
 	       !has_feature(q, other->key);
 }
@@ -165,7 +169,10 @@
 	return false;
 }
 
-/* The number of settled crashes that no other suspect explains. */
+/*
+ * The number of crashes that no other suspect explains; of a part, those that are
+ * settled.
+ */
 static unsigned unexplained_crashes(const struct fatal *f,
 				    const struct fatal_row *row,
 				    const struct fatal_request *q, int64_t now)
@@ -174,7 +181,8 @@
 
 	for (i = 0; i < row->nr_crashes; i++)
 		n += !row->crashes[i].cleared &&
-		     now - row->crashes[i].at_ms >= SETTLE_MS &&
+		     (row->kind == FATAL_CONTENT ||
+		      now - row->crashes[i].at_ms >= SETTLE_MS) &&
 		     !is_explained(f, row, row->crashes[i].endpoint, q);
 	return n;
 }
@@ -194,17 +202,21 @@
 bool fatal_convicts(const struct fatal *f, const struct fatal_row *row,
 		    const struct fatal_request *q, int64_t now)
 {
+	unsigned unexplained;
+
 	if (row->recorded_wall_ms)
 		return true;
 	if (!fatal_is_evident(row))
 		return false;
+	unexplained = unexplained_crashes(f, row, q, now);
+	if (row->kind == FATAL_CONTENT)
+		return unexplained >= FATAL_CONVICT_UNEXPLAINED_CONTENT;
 	/*
-	 * Only the same request again has the same content. Sound requests may
-	 * share a part, and are refused until the record is deleted.
+	 * Sound requests may share a part, and would be refused until the record
+	 * is deleted.
 	 */
-	return row->kind == FATAL_CONTENT ||
-	       (!has_rival(f, row, q) && unexplained_crashes(f, row, q, now) >=
-						 FATAL_CONVICT_UNEXPLAINED);
+	return unexplained >= FATAL_CONVICT_UNEXPLAINED &&
+	       !has_rival(f, row, q);
 }
 
 bool fatal_is_convicted(const struct fatal *f, const struct fatal_row *row,
--- a/lib/request/fatal_rows.c
+++ b/lib/request/fatal_rows.c
@@ -179,25 +179,31 @@
 	return false;
 }
 
+/* True if `a` makes room before `b`: cleared ones do, then the oldest. */
+static bool is_dispensable(const struct fatal_crash *a,
+			   const struct fatal_crash *b)
+{
+	if (a->cleared != b->cleared)
+		return a->cleared;
+	return a->at_ms < b->at_ms;
+}
+
 /*
- * Returns a free slot, or else that of a cleared crash, or of the oldest one if it
- * is older than `at`; NULL: none. The same crashes, in any order, leave the same
- * ones.
+ * Returns a free slot, or else that of a cleared crash or of one before `at`; NULL:
+ * none. So of the same crashes in any order the latest ones are kept.
  */
 static struct fatal_crash *crash_slot(struct fatal_row *row, int64_t at)
 {
-	struct fatal_crash *oldest = &row->crashes[0];
+	struct fatal_crash *least = &row->crashes[0];
 	unsigned i;
 
 	if (row->nr_crashes < FATAL_MAX_CRASHES)
 		return &row->crashes[row->nr_crashes++];
-	for (i = 0; i < row->nr_crashes; i++) {
-		if (row->crashes[i].cleared)
-			return &row->crashes[i];
-		if (row->crashes[i].at_ms < oldest->at_ms)
-			oldest = &row->crashes[i];
+	for (i = 1; i < row->nr_crashes; i++) {
+		if (is_dispensable(&row->crashes[i], least))
+			least = &row->crashes[i];
 	}
-	return oldest->at_ms < at ? oldest : NULL;
+	return least->cleared || least->at_ms < at ? least : NULL;
 }
 
 bool fatal_add_crash(struct fatal *f, struct fatal_row *row, uint64_t endpoint,
--- a/lib/request/fatal_told.c
+++ b/lib/request/fatal_told.c
@@ -143,6 +143,30 @@
 	row->runs[at] = (struct fatal_run){ entry, endpoint, now };
 }
 
+/* The crash does not count, since the part was answered just before or later. */
+static bool is_refuted(struct fatal *f, const struct fatal_gossip *received,
+		       unsigned i, int64_t now)
+{
+	return !received->crashes[i].cleared &&
+	       fatal_was_answered(f, received->key,
+				  now - received->crashes[i].age_ms);
+}
+
+/* False if the row would be empty. */
+static bool has_news(struct fatal *f, const struct fatal_gossip *received,
+		     int64_t now)
+{
+	unsigned i;
+
+	if (fatal_find(f, received->key))
+		return received->nr_crashes > 0;
+	for (i = 0; i < received->nr_crashes; i++) {
+		if (!is_refuted(f, received, i, now))
+			return true;
+	}
+	return false;
+}
+
 /* Merges a received row into `row`. */
 static void merge_row(struct fatal *f, struct fatal_row *row,
 		      const struct fatal_gossip *received, int64_t now)
@@ -153,21 +177,20 @@
 
 	for (i = 0; i < received->nr_crashes; i++) {
 		const uint64_t endpoint = received->crashes[i].endpoint;
-		const int64_t at = now - received->crashes[i].age_ms;
-		const bool cleared = received->crashes[i].cleared;
 		struct fatal_crash *e;
 
-		if (!cleared && !fatal_crash_at(row, endpoint) &&
-		    fatal_was_answered(f, row->key, at))
+		if (!fatal_crash_at(row, endpoint) &&
+		    is_refuted(f, received, i, now))
 			continue;
 		is_news |= fatal_add_crash(f, row, endpoint,
-					   received->crashes[i].weight, at);
+					   received->crashes[i].weight,
+					   now - received->crashes[i].age_ms);
 		e = fatal_crash_at(row, endpoint);
 		if (!e)
 			continue;
 		is_news |= fatal_lower_weight(e, received->crashes[i].weight);
-		is_news |= cleared && !e->cleared;
-		e->cleared |= cleared;
+		is_news |= received->crashes[i].cleared && !e->cleared;
+		e->cleared |= received->crashes[i].cleared;
 	}
 	if (!is_news)
 		return;
@@ -187,7 +210,7 @@
 	unsigned i;
 
 	for (i = 0; i < n; i++) {
-		if (!received[i].nr_crashes)
+		if (!has_news(f, &received[i], now))
 			continue;
 		row = fatal_get(f, received[i].key, now);
 		merge_row(f, row, &received[i], now);
