fatal: suspects that cannot be told apart run one at a time; independent evidence

Schedules with three poison parts and three to eight endpoints found two faults. - With 4 endpoints up to five requests with such a part were sent 3 s after the fifth crash: suspects that shared all their crashes ran at the same endpoint again, and were not told apart. The rival check is gone: a crash that another suspect explains does not count, so a suspect in all of them leaves none that does.

--- a/lib/request/fatal.c
+++ b/lib/request/fatal.c
@@ -69,6 +69,23 @@
 	return answered_ms && now - answered_ms < IN_USE_MS;
 }
 
+/*
+ * Suspects that cannot be told apart yet run one at a time, or they would crash the
+ * same endpoint again.
+ */
+static bool evident_one_runs(struct fatal *f, int64_t now)
+{
+	const struct fatal_row *row;
+
+	cds_list_for_each_entry(row, &f->rows, node) {
+		if (fatal_is_evident(row) && !row->convicted &&
+		    (runs_elsewhere(row, now) ||
+		     f->vt->running_at(f->arg, row->key)))
+			return true;
+	}
+	return false;
+}
+
 /* The verdict because of one feature of the request. */
 static enum fatal_verdict check_row(struct fatal *f,
 				    const struct fatal_row *row,
@@ -83,7 +100,8 @@
 		return nr_crashes ? FATAL_ISOLATE : FATAL_SEND;
 	if (nr_probing && nr_crashes + nr_probing >= FATAL_CONVICT_CRASHES)
 		return FATAL_WAIT;
-	if (fatal_is_evident(row) && fatal_is_settling(row, now))
+	if (fatal_is_evident(row) &&
+	    (fatal_is_settling(row, now) || evident_one_runs(f, now)))
 		return FATAL_BUSY;
 	if (nr_crashes >= FATAL_STRONG_CRASHES &&
 	    (runs_elsewhere(row, now) || f->vt->running_at(f->arg, row->key)))
--- a/lib/request/fatal_evidence.c
+++ b/lib/request/fatal_evidence.c
@@ -111,10 +111,22 @@
 	return false;
 }
 
+/* The number of crashes of `other` at which the row was not. */
+static unsigned crashes_without(const struct fatal_row *other,
+				const struct fatal_row *row)
+{
+	unsigned i, n = 0;
+
+	for (i = 0; i < other->nr_crashes; i++)
+		n += !other->crashes[i].cleared &&
+		     !crashed_at(row, other->crashes[i].endpoint);
+	return n;
+}
+
 /*
  * True if `other`, which `q` does not have, may have caused crashes of the row: it
  * is at least as suspect as a part, or more than a content, which only the same
- * request again has; or it was convicted before.
+ * request again has; or it was convicted before, or would be without these crashes.
  */
 static bool is_suspect_instead(const struct fatal_row *other,
 			       const struct fatal_row *row,
@@ -125,36 +137,11 @@
 
 	return other != row &&
 	       (fatal_crash_count(other) >= least ||
-		(other->convicted && !row->convicted)) &&
+		(other->convicted && !row->convicted) ||
+		crashes_without(other, row) >= FATAL_CONVICT_UNEXPLAINED) &&
 	       !has_feature(q, other->key);
 }
 
-/* The number of crashes of `row` at which `other` was, too. */
-static unsigned shared_crashes(const struct fatal_row *row,
-			       const struct fatal_row *other)
-{
-	unsigned i, n = 0;
-
-	for (i = 0; i < row->nr_crashes; i++)
-		n += !row->crashes[i].cleared &&
-		     crashed_at(other, row->crashes[i].endpoint);
-	return n;
-}
-
-/* True if there is another suspect that was in all crashes of the row. */
-static bool has_rival(const struct fatal *f, const struct fatal_row *row,
-		      const struct fatal_request *q)
-{
-	const struct fatal_row *other;
-
-	cds_list_for_each_entry(other, &f->rows, node) {
-		if (is_suspect_instead(other, row, q) &&
-		    shared_crashes(row, other) == fatal_crash_count(row))
-			return true;
-	}
-	return false;
-}
-
 /* True if another one that is at least as suspect was at the endpoint. */
 static bool is_explained(const struct fatal *f, const struct fatal_row *row,
 			 uint64_t endpoint, const struct fatal_request *q)
@@ -202,21 +189,17 @@
 bool fatal_convicts(const struct fatal *f, const struct fatal_row *row,
 		    const struct fatal_request *q, int64_t now)
 {
-	unsigned unexplained;
-
 	if (row->recorded_wall_ms)
 		return true;
 	if (!fatal_is_evident(row))
 		return false;
-	unexplained = unexplained_crashes(f, row, q, now);
-	if (row->kind == FATAL_CONTENT)
-		return unexplained >= FATAL_CONVICT_UNEXPLAINED_CONTENT;
 	/*
 	 * Sound requests may share a part, and would be refused until the record
 	 * is deleted.
 	 */
-	return unexplained >= FATAL_CONVICT_UNEXPLAINED &&
-	       !has_rival(f, row, q);
+	return unexplained_crashes(f, row, q, now) >=
+	       (row->kind == FATAL_CONTENT ? FATAL_CONVICT_UNEXPLAINED_CONTENT
+					   : FATAL_CONVICT_UNEXPLAINED);
 }
 
 bool fatal_is_convicted(const struct fatal *f, const struct fatal_row *row,
--- a/tests/test_fatal.c
+++ b/tests/test_fatal.c
@@ -1262,6 +1262,31 @@
 	unit_report("poison parts", seeds * i, violations);
 }
 
+/*
+ * Guards against suspects that crash the same few endpoints again and again, and so
+ * are never told apart.
+ */
+static void poison_parts_at_few_endpoints(void)
+{
+	static const int endpoints[] = { 4, 6, 8 };
+	const unsigned long seeds = unit_seeds(SEEDS);
+	unsigned long violations = 0;
+	struct result r;
+	size_t i;
+
+	for (i = 0; i < sizeof(endpoints) / sizeof(endpoints[0]); i++) {
+		const struct schedule s = { .entries = 6,
+					    .endpoints = endpoints[i],
+					    .poison = true,
+					    .parts = true };
+
+		r = simulate_seeds(&s, seeds);
+		CU_ASSERT(r.late <= MOST_LATE);
+		violations += r.late > MOST_LATE;
+	}
+	unit_report("poison parts at few endpoints", seeds * i, violations);
+}
+
 static void faulty_variants_are_detected(void)
 {
 	static const struct schedule no_gossip = { .entries = 6,
@@ -1322,6 +1347,7 @@
 	  simulations_stay_within_the_bounds },
 	{ "poison parts stay within the bounds",
 	  poison_parts_stay_within_the_bounds },
+	{ "poison parts at few endpoints", poison_parts_at_few_endpoints },
 	{ "faulty variants are detected", faulty_variants_are_detected },
 };
 
