edge: an unframed answer through a relay is verified by the same relay

What callers saw: the beginning of a stream as a whole one. The entry that relayed it was killed; the end of its connection looks like the end of an answer without framing, and the probe went to the endpoint directly, which was well.

The probe goes by the way on which the answer came, begins after its end, and belongs to the request; if the entry would take another way by now, the answer counts as broken. That replaces the shared probe and its list.

parts_test, case carried, reads the part's digest once the log has it; lint: the stand-in's calls and the metrics of suspects are functions of their own.

--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -167,6 +167,32 @@
 			    "datagrams about the versions of streams");
 }
 
+static void register_suspect_metrics(struct met *m, struct edge_metrics *x)
+{
+	x->suspects[0] = (struct edge_suspect_metrics){
+		met_counter(m, "requests_suspected_total",
+			    "ends held against a request"),
+		met_counter(m, "requests_convicted_total",
+			    "requests known to end endpoints"),
+		met_counter(m, "requests_cleared_total",
+			    "suspects cleared by a whole answer"),
+	};
+	x->suspects[1] = (struct edge_suspect_metrics){
+		met_counter(m, "parts_suspected_total",
+			    "crashes that count against a part of prompts"),
+		met_counter(m, "parts_convicted_total",
+			    "parts of prompts that crash endpoints"),
+		met_counter(m, "parts_cleared_total",
+			    "suspected parts cleared by a complete answer"),
+	};
+	x->sends_quarantined =
+		met_counter(m, "sends_quarantined_total",
+			    "sends of requests that are quarantined: 0");
+	x->requests_withheld =
+		met_counter(m, "requests_withheld_total",
+			    "attempts of such requests not sent");
+}
+
 static void register_metrics(struct edge *en)
 {
 	struct met *m = &en->met;
@@ -204,28 +230,7 @@
 	x->answers_verified =
 		met_counter(m, "answers_verified_total",
 			    "answers without framing, probed for a crash");
-	x->suspects[0] = (struct edge_suspect_metrics){
-		met_counter(m, "requests_suspected_total",
-			    "ends held against a request"),
-		met_counter(m, "requests_convicted_total",
-			    "requests known to end endpoints"),
-		met_counter(m, "requests_cleared_total",
-			    "suspects cleared by a whole answer"),
-	};
-	x->suspects[1] = (struct edge_suspect_metrics){
-		met_counter(m, "parts_suspected_total",
-			    "crashes that count against a part of prompts"),
-		met_counter(m, "parts_convicted_total",
-			    "parts of prompts that crash endpoints"),
-		met_counter(m, "parts_cleared_total",
-			    "suspected parts cleared by a complete answer"),
-	};
-	x->sends_quarantined =
-		met_counter(m, "sends_quarantined_total",
-			    "sends of requests that are quarantined: 0");
-	x->requests_withheld =
-		met_counter(m, "requests_withheld_total",
-			    "attempts of such requests not sent");
+	register_suspect_metrics(m, x);
 	x->sends_not_run = met_counter(m, "sends_not_run_total",
 				       "sends that endpoints did not run");
 	x->sends_lost = met_counter(m, "sends_lost_total",
--- a/lib/edge/edge_answer.c
+++ b/lib/edge/edge_answer.c
@@ -1,4 +1,5 @@
 /* Endpoints' answers: passes them on to callers, or takes the next step. */
+#include <assert.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -13,6 +14,13 @@
 /* Maximum body of an answer without a stream; data beyond it is dropped. */
 #define MAX_ANSWER_BYTES (16u << 20)
 
+/* A probe that verifies the end of an answer. */
+struct edge_verify {
+	struct edge *en;
+	struct edge_req *r;	/* NULL: its send was stopped */
+	struct flt_endpoint *e; /* referenced */
+};
+
 /* ---- End of a send ---- */
 
 void edge_prefill_done(struct edge_req *r)
@@ -33,9 +41,9 @@
 	if (r->call)
 		htc_cancel(r->call);
 	r->call = NULL;
-	if (r->unverified)
-		cds_list_del(&r->wait_node);
-	r->unverified = false;
+	if (r->verify)
+		r->verify->r = NULL;
+	r->verify = NULL;
 	edge_move_cancel(r);
 	memset(&r->hand, 0, sizeof(r->hand));
 	edge_prefill_done(r);
@@ -514,6 +522,8 @@
 
 /* ---- Answers without framing ---- */
 
+#define WHY_UNVERIFIED "answer without framing, and endpoint gone"
+
 static void finish(struct edge_req *r)
 {
 	if (r->streaming)
@@ -522,56 +532,54 @@
 		finish_answer(r);
 }
 
-/*
- * An answer with neither a length nor chunks ends with its connection, also if the
- * endpoint crashes in the middle of it. It is complete if the endpoint accepts
- * connections after that.
- */
-static void verify_whole(struct edge_req *r)
+static void on_verified(void *arg, enum htc_probe_result found)
 {
-	struct flt_endpoint *e = r->endpoint;
-	/* One that is in progress may have connected before the answer ended. */
-	const bool in_progress = e->probing;
+	struct edge_verify *v = arg;
+	struct edge_req *r = v->r;
 
-	met_inc(r->en->m.answers_verified);
-	if (e->exited || !edge_probe(r->en, e)) {
-		handle_broken(r, EDGE_WHY_UNVERIFIED, true);
+	flt_unref(&v->en->fleet, v->e);
+	free(v);
+	if (!r)
 		return;
-	}
-	r->unverified = true;
-	r->probe_again = in_progress;
-	cds_list_add_tail(&r->wait_node, &r->en->unverified);
-}
-
-static void on_verified(struct edge_req *r, bool connected)
-{
-	cds_list_del(&r->wait_node);
-	r->unverified = false;
-	if (connected && r->probe_again)
-		verify_whole(r);
-	else if (connected)
+	r->verify = NULL;
+	if (found == HTC_PROBE_CONNECTED)
 		finish(r);
 	else
-		handle_broken(r, EDGE_WHY_UNVERIFIED, true);
+		handle_broken(r, WHY_UNVERIFIED, true);
 }
 
-void edge_answer_verified(struct edge *en, const struct flt_endpoint *e,
-			  bool connected)
+/* Connects by the way on which the answer came. False: it is gone. */
+static bool start_verify(struct edge_req *r)
 {
-	struct edge_req *r, *next;
-	CDS_LIST_HEAD(all);
+	const struct edge_way way =
+		edge_way_to(r->en, r->endpoint, r->relay[0]);
+	struct edge_verify *v;
 
-	/* A request may begin another wait. */
-	cds_list_for_each_entry_safe(r, next, &en->unverified, wait_node) {
-		if (r->endpoint != e)
-			continue;
-		cds_list_del(&r->wait_node);
-		cds_list_add_tail(&r->wait_node, &all);
+	if (r->endpoint->exited || !way.pool ||
+	    strcmp(way.relay ? way.relay : "", r->relay) != 0)
+		return false;
+	v = malloc(sizeof(*v));
+	assert(v);
+	*v = (struct edge_verify){ r->en, r, r->endpoint };
+	if (!htc_probe(way.pool, on_verified, v)) {
+		free(v);
+		return false;
 	}
-	while (!cds_list_empty(&all))
-		on_verified(cds_list_first_entry(&all, struct edge_req,
-						 wait_node),
-			    connected);
+	flt_ref(v->e);
+	r->verify = v;
+	return true;
+}
+
+/*
+ * An answer with neither a length nor chunks ends with its connection, also if the
+ * endpoint, or the relay, crashes in the middle of it. It is complete if they accept
+ * a connection after that.
+ */
+static void verify_whole(struct edge_req *r)
+{
+	met_inc(r->en->m.answers_verified);
+	if (!start_verify(r))
+		handle_broken(r, WHY_UNVERIFIED, true);
 }
 
 static void on_end(struct htc_call *call)
--- a/lib/edge/edge_fatal.c
+++ b/lib/edge/edge_fatal.c
@@ -356,7 +356,6 @@
 		fatal_endpoint_silent(&en->fatal, e->hash);
 		break;
 	}
-	edge_answer_verified(en, e, found == HTC_PROBE_CONNECTED);
 	edge_fatal_mark_endpoints(en);
 	release_parked(en);
 }
@@ -529,7 +528,6 @@
 {
 	fatal_init(&en->fatal, &fatal_callbacks, en);
 	CDS_INIT_LIST_HEAD(&en->parked);
-	CDS_INIT_LIST_HEAD(&en->unverified);
 	ev_timer_init(&en->fatal_gossip_timer, on_gossip_timer, 0, 0);
 	en->fatal_gossip_timer.data = en;
 }
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -239,15 +239,14 @@
 	int64_t versions_noted_ms; /* of all listed endpoints */
 	unsigned nr_place_waits;   /* requests with place.waiting */
 
-	struct fatal fatal;		 /* suspected poison requests */
-	struct cds_list_head parked;	 /* of edge_req.wait_node */
-	struct cds_list_head unverified; /* the same; unframed answers */
-	ev_timer fatal_gossip_timer;	 /* batches gossip about suspects */
-	int64_t fatal_gossip_ms;	 /* when it last fired */
-	int64_t fatal_expiry_ms; /* when old suspects were last removed */
-	unsigned nr_fatal_news;	 /* rows in gossip_out.fatal that changed */
-	bool fatal_marked;	 /* some suspect_runs may not be 0 */
-	bool fatal_from_others;	 /* applying gossip or records */
+	struct fatal fatal;	     /* suspected poison requests */
+	struct cds_list_head parked; /* of edge_req.wait_node */
+	ev_timer fatal_gossip_timer; /* batches gossip about suspects */
+	int64_t fatal_gossip_ms;     /* when it last fired */
+	int64_t fatal_expiry_ms;     /* when old suspects were last removed */
+	unsigned nr_fatal_news;	     /* rows in gossip_out.fatal that changed */
+	bool fatal_marked;	     /* some suspect_runs may not be 0 */
+	bool fatal_from_others;	     /* applying gossip or records */
 
 	struct prs prs;		   /* the other entries */
 	struct ovl ovl;		   /* which of them exchange gossip */
@@ -287,9 +286,8 @@
 
 /* A caller's request, from its head to the end of its answer. */
 struct edge_req {
-	struct cds_list_head node; /* in edge.requests */
-	/* In edge.awaiting_config, .parked or .unverified. */
-	struct cds_list_head wait_node;
+	struct cds_list_head node;	/* in edge.requests */
+	struct cds_list_head wait_node; /* in edge.awaiting_config or .parked */
 	struct edge *en;
 	struct hsc *conn; /* the caller's connection */
 	struct cfg *cfg;  /* referenced; NULL before admission */
@@ -330,11 +328,10 @@
 	unsigned sends_reached; /* sends that may have reached an endpoint */
 	bool retry_charged;	/* the current send, to the retry budget */
 	struct reply reply;
-	bool unframed;		/* the answer ended with its connection */
-	bool unverified;	/* in edge.unverified, until a probe ended */
-	bool probe_again;	/* that probe began before the answer ended */
-	struct buf answer_head; /* until the first event was passed on */
-	struct buf answer_body; /* of an answer without a stream */
+	bool unframed;		    /* the answer ended with its connection */
+	struct edge_verify *verify; /* probe after that; NULL: none */
+	struct buf answer_head;	    /* until the first event was passed on */
+	struct buf answer_body;	    /* of an answer without a stream */
 	struct {
 		uint64_t order; /* hash of the order; 0: not counted */
 		uint32_t route, group;
@@ -669,16 +666,6 @@
 /* The number of endpoints that get no requests as they were not reached. */
 unsigned edge_count_unreached(const struct edge *en, int64_t now);
 
-/* In the log and the answer, if it ended with its connection. */
-#define EDGE_WHY_UNVERIFIED "answer without framing, and endpoint gone"
-
-/*
- * A probe of the endpoint ended: finishes the answers without framing that wait for
- * it. `connected`: the endpoint is there. May free requests.
- */
-void edge_answer_verified(struct edge *en, const struct flt_endpoint *e,
-			  bool connected);
-
 /* Logs the end of the current send. `status`: HTTP status; 0: no answer. */
 void edge_log_send_ended(struct edge_req *r, const char *outcome, int status);
 
--- a/scripts/parts_test.sh
+++ b/scripts/parts_test.sh
@@ -18,7 +18,7 @@
 trap cluster_stop EXIT
 SECONDS_EACH=${1:-4}
 CALLERS_EACH=${CALLERS_EACH:-2}
-CASES=${CASES:-reset within unframed torn head first two both crashes killed relayed moved carried ended again versions}
+CASES=${CASES:-reset within unframed torn relay head first two both crashes killed relayed moved carried ended again versions}
 
 # The rule: of such requests, those that reach endpoints from 3 s after the fifth
 # crash on; and from 6 s after it, sound requests begin half as often as before.
@@ -245,6 +245,32 @@
 		is "$(grep -c 200 "$DIR/statuses")" 0
 	sleep 3 ;;
 esac
+# Guards against an answer that ends as its relay is killed, and is taken for whole.
+relays() {
+	grep -h '"event":"send"' "$DIR/edge-1.out" | grep '"id":"e1-relay-' |
+		sed -n 's/.*"relay":"edge-\([0-9]*\)".*/\1/p' | sort -u
+}
+case " $CASES " in *" relay "*)
+	rm -f "$DIR"/sound-*
+	platform_test 'gap?ms=250' >/dev/null
+	cut_off refuse 1
+	sleep 1
+	for I in $(seq 1 8); do
+		send 1 "relay-$I" "f$I:100,r$I:9" >"$DIR/sound-$I" &
+	done
+	# The entry reaches endpoints again, while the streams still come by the relay.
+	sleep 0.5
+	cut_off pass 1
+	sleep 2.5
+	for N in $(relays); do kill -9 "$(pid_of "edge-$N")"; done
+	sleep 2
+	expect "relay: no stream that is cut short is passed on as whole" \
+		[ -z "$(torn)" ]
+	for N in $(relays); do start_edge "$N" false; front "$N"; done
+	platform_test 'gap?ms=20' >/dev/null
+	sleep 1
+	wait_for everywhere begins ;;
+esac
 platform_test 'unframed?n=0' >/dev/null
 case_of head 'part=BAD&events=-1&reset=1'
 case_of first 'part=BAD&events=1'
@@ -260,6 +286,7 @@
 		grep "\"part\":\"$BAD\"" | head -1 |
 		sed 's/.*"feature":"\([0-9a-f]*\)".*/\1/'
 }
+has_digest() { [ -n "$(digest)" ]; }
 # convicted N: entry N knows that the part crashes endpoints.
 convicted() {
 	grep -h '"event":"request_suspect"' "$DIR/edge-$1.out" |
@@ -282,6 +309,7 @@
 	# Runs that began before stay sound in the stand-in.
 	poisonous "part=$BAD&events=0&reset=1"
 	poison_request 1
+	wait_for has_digest
 	curl -s -o /dev/null -d "{\"at_ms\":$(date +%s)000}" \
 		"http://$PLATFORM/test/put?key=md/fatal/$(digest)"
 	expect "carried: the part is convicted" wait_for everywhere convicted
--- a/tests/standin/platform.c
+++ b/tests/standin/platform.c
@@ -1346,6 +1346,30 @@
 	return true;
 }
 
+/* How endpoints crash, answer and come back. False: no such call. */
+static bool change_crashes(const char *url)
+{
+	char number[32] = "0";
+
+	if (!strncmp(url, "/test/poison", 12)) {
+		psn_add(&w.poison, url);
+	} else if (!strncmp(url, "/test/antidote", 14)) {
+		psn_clear(&w.poison);
+	} else if (!strncmp(url, "/test/unframed", 14)) {
+		hmsg_query(url, "n", number, sizeof(number));
+		w.unframed = atoi(number);
+	} else if (!strncmp(url, "/test/again", 11)) {
+		hmsg_query(url, "ms", number, sizeof(number));
+		w.start_again_ms = atoi(number);
+		str_copy(number, "0", sizeof(number));
+		hmsg_query(url, "how", number, sizeof(number));
+		w.again = (enum again)atoi(number);
+	} else {
+		return false;
+	}
+	return true;
+}
+
 static void on_test(struct hsc *c, const char *url)
 {
 	struct endpoint *e = asked_endpoint(url);
@@ -1359,6 +1383,10 @@
 		list_runs(c);
 		return;
 	}
+	if (change_crashes(url)) {
+		reply(c, 200, "{}");
+		return;
+	}
 	if (!strncmp(url, "/test/put", 9)) {
 		hmsg_query(url, "key", key, sizeof(key));
 		write_text(key, buf_cstr(&c->body));
@@ -1375,19 +1403,6 @@
 	} else if (!strncmp(url, "/test/excuse", 12)) {
 		hmsg_query(url, "entry", number, sizeof(number));
 		excuse(atoi(number));
-	} else if (!strncmp(url, "/test/poison", 12)) {
-		psn_add(&w.poison, url);
-	} else if (!strncmp(url, "/test/antidote", 14)) {
-		psn_clear(&w.poison);
-	} else if (!strncmp(url, "/test/unframed", 14)) {
-		hmsg_query(url, "n", number, sizeof(number));
-		w.unframed = atoi(number);
-	} else if (!strncmp(url, "/test/again", 11)) {
-		hmsg_query(url, "ms", number, sizeof(number));
-		w.start_again_ms = atoi(number);
-		str_copy(number, "0", sizeof(number));
-		hmsg_query(url, "how", number, sizeof(number));
-		w.again = (enum again)atoi(number);
 	} else if (!strncmp(url, "/test/down", 10)) {
 		hmsg_query(url, "ms", number, sizeof(number));
 		w.down_until_ms = now_ms() + atoll(number);
