fatal: one function says whether a request has a feature

fatal_evidence.c and edge_fatal.c had the same loop over a request's features. No decision changes. test_fatal: 21 passed; format-check clean; lint and the process tests were not run again.

--- a/lib/edge/edge_fatal.c
+++ b/lib/edge/edge_fatal.c
@@ -152,24 +152,13 @@
 		gossip_soon(en);
 }
 
-static bool has_feature(const struct edge_req *r, struct hsh128 key)
-{
-	unsigned i;
-
-	for (i = 0; i < r->fatal.nr_features; i++) {
-		if (hsh128_equal(r->fatal.features[i].key, key))
-			return true;
-	}
-	return false;
-}
-
 static uint64_t on_running_at(void *arg, struct hsh128 key)
 {
 	const struct edge *en = arg;
 	const struct edge_req *r;
 
 	cds_list_for_each_entry(r, &en->requests, node) {
-		if (r->endpoint && has_feature(r, key))
+		if (r->endpoint && fatal_has_feature(&r->fatal, key))
 			return r->endpoint->hash;
 	}
 	return 0;
--- a/lib/request/fatal.h
+++ b/lib/request/fatal.h
@@ -197,6 +197,8 @@
 void fatal_request_init(struct fatal_request *q, struct hsh128 content,
 			const struct attempt *a);
 
+bool fatal_has_feature(const struct fatal_request *q, struct hsh128 key);
+
 /*
  * Returns the row, or NULL if nothing is known of the feature. The row is owned
  * by `f`, which may free it in any later call.
--- a/lib/request/fatal_evidence.c
+++ b/lib/request/fatal_evidence.c
@@ -100,17 +100,6 @@
 	return false;
 }
 
-static bool has_feature(const struct fatal_request *q, struct hsh128 key)
-{
-	unsigned i;
-
-	for (i = 0; q && i < q->nr_features; i++) {
-		if (hsh128_equal(q->features[i].key, key))
-			return true;
-	}
-	return false;
-}
-
 /* The number of crashes of `other` at which the row was not. */
 static unsigned crashes_without(const struct fatal_row *other,
 				const struct fatal_row *row)
@@ -139,7 +128,7 @@
 	       (fatal_crash_count(other) >= least ||
 		(other->convicted && !row->convicted) ||
 		crashes_without(other, row) >= FATAL_CONVICT_UNEXPLAINED) &&
-	       !has_feature(q, other->key);
+	       !(q && fatal_has_feature(q, other->key));
 }
 
 /* True if another one that is at least as suspect was at the endpoint. */
--- a/lib/request/fatal_rows.c
+++ b/lib/request/fatal_rows.c
@@ -29,6 +29,17 @@
 		};
 }
 
+bool fatal_has_feature(const struct fatal_request *q, struct hsh128 key)
+{
+	unsigned i;
+
+	for (i = 0; i < q->nr_features; i++) {
+		if (hsh128_equal(q->features[i].key, key))
+			return true;
+	}
+	return false;
+}
+
 void fatal_init(struct fatal *f, const struct fatal_vtable *vt, void *arg)
 {
 	memset(f, 0, sizeof(*f));
