entry: a failed call does not make the holder of a copy take over

Cause: an entry that holds the copy took over after two searches for the owner had failed within 0.1 s, or when a peer told it that the owner is lost. After one call that times out (300 ms for a vote) the link fails all calls to that peer at once for another 300 ms, so that one slow call of any kind was enough. Ruled out: a claim won twice (two of three judges would have to vote twice); two holders of one copy (would change the answer of one entry, not of two). Fix: the holder itself decides, for its record's owner: suspected by the membership, or its host refuses the connection (a killed process); a plain call only if the owner is dead, now also when the client is at the holder. Test: paused_owner, an owner that does not answer for half a second.

--- a/lib/entry/ent_copy.c
+++ b/lib/entry/ent_copy.c
@@ -467,26 +467,71 @@
 	ent_rehome(en, rq);
 }
 
-static bool owner_dead(struct entry *en, const struct ent_req *rq)
+/* True if the membership has declared the owner dead. */
+static bool owner_dead(struct entry *en, uint64_t owner)
 {
 	bool dead;
 
 	pthread_mutex_lock(&en->member_lock);
-	dead = swim_knows(en->swim, rq->owner) &&
-	       swim_state_of(en->swim, rq->owner) == SWIM_DEAD;
+	dead = swim_knows(en->swim, owner) &&
+	       swim_state_of(en->swim, owner) == SWIM_DEAD;
 	pthread_mutex_unlock(&en->member_lock);
 	return dead;
 }
 
+/*
+ * True if the owner is suspected by the membership, or its process is gone. A
+ * call that failed says neither: an owner that is only slow may have answered
+ * the client already. May block for a third of a second.
+ */
+static bool owner_lost(struct entry *en, uint64_t owner)
+{
+	struct swim_delta d;
+	bool known;
+
+	pthread_mutex_lock(&en->member_lock);
+	known = swim_lookup(en->swim, owner, &d);
+	pthread_mutex_unlock(&en->member_lock);
+	return !known || d.state >= SWIM_SUSPECT ||
+	       link_is_refused(d.member.peer);
+}
+
+bool ent_take_over_if_lost(struct entry *en, struct ent_req *rq)
+{
+	uint64_t owner;
+	bool held, lost, owned;
+
+	pthread_mutex_lock(&rq->lock);
+	owner = rq->owner;
+	held = rq->role == ENT_HOLDER && rq->flow.phase != FLOW_DONE;
+	pthread_mutex_unlock(&rq->lock);
+	/*
+	 * The outcome of a plain call may still arrive from an owner that is
+	 * only suspected; generations distinguish two runs of a model request.
+	 */
+	if (held) {
+		lost = rq->plain ? owner_dead(en, owner)
+				 : owner_lost(en, owner);
+		if (lost)
+			ent_take_over(en, rq);
+	}
+	pthread_mutex_lock(&rq->lock);
+	owned = rq->role == ENT_OWNER || rq->flow.phase == FLOW_DONE;
+	pthread_mutex_unlock(&rq->lock);
+	return owned;
+}
+
 static void take_over_if_dead(struct ent_req *rq, void *arg)
 {
 	struct entry *en = arg;
+	uint64_t owner;
 	bool held;
 
 	pthread_mutex_lock(&rq->lock);
+	owner = rq->owner;
 	held = rq->role == ENT_HOLDER && rq->flow.phase != FLOW_DONE;
 	pthread_mutex_unlock(&rq->lock);
-	if (held && owner_dead(en, rq))
+	if (held && owner_dead(en, owner))
 		ent_take_over(en, rq);
 }
 
@@ -510,13 +555,9 @@
 		ent_req_put(rq);
 		return;
 	}
-	/*
-	 * A model request may be taken over on suspicion, since generations
-	 * distinguish the two runs. A plain call may not: its outcome may still
-	 * arrive from an owner that only the calling peer cannot reach.
-	 */
-	if (a->owner_lost && (!rq->plain || owner_dead(en, rq)))
-		ent_take_over(en, rq);
+	/* The calling peer may be the only one that cannot reach the owner. */
+	if (a->owner_lost)
+		ent_take_over_if_lost(en, rq);
 	pthread_mutex_lock(&rq->lock);
 	r->found = TRUE;
 	r->owned = rq->role == ENT_OWNER;
--- a/lib/entry/ent_feed.c
+++ b/lib/entry/ent_feed.c
@@ -151,19 +151,13 @@
 static bool take_over_local_copy(struct ent_remote_feed *r)
 {
 	struct ent_req *rq = ent_req_find(r->feed.en, r->key);
-	bool owned;
 
 	if (!rq)
 		return false;
-	if (strcmp(rq->account, r->account) == 0) {
-		ent_take_over(r->feed.en, rq);
-		pthread_mutex_lock(&rq->lock);
-		owned = rq->role == ENT_OWNER || rq->flow.phase == FLOW_DONE;
-		pthread_mutex_unlock(&rq->lock);
-		if (owned) {
-			r->local = rq;
-			return true;
-		}
+	if (strcmp(rq->account, r->account) == 0 &&
+	    ent_take_over_if_lost(r->feed.en, rq)) {
+		r->local = rq;
+		return true;
 	}
 	ent_req_put(rq);
 	return false;
--- a/lib/entry/entry_internal.h
+++ b/lib/entry/entry_internal.h
@@ -596,14 +596,21 @@
  * effect if it has ended or this entry is not its holder.
  */
 void ent_take_over(struct entry *en, struct ent_req *rq);
+/*
+ * Takes over a held request whose owner is lost: it is suspected by the
+ * membership, or its process is gone; for a plain call, the membership has it
+ * as dead. Returns true if this entry now owns the request or has its outcome.
+ * May block for a third of a second.
+ */
+bool ent_take_over_if_lost(struct entry *en, struct ent_req *rq);
 /* Takes over all held requests whose owner the membership has as dead. */
 void ent_take_over_from_dead(struct entry *en);
 /*
  * Answers a peer that serves a client of a request: the tokens after (gen,
  * from) and the outcome. `r` must be zeroed, and stays so if the key is unknown
  * here or belongs to another account. Takes the request over if the peer
- * reports its owner as lost; a plain call only if the membership also has the
- * owner as dead. The strings in `r` are to be freed by xdr_free().
+ * reports its owner as lost and ent_take_over_if_lost() finds the same. The
+ * strings in `r` are to be freed by xdr_free().
  */
 void ent_serve_fetch(struct entry *en, const peer_fetch_args *a,
 		     peer_fetch_reply *r);
--- a/lib/net/link.c
+++ b/lib/net/link.c
@@ -62,6 +62,7 @@
 
 /* ---- One call ---- */
 
+/* Returns a connected socket, or -1 with errno. */
 static int connect_to(const char *address)
 {
 	struct sockaddr_in sa = { .sin_family = AF_INET };
@@ -71,6 +72,7 @@
 	int fd, port, one = 1, err = 0;
 	socklen_t len = sizeof(err);
 
+	errno = EINVAL;
 	if (set_split_addr(address, host, &port))
 		return -1;
 	sa.sin_port = htons((uint16_t)port);
@@ -83,6 +85,8 @@
 	if (connect(fd, (struct sockaddr *)&sa, sizeof(sa)) &&
 	    (errno != EINPROGRESS || poll(&p, 1, CONNECT_MS) != 1 ||
 	     getsockopt(fd, SOL_SOCKET, SO_ERROR, &err, &len) || err)) {
+		if (err)
+			errno = err;
 		close(fd);
 		return -1;
 	}
@@ -380,6 +384,16 @@
 	return 0;
 }
 
+bool link_is_refused(const char *address)
+{
+	const int fd = connect_to(address);
+
+	if (fd < 0)
+		return errno == ECONNREFUSED;
+	close(fd);
+	return false;
+}
+
 uint64_t links_bytes(struct links *l)
 {
 	return atomic_load(&l->bytes);
--- a/lib/net/link.h
+++ b/lib/net/link.h
@@ -51,6 +51,13 @@
 int links_call(struct links *l, const struct link_call *c, void *result,
 	       struct err *e);
 
+/*
+ * Connects to a peer, waiting a third of a second at most. True if its host
+ * refuses: no process listens there. A peer that is slow or unreachable is not
+ * refused, nor is one to which calls have failed.
+ */
+bool link_is_refused(const char *address);
+
 /* Bytes of arguments and results, by the XDR sizes, since the start. */
 uint64_t links_bytes(struct links *l);
 uint64_t links_calls(struct links *l);
--- a/scripts/takeover_test.sh
+++ b/scripts/takeover_test.sh
@@ -304,6 +304,33 @@
 	close_request
 }
 
+# An owner that does not answer for half a second, less than the membership
+# needs to suspect it, keeps its request: the holder must not run it again. The
+# vote on another key makes the holder's calls to the owner fail meanwhile.
+paused_owner() {
+	local i
+	fresh 10000 || return 1
+	for i in $(seq 1 6); do
+		OWNER=entry-1
+		new_request
+		one ask "$(address_of "$OWNER")"
+		HOLDER=$(holder_of)
+		open_caller "other-$NR" --request "$REQUEST.other" --nonce "$NONCE"
+		exec 7>"$DIR/other-$NR.in" 8<"$DIR/other-$NR.answer"
+		kill -STOP "$(pid_of "$OWNER")"
+		echo "ask $(address_of "$HOLDER")" >&7
+		sleep 0.32
+		echo "ask $(address_of "$HOLDER")" >&5
+		sleep 0.2
+		kill -CONT "$(pid_of "$OWNER")"
+		read -r _ <&6
+		read -r _ <&8
+		exec 7>&- 8<&-
+		whole "paused owner $i"
+		close_request
+	done
+}
+
 # runs_of: prints how often plain services executed the request's call.
 runs_of() {
 	local a
@@ -359,7 +386,7 @@
 }
 
 for repeat in $(seq 1 "$REPEATS"); do
-	for group in ${GROUPS_OF_CASES:-takeovers one_judge_left plain_calls}; do
+	for group in ${GROUPS_OF_CASES:-takeovers one_judge_left paused_owner plain_calls}; do
 		$group
 	done
 done
