fatal: crashes of the same time make no strong suspect of a part

Cause: the parts that many requests share are in most of these crashes. With two of them a part is a strong suspect, so all requests avoid each endpoint that runs one with it, which are the endpoints that have its tokens cached; with one crash a part is isolated, on the least loaded endpoint. Change: an endpoint is avoided for a part only if its crashes are 200 ms apart or its guilt is evident; a part with a single crash is not isolated. Contents as before.

--- a/lib/edge/edge_fatal.c
+++ b/lib/edge/edge_fatal.c
@@ -211,7 +211,7 @@
 	cds_list_for_each_entry(e, &en->fleet.endpoints, node)
 		e->suspect_runs = 0;
 	cds_list_for_each_entry(row, &en->fatal.rows, node) {
-		if (fatal_crash_count(row) < FATAL_STRONG_CRASHES)
+		if (!fatal_is_strong(row))
 			continue;
 		add_suspect(en, on_running_at(en, row->key));
 		for (i = 0; i < row->nr_runs; i++)
@@ -367,7 +367,7 @@
 
 	for (i = 0; i < r->fatal.nr_features; i++) {
 		row = fatal_find(&r->en->fatal, r->fatal.features[i].key);
-		if (row && fatal_crash_count(row) >= FATAL_STRONG_CRASHES)
+		if (row && fatal_is_strong(row))
 			return true;
 	}
 	return false;
--- a/lib/request/fatal.c
+++ b/lib/request/fatal.c
@@ -86,6 +86,16 @@
 	return false;
 }
 
+/*
+ * A part with a single crash is not isolated: it may be one of many in that crash,
+ * and isolation gives up the endpoints that have its tokens cached.
+ */
+static bool is_isolated(const struct fatal_row *row, unsigned nr_crashes)
+{
+	return nr_crashes >=
+	       (row->kind == FATAL_PART ? FATAL_STRONG_CRASHES : 1);
+}
+
 /* The verdict because of one feature of the request. */
 static enum fatal_verdict check_row(struct fatal *f,
 				    const struct fatal_row *row,
@@ -97,7 +107,8 @@
 	if (fatal_convicts(f, row, q, now))
 		return FATAL_QUARANTINED;
 	if (is_in_use(f, row, now))
-		return nr_crashes ? FATAL_ISOLATE : FATAL_SEND;
+		return is_isolated(row, nr_crashes) ? FATAL_ISOLATE
+						    : FATAL_SEND;
 	if (nr_probing && nr_crashes + nr_probing >= FATAL_CONVICT_CRASHES)
 		return FATAL_WAIT;
 	if (fatal_is_evident(row) &&
@@ -106,7 +117,7 @@
 	if (nr_crashes >= FATAL_STRONG_CRASHES &&
 	    (runs_elsewhere(row, now) || f->vt->running_at(f->arg, row->key)))
 		return FATAL_BUSY;
-	return nr_crashes ? FATAL_ISOLATE : FATAL_SEND;
+	return is_isolated(row, nr_crashes) ? FATAL_ISOLATE : FATAL_SEND;
 }
 
 /* What the request shows of a feature that may be known by gossip only. */
--- a/lib/request/fatal.h
+++ b/lib/request/fatal.h
@@ -208,6 +208,13 @@
 /* Number of crashes that count against the feature (not cleared). */
 unsigned fatal_crash_count(const struct fatal_row *row);
 
+/*
+ * True if other requests are to avoid the endpoint that runs a request with the
+ * feature: a strong suspect, but not a part whose endpoints crashed at the same time,
+ * as those that many requests share are in most of such crashes.
+ */
+bool fatal_is_strong(const struct fatal_row *row);
+
 /* True if all requests with the feature are quarantined. */
 bool fatal_is_convicted(const struct fatal *f, const struct fatal_row *row,
 			int64_t now_ms);
--- a/lib/request/fatal_evidence.c
+++ b/lib/request/fatal_evidence.c
@@ -18,6 +18,12 @@
  */
 #define SETTLE_MS 1000
 
+/*
+ * Endpoints that crash within this long of each other speak for a cause that is not
+ * in the requests, such as the power of a zone.
+ */
+#define APART_MS 200
+
 /* ---- Parts that were answered lately ---- */
 
 static struct fatal_answered *answered_set(struct fatal *f, struct hsh128 key)
@@ -89,6 +95,30 @@
 	       total_weight(row) >= FATAL_CONVICT_WEIGHT;
 }
 
+/* True if there are crashes that are not of the same time. */
+static bool crashed_apart(const struct fatal_row *row)
+{
+	int64_t first = INT64_MAX, last = INT64_MIN;
+	unsigned i;
+
+	for (i = 0; i < row->nr_crashes; i++) {
+		if (row->crashes[i].cleared)
+			continue;
+		if (row->crashes[i].at_ms < first)
+			first = row->crashes[i].at_ms;
+		if (row->crashes[i].at_ms > last)
+			last = row->crashes[i].at_ms;
+	}
+	return last >= first + APART_MS;
+}
+
+bool fatal_is_strong(const struct fatal_row *row)
+{
+	return fatal_crash_count(row) >= FATAL_STRONG_CRASHES &&
+	       (row->kind != FATAL_PART || fatal_is_evident(row) ||
+		crashed_apart(row));
+}
+
 static bool crashed_at(const struct fatal_row *row, uint64_t endpoint)
 {
 	unsigned i;
--- a/tests/test_fatal.c
+++ b/tests/test_fatal.c
@@ -472,6 +472,28 @@
 	fatal_free(&f);
 }
 
+/*
+ * Guards against shared parts that endpoints are avoided for, and isolated, because a
+ * zone lost its power.
+ */
+static void endpoints_that_crash_at_once_do_not_make_a_strong_suspect(void)
+{
+	struct fatal f;
+
+	start(&f);
+	crash_under_parts(&f, "S", 11, T0);
+	CU_ASSERT_EQUAL(check_parts(&f, "S", T0), FATAL_SEND);
+	crash_under_parts(&f, "S", 12, T0 + 10);
+	CU_ASSERT(!fatal_is_strong(
+		fatal_find(&f, request(A, "S")->features[1].key)));
+	crash_under_parts(&f, "G", 21, T0);
+	crash_under_parts(&f, "G", 22, T0 + 300);
+	CU_ASSERT_EQUAL(check_parts(&f, "G", T0 + 300), FATAL_ISOLATE);
+	CU_ASSERT(fatal_is_strong(
+		fatal_find(&f, request(A, "G")->features[1].key)));
+	fatal_free(&f);
+}
+
 /* Guards against a part that another entry has just seen answered. */
 static void an_answer_elsewhere_speaks_for_a_part(void)
 {
@@ -765,9 +787,7 @@
 	unsigned i;
 
 	cds_list_for_each_entry(row, &sim.f[entry].rows, node) {
-		for (i = 0; fatal_crash_count(row) >= FATAL_STRONG_CRASHES &&
-			    i < row->nr_runs;
-		     i++) {
+		for (i = 0; fatal_is_strong(row) && i < row->nr_runs; i++) {
 			if (row->runs[i].endpoint == sim.at[at].hash)
 				return true;
 		}
@@ -1365,6 +1385,8 @@
 	  crashes_of_convicted_parts_convict_no_other },
 	{ "a part beside several guilty ones is tried",
 	  a_part_beside_several_guilty_ones_is_tried },
+	{ "endpoints that crash at once do not make a strong suspect",
+	  endpoints_that_crash_at_once_do_not_make_a_strong_suspect },
 	{ "an answer elsewhere speaks for a part",
 	  an_answer_elsewhere_speaks_for_a_part },
 	{ "one entry writes the record of a part",
