--- a/lib/request/fatal.h
+++ b/lib/request/fatal.h
@@ -16,13 +16,14 @@
  * is found by elimination: a complete answer clears all features of its request,
  * and a crash does not count against a part that was answered just before. A
  * convicted feature is quarantined, and its crashes count little against the
- * others that were there. A suspect runs isolated from others, and after
- * FATAL_STRONG_CRASHES crashes one at a time, so that the last crash aborts no
- * other request.
+ * others that were there. A suspect runs isolated from others, a part from its
+ * second crash on, and after FATAL_STRONG_CRASHES crashes one at a time, so that
+ * the last crash aborts no other request.
  *
  * Two features that were in the same crashes, and in no answer, cannot be told
  * apart. Requests with both are quarantined, and those with one of them run one
- * at a time: the first one either crashes its endpoint or is answered.
+ * at a time: the first one either crashes its endpoint or is answered. The same
+ * holds for a part that was in the crashes of several suspects.
  */
 #ifndef FATAL_H
 #define FATAL_H
--- a/lib/request/fatal_evidence.c
+++ b/lib/request/fatal_evidence.c
@@ -163,7 +163,8 @@
 
 /*
  * True if the crash may be one of another part or content, which `q` does not have,
- * with two crashes and half as many as the row.
+ * with two crashes and half as many as the row. Shared parts are in fewer crashes of
+ * a guilty one, by chance.
  */
 static bool is_beside_suspect(const struct fatal *f,
 			      const struct fatal_row *row, uint64_t endpoint,
@@ -183,8 +184,8 @@
 }
 
 /*
- * True if that holds for all crashes of a part. What all requests have is in the
- * crashes of each guilty part, and more suspect than any of them.
+ * True if that holds for all crashes of a part. A part that all requests have is in
+ * the crashes of each guilty one, so it has more crashes than any of them.
  */
 static bool is_beside_suspects(const struct fatal *f,
 			       const struct fatal_row *row,
