fatal: one search for another suspect at the endpoint of a crash

Two functions walked the rows for a suspect that the request does not have and that was at the endpoint, and differed in who is one. They are one now, which takes that as a function.

--- a/lib/request/fatal.h
+++ b/lib/request/fatal.h
@@ -45,7 +45,7 @@
 #define FATAL_CONVICT_CRASHES 3
 #define FATAL_CONVICT_ALWAYS_CRASHES 5
 
-/* Of a part's crashes, and of a content's, those that no other suspect explains. */
+/* Number of crashes that no other suspect explains, to convict a part or a content. */
 #define FATAL_CONVICT_UNEXPLAINED 3
 #define FATAL_CONVICT_UNEXPLAINED_CONTENT 2
 
@@ -211,8 +211,8 @@
 
 /*
  * True if other requests are to avoid the endpoint that runs a request with the
- * feature: a strong suspect, but not a part whose endpoints crashed at the same time,
- * as those that many requests share are in most of such crashes.
+ * feature: a strong suspect, but not a part whose endpoints crashed at the same time.
+ * Parts that many requests share are in most of such crashes.
  */
 bool fatal_is_strong(const struct fatal_row *row);
 
--- a/lib/request/fatal_evidence.c
+++ b/lib/request/fatal_evidence.c
@@ -143,39 +143,42 @@
 }
 
 /*
- * True if `other`, which `q` does not have, may have caused crashes of the row: it
- * is at least as suspect as a part, or more than a content, which only the same
- * request again has; or it was convicted before, or would be without these crashes.
+ * True if `other` may have caused crashes of the row: it is at least as suspect as a
+ * part, or more than a content, which only the same request again has; or it was
+ * convicted before, or would be without these crashes.
  */
 static bool is_suspect_instead(const struct fatal_row *other,
-			       const struct fatal_row *row,
-			       const struct fatal_request *q)
+			       const struct fatal_row *row)
 {
 	const unsigned least =
 		fatal_crash_count(row) + (row->kind == FATAL_CONTENT);
 
-	return other != row &&
-	       (fatal_crash_count(other) >= least ||
-		(other->convicted && !row->convicted) ||
-		crashes_without(other, row) >= FATAL_CONVICT_UNEXPLAINED) &&
-	       !(q && fatal_has_feature(q, other->key));
+	return fatal_crash_count(other) >= least ||
+	       (other->convicted && !row->convicted) ||
+	       crashes_without(other, row) >= FATAL_CONVICT_UNEXPLAINED;
 }
 
 /*
- * True if the crash may be one of another part or content, which `q` does not have,
- * with two crashes and half as many as the row. Shared parts are in fewer crashes of
- * a guilty one, by chance.
+ * True if `other` has two crashes and half as many as the row. Shared parts are in
+ * fewer crashes of a guilty one, by chance.
  */
-static bool is_beside_suspect(const struct fatal *f,
-			      const struct fatal_row *row, uint64_t endpoint,
-			      const struct fatal_request *q)
+static bool is_half_as_suspect(const struct fatal_row *other,
+			       const struct fatal_row *row)
+{
+	return fatal_crash_count(other) >= FATAL_STRONG_CRASHES &&
+	       2 * fatal_crash_count(other) >= fatal_crash_count(row);
+}
+
+/* True if another such suspect, which `q` does not have, was at the endpoint. */
+static bool is_explained(const struct fatal *f, const struct fatal_row *row,
+			 uint64_t endpoint, const struct fatal_request *q,
+			 bool (*is_suspect)(const struct fatal_row *other,
+					    const struct fatal_row *row))
 {
 	const struct fatal_row *other;
 
 	cds_list_for_each_entry(other, &f->rows, node) {
-		if (other != row &&
-		    fatal_crash_count(other) >= FATAL_STRONG_CRASHES &&
-		    2 * fatal_crash_count(other) >= fatal_crash_count(row) &&
+		if (other != row && is_suspect(other, row) &&
 		    crashed_at(other, endpoint) &&
 		    !(q && fatal_has_feature(q, other->key)))
 			return true;
@@ -184,8 +187,9 @@
 }
 
 /*
- * True if that holds for all crashes of a part. A part that all requests have is in
- * the crashes of each guilty one, so it has more crashes than any of them.
+ * True if each crash of a part may be one of another suspect. A part that all
+ * requests have is in the crashes of each guilty one, so it has more crashes than any
+ * of them.
  */
 static bool is_beside_suspects(const struct fatal *f,
 			       const struct fatal_row *row,
@@ -197,26 +201,13 @@
 		return false;
 	for (i = 0; i < row->nr_crashes; i++) {
 		if (!row->crashes[i].cleared &&
-		    !is_beside_suspect(f, row, row->crashes[i].endpoint, q))
+		    !is_explained(f, row, row->crashes[i].endpoint, q,
+				  is_half_as_suspect))
 			return false;
 	}
 	return true;
 }
 
-/* True if another one that is at least as suspect was at the endpoint. */
-static bool is_explained(const struct fatal *f, const struct fatal_row *row,
-			 uint64_t endpoint, const struct fatal_request *q)
-{
-	const struct fatal_row *other;
-
-	cds_list_for_each_entry(other, &f->rows, node) {
-		if (is_suspect_instead(other, row, q) &&
-		    crashed_at(other, endpoint))
-			return true;
-	}
-	return false;
-}
-
 /*
  * The number of crashes that no other suspect explains; of a part, those that are
  * settled.
@@ -231,7 +222,8 @@
 		n += !row->crashes[i].cleared &&
 		     (row->kind == FATAL_CONTENT ||
 		      now - row->crashes[i].at_ms >= SETTLE_MS) &&
-		     !is_explained(f, row, row->crashes[i].endpoint, q);
+		     !is_explained(f, row, row->crashes[i].endpoint, q,
+				   is_suspect_instead);
 	return n;
 }
 
