--- a/lib/entry/ent_copy.c
+++ b/lib/entry/ent_copy.c
@@ -467,6 +467,18 @@
 	ent_rehome(en, rq);
 }
 
+/* True if this entry holds the copy of a request that has not ended; its owner. */
+static bool holds_copy(struct ent_req *rq, uint64_t *owner)
+{
+	bool held;
+
+	pthread_mutex_lock(&rq->lock);
+	*owner = rq->owner;
+	held = rq->role == ENT_HOLDER && rq->flow.phase != FLOW_DONE;
+	pthread_mutex_unlock(&rq->lock);
+	return held;
+}
+
 /* True if the membership has declared the owner dead. */
 static bool owner_dead(struct entry *en, uint64_t owner)
 {
@@ -499,22 +511,15 @@
 bool ent_take_over_if_lost(struct entry *en, struct ent_req *rq)
 {
 	uint64_t owner;
-	bool held, lost, owned;
+	bool owned;
 
-	pthread_mutex_lock(&rq->lock);
-	owner = rq->owner;
-	held = rq->role == ENT_HOLDER && rq->flow.phase != FLOW_DONE;
-	pthread_mutex_unlock(&rq->lock);
 	/*
 	 * The outcome of a plain call may still arrive from an owner that is
 	 * only suspected; generations distinguish two runs of a model request.
 	 */
-	if (held) {
-		lost = rq->plain ? owner_dead(en, owner)
-				 : owner_lost(en, owner);
-		if (lost)
-			ent_take_over(en, rq);
-	}
+	if (holds_copy(rq, &owner) &&
+	    (rq->plain ? owner_dead(en, owner) : owner_lost(en, owner)))
+		ent_take_over(en, rq);
 	pthread_mutex_lock(&rq->lock);
 	owned = rq->role == ENT_OWNER || rq->flow.phase == FLOW_DONE;
 	pthread_mutex_unlock(&rq->lock);
@@ -525,13 +530,8 @@
 {
 	struct entry *en = arg;
 	uint64_t owner;
-	bool held;
 
-	pthread_mutex_lock(&rq->lock);
-	owner = rq->owner;
-	held = rq->role == ENT_HOLDER && rq->flow.phase != FLOW_DONE;
-	pthread_mutex_unlock(&rq->lock);
-	if (held && owner_dead(en, owner))
+	if (holds_copy(rq, &owner) && owner_dead(en, owner))
 		ent_take_over(en, rq);
 }
 
