--- a/scripts/edge_cluster.sh
+++ b/scripts/edge_cluster.sh
@@ -11,6 +11,8 @@
 # Not empty: entries can be cut off from all endpoints, see cut_off().
 CUTTABLE=${CUTTABLE:-}
 
+any_entry() { echo $((RANDOM % EDGES + 1)); }
+
 edge_settings() {
 	cat <<-END
 	{
--- a/scripts/fault_soak.sh
+++ b/scripts/fault_soak.sh
@@ -82,8 +82,6 @@
 	done
 }
 
-any_entry() { echo $((RANDOM % EDGES + 1)); }
-
 # A version comes, and an endpoint of any version leaves or crashes.
 change_version() {
 	local e=i-$((RANDOM % $(platform_test seen | grep -c '^i-') + 1)) v=v$((RANDOM % 3 + 1))
--- a/scripts/parts_test.sh
+++ b/scripts/parts_test.sh
@@ -52,8 +52,6 @@
 	rm -f "$out"
 }
 
-any_entry() { echo $((RANDOM % EDGES + 1)); }
-
 # sound N K: sound requests one after the other.
 sound() {
 	local i=0
@@ -128,7 +126,7 @@
 
 front() { address "$1" callers >"$DIR/front-$1"; }
 
-# half_of CALM LATER: the rule's share, from "BEGUN ALL" each.
+# begins_half_as_often CALM LATER: "BEGUN ALL" each.
 begins_half_as_often() {
 	local calm=($1) later=($2)
 	[ "${later[1]}" -ge 20 ] &&
@@ -140,7 +138,7 @@
 	local calm later late
 	case " $CASES " in *" $1 "*) ;; *) return ;; esac
 	CASE=$1 BESIDE=$3
-	# What entries know of an earlier case's parts does not concern these.
+	# Entries still quarantine the parts of earlier cases.
 	NR_CASE=$((NR_CASE + 1))
 	BAD=bad$NR_CASE WORSE=e$NR_CASE
 	POISON=${2//BAD/$BAD} POISON=${POISON//WORSE/$WORSE}
--- a/tests/support/poison.c
+++ b/tests/support/poison.c
@@ -6,10 +6,18 @@
 #include "base/buf.h"
 #include "io/hmsg.h"
 
+/* The number of this name in the query of `url`; 0: none. */
+static int query_number(const char *url, const char *name)
+{
+	char number[16] = "0";
+
+	hmsg_query(url, name, number, sizeof(number));
+	return atoi(number);
+}
+
 void psn_add(struct psn *p, const char *url)
 {
 	struct psn_part *part = &p->parts[p->nr_parts];
-	char number[16] = "0";
 
 	if (p->nr_parts == PSN_MAX_PARTS)
 		return;
@@ -17,14 +25,9 @@
 	memset(part, 0, sizeof(*part));
 	hmsg_query(url, "part", part->id, sizeof(part->id));
 	hmsg_query(url, "version", part->version, sizeof(part->version));
-	hmsg_query(url, "events", number, sizeof(number));
-	part->events = atoi(number);
-	str_copy(number, "0", sizeof(number));
-	hmsg_query(url, "within", number, sizeof(number));
-	part->within = atoi(number);
-	str_copy(number, "0", sizeof(number));
-	hmsg_query(url, "reset", number, sizeof(number));
-	part->reset = atoi(number);
+	part->events = query_number(url, "events");
+	part->within = query_number(url, "within");
+	part->reset = query_number(url, "reset");
 }
 
 void psn_clear(struct psn *p)
