gsp: offered loads, endpoint speeds and the records of roll-outs

The admission control and the planner need the load that clients offer, the speeds that other entries measured, and which record of a roll-out each entry routes by. The fields come last in a datagram; releases without them ignore them, and their own datagrams are decoded with has_capacity false.

--- a/lib/edge/edge_gossip.c
+++ b/lib/edge/edge_gossip.c
@@ -167,6 +167,7 @@
 	r->accepting = edge_is_ready(en);
 	r->store_ok = sto_direct_ok(en->store);
 	r->relays = true;
+	r->has_capacity = true;
 	r->cut_off = en->reach.cut_off;
 	r->store_era = sto_era(en->store);
 	r->cfg_version = en->force.cfg ? en->force.cfg->version : 0;
@@ -225,7 +226,7 @@
 /* The number of rows of each kind that a group of datagrams begins with. */
 struct row_counts {
 	unsigned loads, services, fatal, tallies, rolled_back, members,
-		statements, brittle;
+		statements, brittle, speeds, rollouts;
 };
 
 static struct row_counts count_rows(const struct gsp_record *r)
@@ -233,7 +234,8 @@
 	return (struct row_counts){
 		r->nr_loads,	  r->nr_services,    r->nr_fatal,
 		r->nr_tallies,	  r->nr_rolled_back, r->nr_members,
-		r->nr_statements, r->nr_brittle,
+		r->nr_statements, r->nr_brittle,     r->nr_speeds,
+		r->nr_rollouts,
 	};
 }
 
@@ -247,6 +249,8 @@
 	r->nr_members = n->members;
 	r->nr_statements = n->statements;
 	r->nr_brittle = n->brittle;
+	r->nr_speeds = n->speeds;
+	r->nr_rollouts = n->rollouts;
 }
 
 /* Leaves out the rows that the peer does not need. */
--- a/lib/member/gsp.c
+++ b/lib/member/gsp.c
@@ -277,6 +277,46 @@
 	return xdr_brittle(x, r);
 }
 
+static bool_t xdr_speed(XDR *x, struct gsp_speed *s)
+{
+	return xdr_uint64_t(x, &s->endpoint) &&
+	       xdr_estimate(x, &s->time_factor) &&
+	       xdr_estimate(x, &s->pause_rate) &&
+	       xdr_estimate(x, &s->samples) && xdr_uint32_t(x, &s->age_ms);
+}
+
+static bool_t xdr_rollout(XDR *x, struct gsp_rollout *r)
+{
+	return xdr_uint64_t(x, &r->order) && xdr_uint32_t(x, &r->stage) &&
+	       xdr_estimate(x, &r->share);
+}
+
+/* Absent in datagrams of releases that do not measure the offered load. */
+static bool_t xdr_capacity(XDR *x, struct gsp_record *r)
+{
+	unsigned i;
+
+	for (i = 0; i < r->nr_services; i++) {
+		if (!xdr_estimate(x, &r->services[i].offered_per_s) ||
+		    !xdr_estimate(x, &r->services[i].offered_prefill_per_s))
+			return FALSE;
+	}
+	if (!xdr_u_int(x, &r->nr_speeds) || r->nr_speeds > GSP_MAX_SPEEDS)
+		return FALSE;
+	for (i = 0; i < r->nr_speeds; i++) {
+		if (!xdr_speed(x, &r->speeds[i]))
+			return FALSE;
+	}
+	if (!xdr_u_int(x, &r->nr_rollouts) || r->nr_rollouts > GSP_MAX_ROLLOUTS)
+		return FALSE;
+	for (i = 0; i < r->nr_rollouts; i++) {
+		if (!xdr_rollout(x, &r->rollouts[i]))
+			return FALSE;
+	}
+	r->has_capacity = true;
+	return TRUE;
+}
+
 static bool xdr_record(XDR *x, struct gsp_record *r)
 {
 	return xdr_head(x, r) && xdr_demands(x, r) && xdr_loads(x, r) &&
@@ -299,8 +339,10 @@
 	       from->nr_tallies * sizeof(from->tallies[0]));
 	memcpy(to->rolled_back, from->rolled_back,
 	       from->nr_rolled_back * sizeof(from->rolled_back[0]));
+	memcpy(to->rollouts, from->rollouts,
+	       from->nr_rollouts * sizeof(from->rollouts[0]));
 	to->nr_demands = to->nr_counts = to->nr_members = to->nr_statements = 0;
-	to->nr_brittle = 0;
+	to->nr_brittle = to->nr_speeds = 0;
 }
 
 size_t gsp_encode(const struct gsp_record *r, char *out, size_t size)
@@ -316,12 +358,19 @@
 	    xdr_membership(&x, (struct gsp_record *)r) &&
 	    ((!r->nr_statements && !r->relays) ||
 	     xdr_statements(&x, (struct gsp_record *)r)) &&
-	    (!r->relays || xdr_relays(&x, (struct gsp_record *)r)))
+	    (!r->relays || xdr_relays(&x, (struct gsp_record *)r)) &&
+	    (!r->relays || !r->has_capacity ||
+	     xdr_capacity(&x, (struct gsp_record *)r)))
 		n = xdr_getpos(&x);
 	xdr_destroy(&x);
 	return n;
 }
 
+static bool is_rate(double v)
+{
+	return isfinite(v) && v >= 0;
+}
+
 /*
  * Receivers sum the rates of all entries: one NaN or infinity would make the
  * whole sum useless. They compute with the endpoints' limits.
@@ -331,21 +380,32 @@
 	unsigned i;
 
 	for (i = 0; i < r->nr_demands; i++) {
-		if (!isfinite(r->demands[i].per_s) || r->demands[i].per_s < 0)
+		if (!is_rate(r->demands[i].per_s))
 			return false;
 	}
 	for (i = 0; i < r->nr_services; i++) {
-		if (!isfinite(r->services[i].prefill_tokens_per_s) ||
-		    r->services[i].prefill_tokens_per_s < 0)
+		if (!is_rate(r->services[i].prefill_tokens_per_s))
+			return false;
+		if (r->has_capacity &&
+		    (!is_rate(r->services[i].offered_per_s) ||
+		     !is_rate(r->services[i].offered_prefill_per_s)))
+			return false;
+	}
+	for (i = 0; i < r->nr_speeds; i++) {
+		if (!is_rate(r->speeds[i].time_factor) ||
+		    !is_rate(r->speeds[i].pause_rate) ||
+		    !is_rate(r->speeds[i].samples))
+			return false;
+	}
+	for (i = 0; i < r->nr_rollouts; i++) {
+		if (!is_rate(r->rollouts[i].share))
 			return false;
 	}
 	for (i = 0; i < r->nr_statements; i++) {
-		if (!isfinite(r->statements[i].per_s) ||
-		    r->statements[i].per_s < 0)
+		if (!is_rate(r->statements[i].per_s))
 			return false;
 	}
-	return isfinite(r->requests_per_s) && r->requests_per_s >= 0 &&
-	       isfinite(r->core_requests_per_s) && r->core_requests_per_s >= 0;
+	return is_rate(r->requests_per_s) && is_rate(r->core_requests_per_s);
 }
 
 bool gsp_decode(struct gsp_record *r, const char *in, size_t len)
@@ -366,6 +426,8 @@
 		ok = xdr_statements(&x, r);
 	if (ok && xdr_getpos(&x) < len)
 		ok = xdr_relays(&x, r);
+	if (ok && xdr_getpos(&x) < len)
+		ok = xdr_capacity(&x, r);
 	xdr_destroy(&x);
 	return ok && r->name[0] && rates_valid(r);
 }
--- a/lib/member/gsp.h
+++ b/lib/member/gsp.h
@@ -34,6 +34,8 @@
 #define GSP_MAX_MEMBERS 256
 #define GSP_MAX_STATEMENTS 32
 #define GSP_MAX_BRITTLE 32
+#define GSP_MAX_SPEEDS 32
+#define GSP_MAX_ROLLOUTS 8
 
 #define GSP_MAX_BYTES 8192 /* of an encoded datagram */
 
@@ -63,6 +65,9 @@
 	double prefill_tokens_per_s; /* prompt tokens of the sender's requests
 				      * that need prefill */
 	struct svc_snapshot estimates;
+	/* Offered load: of new requests only, whether sent or not. */
+	double offered_per_s;	      /* requests */
+	double offered_prefill_per_s; /* prompt tokens that need prefill */
 };
 
 /* Outcomes of the sender's requests in a roll-out in progress. */
@@ -103,6 +108,22 @@
 	uint32_t refused_ms;  /* age of the last refusal */
 };
 
+/* Speed of an endpoint, relative to the model of its service. */
+struct gsp_speed {
+	uint64_t endpoint;  /* hash of its id */
+	double time_factor; /* 1: as predicted, 2: twice as long */
+	double pause_rate; /* streams with a pause beyond their bound, 0 to 1 */
+	double samples;	   /* answers that the figures are based on */
+	uint32_t age_ms;   /* of the last of these */
+};
+
+/* The record of a roll-out that the sender routes requests by. */
+struct gsp_rollout {
+	uint64_t order; /* the roll-out order */
+	uint32_t stage; /* enum rol_stage */
+	double share;	/* of the requests that go to the new version */
+};
+
 struct gsp_record {
 	char name[GSP_NAME_SIZE];
 	uint64_t boot;	  /* random, drawn at the start of the process */
@@ -152,6 +173,13 @@
 	uint32_t members_cut_off[GSP_MAX_MEMBERS / 32];
 	unsigned nr_brittle;
 
+	/*
+	 * True if the fields below and the offered loads in `services` are
+	 * set; false in datagrams of releases without them.
+	 */
+	bool has_capacity;
+	unsigned nr_speeds, nr_rollouts;
+
 	struct gsp_demand demands[GSP_MAX_DEMANDS];
 	struct gsp_load loads[GSP_MAX_LOADS];
 	struct gsp_service services[GSP_MAX_SERVICES];
@@ -163,6 +191,8 @@
 	struct gsp_member members[GSP_MAX_MEMBERS];
 	struct gsp_statement statements[GSP_MAX_STATEMENTS];
 	struct gsp_brittle brittle[GSP_MAX_BRITTLE];
+	struct gsp_speed speeds[GSP_MAX_SPEEDS];
+	struct gsp_rollout rollouts[GSP_MAX_ROLLOUTS];
 };
 
 /* Set and get bit `n` of a set of members. */
@@ -177,7 +207,7 @@
 }
 
 /*
- * Clear a record, and copy one without its demands, counts, members and
+ * Clear a record, and copy one without its demands, counts, members, speeds and
  * statements.
  * Rows beyond the nr_* counts are not touched: a record has room for 16 KB and
  * mostly uses a few hundred bytes, and an entry receives about 500 of them per
@@ -197,8 +227,8 @@
  * `r` is then undefined.
  *
  * Releases of different age run side by side while the fleet is upgraded.
- * Datagrams of earlier ones end before what is said of relays, or before the
- * statements; those of yet earlier ones before the role and the members, before the
+ * Datagrams of earlier ones end before the offered loads, before what is said of
+ * relays, or before the statements; those of yet earlier ones before the role and the members, before the
  * roll-outs (tallies, rolled_back), or before store_era and fatal already; what
  * is absent is decoded as 0 or none.
  * Earlier releases ignore the parts that they do not know.
--- a/lib/member/rows.c
+++ b/lib/member/rows.c
@@ -85,6 +85,7 @@
 	record->nr_loads = record->nr_services = record->nr_fatal = 0;
 	record->nr_tallies = record->nr_rolled_back = record->nr_members = 0;
 	record->nr_statements = record->nr_brittle = 0;
+	record->nr_speeds = record->nr_rollouts = 0;
 }
 
 static void copy_rows(const struct rows *r, const struct rows_cursor *c,
--- a/tests/test_prs.c
+++ b/tests/test_prs.c
@@ -163,6 +163,50 @@
 	CU_ASSERT_FALSE(incoming.cut_off);
 }
 
+/*
+ * Guards against a load that is taken for another field, or for zero, while
+ * entries of two releases run side by side.
+ */
+static void offered_loads_and_speeds_round_trip(void)
+{
+	char bytes[GSP_MAX_BYTES];
+	size_t n, with;
+
+	fill(&outgoing, "edge-1", 4);
+	outgoing.relays = true;
+	n = gsp_encode(&outgoing, bytes, sizeof(bytes));
+	outgoing.has_capacity = true;
+	outgoing.services[0].offered_per_s = 12.5;
+	outgoing.services[0].offered_prefill_per_s = 4096;
+	outgoing.nr_speeds = 1;
+	outgoing.speeds[0] = (struct gsp_speed){ 51, 1.75, 0.25, 8, 900 };
+	outgoing.nr_rollouts = 1;
+	outgoing.rollouts[0] = (struct gsp_rollout){ 61, 2, 0.5 };
+	with = gsp_encode(&outgoing, bytes, sizeof(bytes));
+	CU_ASSERT(gsp_decode(&incoming, bytes, with));
+	CU_ASSERT(incoming.has_capacity);
+	CU_ASSERT_EQUAL(incoming.services[0].offered_per_s, 12.5);
+	CU_ASSERT_EQUAL(incoming.services[0].offered_prefill_per_s, 4096);
+	CU_ASSERT_EQUAL(incoming.nr_speeds, 1);
+	CU_ASSERT_EQUAL(incoming.speeds[0].endpoint, 51);
+	CU_ASSERT_EQUAL(incoming.speeds[0].time_factor, 1.75);
+	CU_ASSERT_EQUAL(incoming.speeds[0].pause_rate, 0.25);
+	CU_ASSERT_EQUAL(incoming.speeds[0].samples, 8);
+	CU_ASSERT_EQUAL(incoming.speeds[0].age_ms, 900);
+	CU_ASSERT_EQUAL(incoming.rollouts[0].order, 61);
+	CU_ASSERT_EQUAL(incoming.rollouts[0].stage, 2);
+	CU_ASSERT_EQUAL(incoming.rollouts[0].share, 0.5);
+	CU_ASSERT_FALSE(gsp_decode(&incoming, bytes, with - 1));
+	/* A datagram of an earlier release. */
+	CU_ASSERT(gsp_decode(&incoming, bytes, n));
+	CU_ASSERT_FALSE(incoming.has_capacity);
+	CU_ASSERT_EQUAL(incoming.nr_speeds, 0);
+	/* A NaN would spread to all sums and predictions. */
+	outgoing.speeds[0].time_factor = NAN;
+	with = gsp_encode(&outgoing, bytes, sizeof(bytes));
+	CU_ASSERT_FALSE(gsp_decode(&incoming, bytes, with));
+}
+
 /* Bytes of the role and of what else follows it, without members. */
 #define ROLE_BYTES (6 * sizeof(uint32_t) + sizeof(double))
 
@@ -624,6 +668,8 @@
 	{ "role, members and statements round-trip",
 	  role_members_and_statements_round_trip },
 	{ "relays and cuts round-trip", relays_and_cuts_round_trip },
+	{ "offered loads and speeds round-trip",
+	  offered_loads_and_speeds_round_trip },
 	{ "corrupt datagrams are rejected or valid",
 	  corrupt_datagrams_are_rejected_or_valid },
 	{ "a full record is bounded", full_record_is_bounded },
