scale: the need follows the load that clients offer

Each entry now reports the requests that arrive and the prompt tokens that they need processed, and a low quantile of its measured prefill times (lib/model/ offered). The lower of this estimate and of the one by sends is the load, as congestion only increases both. Streams from endpoints without a free slot no longer count for the inter-token latency, by which 1 of 16 slots seemed usable.

While a version is on trial and has the endpoints needed, nothing is ordered: what starts then is of that version. Changes of the plan by one endpoint are put off for 1.5 s. While no spot capacity is available, on-demand endpoints cover the loss of two zones in a row (policy.two_zones): the third zone was reclaimed two seconds after the second one, and on-demand endpoints take four to start.

--- a/lib/duty/scale.c
+++ b/lib/duty/scale.c
@@ -1,6 +1,7 @@
 #include "duty/scale.h"
 
 #include <math.h>
+#include <stdlib.h>
 
 /*
  * Spot endpoints per needed endpoint: this value divided by the square root of
@@ -280,26 +281,39 @@
 	return false;
 }
 
-/* On-demand endpoints needed to survive the loss of the largest spot zone. */
+static int max_int(int number, int bound)
+{
+	return number < bound ? bound : number;
+}
+
+/*
+ * On-demand endpoints needed to survive the loss of the largest spot zone, and,
+ * with `two_zones`, of the two largest: the next zone may be reclaimed sooner
+ * than an on-demand endpoint starts that is ordered then. With one zone covered,
+ * 25 of 165 endpoints were left two seconds after the second reclaim. The busy
+ * ones are enough for the few seconds after the second loss.
+ */
 static int zone_loss_cover(const struct scale_input *in,
 			   const struct scale_zone *z, size_t n)
 {
-	int sum = 0, largest = 0;
+	int sum = 0, largest = 0, second = 0, cover;
 	size_t i;
 
 	if (!in->loss_cover || !spot_unavailable(in, z, n))
 		return 0;
 	for (i = 0; i < n; i++) {
 		sum += z[i].spot;
-		if (z[i].spot > largest)
+		if (z[i].spot > largest) {
+			second = largest;
 			largest = z[i].spot;
+		} else if (z[i].spot > second) {
+			second = z[i].spot;
+		}
 	}
-	return (int)ceil(in->busy * ZONE_LOSS_RATIO) - (sum - largest);
-}
-
-static int max_int(int number, int bound)
-{
-	return number < bound ? bound : number;
+	cover = (int)ceil(in->busy * ZONE_LOSS_RATIO) - (sum - largest);
+	if (!in->two_zones)
+		return cover;
+	return max_int(cover, (int)ceil(in->busy) - (sum - largest - second));
 }
 
 /*
@@ -350,6 +364,26 @@
 	}
 }
 
+/* Smallest change, relative to the accepted number, that is ordered at once. */
+#define MIN_CHANGE_RATIO 0.1
+#define MIN_CHANGE 2
+
+/* A smaller change is ordered once the last order is this old. */
+#define CHANGE_DELAY_MS 1500
+
+bool scale_order_due(const struct scale_change *c)
+{
+	const int change = abs(c->wanted - c->accepted);
+	const int min =
+		max_int((int)ceil(c->accepted * MIN_CHANGE_RATIO), MIN_CHANGE);
+
+	if (c->accepted < 0 || c->since_order_ms >= CHANGE_DELAY_MS)
+		return true;
+	if (c->wanted > c->running && c->accepted <= c->running)
+		return true;
+	return change >= min;
+}
+
 static void enforce_minimum(const struct scale_input *in, struct scale_zone *z)
 {
 	while (z->want_on_demand + max_int(z->want_spot, z->spot_starting) <
--- a/lib/duty/scale.h
+++ b/lib/duty/scale.h
@@ -43,6 +43,7 @@
 	int64_t now_ms;
 	bool price_cover; /* order spare spot endpoints, more if cheap */
 	bool loss_cover;  /* keep spare endpoints for the next zone reclaim */
+	bool two_zones;	  /* and for the one after it */
 	bool ease;	  /* drain on-demand endpoints one after the other */
 };
 
@@ -80,6 +81,22 @@
  */
 double scale_limit_drain(double held, int wanted, int64_t since_ms);
 
+/* An order that was accepted, and the number to be ordered next. */
+struct scale_change {
+	int accepted; /* -1: none */
+	int wanted;
+	int running;		/* of that kind in that zone */
+	int64_t since_order_ms; /* since the order was accepted */
+};
+
+/*
+ * True if the wanted number is to be ordered now. Small changes are put off, so
+ * that a plan that changes by one endpoint several times a second does not
+ * become as many orders: by one or less than a tenth, unless endpoints are
+ * missing.
+ */
+bool scale_order_due(const struct scale_change *c);
+
 /* Sets want_on_demand and want_spot of each of the `nr_zones` zones. */
 void scale_plan(const struct scale_input *in, struct scale_zone *zones,
 		size_t nr_zones);
--- a/lib/edge/conf.c
+++ b/lib/edge/conf.c
@@ -112,8 +112,10 @@
 	FLAG(moves),
 	FLAG(price_cover),
 	FLAG(loss_cover),
+	FLAG(two_zones),
 	FLAG(ease),
 	FLAG(carry_plan),
+	FLAG(offered_load),
 	INTEGER("max_mesh", policy.max_mesh, 1, 1e6, "", true),
 	JSN_END,
 };
@@ -172,8 +174,10 @@
 	c->policy.moves = true;
 	c->policy.price_cover = true;
 	c->policy.loss_cover = true;
+	c->policy.two_zones = true;
 	c->policy.ease = true;
 	c->policy.carry_plan = true;
+	c->policy.offered_load = true;
 	c->policy.max_mesh = OVL_MAX_MESH;
 }
 
--- a/lib/edge/conf.h
+++ b/lib/edge/conf.h
@@ -95,8 +95,10 @@
 		bool moves;	    /* migrate streams off leaving endpoints */
 		bool price_cover;   /* spare spot endpoints, more if cheap */
 		bool loss_cover;    /* spare endpoints for a zone's reclaim */
+		bool two_zones;	    /* and for two in a row */
 		bool ease;	    /* drain on-demand endpoints one by one */
 		bool carry_plan;    /* start from the former holder's plan */
+		bool offered_load;  /* plan by what clients offer */
 		/* Entries up to which each exchanges gossip with each. */
 		int64_t max_mesh;
 	} policy;
--- a/lib/edge/edge_duty_internal.h
+++ b/lib/edge/edge_duty_internal.h
@@ -40,6 +40,10 @@
 struct edge_plan {
 	char service[FLT_NAME];
 	struct scale_need need;
+	/* Inputs of the last evaluation, for the log. */
+	struct ofd_sum offered; /* all zero: not measured by all entries */
+	double load;		/* endpoints that the load keeps busy */
+	int usable;		/* endpoints that get new requests */
 	/* Lower bound of on-demand endpoints, see scale_limit_drain(). */
 	double on_demand_held;
 	int64_t on_demand_held_ms; /* when it was last updated */
--- a/lib/edge/edge_gossip.c
+++ b/lib/edge/edge_gossip.c
@@ -65,6 +65,7 @@
 		row = &r->services[r->nr_services++];
 		svc_export(s, &row->estimates);
 		row->prefill_tokens_per_s = svc_prefill_tokens_per_s(s, now);
+		ofd_export(&s->offered, now, &row->offered);
 	}
 }
 
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -327,6 +327,7 @@
 	unsigned sends;
 	unsigned sends_reached; /* sends that may have reached an endpoint */
 	bool retry_charged;	/* the current send, to the retry budget */
+	bool offered;		/* counted in the load that clients offer */
 	struct reply reply;
 	bool unframed;		    /* the answer ended with its connection */
 	struct edge_verify *verify; /* probe after that; NULL: none */
@@ -681,6 +682,13 @@
 /* The model of the service, made on first use and never freed. */
 struct svc *edge_service_model(struct edge *en, const char *service);
 
+/*
+ * Counts the request once in the load offered to its service, as soon as it is
+ * known how much of its prompt the endpoint `p->endpoint` (NULL: none) would
+ * have to process.
+ */
+void edge_learn_offered(struct edge_req *r, const struct pick_result *p);
+
 /* The first event of the current send arrived. */
 void edge_learn_first_event(struct edge_req *r);
 
--- a/lib/edge/edge_learn.c
+++ b/lib/edge/edge_learn.c
@@ -48,6 +48,21 @@
 	return r->en->conf->policy.learn && r->endpoint->use == FLT_IN_USE;
 }
 
+void edge_learn_offered(struct edge_req *r, const struct pick_result *p)
+{
+	struct edge *en = r->en;
+	struct svc *s = edge_service_model(en, r->service->name);
+
+	if (r->offered)
+		return;
+	r->offered = true;
+	ofd_arrived(&s->offered,
+		    p->endpoint ? p->state.tokens_to_prefill
+				: r->attempt.prompt_tokens -
+					  r->attempt.prefix_tokens,
+		    edge_now(en));
+}
+
 void edge_learn_first_event(struct edge_req *r)
 {
 	const double took = (double)(edge_now(r->en) - r->sent_ms);
@@ -59,6 +74,9 @@
 	if (!may_learn(r))
 		return;
 	svc_on_ttft(r->model, &r->endpoint_state, took, r->prefill_known);
+	if (r->prefill_known)
+		ofd_prefilled(&r->model->offered,
+			      r->endpoint_state.tokens_to_prefill, took);
 	log_model_change(r->en, r->model);
 }
 
@@ -75,7 +93,7 @@
 	if (r->streaming && r->sends > 1)
 		return;
 	if (r->streaming && r->events.events > 1)
-		svc_on_itl(r->model, r->endpoint_state.running,
+		svc_on_itl(r->model, &r->endpoint_state,
 			   (double)(now - r->first_event_ms) /
 				   (double)(r->events.events - 1));
 	svc_on_run_end(r->model, &r->endpoint_state, took);
--- a/lib/edge/edge_rollout.c
+++ b/lib/edge/edge_rollout.c
@@ -464,6 +464,21 @@
 		ro->record.stage == ROL_RUN_OUT);
 }
 
+int edge_rollout_trial_endpoints(const struct edge *en, const char *service)
+{
+	const struct edge_rollout *ro = find(en, service);
+	const struct flt_endpoint *e;
+	int n = 0;
+
+	if (!ro || !ro->recorded || ro->record.stage != ROL_TRIAL)
+		return 0;
+	cds_list_for_each_entry(e, &en->fleet.endpoints, node) {
+		n += belongs_to(ro, e) && flt_in_service(e, edge_now(en)) &&
+		     !strcmp(e->info.version, ro->record.target);
+	}
+	return n;
+}
+
 bool edge_rollout_is_replaced(const struct edge *en,
 			      const struct flt_endpoint *e)
 {
--- a/lib/edge/edge_rollout.h
+++ b/lib/edge/edge_rollout.h
@@ -67,6 +67,13 @@
 /* True while all traffic is shifted, during which scaling is suspended. */
 bool edge_rollout_is_shifting(const struct edge *en, const char *service);
 
+/*
+ * The number of usable endpoints of the target during a trial, 0 at other
+ * times. All endpoints that start during a trial are of the target, so none of
+ * them is of use before the shift.
+ */
+int edge_rollout_trial_endpoints(const struct edge *en, const char *service);
+
 /*
  * True if the endpoint's version was replaced by a completed roll-out; the
  * platform stops such endpoints.
--- a/lib/edge/edge_scale.c
+++ b/lib/edge/edge_scale.c
@@ -122,7 +122,7 @@
 {
 	struct edge *en = d->en;
 	const struct wire_duty w = edge_duty_wire(en);
-	const int64_t now = edge_now(en);
+	const struct edge_plan *plan = get_plan(d, o->service, edge_now(en));
 	struct buf wire = BUF_INIT;
 
 	if (!edge_duty_may_act(en) || d->call_in_flight)
@@ -149,7 +149,12 @@
 	jlog_int(en->log, "starting",
 		 o->reclaimable ? z->spot_starting : z->on_demand_starting);
 	jlog_int(en->log, "beside", o->reclaimable ? z->on_demand : z->spot);
-	jlog_num(en->log, "need", get_plan(d, o->service, now)->need.need);
+	jlog_num(en->log, "need", plan->need.need);
+	jlog_num(en->log, "load", plan->load);
+	jlog_int(en->log, "usable", plan->usable);
+	jlog_num(en->log, "offered_per_s", plan->offered.requests_per_s);
+	jlog_num(en->log, "offered_prefill_per_s", plan->offered.prefill_per_s);
+	jlog_num(en->log, "prefill_ms", ofd_prefill_ms(&plan->offered));
 	jlog_int(en->log, "fence", en->lead.fence);
 	jlog_end(en->log);
 	d->call_is_order = edge_duty_call(d, &wire);
@@ -224,6 +229,32 @@
 	return w;
 }
 
+/*
+ * Adds up the load offered to all entries. False if an entry does not report
+ * it, since its release does not measure it.
+ */
+static bool sum_offered(struct edge *en, const struct svc *s, int64_t now,
+			struct ofd_sum *sum)
+{
+	struct ofd_report own;
+	struct prs_peer *p;
+	unsigned i;
+
+	ofd_export(&s->offered, now, &own);
+	ofd_add(sum, &own);
+	cds_list_for_each_entry(p, &en->prs.core, role_node) {
+		if (!p->last || !prs_alive(p, now))
+			continue;
+		if (!p->last->has_capacity)
+			return false;
+		for (i = 0; i < p->last->nr_services; i++) {
+			if (p->last->services[i].estimates.service == s->hash)
+				ofd_add(sum, &p->last->services[i].offered);
+		}
+	}
+	return true;
+}
+
 /* Prompt tokens per second to be processed, of the requests at all entries. */
 static double total_prefill_rate(struct edge *en, const struct svc *s,
 				 int64_t now)
@@ -271,13 +302,10 @@
 	return svc_slope_mean(&mean);
 }
 
-/* Estimates the number of endpoints that the service's load keeps busy. */
-static double busy_endpoints(struct edge *en, const struct cfg_service *s,
-			     const struct edge_service_load *w)
+/* Endpoints kept busy by the requests sent and in flight, queued ones included. */
+static double busy_by_sends(struct edge *en, const struct svc *m,
+			    const struct edge_service_load *w, double fit)
 {
-	const struct svc *m = edge_service_model(en, s->name);
-	const double fit = svc_max_running(m, w->slots, s->gap_ms);
-
 	const struct svc_load load = {
 		.prefill_tokens_per_s = total_prefill_rate(en, m, edge_now(en)),
 		.running = w->runs,
@@ -288,6 +316,29 @@
 	return svc_busy_endpoints(m, &load, fit);
 }
 
+/* Estimates the number of endpoints that the service's load keeps busy. */
+static void estimate_load(struct edge *en, const struct cfg_service *s,
+			  struct edge_plan *plan)
+{
+	const struct svc *m = edge_service_model(en, s->name);
+	const struct edge_service_load w = sum_service_load(en, s->name);
+	const double fit = svc_max_running(m, w.slots, s->gap_ms);
+	double prefill_ms;
+	bool known;
+
+	memset(&plan->offered, 0, sizeof(plan->offered));
+	known = en->conf->policy.offered_load &&
+		sum_offered(en, m, edge_now(en), &plan->offered);
+	prefill_ms = ofd_prefill_ms(&plan->offered);
+	plan->usable = w.usable;
+	plan->load = busy_by_sends(en, m, &w, fit);
+	/* Congestion increases both estimates, but seldom both at once. */
+	if (known && prefill_ms > 0)
+		plan->load = fmin(plan->load,
+				  ofd_busy_endpoints(&plan->offered, prefill_ms,
+						     m->run_ms, fit));
+}
+
 /* Endpoints of an accepted order that may still be starting. */
 static int starting_endpoints(const struct edge_scale_order *o, int there,
 			      int64_t boot_ms, int64_t now)
@@ -362,8 +413,14 @@
 	struct edge_scale_order *o =
 		get_order(d, s->name, z->name, reclaimable);
 	const int64_t now = edge_now(d->en);
+	const struct scale_change change = {
+		.accepted = o->accepted_number,
+		.wanted = number,
+		.running = have,
+		.since_order_ms = now - o->accepted_ms,
+	};
 
-	if (now < o->retry_after_ms)
+	if (now < o->retry_after_ms || !scale_order_due(&change))
 		return false;
 	/* Nothing was ordered, nothing runs, and nothing is planned. */
 	if (o->accepted_number < 0 && !number && !have)
@@ -406,11 +463,10 @@
  * the past: it starts from the running endpoints and the configured maximum.
  */
 static void update_need(struct edge_duty *d, const struct cfg_service *s,
-			struct scale_need *need, const struct scale_zone *z,
+			struct edge_plan *plan, const struct scale_zone *z,
 			size_t n)
 {
 	double first = s->scaling.max * (double)n / FIRST_MAX_DIVISOR;
-	const struct edge_service_load w = sum_service_load(d->en, s->name);
 	int there = 0;
 	size_t i;
 
@@ -424,7 +480,8 @@
 				     busy_by_limits(d->en,
 						    edge_service_model(
 							    d->en, s->name)));
-	scale_update_need(need, busy_endpoints(d->en, s, &w), w.usable, first);
+	estimate_load(d->en, s, plan);
+	scale_update_need(&plan->need, plan->load, plan->usable, first);
 }
 
 /*
@@ -464,12 +521,17 @@
 		.now_ms = now,
 		.price_cover = d->en->conf->policy.price_cover,
 		.loss_cover = d->en->conf->policy.loss_cover,
+		.two_zones = d->en->conf->policy.two_zones,
 		.ease = d->en->conf->policy.ease,
 	};
 	struct edge_plan *plan = get_plan(d, s->name, now);
 	size_t i;
 
-	update_need(d, s, &plan->need, zones, n);
+	update_need(d, s, plan, zones, n);
+	/* Further endpoints would be of the version on trial, as these are. */
+	if (edge_rollout_trial_endpoints(d->en, s->name) >= plan->need.need &&
+	    plan->need.need > 0)
+		return;
 	in.no_load_yet = d->en->conf->first_start && !plan->need.load_seen;
 	in.busy = plan->need.need;
 	/* At least one per zone, so that each zone keeps a prompt cache. */
--- a/lib/edge/edge_send.c
+++ b/lib/edge/edge_send.c
@@ -302,6 +302,7 @@
 		p = pick_for(r, FLT_IN_USE);
 	if (!p.endpoint && relay_to_unreached(r))
 		p = pick_for(r, FLT_IN_USE);
+	edge_learn_offered(r, &p);
 	if (!p.endpoint && edge_place_wait(r))
 		return;
 	if (!p.endpoint) {
--- a/lib/member/gsp.c
+++ b/lib/member/gsp.c
@@ -277,6 +277,13 @@
 	return xdr_brittle(x, r);
 }
 
+static bool_t xdr_offered(XDR *x, struct ofd_report *r)
+{
+	return xdr_estimate(x, &r->requests_per_s) &&
+	       xdr_estimate(x, &r->prefill_per_s) &&
+	       xdr_estimate(x, &r->prefill_ms) && xdr_estimate(x, &r->samples);
+}
+
 static bool_t xdr_speed(XDR *x, struct gsp_speed *s)
 {
 	return xdr_uint64_t(x, &s->endpoint) &&
@@ -297,8 +304,7 @@
 	unsigned i;
 
 	for (i = 0; i < r->nr_services; i++) {
-		if (!xdr_estimate(x, &r->services[i].offered_per_s) ||
-		    !xdr_estimate(x, &r->services[i].offered_prefill_per_s))
+		if (!xdr_offered(x, &r->services[i].offered))
 			return FALSE;
 	}
 	if (!xdr_u_int(x, &r->nr_speeds) || r->nr_speeds > GSP_MAX_SPEEDS)
@@ -371,6 +377,12 @@
 	return isfinite(v) && v >= 0;
 }
 
+static bool is_report(const struct ofd_report *r)
+{
+	return is_rate(r->requests_per_s) && is_rate(r->prefill_per_s) &&
+	       is_rate(r->prefill_ms) && is_rate(r->samples);
+}
+
 /*
  * Receivers sum the rates of all entries: one NaN or infinity would make the
  * whole sum useless. They compute with the endpoints' limits.
@@ -386,9 +398,7 @@
 	for (i = 0; i < r->nr_services; i++) {
 		if (!is_rate(r->services[i].prefill_tokens_per_s))
 			return false;
-		if (r->has_capacity &&
-		    (!is_rate(r->services[i].offered_per_s) ||
-		     !is_rate(r->services[i].offered_prefill_per_s)))
+		if (r->has_capacity && !is_report(&r->services[i].offered))
 			return false;
 	}
 	for (i = 0; i < r->nr_speeds; i++) {
--- a/lib/member/gsp.h
+++ b/lib/member/gsp.h
@@ -15,6 +15,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "model/offered.h"
 #include "model/svc.h"
 #include "request/fatal.h"
 #include "rollout/tally.h"
@@ -65,9 +66,7 @@
 	double prefill_tokens_per_s; /* prompt tokens of the sender's requests
 				      * that need prefill */
 	struct svc_snapshot estimates;
-	/* Offered load: of new requests only, whether sent or not. */
-	double offered_per_s;	      /* requests */
-	double offered_prefill_per_s; /* prompt tokens that need prefill */
+	struct ofd_report offered;
 };
 
 /* Outcomes of the sender's requests in a roll-out in progress. */
--- a/lib/model/svc.c
+++ b/lib/model/svc.c
@@ -183,10 +183,12 @@
 		(s->typical_prefill_tokens > 0 ? MEAN_SMOOTHING : 1);
 }
 
-void svc_on_itl(struct svc *s, double running, double between_ms)
+void svc_on_itl(struct svc *s, const struct svc_state *at, double between_ms)
 {
-	const double x[SVC_ITL_COEFS] = { 1, running / RUNNING_UNIT };
+	const double x[SVC_ITL_COEFS] = { 1, at->running / RUNNING_UNIT };
 
+	if (waiting_for_slot(at) > 0)
+		return;
 	rls_learn(&s->itl, x, between_ms, 1);
 }
 
--- a/lib/model/svc.h
+++ b/lib/model/svc.h
@@ -25,6 +25,7 @@
 #include <urcu/list.h>
 
 #include "base/decay.h"
+#include "model/offered.h"
 #include "model/rls.h"
 
 #define SVC_NAME 64 /* buffer size of a service's name, bytes */
@@ -62,6 +63,7 @@
 	double run_samples;	       /* answers that run_ms is based on */
 	double typical_prefill_tokens; /* mean tokens to prefill of a request */
 	struct decay_sum prefill_rate; /* of the requests sent, tokens/s */
+	struct ofd offered;	       /* by clients */
 	/* Values that were logged last, see svc_should_log(). */
 	double logged_prefill_ms, logged_run_ms;
 };
@@ -142,9 +144,10 @@
 
 /*
  * The events of a stream arrived `between_ms` apart on average, from an
- * endpoint with `running` requests.
+ * endpoint in state `at`. Ignored if the endpoint had no free slot: by the
+ * times of endpoints whose slots were all taken, fewer of them seemed to fit.
  */
-void svc_on_itl(struct svc *s, double running, double between_ms);
+void svc_on_itl(struct svc *s, const struct svc_state *at, double between_ms);
 
 /*
  * A request succeeded `took_ms` after it was sent to an endpoint in state `at`.
--- a/tests/test_duties.c
+++ b/tests/test_duties.c
@@ -691,6 +691,79 @@
 	CU_ASSERT_EQUAL(on_demand, 23);
 }
 
+/*
+ * Guards against a shortage that begins with the third reclaim: it follows the
+ * second one sooner than on-demand endpoints start. Four zones of 45 spot
+ * endpoints, 50 of them busy in all; one zone was reclaimed.
+ */
+static void two_more_reclaims_are_covered(void)
+{
+	struct scale_input in = {
+		.price_cover = true,
+		.loss_cover = true,
+		.two_zones = true,
+		.ease = true,
+		.min = 1,
+		.max = 70,
+		.need = 50,
+		.busy = 50,
+		.spot_price = 0.15,
+		.now_ms = 1000,
+	};
+	struct scale_zone z[4];
+	int on_demand, spot, i;
+
+	four_zones(z, 0, 45);
+	z[0].spot = 0;
+	for (i = 0; i < 4; i++)
+		z[i].no_spot_until_ms = 2000;
+	scale_plan(&in, z, 4);
+	sum_plan(z, &on_demand, &spot);
+	CU_ASSERT(on_demand + 45 >= in.busy);
+	/* No more than that is ordered at the full price. */
+	CU_ASSERT(on_demand <= 0.6 * in.busy);
+	/* Without it, one zone of 45 would be left for 50 busy endpoints. */
+	in.two_zones = false;
+	scale_plan(&in, z, 4);
+	sum_plan(z, &on_demand, &spot);
+	CU_ASSERT(on_demand + 45 < in.busy);
+}
+
+/*
+ * Guards against hundreds of orders by a plan that moves by one endpoint several
+ * times a second, and against a delay for endpoints that are missing.
+ */
+static void small_changes_of_the_plan_are_put_off(void)
+{
+	struct scale_change c = {
+		.accepted = 45, .wanted = 45, .running = 45, .since_order_ms = 0
+	};
+	int orders = 0, ms;
+
+	for (ms = 0; ms < 10000; ms += 50) {
+		c.wanted = 45 - ms / 250;
+		if (c.wanted == c.accepted || !scale_order_due(&c)) {
+			c.since_order_ms += 50;
+			continue;
+		}
+		orders++;
+		c.accepted = c.running = c.wanted;
+		c.since_order_ms = 0;
+	}
+	CU_ASSERT(orders <= 15);
+	CU_ASSERT(c.accepted <= c.wanted + 4);
+	/* The first one, and one after endpoints were lost. */
+	c = (struct scale_change){ -1, 3, 3, 0 };
+	CU_ASSERT(scale_order_due(&c));
+	c = (struct scale_change){ 45, 46, 45, 0 };
+	CU_ASSERT(scale_order_due(&c));
+	/* Starting endpoints are not missing. */
+	c = (struct scale_change){ 45, 46, 40, 0 };
+	CU_ASSERT_FALSE(scale_order_due(&c));
+	c.since_order_ms = 2000;
+	CU_ASSERT(scale_order_due(&c));
+}
+
 /* Every zone stays within its bounds, for random input. */
 static void zones_stay_within_bounds(void)
 {
@@ -944,6 +1017,9 @@
 	  need_rises_at_once_and_falls_slowly },
 	{ "the loss of the last spot zone is covered",
 	  loss_of_last_spot_zone_is_covered },
+	{ "two more reclaims are covered", two_more_reclaims_are_covered },
+	{ "small changes of the plan are put off",
+	  small_changes_of_the_plan_are_put_off },
 	{ "zones stay within bounds", zones_stay_within_bounds },
 	{ "running endpoints stay until replaced",
 	  running_endpoints_stay_until_replaced },
--- a/tests/test_model.c
+++ b/tests/test_model.c
@@ -524,7 +524,8 @@
 
 	svc_init(&s, "llm");
 	for (i = 0; i < 400; i++)
-		svc_on_itl(&s, i % 40, 50 + 10 * (i % 40));
+		svc_on_itl(&s, &(struct svc_state){ .running = i % 40 },
+			   50 + 10 * (i % 40));
 	CU_ASSERT(svc_max_running(&s, 64, 0) > 40);
 	CU_ASSERT_DOUBLE_EQUAL(svc_max_running(&s, 64, 400), 15, 2);
 	CU_ASSERT(svc_max_running(&s, 64, 60) >= 1);
@@ -615,7 +616,7 @@
 
 		svc_on_ttft(&cold, &sample, 10 + sample.tokens_to_prefill / 10,
 			    true);
-		svc_on_itl(&cold, 3, 80);
+		svc_on_itl(&cold, &(struct svc_state){ .running = 3 }, 80);
 		svc_export(&cold, &snapshot);
 		snapshot.ttft_samples += 1;
 		snapshot.itl_samples += 1;
@@ -630,7 +631,7 @@
 
 		svc_on_ttft(&new, &sample, 10 + sample.tokens_to_prefill / 50,
 			    true);
-		svc_on_itl(&new, 3, 20);
+		svc_on_itl(&new, &(struct svc_state){ .running = 3 }, 20);
 	}
 	CU_ASSERT_DOUBLE_EQUAL(svc_ttft_ms(&new, &at), 70, 20);
 }
--- a/tests/test_prs.c
+++ b/tests/test_prs.c
@@ -176,8 +176,8 @@
 	outgoing.relays = true;
 	n = gsp_encode(&outgoing, bytes, sizeof(bytes));
 	outgoing.has_capacity = true;
-	outgoing.services[0].offered_per_s = 12.5;
-	outgoing.services[0].offered_prefill_per_s = 4096;
+	outgoing.services[0].offered =
+		(struct ofd_report){ 12.5, 4096, 19.5, 30 };
 	outgoing.nr_speeds = 1;
 	outgoing.speeds[0] = (struct gsp_speed){ 51, 1.75, 0.25, 8, 900 };
 	outgoing.nr_rollouts = 1;
@@ -185,8 +185,10 @@
 	with = gsp_encode(&outgoing, bytes, sizeof(bytes));
 	CU_ASSERT(gsp_decode(&incoming, bytes, with));
 	CU_ASSERT(incoming.has_capacity);
-	CU_ASSERT_EQUAL(incoming.services[0].offered_per_s, 12.5);
-	CU_ASSERT_EQUAL(incoming.services[0].offered_prefill_per_s, 4096);
+	CU_ASSERT_EQUAL(incoming.services[0].offered.requests_per_s, 12.5);
+	CU_ASSERT_EQUAL(incoming.services[0].offered.prefill_per_s, 4096);
+	CU_ASSERT_EQUAL(incoming.services[0].offered.prefill_ms, 19.5);
+	CU_ASSERT_EQUAL(incoming.services[0].offered.samples, 30);
 	CU_ASSERT_EQUAL(incoming.nr_speeds, 1);
 	CU_ASSERT_EQUAL(incoming.speeds[0].endpoint, 51);
 	CU_ASSERT_EQUAL(incoming.speeds[0].time_factor, 1.75);
