--- a/lib/duty/scale.c
+++ b/lib/duty/scale.c
@@ -290,8 +290,8 @@
  * On-demand endpoints needed to survive the loss of the largest spot zone, and,
  * with `two_zones`, of the two largest: the next zone may be reclaimed sooner
  * than an on-demand endpoint starts that is ordered then. With one zone covered,
- * 25 of 165 endpoints were left two seconds after the second reclaim. The busy
- * ones are enough for the few seconds after the second loss.
+ * 25 of 165 endpoints were left two seconds after the second reclaim. What the
+ * load keeps busy now is enough for the few seconds after the second loss.
  */
 static int zone_loss_cover(const struct scale_input *in,
 			   const struct scale_zone *z, size_t n)
@@ -313,7 +313,7 @@
 	cover = (int)ceil(in->busy * ZONE_LOSS_RATIO) - (sum - largest);
 	if (!in->two_zones)
 		return cover;
-	return max_int(cover, (int)ceil(in->busy) - (sum - largest - second));
+	return max_int(cover, (int)ceil(in->load) - (sum - largest - second));
 }
 
 /*
--- a/lib/duty/scale.h
+++ b/lib/duty/scale.h
@@ -34,9 +34,11 @@
 };
 
 struct scale_input {
-	int min, max; /* endpoints of both kinds, in each zone */
-	double need;  /* endpoints to plan for */
-	double busy;  /* endpoints that the load keeps busy, at most `need` */
+	int min, max;	   /* endpoints of both kinds, in each zone */
+	double need;	   /* endpoints to plan for */
+	double busy;	   /* endpoints that the load kept busy of late, at most
+			 `need` */
+	double load;	   /* endpoints that it keeps busy now */
 	bool no_load_yet;  /* no request has arrived yet */
 	int min_on_demand; /* lower bound; see scale_limit_drain() */
 	double spot_price; /* relative to the on-demand price; 0: no spot */
--- a/lib/edge/edge_scale.c
+++ b/lib/edge/edge_scale.c
@@ -534,6 +534,7 @@
 		return;
 	in.no_load_yet = d->en->conf->first_start && !plan->need.load_seen;
 	in.busy = plan->need.need;
+	in.load = plan->load;
 	/* At least one per zone, so that each zone keeps a prompt cache. */
 	in.need = plan->need.need < (double)n ? (double)n : plan->need.need;
 	scale_plan(&in, zones, n);
--- a/tests/test_duties.c
+++ b/tests/test_duties.c
@@ -707,6 +707,7 @@
 		.max = 70,
 		.need = 50,
 		.busy = 50,
+		.load = 50,
 		.spot_price = 0.15,
 		.now_ms = 1000,
 	};
