--- a/lib/duty/scale.c
+++ b/lib/duty/scale.c
@@ -33,6 +33,13 @@
  */
 #define ZONE_LOSS_RATIO 1.5
 
+/*
+ * The loss of a second zone is covered from this load on, in busy endpoints for
+ * each zone. With less, the minimum of one endpoint in each zone is most of what
+ * is needed, and the cover cost more than it saved.
+ */
+#define MIN_LOAD_PER_ZONE 2.0
+
 /*
  * A zone whose order was refused counts as unavailable for this time, ms,
  * beyond no_spot_until_ms.
@@ -311,7 +318,7 @@
 		}
 	}
 	cover = (int)ceil(in->busy * ZONE_LOSS_RATIO) - (sum - largest);
-	if (!in->two_zones)
+	if (!in->two_zones || in->load < MIN_LOAD_PER_ZONE * (double)n)
 		return cover;
 	return max_int(cover, (int)ceil(in->load) - (sum - largest - second));
 }
--- a/tests/test_duties.c
+++ b/tests/test_duties.c
@@ -723,7 +723,17 @@
 	CU_ASSERT(on_demand + 45 >= in.busy);
 	/* No more than that is ordered at the full price. */
 	CU_ASSERT(on_demand <= 0.6 * in.busy);
+	/* In a small fleet the endpoints of the other zones are enough. */
+	in.need = in.busy = in.load = 4;
+	for (i = 1; i < 4; i++)
+		z[i].spot = 3;
+	scale_plan(&in, z, 4);
+	sum_plan(z, &on_demand, &spot);
+	CU_ASSERT_EQUAL(on_demand, 1); /* the minimum of the first zone */
+	for (i = 1; i < 4; i++)
+		z[i].spot = 45;
 	/* Without it, one zone of 45 would be left for 50 busy endpoints. */
+	in.need = in.busy = in.load = 50;
 	in.two_zones = false;
 	scale_plan(&in, z, 4);
 	sum_plan(z, &on_demand, &spot);
