--- a/lib/duty/scale.c
+++ b/lib/duty/scale.c
@@ -297,13 +297,12 @@
  * On-demand endpoints needed to survive the loss of the largest spot zone, and,
  * with `two_zones`, of the two largest: the next zone may be reclaimed sooner
  * than an on-demand endpoint starts that is ordered then. With one zone covered,
- * 25 of 165 endpoints were left two seconds after the second reclaim. What the
- * load keeps busy now is enough for the few seconds after the second loss.
+ * 25 of 165 endpoints were left two seconds after the second reclaim.
  */
 static int zone_loss_cover(const struct scale_input *in,
 			   const struct scale_zone *z, size_t n)
 {
-	int sum = 0, largest = 0, second = 0, cover;
+	int sum = 0, largest = 0, second = 0;
 	size_t i;
 
 	if (!in->loss_cover || !spot_unavailable(in, z, n))
@@ -317,10 +316,9 @@
 			second = z[i].spot;
 		}
 	}
-	cover = (int)ceil(in->busy * ZONE_LOSS_RATIO) - (sum - largest);
-	if (!in->two_zones || in->load < MIN_LOAD_PER_ZONE * (double)n)
-		return cover;
-	return max_int(cover, (int)ceil(in->load) - (sum - largest - second));
+	if (in->two_zones && in->load >= MIN_LOAD_PER_ZONE * (double)n)
+		largest += second;
+	return (int)ceil(in->busy * ZONE_LOSS_RATIO) - (sum - largest);
 }
 
 /*
