--- a/lib/duty/scale.c
+++ b/lib/duty/scale.c
@@ -33,6 +33,12 @@
  */
 #define ZONE_LOSS_RATIO 1.5
 
+/*
+ * The same after the loss of two zones in a row. On-demand endpoints that are
+ * ordered at the first of them start a few seconds later.
+ */
+#define TWO_ZONES_LOSS_RATIO 1.25
+
 /*
  * The loss of a second zone is covered from this load on, in busy endpoints for
  * each zone. With less, the minimum of one endpoint in each zone is most of what
@@ -297,12 +303,13 @@
  * On-demand endpoints needed to survive the loss of the largest spot zone, and,
  * with `two_zones`, of the two largest: the next zone may be reclaimed sooner
  * than an on-demand endpoint starts that is ordered then. With one zone covered,
- * 25 of 165 endpoints were left two seconds after the second reclaim.
+ * 25 of 165 endpoints were left two seconds after the second reclaim. The second
+ * loss is covered for the load of the moment, not for the highest one of late.
  */
 static int zone_loss_cover(const struct scale_input *in,
 			   const struct scale_zone *z, size_t n)
 {
-	int sum = 0, largest = 0, second = 0;
+	int sum = 0, largest = 0, second = 0, cover;
 	size_t i;
 
 	if (!in->loss_cover || !spot_unavailable(in, z, n))
@@ -316,9 +323,11 @@
 			second = z[i].spot;
 		}
 	}
-	if (in->two_zones && in->load >= MIN_LOAD_PER_ZONE * (double)n)
-		largest += second;
-	return (int)ceil(in->busy * ZONE_LOSS_RATIO) - (sum - largest);
+	cover = (int)ceil(in->busy * ZONE_LOSS_RATIO) - (sum - largest);
+	if (!in->two_zones || in->load < MIN_LOAD_PER_ZONE * (double)n)
+		return cover;
+	return max_int(cover, (int)ceil(in->load * TWO_ZONES_LOSS_RATIO) -
+				      (sum - largest - second));
 }
 
 /*
