scale: on-demand endpoints that are starting are kept

When the spot capacity of another zone ended, the plan moved the on-demand endpoints to a cheaper zone: 27 that had been starting for two seconds were given up, and 39 others began to start, while one zone after the other was reclaimed. Endpoints that start are now kept before any is added elsewhere; those that run still go first. The new test failed before.

--- a/lib/duty/scale.c
+++ b/lib/duty/scale.c
@@ -143,9 +143,19 @@
 	return kept > z->want_spot ? kept : z->want_spot;
 }
 
+/*
+ * True if the next on-demand endpoint of the zone is one that runs or starts. An
+ * order that moved starting endpoints to a cheaper zone had them begin anew,
+ * four seconds before they were needed.
+ */
+static bool keeps_on_demand(const struct scale_zone *z)
+{
+	return z->want_on_demand < z->on_demand + z->on_demand_starting;
+}
+
 /*
  * Running and starting spot endpoints count against the zone's maximum when an
- * on-demand endpoint is added, but not when a running one is kept.
+ * on-demand endpoint is added, but not when one is kept.
  */
 static bool on_demand_full(const struct scale_zone *z,
 			   const struct scale_input *in)
@@ -187,10 +197,10 @@
 	const bool below_min = z->want_on_demand + z->want_spot < in->min;
 	const bool keeps_running = z->want_on_demand < z->on_demand;
 
-	return 2 * keeps_running + below_min;
+	return 4 * keeps_running + 2 * keeps_on_demand(z) + below_min;
 }
 
-/* Running endpoints are kept before any is added elsewhere. */
+/* Endpoints are kept before any is added elsewhere. */
 static bool better_on_demand(const struct scale_input *in,
 			     const struct scale_zone *a,
 			     const struct scale_zone *b)
@@ -211,7 +221,7 @@
 	for (i = 0; i < n; i++) {
 		if (on_demand_full(&z[i], in) ||
 		    (in->now_ms < z[i].no_on_demand_until_ms &&
-		     z[i].want_on_demand >= z[i].on_demand))
+		     !keeps_on_demand(&z[i])))
 			continue;
 		if (best == n || better_on_demand(in, &z[i], &z[best]))
 			best = i;
--- a/tests/test_duties.c
+++ b/tests/test_duties.c
@@ -740,6 +740,37 @@
 	CU_ASSERT(on_demand + 45 < in.busy);
 }
 
+/*
+ * Guards against a shortage that lasts longer by the time in which endpoints
+ * start: 14 that were starting in one zone were given up for 14 in a cheaper one.
+ */
+static void starting_on_demand_endpoints_are_kept(void)
+{
+	struct scale_input in = {
+		.price_cover = true,
+		.loss_cover = true,
+		.ease = true,
+		.min = 1,
+		.max = 70,
+		.need = 50,
+		.busy = 50,
+		.spot_price = 0.15,
+		.now_ms = 1000,
+	};
+	struct scale_zone z[4];
+	int i;
+
+	four_zones(z, 0, 0);
+	for (i = 0; i < 4; i++) {
+		z[i].price = i == 2 ? 0.8 : 1;
+		z[i].no_spot_until_ms = 2000;
+	}
+	z[1].spot = 56;
+	z[1].on_demand_starting = 14;
+	scale_plan(&in, z, 4);
+	CU_ASSERT_EQUAL(z[1].want_on_demand, 14);
+}
+
 /*
  * Guards against hundreds of orders by a plan that moves by one endpoint several
  * times a second, and against a delay for endpoints that are missing.
@@ -1029,6 +1060,8 @@
 	{ "the loss of the last spot zone is covered",
 	  loss_of_last_spot_zone_is_covered },
 	{ "two more reclaims are covered", two_more_reclaims_are_covered },
+	{ "starting on-demand endpoints are kept",
+	  starting_on_demand_endpoints_are_kept },
 	{ "small changes of the plan are put off",
 	  small_changes_of_the_plan_are_put_off },
 	{ "zones stay within bounds", zones_stay_within_bounds },
