--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -193,6 +193,24 @@
 			    "attempts of such requests not sent");
 }
 
+static void register_admission_metrics(struct met *m, struct edge_metrics *x)
+{
+	x->admitted_congested =
+		met_counter(m, "admitted_congested_total",
+			    "requests sent to an endpoint without a free slot");
+	x->admission_waits = met_counter(
+		m, "admission_waits_total",
+		"requests that waited at the entry for a shorter queue");
+	x->rejected_congested =
+		met_counter(m, "rejected_congested_total",
+			    "requests rejected as the queue was too long");
+	x->rejected_no_time = met_counter(
+		m, "rejected_no_time_total",
+		"requests rejected that could not begin before their deadline");
+	x->admission_wait_ms = met_histogram(m, "admission_wait_ms",
+					     "waits for a shorter queue");
+}
+
 static void register_metrics(struct edge *en)
 {
 	struct met *m = &en->met;
@@ -240,6 +258,7 @@
 	register_statement_metrics(m, x);
 	register_relay_metrics(m, x);
 	register_stream_metrics(m, x);
+	register_admission_metrics(m, x);
 	x->entries_unreadable =
 		met_counter(m, "endpoint_entries_unreadable_total",
 			    "endpoints' entries in the store without sense");
@@ -497,6 +516,7 @@
 	force_init(&en->force);
 	flt_init(&en->fleet, edge_link_free);
 	CDS_INIT_LIST_HEAD(&en->models);
+	CDS_INIT_LIST_HEAD(&en->admissions);
 	parts_init(&en->parts);
 	acct_init(&en->accounts, &slack);
 	prs_init(&en->prs);
--- a/lib/edge/edge_answer.c
+++ b/lib/edge/edge_answer.c
@@ -50,6 +50,7 @@
 	r->endpoint->running--;
 	if (r->reply.status && !r->reply.not_run)
 		edge_place_freed(r->en, r->endpoint);
+	edge_admit_freed(r->en, r->service->name);
 	flt_unref(&r->en->fleet, r->endpoint);
 	r->endpoint = NULL;
 	edge_fatal_stopped(r);
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -42,6 +42,7 @@
 #include "io/htc.h"
 #include "limit/acct.h"
 #include "limit/again.h"
+#include "limit/shed.h"
 #include "member/ovl.h"
 #include "member/prs.h"
 #include "member/rows.h"
@@ -86,6 +87,8 @@
 		*sends_in_wait;
 	met_value *sends_unreached, *endpoints_unreached, *endpoint_age_ms;
 	met_value *cut_off, *reach_checks, *sends_relayed, *relay_failures;
+	met_value *admitted_congested, *admission_waits, *rejected_congested,
+		*rejected_no_time;
 	met_value *brittle_refusals, *endpoints_brittle;
 	met_value *tunnels, *tunnels_opened, *tunnels_refused;
 	/* Of whole requests, and of parts of their prompts. */
@@ -104,7 +107,7 @@
 	met_value *gossip_sent, *gossip_received, *gossip_bytes_sent,
 		*gossip_rows_cut, *core_entries, *in_core;
 	struct met_histogram *first_event_ms, *answer_ms, *endpoint_ms;
-	struct met_histogram *prediction_error_ms;
+	struct met_histogram *prediction_error_ms, *admission_wait_ms;
 };
 
 /* The retry budget of one service. */
@@ -225,8 +228,10 @@
 	struct cds_list_head held_probes; /* of edge_probe.node */
 	struct cds_list_head tunnels;	  /* of edge_tunnel.node */
 	unsigned nr_tunnels;
-	struct cds_list_head models; /* of svc, one per service */
-	struct parts parts;	     /* where shared prompt parts were sent */
+	struct cds_list_head models;	 /* of svc, one per service */
+	struct cds_list_head admissions; /* of edge_admission */
+	unsigned nr_admit_waits;	 /* requests with admit.waiting */
+	struct parts parts; /* where shared prompt parts were sent */
 	struct acct_table accounts;
 	struct edge_retry_budget budgets[EDGE_MAX_RETRY_BUDGETS];
 	unsigned nr_budgets;
@@ -365,6 +370,15 @@
 		int64_t retry_ms; /* to the next try where it was refused */
 		ev_timer timer;
 	} place;
+	/* Wait at this entry while the endpoints are congested. */
+	struct {
+		struct shd_entry entry;
+		bool waiting;
+		bool woken;	  /* is decided on without further delay */
+		unsigned waits;	  /* decisions to wait */
+		int64_t since_ms; /* the first one; 0: none, or it is over */
+		ev_timer timer;
+	} admit;
 	/* Only this version, flt_version(), can continue the stream. */
 	bool bound;
 	uint64_t version;
@@ -417,6 +431,25 @@
 void edge_send_moved(struct edge_req *r, struct flt_endpoint *to,
 		     const char *handle);
 
+/* ---- edge_admit.c: admission under congestion ---- */
+
+/*
+ * Decides on a request that is about to be sent to `p->endpoint`, which may be
+ * replaced by one with a free slot. True: it is to be sent there. False: it
+ * waits, after which it is picked an endpoint again, or it was rejected and
+ * freed.
+ */
+bool edge_admit(struct edge_req *r, struct pick_result *p);
+
+/*
+ * A request of the service ended: the most urgent one that waits is decided on
+ * again.
+ */
+void edge_admit_freed(struct edge *en, const char *service);
+
+/* Ends the wait, if there is one. */
+void edge_admit_cancel(struct edge_req *r);
+
 /* ---- edge_bind.c: the versions that began streams ---- */
 
 /*
--- a/lib/edge/edge_req.c
+++ b/lib/edge/edge_req.c
@@ -53,6 +53,7 @@
 	ev_timer_stop(en->loop, &r->verify_timer);
 	edge_bind_cancel(r);
 	edge_place_cancel(r);
+	edge_admit_cancel(r);
 	edge_send_stop(r);
 	while (r->nr_tried)
 		flt_unref(&en->fleet, r->tried[--r->nr_tried]);
--- a/lib/edge/edge_send.c
+++ b/lib/edge/edge_send.c
@@ -60,7 +60,9 @@
 		.isolate = r->isolated,
 		.sending_peers = en->sending_peers,
 		.sample_seed = en->conf->policy.sample
-				       ? hsh_str(r->attempt.id, r->sends) | 1
+				       ? hsh_str(r->attempt.id,
+						 r->sends + r->admit.waits) |
+						 1
 				       : 0,
 		.use = use,
 		.bound = r->bound,
@@ -328,6 +330,8 @@
 		edge_step(r, rq_no_endpoint(&r->rq), "no repeats left");
 		return;
 	}
+	if (!edge_admit(r, &p))
+		return;
 	gate_pass(&p.endpoint->gate, edge_now(r->en));
 	start_send(r, &p, NULL);
 }
--- a/lib/edge/explain.c
+++ b/lib/edge/explain.c
@@ -244,7 +244,7 @@
 {
 	const int64_t status = jsn_int(end->o, "status", 0);
 	const char *why = jsn_str(end->o, "why", "");
-	const struct log_line *store, *statement;
+	const struct log_line *store, *statement, *admission;
 	size_t i = x->request_lines.n;
 
 	while (i--) {
@@ -260,6 +260,11 @@
 	statement = last_before(x, end->time, is_statement, end->instance);
 	if (!strcmp(why, EDGE_WHY_WITHHELD) && statement)
 		write_line(out, statement);
+	admission = last_of(&x->request_lines, "admission");
+	if ((!strcmp(why, EDGE_WHY_CONGESTED) ||
+	     !strcmp(why, EDGE_WHY_NO_TIME)) &&
+	    admission)
+		write_line(out, admission);
 }
 
 bool explain_report(struct explain *x, struct buf *out)
--- a/lib/edge/explain.h
+++ b/lib/edge/explain.h
@@ -17,6 +17,13 @@
 /* Why a request is refused that no endpoint takes for now (log field "why"). */
 #define EDGE_WHY_WITHHELD "endpoints take no more for now"
 
+/*
+ * Why it is rejected under congestion: the queue at the endpoint is too long for
+ * its rank, or the request could not begin before its deadline.
+ */
+#define EDGE_WHY_CONGESTED "endpoints are congested"
+#define EDGE_WHY_NO_TIME "no endpoint can begin before the deadline"
+
 /* Why it is refused if the entry reaches no endpoint, nor a relay to one. */
 #define EDGE_WHY_CUT_OFF "cut off from all endpoints"
 
