rollout: answers of full former endpoints are no measure of lateness

In a shortage, requests queue at the former version's endpoints and their answers come several times later than predicted. These made the baseline's rate of late answers, so a slow target passed as equally good.

Answers of baseline endpoints whose slots were all taken when the request was sent are counted under a separate route, which the rate of late answers leaves out. They still count in the rate of errors, which does not depend on load. Entries of earlier releases ignore these rows. Repeats of a request to former endpoints no longer count as sent: in a shortage a request is refused several times, which enlarged the exposure that the number of requests permits.

--- a/lib/edge/edge_rollout.c
+++ b/lib/edge/edge_rollout.c
@@ -289,6 +289,13 @@
 	return FLT_ON_TRIAL;
 }
 
+/* True if all slots were taken before the request was assigned to it. */
+static bool was_full(const struct flt_endpoint *e)
+{
+	return e->info.slots > 0 &&
+	       e->running - 1 + e->peer_running >= e->info.slots;
+}
+
 void edge_rollout_sent(struct edge_req *r)
 {
 	struct edge_rollout *ro = find(r->en, r->service->name);
@@ -303,7 +310,11 @@
 					 0
 				 ? tal_group(r->endpoint->hash)
 				 : TAL_BASELINE;
-	tal_sent(&ro->own, r->tally.route, r->tally.group);
+	if (r->tally.group == TAL_BASELINE && was_full(r->endpoint))
+		r->tally.route = tal_full_route(r->tally.route);
+	/* The exposure limit is a share of the requests, without repeats. */
+	if (r->tally.group != TAL_BASELINE || !r->sends)
+		tal_sent(&ro->own, r->tally.route, r->tally.group);
 }
 
 /* Reports bad answers at once, so that the duty holder can roll back. */
--- a/lib/rollout/tally.c
+++ b/lib/rollout/tally.c
@@ -10,6 +10,14 @@
 	t->nr_rows = 0;
 }
 
+/* Differs from the hash of any other route with near certainty. */
+#define FULL_ROUTE_MASK 0x80000000u
+
+uint32_t tal_full_route(uint32_t route)
+{
+	return route ^ FULL_ROUTE_MASK;
+}
+
 uint32_t tal_group(uint64_t endpoint_hash)
 {
 	return 1 + (uint32_t)(endpoint_hash % TAL_GROUPS);
--- a/lib/rollout/tally.h
+++ b/lib/rollout/tally.h
@@ -25,9 +25,14 @@
 
 /* Counts of requests of a route and a group. */
 struct tal_row {
-	uint32_t route; /* hash of its name */
+	uint32_t route; /* hash of its name, or tal_full_route() of it */
 	uint32_t group; /* TAL_BASELINE, or 1 to TAL_GROUPS */
-	uint32_t sent;	/* requests sent to an endpoint */
+	/*
+	 * Requests sent to an endpoint. Repeats of a request to endpoints of
+	 * the baseline are not counted, since the exposure limit is a share of
+	 * the requests.
+	 */
+	uint32_t sent;
 	uint32_t answered;
 	/* Subsets of `answered`. */
 	uint32_t failed, late, broken;
@@ -50,6 +55,17 @@
 /* Resets the counts for an order; does nothing if it is counted already. */
 void tal_begin(struct tal *t, uint64_t order);
 
+/*
+ * The route under which answers of a baseline endpoint are counted whose slots
+ * were all taken when the request was sent. They are late because of the load,
+ * so they must not count in the route's rate of late answers. Applied twice, it
+ * returns the route itself.
+ *
+ * Entries of earlier releases take it for a route that the new version does not
+ * serve, which they ignore.
+ */
+uint32_t tal_full_route(uint32_t route);
+
 /* The group of an endpoint of the new version. */
 uint32_t tal_group(uint64_t endpoint_hash);
 
--- a/lib/rollout/verdict.c
+++ b/lib/rollout/verdict.c
@@ -67,6 +67,15 @@
 	return i;
 }
 
+/* True if the baseline's row counts in the rate of bad answers of the route. */
+static bool is_baseline_of(const struct tal_row *row, uint32_t route,
+			   enum fault f)
+{
+	return row->group == TAL_BASELINE &&
+	       (row->route == route ||
+		(f != LATE && row->route == tal_full_route(route)));
+}
+
 static double baseline_rate(const struct tal *t, uint32_t route, enum fault f)
 {
 	double answered = PRIOR_ANSWERS, bad = PRIOR_ANSWERS * PRIOR_BAD;
@@ -74,8 +83,7 @@
 	unsigned i;
 
 	for (i = 0; i < t->nr_rows; i++) {
-		if (t->rows[i].group != TAL_BASELINE ||
-		    t->rows[i].route != route)
+		if (!is_baseline_of(&t->rows[i], route, f))
 			continue;
 		answered += complete_answers(&t->rows[i], f);
 		bad += bad_answers(&t->rows[i], f);
--- a/lib/rollout/verdict.h
+++ b/lib/rollout/verdict.h
@@ -5,7 +5,9 @@
  * A sequential test that is valid after every answer: the mean of likelihood
  * ratios over several hypotheses (a fraction of all answers, or of those on one
  * route, is bad) against the baseline's rate of bad answers on each route over
- * the same period. If the versions are alike, the probability that the mean
+ * the same period. Answers of baseline endpoints whose slots were all taken do
+ * not count in its rate of late answers (tal_full_route()), since a slow new
+ * version would go undetected in a shortage of the former one. If the versions are alike, the probability that the mean
  * ever exceeds 1 / alpha is at most alpha (Ville's inequality).
  *
  * The evidence of each group of endpoints is capped, so that one faulty
--- a/tests/test_rollout.c
+++ b/tests/test_rollout.c
@@ -215,6 +215,27 @@
 	CU_ASSERT(vdt_evaluate(&t, 16).worse);
 }
 
+/* Errors of full endpoints count in the baseline: they are not due to load. */
+static void full_endpoints_count_in_the_rate_of_errors(void)
+{
+	struct tal t = { 0 };
+	struct rnd r;
+	int i;
+
+	rnd_seed(&r, 3);
+	tal_begin(&t, 1);
+	for (i = 0; i < 600; i++) {
+		tal_answered(&t, tal_full_route(1), TAL_BASELINE,
+			     rnd_below(&r, 2) ? TAL_FAILED : TAL_GOOD);
+		if (i % 4 == 0)
+			tal_answered(&t, 1, 1 + rnd_below(&r, 4),
+				     rnd_below(&r, 2) ? TAL_FAILED : TAL_GOOD);
+	}
+	CU_ASSERT(!vdt_evaluate(&t, 4).worse);
+	CU_ASSERT_EQUAL(tal_total(&t, true).answered, 600);
+	CU_ASSERT_EQUAL(tal_full_route(tal_full_route(1)), 1);
+}
+
 /* ---- Schedules ---- */
 
 /* Behaviour of the simulated target version. */
@@ -786,6 +807,8 @@
 	  one_faulty_endpoint_does_not_fail_a_version },
 	{ "crashes of a few endpoints do not fail a version",
 	  crashes_of_a_few_endpoints_do_not_fail_a_version },
+	{ "full endpoints count in the rate of errors",
+	  full_endpoints_count_in_the_rate_of_errors },
 	{ "schedules keep the bounds", schedules_keep_the_bounds },
 	{ "schedules detect broken bounds", schedules_detect_broken_bounds },
 	{ "a target that serves is completed at once",
