rollout: the trial uses all of the exposure limit in a shortage

While the former version had fewer slots than requests, the trial kept to 0.35 of the exposure limit of the few requests that were sent: 137 requests in 14 s on a target of 249 endpoints. It also planned the shift by the rate of requests sent, although the target gets all that clients offer, so that a version whose fault shows late exceeded its exposure.

The observation has the former version's requests in flight and slots, and the rate that clients offer. While it is short, the trial uses the rest of the limit but for the shift over the time that is left, and up to 50 requests in two seconds until there are 40 answers. The share beyond what each request permits comes from the requests so far, so the limit holds if the rate falls. The shift has no minimum duration then, and may end after the deadline.

--- a/lib/edge/edge_duty_internal.h
+++ b/lib/edge/edge_duty_internal.h
@@ -117,4 +117,7 @@
 /* Number of endpoints that the service needs by its plan; 0: no plan yet. */
 double edge_scale_need(const struct edge_duty *d, const char *service);
 
+/* Requests per second that clients offer to the service; 0: not known. */
+double edge_scale_offered(const struct edge_duty *d, const char *service);
+
 #endif
--- a/lib/edge/edge_rollout_duty.c
+++ b/lib/edge/edge_rollout_duty.c
@@ -25,10 +25,36 @@
 	int unordered;		       /* endpoints of neither version */
 	const char *unordered_version; /* of one of them */
 	double former_running;	       /* requests on endpoints of `from` */
+	double former_in_flight;       /* of these, on usable endpoints */
+	double former_slots;	       /* of usable endpoints of `from` */
 };
 
-static struct endpoint_sums sum_endpoints(const struct edge *en,
-					  const struct edge_rollout *ro)
+/*
+ * True if the endpoint serves requests. One in backoff since it refused a
+ * request does: it is full, which is what a shortage is measured by.
+ */
+static bool serves(const struct flt_endpoint *e, int64_t now)
+{
+	return !e->draining_since_ms && !e->missing_since_ms && !e->exited &&
+	       !e->connect_failures && now >= e->unreached_until_ms;
+}
+
+/* Adds an endpoint of the former version. */
+static void add_former(struct endpoint_sums *s, const struct flt_endpoint *e,
+		       int64_t now)
+{
+	const double running = e->running + e->peer_running;
+
+	s->in_from += !e->draining_since_ms && !e->missing_since_ms;
+	s->former_running += running;
+	if (!serves(e, now) || e->info.slots <= 0)
+		return;
+	s->former_in_flight += running;
+	s->former_slots += e->info.slots;
+}
+
+static struct endpoint_sums
+sum_endpoints(const struct edge *en, const struct edge_rollout *ro, int64_t now)
 {
 	const char *from = ro->recorded ? ro->record.from : ro->established;
 	const char *target = ro->recorded ? ro->record.target : "";
@@ -42,9 +68,7 @@
 			s.in_target += !e->draining_since_ms &&
 				       !e->missing_since_ms;
 		} else if (!strcmp(e->info.version, from)) {
-			s.in_from += !e->draining_since_ms &&
-				     !e->missing_since_ms;
-			s.former_running += e->running + e->peer_running;
+			add_former(&s, e, now);
 		} else if (e->use == FLT_WITHHELD && !e->draining_since_ms) {
 			s.unordered++;
 			s.unordered_version = e->info.version;
@@ -170,11 +194,16 @@
 	jlog_int(en->log, "endpoints", s->target_endpoints);
 	jlog_int(en->log, "enough", s->required_endpoints);
 	jlog_num(en->log, "runs_left", s->former_running);
+	jlog_bool(en->log, "short", rol_is_short(s));
+	jlog_num(en->log, "former_in_flight", s->former_in_flight);
+	jlog_num(en->log, "former_slots", s->former_slots);
+	jlog_num(en->log, "offered_per_s", s->offered_per_s);
 	jlog_int(en->log, "sent", target.sent);
 	jlog_int(en->log, "answered", target.answered);
 	jlog_int(en->log, "failed", target.failed);
 	jlog_int(en->log, "late", target.late);
 	jlog_int(en->log, "broken", target.broken);
+	jlog_int(en->log, "others_sent", others.sent);
 	jlog_int(en->log, "others_answered", others.answered);
 	jlog_int(en->log, "others_failed", others.failed);
 	jlog_int(en->log, "others_late", others.late);
@@ -307,7 +336,7 @@
 		write_record(en, ro, now);
 		return;
 	}
-	sums = sum_endpoints(en, ro);
+	sums = sum_endpoints(en, ro, now);
 	memset(&counts, 0, sizeof(counts));
 	if (ro->recorded && rol_in_progress(&ro->record))
 		sum_counts(ro, &counts);
@@ -317,6 +346,9 @@
 	s.required_endpoints =
 		required_endpoints(en, ro->service, sums.in_from);
 	s.former_running = sums.former_running;
+	s.former_in_flight = sums.former_in_flight;
+	s.former_slots = sums.former_slots;
+	s.offered_per_s = edge_scale_offered(en->duty, ro->service);
 	s.established = edge_rollout_serving(ro);
 	if (decide(en, ro, &sums, &s, now))
 		carry_out_step(en, ro, &s, now);
--- a/lib/edge/edge_scale.c
+++ b/lib/edge/edge_scale.c
@@ -117,6 +117,17 @@
 	return 0;
 }
 
+double edge_scale_offered(const struct edge_duty *d, const char *service)
+{
+	size_t i;
+
+	for (i = 0; i < d->nr_plans; i++) {
+		if (!strcmp(d->plans[i].service, service))
+			return d->plans[i].offered.requests_per_s;
+	}
+	return 0;
+}
+
 static void send_order(struct edge_duty *d, struct edge_scale_order *o,
 		       const struct scale_zone *z, int number)
 {
--- a/lib/rollout/rollout.c
+++ b/lib/rollout/rollout.c
@@ -19,6 +19,27 @@
 #define SPARSE_TRIAL_EXPOSURE_FRACTION 0.7
 #define MAX_SPARSE_TRIAL_SHARE 0.5
 
+/*
+ * Fraction of the slots below which the former version is no longer short,
+ * once it was. Without hysteresis, each crossing of the limit would be a store
+ * write.
+ */
+#define SHORT_END_FRACTION 0.75
+
+/*
+ * Time in which a trial during a shortage may use the exposure that the
+ * requests so far permit. Counts that raise the share arrive up to 0.7 s late,
+ * so a shorter time lets the share oscillate.
+ */
+#define USE_EXPOSURE_MS 2000
+
+/*
+ * Requests and time by which a trial during a shortage gets MIN_TRIAL_ANSWERS.
+ * More requests than answers are needed, as some of these are on their way.
+ */
+#define EVIDENCE_REQUESTS 50
+#define EVIDENCE_MS 2000
+
 /* Minimum time over which the request rate is measured. */
 #define MIN_RATE_PERIOD_MS 1000
 
@@ -157,32 +178,26 @@
 /* Delay until the counts of other entries arrive. */
 #define COUNT_DELAY_MS 700
 
-/* Requests that may still be sent to the target before the deadline. */
-static double remaining_exposure(const struct rol_record *r,
-				 const struct rol_limits *l,
-				 const struct rol_observation *s)
+/* Requests that may be sent to the target if no others arrive any more. */
+static double certain_exposure(const struct rol_record *r,
+			       const struct rol_limits *l,
+			       const struct rol_observation *s, double rate)
 {
-	return EXPOSURE_FRACTION * l->exposure_share * request_rate(r, s) *
-		       (double)r->within_ms +
+	return EXPOSURE_FRACTION * l->exposure_share *
+		       total_requests(s->counts) +
 	       SLACK_FRACTION * l->exposure_slack -
 	       tal_total(s->counts, false).sent -
-	       r->share * request_rate(r, s) * COUNT_DELAY_MS;
+	       r->share * rate * COUNT_DELAY_MS;
 }
 
-/* Time before the deadline at which the shift begins, in ms. */
-static int64_t shift_duration(const struct rol_record *r,
-			      const struct rol_limits *l,
-			      const struct rol_observation *s)
+/* Requests that may still be sent to the target before the deadline. */
+static double remaining_exposure(const struct rol_record *r,
+				 const struct rol_limits *l,
+				 const struct rol_observation *s, double rate)
 {
-	const double max = MAX_SHIFT_FRACTION * (double)r->within_ms;
-	/* During the first part the target gets half of the traffic. */
-	const double per_ms =
-		request_rate(r, s) * (1 - HALF_SHIFT_FRACTION / 2);
-	const double time = remaining_exposure(r, l, s) / per_ms;
-
-	if (!(time < max)) /* also if the rate is 0 */
-		return (int64_t)max;
-	return time > MIN_SHIFT_MS ? (int64_t)time : MIN_SHIFT_MS;
+	return certain_exposure(r, l, s, rate) +
+	       EXPOSURE_FRACTION * l->exposure_share * request_rate(r, s) *
+		       (double)(deadline_of(r) - s->now_ms);
 }
 
 /* True if there are enough answers to judge by, or no traffic at all. */
@@ -195,38 +210,163 @@
 		answered >= tal_total(s->counts, true).answered / 100);
 }
 
-/* Ends the trial with a shift of all traffic or a roll-back. */
-static void end_trial(struct rol_record *r, const struct rol_observation *s)
+/* True if half of the time has passed with hardly any answers. */
+static bool is_sparse(const struct rol_record *r,
+		      const struct rol_observation *s)
 {
-	if (s->target_endpoints < s->required_endpoints)
-		rol_roll_back(r, "too few endpoints of the target", s->now_ms);
-	else if (!has_enough_answers(s))
-		rol_roll_back(r, "too few answers to judge by", s->now_ms);
-	else
-		set_stage(r, ROL_SHIFT, 0.5, "trial passed", s->now_ms);
+	return s->now_ms - r->began_ms > r->within_ms / 2 &&
+	       tal_total(s->counts, false).answered < MIN_SPARSE_ANSWERS;
 }
 
-/* Share of the trial. With few requests, most of the limit is the slack. */
-static double trial_share(const struct rol_record *r,
+static double max_trial_share(const struct rol_record *r,
+			      const struct rol_observation *s)
+{
+	return is_sparse(r, s) ? MAX_SPARSE_TRIAL_SHARE : MAX_TRIAL_SHARE;
+}
+
+/* True once the rate of requests is measured. */
+static bool rate_is_known(const struct rol_record *r,
+			  const struct rol_observation *s)
+{
+	return s->now_ms - r->began_ms >= MIN_RATE_PERIOD_MS &&
+	       total_requests(s->counts) > 0 && r->within_ms > 0;
+}
+
+/*
+ * Share of the trial without a shortage. With few requests, most of the limit
+ * is the slack.
+ */
+static double usual_share(const struct rol_record *r,
 			  const struct rol_limits *l,
 			  const struct rol_observation *s)
 {
 	const double expected_requests =
 		request_rate(r, s) * (double)r->within_ms;
-	const int64_t elapsed_ms = s->now_ms - r->began_ms;
-	const bool sparse = elapsed_ms > r->within_ms / 2 &&
-			    tal_total(s->counts, false).answered <
-				    MIN_SPARSE_ANSWERS;
-	const double max = sparse ? MAX_SPARSE_TRIAL_SHARE : MAX_TRIAL_SHARE;
 	double share = l->exposure_share;
 
 	if (!s->target_endpoints || trial_budget_used(l, s->counts))
 		return 0;
-	if (elapsed_ms >= MIN_RATE_PERIOD_MS && expected_requests > 0)
+	if (rate_is_known(r, s))
 		share += SLACK_FRACTION * l->exposure_slack / expected_requests;
-	share *= sparse ? SPARSE_TRIAL_EXPOSURE_FRACTION
-			: TRIAL_EXPOSURE_FRACTION;
-	return share < max ? share : max;
+	share *= is_sparse(r, s) ? SPARSE_TRIAL_EXPOSURE_FRACTION
+				 : TRIAL_EXPOSURE_FRACTION;
+	return fmin(share, max_trial_share(r, s));
+}
+
+/* ---- Shortage of the former version ---- */
+
+bool rol_is_short(const struct rol_observation *s)
+{
+	return s->former_slots > 0 && s->former_in_flight > s->former_slots;
+}
+
+/*
+ * True while the trial uses all of the limit but what the shift needs: from the
+ * beginning of a shortage until the former version has free slots again.
+ */
+static bool uses_full_exposure(const struct rol_record *r,
+			       const struct rol_limits *l,
+			       const struct rol_observation *s)
+{
+	return rol_is_short(s) ||
+	       (r->stage == ROL_TRIAL && s->former_slots > 0 &&
+		s->former_in_flight > SHORT_END_FRACTION * s->former_slots &&
+		r->share > usual_share(r, l, s));
+}
+
+/*
+ * Requests per millisecond that the target gets once all traffic is shifted. In
+ * a shortage, clients offer more than is sent to the former version.
+ */
+static double shifted_rate(const struct rol_record *r,
+			   const struct rol_limits *l,
+			   const struct rol_observation *s)
+{
+	const double mean = request_rate(r, s);
+
+	return uses_full_exposure(r, l, s) ? fmax(mean, s->offered_per_s / 1000)
+					   : mean;
+}
+
+/* Part of the traffic of a shift that the target gets, by its two stages. */
+#define SHIFTED_FRACTION (1 - HALF_SHIFT_FRACTION / 2)
+
+/* Requests that are left for the trial, without those of the shift. */
+static double trial_exposure(const struct rol_record *r,
+			     const struct rol_limits *l,
+			     const struct rol_observation *s, double rate)
+{
+	const double left = remaining_exposure(r, l, s, rate);
+
+	return fmax(left - rate * SHIFTED_FRACTION * MIN_SHIFT_MS,
+		    left * TRIAL_EXPOSURE_FRACTION);
+}
+
+/*
+ * Share of the trial in a shortage: the rest of the limit, without what the
+ * shift needs, over the rest of the time, or more until there are enough
+ * answers. Beyond the share that each request permits, it uses only what the
+ * requests so far permit, so that the limit holds if the rate falls.
+ */
+static double full_share(const struct rol_record *r, const struct rol_limits *l,
+			 const struct rol_observation *s)
+{
+	const double rate = shifted_rate(r, l, s);
+	const double time = (double)(deadline_of(r) - s->now_ms - MIN_SHIFT_MS);
+	const double certain =
+		EXPOSURE_FRACTION * l->exposure_share +
+		certain_exposure(r, l, s, rate) / (rate * USE_EXPOSURE_MS);
+	double share = 0;
+
+	if (time > 0)
+		share = trial_exposure(r, l, s, rate) / (rate * time);
+	if (tal_total(s->counts, false).answered < MIN_TRIAL_ANSWERS)
+		share = fmax(share, EVIDENCE_REQUESTS / (rate * EVIDENCE_MS));
+	share = fmin(share, fmin(certain, max_trial_share(r, s)));
+	return share > 0 ? share : 0;
+}
+
+static double trial_share(const struct rol_record *r,
+			  const struct rol_limits *l,
+			  const struct rol_observation *s)
+{
+	if (!s->target_endpoints || !rate_is_known(r, s) ||
+	    !uses_full_exposure(r, l, s))
+		return usual_share(r, l, s);
+	/* A new lease holder does not know yet what the target has received. */
+	return s->counts_complete ? full_share(r, l, s) : r->share;
+}
+
+/*
+ * Time before the deadline at which the shift begins, in ms. In a shortage it
+ * has no minimum: the limit is kept even if the shift then ends after the
+ * deadline.
+ */
+static int64_t shift_duration(const struct rol_record *r,
+			      const struct rol_limits *l,
+			      const struct rol_observation *s)
+{
+	const double max = MAX_SHIFT_FRACTION * (double)r->within_ms;
+	const double min = uses_full_exposure(r, l, s) ? 0 : MIN_SHIFT_MS;
+	const double rate = shifted_rate(r, l, s);
+	/* During the first part the target gets half of the traffic. */
+	const double time =
+		remaining_exposure(r, l, s, rate) / (rate * SHIFTED_FRACTION);
+
+	if (!(time < max)) /* also if the rate is 0 */
+		return (int64_t)max;
+	return time > min ? (int64_t)time : (int64_t)min;
+}
+
+/* Ends the trial with a shift of all traffic or a roll-back. */
+static void end_trial(struct rol_record *r, const struct rol_observation *s)
+{
+	if (s->target_endpoints < s->required_endpoints)
+		rol_roll_back(r, "too few endpoints of the target", s->now_ms);
+	else if (!has_enough_answers(s))
+		rol_roll_back(r, "too few answers to judge by", s->now_ms);
+	else
+		set_stage(r, ROL_SHIFT, 0.5, "trial passed", s->now_ms);
 }
 
 static bool step_trial(struct rol_record *r, const struct rol_limits *l,
--- a/lib/rollout/rollout.h
+++ b/lib/rollout/rollout.h
@@ -17,6 +17,9 @@
  * covers the traffic until the deadline. Streams end at the version that began
  * them, for which the roll-out may be completed after the deadline.
  *
+ * While the former version is short of slots, the trial uses all of the
+ * exposure limit but what the shift needs.
+ *
  * The state is one record in the store, so that a new lease holder can
  * continue. Decisions are pure functions of the record, the observations and
  * the time of day.
@@ -75,11 +78,17 @@
 
 /* Observations of a service by the lease holder. */
 struct rol_observation {
-	int64_t now_ms;		  /* time of day */
-	bool counts_complete;	  /* counts of the other entries have arrived */
-	int target_endpoints;	  /* usable endpoints of the target */
-	int required_endpoints;	  /* minimum endpoints to shift all traffic */
-	double former_running;	  /* requests running on endpoints of `from` */
+	int64_t now_ms;		/* time of day */
+	bool counts_complete;	/* counts of the other entries have arrived */
+	int target_endpoints;	/* usable endpoints of the target */
+	int required_endpoints; /* minimum endpoints to shift all traffic */
+	double former_running;	/* requests running on endpoints of `from` */
+	/*
+	 * Requests in flight at the usable endpoints of `from`, and the slots
+	 * of these; 0 slots: unknown.
+	 */
+	double former_in_flight, former_slots;
+	double offered_per_s;	  /* new requests of clients; 0: unknown */
 	const struct tal *counts; /* of all entries */
 	const char *established;  /* version that serves */
 };
@@ -95,6 +104,12 @@
 bool rol_step(struct rol_record *r, const struct rol_limits *l,
 	      const struct rol_observation *s);
 
+/*
+ * True if the usable endpoints of the former version, added up, have more
+ * requests in flight than slots.
+ */
+bool rol_is_short(const struct rol_observation *s);
+
 /* Sets the stage to rolled back; `why` is copied and truncated to ROL_WHY. */
 void rol_roll_back(struct rol_record *r, const char *why, int64_t now_ms);
 
--- a/tests/test_rollout.c
+++ b/tests/test_rollout.c
@@ -215,27 +215,6 @@
 	CU_ASSERT(vdt_evaluate(&t, 16).worse);
 }
 
-/* Errors of full endpoints count in the baseline: they are not due to load. */
-static void full_endpoints_count_in_the_rate_of_errors(void)
-{
-	struct tal t = { 0 };
-	struct rnd r;
-	int i;
-
-	rnd_seed(&r, 3);
-	tal_begin(&t, 1);
-	for (i = 0; i < 600; i++) {
-		tal_answered(&t, tal_full_route(1), TAL_BASELINE,
-			     rnd_below(&r, 2) ? TAL_FAILED : TAL_GOOD);
-		if (i % 4 == 0)
-			tal_answered(&t, 1, 1 + rnd_below(&r, 4),
-				     rnd_below(&r, 2) ? TAL_FAILED : TAL_GOOD);
-	}
-	CU_ASSERT(!vdt_evaluate(&t, 4).worse);
-	CU_ASSERT_EQUAL(tal_total(&t, true).answered, 600);
-	CU_ASSERT_EQUAL(tal_full_route(tal_full_route(1)), 1);
-}
-
 /* ---- Schedules ---- */
 
 /* Behaviour of the simulated target version. */
@@ -252,6 +231,13 @@
 #define ENTRIES 12
 #define MAX_PENDING 4096
 
+/* Time in a shortage within which a verdict must be possible, in ms. */
+#define EVIDENCE_MS 5000
+#define EVIDENCE_ANSWERS 40
+
+/* Rate of late answers of endpoints whose slots are all taken. */
+#define FULL_LATE_RATE 0.6
+
 /* Simulation step, interval of reports, and delay of a new record, in ms. */
 #define TICK_MS 50
 #define REPORT_INTERVAL_MS 600
@@ -298,8 +284,21 @@
 	int64_t ended_ms;
 	unsigned streams_cut;	     /* on former endpoints at completion */
 	bool changed_after_rollback; /* must not happen */
+	int64_t evidence_ms;	     /* EVIDENCE_ANSWERS of the target since */
 	bool ignore_bad_answers;     /* mutation: no bad answers counted */
 	double limit_factor;	     /* mutation: multiplies the limits */
+
+	/*
+	 * Shortage: the former version's endpoints are full, and this part of
+	 * its requests is sent, the others are rejected. 0: no shortage.
+	 */
+	double sent_fraction;
+	unsigned repeats; /* of each of these, at further full endpoints */
+	int64_t rate_changes_ms; /* 0: it does not */
+	double rate_factor;
+	double known_per_s; /* reported rate of requests that clients offer */
+	/* Mutation: decides without knowledge of the shortage. */
+	bool ignore_shortage;
 };
 
 static bool answer_is_bad(struct simulation *sim, uint32_t route)
@@ -343,6 +342,26 @@
 	return NULL;
 }
 
+/* Counts a request to a former endpoint whose slots are all taken. */
+static uint32_t count_full(struct simulation *sim, struct entry *e,
+			   uint32_t route)
+{
+	const uint32_t counted = sim->ignore_shortage ? route
+						      : tal_full_route(route);
+	unsigned i;
+
+	tal_sent(&e->own, counted, TAL_BASELINE);
+	for (i = 0; sim->ignore_shortage && i < sim->repeats; i++)
+		tal_sent(&e->own, counted, TAL_BASELINE);
+	return counted;
+}
+
+static double late_rate(const struct simulation *sim, uint32_t group)
+{
+	return sim->sent_fraction > 0 && group == TAL_BASELINE ? FULL_LATE_RATE
+							       : 0.02;
+}
+
 static void send_one(struct simulation *sim)
 {
 	const unsigned at = rnd_below(&sim->r, ENTRIES);
@@ -354,8 +373,12 @@
 		all ||
 		(!stale && rol_selects_target(&e->record, rnd_next(&sim->r)));
 	const bool bad = to_target_version && answer_is_bad(sim, route);
-	struct pending *p = free_slot(sim);
+	struct pending *p;
 
+	if (sim->sent_fraction > 0 && !to_target_version &&
+	    rnd_unit(&sim->r) >= sim->sent_fraction)
+		return;
+	p = free_slot(sim);
 	if (sim->now <= sim->record.began_ms + sim->within)
 		sim->to_all++;
 	if (!p)
@@ -368,13 +391,17 @@
 			&sim->r,
 			rol_trial_endpoints(&e->record,
 					    (unsigned)sim->endpoints)));
-	p->outcome = rnd_unit(&sim->r) < 0.02 ? TAL_LATE : TAL_GOOD;
+	p->outcome = rnd_unit(&sim->r) < late_rate(sim, p->group) ? TAL_LATE
+								  : TAL_GOOD;
 	if (bad)
 		p->outcome = sim->kind == SLOW ? TAL_LATE : TAL_FAILED;
 	p->ends_ms = sim->now + 50 +
 		     (int64_t)(-log(1 - rnd_unit(&sim->r) * 0.999) * 700) +
 		     (bad && sim->kind == SLOW ? 1500 : 0);
-	tal_sent(&e->own, route, p->group);
+	if (sim->sent_fraction > 0 && !to_target_version)
+		p->route = count_full(sim, e, route);
+	else
+		tal_sent(&e->own, route, p->group);
 	if (to_target_version)
 		record_target_request(sim, bad);
 }
@@ -422,15 +449,28 @@
 		    sim->now < e->partitioned_until_ms)
 			continue;
 		e->next_report_ms = sim->now + REPORT_INTERVAL_MS;
-		if (rnd_below(&sim->r, 100) >= 3)
-			e->reported = e->own;
+		if (rnd_below(&sim->r, 100) < 3)
+			continue;
+		e->reported = e->own;
 	}
 	if (sim->now >= sim->next_running_report_ms) {
 		sim->known_running = former_running(sim);
+		sim->known_per_s = sim->per_s;
 		sim->next_running_report_ms = sim->now + REPORT_INTERVAL_MS;
 	}
 }
 
+/* What the holder knows of a shortage of the former version. */
+static void observe_shortage(const struct simulation *sim,
+			     struct rol_observation *s)
+{
+	if (sim->ignore_shortage || sim->sent_fraction <= 0)
+		return;
+	s->former_slots = 100;
+	s->former_in_flight = 250;
+	s->offered_per_s = sim->known_per_s;
+}
+
 static void run_holder(struct simulation *sim)
 {
 	struct rol_limits l = limits;
@@ -450,6 +490,7 @@
 	s.target_endpoints =
 		sim->now > sim->record.began_ms + 900 ? sim->endpoints : 0;
 	s.former_running = sim->known_running;
+	observe_shortage(sim, &s);
 	for (i = 0; i < ENTRIES; i++) {
 		const struct tal *t = &sim->entries[i].reported;
 
@@ -459,6 +500,9 @@
 		for (i = 0; i < sum.nr_rows; i++)
 			sum.rows[i].failed = sum.rows[i].late = 0;
 	}
+	if (!sim->evidence_ms &&
+	    tal_total(&sum, false).answered >= EVIDENCE_ANSWERS)
+		sim->evidence_ms = sim->now;
 	if (!rol_step(&sim->record, &l, &s))
 		return;
 	sim->changed_after_rollback |= before == ROL_ROLLED_BACK;
@@ -474,10 +518,20 @@
 	}
 }
 
+/* The new lease holder has received no counts yet. */
+static void change_holder(struct simulation *sim)
+{
+	unsigned i;
+
+	sim->holder_since_ms = sim->now;
+	for (i = 0; sim->sent_fraction > 0 && i < ENTRIES; i++)
+		memset(&sim->entries[i].reported, 0, sizeof(struct tal));
+}
+
 static void inject_faults(struct simulation *sim)
 {
 	if (!rnd_below(&sim->r, 400))
-		sim->holder_since_ms = sim->now;
+		change_holder(sim);
 	if (!rnd_below(&sim->r, 300))
 		sim->entries[rnd_below(&sim->r, ENTRIES)].partitioned_until_ms =
 			sim->now + 500 + rnd_below(&sim->r, 3000);
@@ -517,6 +571,10 @@
 	for (; sim->now < sim->record.began_ms + sim->within + 8500;
 	     sim->now += TICK_MS) {
 		inject_faults(sim);
+		if (sim->rate_changes_ms && sim->now >= sim->rate_changes_ms) {
+			sim->per_s *= sim->rate_factor;
+			sim->rate_changes_ms = 0;
+		}
 		for (due += sim->per_s * tick_s; due >= 1; due--)
 			send_one(sim);
 		finish_requests(sim);
@@ -596,7 +654,7 @@
 	CU_ASSERT(limits_detected >= 20);
 }
 
-/* ---- Single steps ---- */
+/* ---- Schedules in a shortage of the former version ---- */
 
 static struct rol_record begin_rollout(const char *target, int64_t within)
 {
@@ -611,6 +669,201 @@
 	return r;
 }
 
+/* Draws a shortage. In half of them, the rate of requests changes. */
+static void run_shortage(struct simulation *sim, uint64_t seed,
+			 bool ignore_shortage)
+{
+	static const double factors[] = { 0, 0.2, 0.5, 2.5 };
+	struct rnd r;
+
+	memset(sim, 0, sizeof(*sim));
+	rnd_seed(&r, seed ^ 0x5107);
+	sim->ignore_shortage = ignore_shortage;
+	sim->sent_fraction = 0.25 + 0.5 * rnd_unit(&r);
+	sim->repeats = rnd_below(&r, 3);
+	if (rnd_below(&r, 2))
+		sim->rate_changes_ms = 100000 + 1500 + rnd_below(&r, 8000);
+	sim->rate_factor = factors[rnd_below(&r, 4)];
+	run_schedule(sim, seed);
+}
+
+/* Roll-outs of bad versions in a shortage that exceed the exposure limit. */
+static unsigned long exposures_exceeded(unsigned long seeds,
+					bool ignore_shortage)
+{
+	static struct simulation sim;
+	unsigned long n = 0, i;
+
+	for (i = 0; i < seeds; i++) {
+		run_shortage(&sim,
+			     unit_seed(i) / NR_KINDS * NR_KINDS + i % NR_KINDS,
+			     ignore_shortage);
+		n += exceeds_exposure(&sim) || sim.late_requests ||
+		     sim.changed_after_rollback;
+	}
+	return n;
+}
+
+/*
+ * Guards against exposure that is planned by requests which do not come: fewer
+ * requests are sent than clients offer, all of which the target gets in the
+ * shift; refused requests are sent several times; and the rate may change.
+ */
+static void a_shortage_keeps_the_exposure(void)
+{
+	const unsigned long seeds = unit_seeds(240);
+	const unsigned long n = exposures_exceeded(seeds, false);
+
+	CU_ASSERT_EQUAL(n, 0);
+	unit_report("bad versions in a shortage", seeds, n);
+}
+
+/* The limit is exceeded if the decisions do not know of the shortage. */
+static void an_unknown_shortage_exceeds_the_exposure(void)
+{
+	CU_ASSERT(exposures_exceeded(120, true) >= 5);
+}
+
+#define COUNT_DELAY_TICKS 14 /* of counts at the holder */
+#define TRIAL_TICKS 160
+
+/*
+ * Runs a trial in a shortage, with counts that arrive late. Returns true if the
+ * requests up to each moment permit those that the target received up to then.
+ */
+static bool trial_keeps_limits(const struct rol_limits *l, double per_s)
+{
+	struct rol_record r = begin_rollout("v2", 15000);
+	struct tal counts = { .order = 1 }, late[COUNT_DELAY_TICKS + 1];
+	struct rol_observation s = { .now_ms = 1000,
+				     .counts_complete = true,
+				     .target_endpoints = 9,
+				     .required_endpoints = 9,
+				     .former_slots = 100,
+				     .former_in_flight = 300 };
+	double due = 0, of_target = 0;
+	bool kept = true;
+	int i;
+
+	for (i = 0; i < TRIAL_TICKS; i++, s.now_ms += TICK_MS) {
+		for (due += per_s * TICK_MS / 1000; due >= 1; due--) {
+			of_target += r.share;
+			tal_sent(&counts, 1, of_target >= 1 ? 1 : TAL_BASELINE);
+			of_target -= of_target >= 1;
+		}
+		kept &= tal_total(&counts, false).sent <=
+			l->exposure_share * (tal_total(&counts, false).sent +
+					     tal_total(&counts, true).sent) +
+				l->exposure_slack;
+		late[i % (COUNT_DELAY_TICKS + 1)] = counts;
+		if (i < COUNT_DELAY_TICKS)
+			continue;
+		s.counts = &late[(i + 1) % (COUNT_DELAY_TICKS + 1)];
+		s.offered_per_s = 2 * per_s;
+		rol_step(&r, l, &s);
+	}
+	return kept;
+}
+
+/*
+ * Guards against a trial that relies on requests which are yet to come: the
+ * rate may fall to 0 at any moment.
+ */
+static void the_requests_so_far_permit_the_trial(void)
+{
+	static const struct rol_limits some[] = {
+		{ 0.1, 50 }, { 0.1, 10 }, { 0.05, 20 }, { 0.02, 5 }, { 0.3, 0 },
+	};
+	size_t i;
+	int per_s;
+
+	for (i = 0; i < sizeof(some) / sizeof(some[0]); i++) {
+		for (per_s = 20; per_s <= 640; per_s *= 2)
+			CU_ASSERT(trial_keeps_limits(&some[i], per_s));
+	}
+}
+
+/* Good versions in a shortage without enough evidence after EVIDENCE_MS. */
+static unsigned slow_trials(unsigned seeds, bool ignore_shortage,
+			    unsigned *unfinished)
+{
+	static struct simulation sim;
+	unsigned n = 0, i;
+
+	for (i = 0; i < seeds; i++) {
+		run_shortage(&sim, unit_seed(i) / NR_KINDS * NR_KINDS + GOOD,
+			     ignore_shortage);
+		n += !sim.evidence_ms ||
+		     sim.evidence_ms > sim.record.began_ms + 900 + EVIDENCE_MS;
+		*unfinished += !completed_in_time(&sim);
+	}
+	return n;
+}
+
+/*
+ * Guards against a trial that takes as little of the limit as without a
+ * shortage, while only a few requests are sent.
+ */
+static void a_shortage_soon_has_evidence(void)
+{
+	unsigned unfinished = 0, twin_unfinished = 0;
+	const unsigned slow = slow_trials(100, false, &unfinished);
+	const unsigned twin_slow = slow_trials(100, true, &twin_unfinished);
+
+	CU_ASSERT(slow <= 10);
+	CU_ASSERT_EQUAL(unfinished, 0);
+	CU_ASSERT(twin_slow >= 50);
+}
+
+/* Slow versions in a shortage that are not rolled back. */
+static unsigned slow_versions_missed(unsigned seeds, bool ignore_shortage)
+{
+	static struct simulation sim;
+	unsigned n = 0, i;
+
+	for (i = 0; i < seeds; i++) {
+		run_shortage(&sim, unit_seed(i) / NR_KINDS * NR_KINDS + SLOW,
+			     ignore_shortage);
+		/* If the rate falls to 0, there is nothing to judge by. */
+		n += sim.to_target >= EVIDENCE_ANSWERS &&
+		     sim.record.stage != ROL_ROLLED_BACK;
+	}
+	return n;
+}
+
+/*
+ * Guards against a slow version that passes because the endpoints of the former
+ * one, whose slots are all taken, answer as late.
+ */
+static void a_shortage_does_not_hide_a_slow_version(void)
+{
+	CU_ASSERT_EQUAL(slow_versions_missed(50, false), 0);
+	CU_ASSERT(slow_versions_missed(50, true) >= 25);
+}
+
+/* Errors of full endpoints count in the baseline: they are not due to load. */
+static void full_endpoints_count_in_the_rate_of_errors(void)
+{
+	struct tal t = { 0 };
+	struct rnd r;
+	int i;
+
+	rnd_seed(&r, 3);
+	tal_begin(&t, 1);
+	for (i = 0; i < 600; i++) {
+		tal_answered(&t, tal_full_route(1), TAL_BASELINE,
+			     rnd_below(&r, 2) ? TAL_FAILED : TAL_GOOD);
+		if (i % 4 == 0)
+			tal_answered(&t, 1, 1 + rnd_below(&r, 4),
+				     rnd_below(&r, 2) ? TAL_FAILED : TAL_GOOD);
+	}
+	CU_ASSERT(!vdt_evaluate(&t, 4).worse);
+	CU_ASSERT_EQUAL(tal_total(&t, true).answered, 600);
+	CU_ASSERT_EQUAL(tal_full_route(tal_full_route(1)), 1);
+}
+
+/* ---- Single steps ---- */
+
 /* An order for the version that serves already needs no roll-out. */
 static void a_target_that_serves_is_completed_at_once(void)
 {
@@ -635,6 +888,41 @@
 	CU_ASSERT(!rol_step(&r, &limits, &s));
 }
 
+/* Guards against store writes at each crossing of the limit. */
+static void a_shortage_ends_once_slots_are_free(void)
+{
+	struct rol_record r = begin_rollout("v2", 15000);
+	struct tal counts = { .order = 1 };
+	struct rol_observation s = { .now_ms = 5000,
+				     .counts_complete = true,
+				     .target_endpoints = 4,
+				     .required_endpoints = 4,
+				     .counts = &counts,
+				     .former_slots = 100,
+				     .former_in_flight = 120 };
+	double usual;
+	int i;
+
+	for (i = 0; i < 1200; i++)
+		tal_sent(&counts, 1, TAL_BASELINE);
+	s.former_in_flight = 100;
+	CU_ASSERT(!rol_is_short(&s));
+	CU_ASSERT(rol_step(&r, &limits, &s));
+	usual = r.share;
+	s.former_in_flight = 101;
+	CU_ASSERT(rol_is_short(&s));
+	CU_ASSERT(rol_step(&r, &limits, &s));
+	CU_ASSERT(r.share > 1.3 * usual);
+	s.former_in_flight = 90;
+	CU_ASSERT(!rol_step(&r, &limits, &s));
+	s.former_in_flight = 60;
+	CU_ASSERT(rol_step(&r, &limits, &s));
+	CU_ASSERT_DOUBLE_EQUAL(r.share, usual, 1e-9);
+	/* Endpoints that do not state their slots are never short. */
+	s.former_slots = 0;
+	CU_ASSERT(!rol_is_short(&s));
+}
+
 static void a_restored_order_matches_its_record(void)
 {
 	const struct rol_record r = begin_rollout("v2", 9000);
@@ -807,10 +1095,20 @@
 	  one_faulty_endpoint_does_not_fail_a_version },
 	{ "crashes of a few endpoints do not fail a version",
 	  crashes_of_a_few_endpoints_do_not_fail_a_version },
-	{ "full endpoints count in the rate of errors",
-	  full_endpoints_count_in_the_rate_of_errors },
 	{ "schedules keep the bounds", schedules_keep_the_bounds },
 	{ "schedules detect broken bounds", schedules_detect_broken_bounds },
+	{ "a shortage keeps the exposure", a_shortage_keeps_the_exposure },
+	{ "an unknown shortage exceeds the exposure",
+	  an_unknown_shortage_exceeds_the_exposure },
+	{ "the requests so far permit the trial",
+	  the_requests_so_far_permit_the_trial },
+	{ "a shortage soon has evidence", a_shortage_soon_has_evidence },
+	{ "a shortage does not hide a slow version",
+	  a_shortage_does_not_hide_a_slow_version },
+	{ "full endpoints count in the rate of errors",
+	  full_endpoints_count_in_the_rate_of_errors },
+	{ "a shortage ends once slots are free",
+	  a_shortage_ends_once_slots_are_free },
 	{ "a target that serves is completed at once",
 	  a_target_that_serves_is_completed_at_once },
 	{ "a roll-out without endpoints is rolled back in time",
