rollout: completion waits until all entries have read the shift

Completion stops the former endpoints. An entry that had not read the record of the shift sent them three streams 0.6 s before, which were cut ("rollout_test: all requests are answered").

Each entry sends the duty holder the record that it routes by. Completion waits until all live entries report the full shift, in datagrams that the counted requests in flight include. It waits 3 s at most, since an entry isolated from the store does not read the shift. Entries of earlier releases do not report it and are not waited for. The log line of a step has the number of these entries.

--- a/lib/edge/edge_gossip.c
+++ b/lib/edge/edge_gossip.c
@@ -261,7 +261,7 @@
 	const unsigned fatal = en->nr_fatal_news + REPEATED_SUSPECTS;
 
 	if (!p->collects_counts)
-		r->nr_tallies = 0;
+		r->nr_tallies = r->nr_rollouts = 0;
 	if (!p->collects_counts && !is_new_peer(p, now))
 		r->nr_services = 0;
 	if (!is_new_peer(p, now) && r->nr_fatal > fatal)
--- a/lib/edge/edge_rollout.c
+++ b/lib/edge/edge_rollout.c
@@ -380,6 +380,19 @@
 		};
 }
 
+/* The record by which this entry routes requests. */
+static void fill_record(const struct edge_rollout *ro, struct gsp_record *out)
+{
+	if (!ro->recorded || !rol_in_progress(&ro->record) ||
+	    out->nr_rollouts == GSP_MAX_ROLLOUTS)
+		return;
+	out->rollouts[out->nr_rollouts++] = (struct gsp_rollout){
+		.order = rol_order_id(&ro->record),
+		.stage = ro->record.stage,
+		.share = ro->record.share,
+	};
+}
+
 void edge_rollout_fill_gossip(struct edge *en, struct gsp_record *out,
 			      int64_t now)
 {
@@ -388,6 +401,7 @@
 
 	cds_list_for_each_entry(ro, &en->rollouts, node) {
 		fill_tally(ro, out);
+		fill_record(ro, out);
 		if (ro->recorded && ro->record.stage == ROL_ROLLED_BACK &&
 		    true_now - ro->record.changed_ms < REPEAT_ROLLED_BACK_MS &&
 		    out->nr_rolled_back < GSP_MAX_ROLLED_BACK)
--- a/lib/edge/edge_rollout_duty.c
+++ b/lib/edge/edge_rollout_duty.c
@@ -77,6 +77,45 @@
 	return s;
 }
 
+/*
+ * True if the peer's last datagram says that it has read the shift, and the
+ * requests in flight include those of that datagram.
+ */
+static bool peer_is_shifted(const struct edge *en, const struct prs_peer *p,
+			    uint64_t order)
+{
+	unsigned i;
+
+	if (p->received_ms >= en->loads_averaged_ms)
+		return false;
+	for (i = 0; i < p->last->nr_rollouts; i++) {
+		if (p->last->rollouts[i].order == order)
+			return rol_is_shifted(p->last->rollouts[i].stage,
+					      p->last->rollouts[i].share);
+	}
+	return false;
+}
+
+/*
+ * Counts the live entries that may still send new requests to the former
+ * version. Those of earlier releases do not report what they have read.
+ */
+static int unshifted_entries(struct edge *en, const struct edge_rollout *ro,
+			     int64_t now)
+{
+	const uint64_t order = rol_order_id(&ro->record);
+	const struct prs_peer *p;
+	int n = 0;
+
+	if (!ro->recorded ||
+	    !rol_is_shifted(ro->record.stage, ro->record.share))
+		return 0;
+	cds_list_for_each_entry(p, &en->prs.core, role_node)
+		n += p->last && p->last->has_capacity && prs_alive(p, now) &&
+		     !peer_is_shifted(en, p, order);
+	return n;
+}
+
 /* Adds the counts of all entries to `out`. */
 static void sum_counts(const struct edge_rollout *ro, struct tal *out)
 {
@@ -198,6 +237,7 @@
 	jlog_num(en->log, "former_in_flight", s->former_in_flight);
 	jlog_num(en->log, "former_slots", s->former_slots);
 	jlog_num(en->log, "offered_per_s", s->offered_per_s);
+	jlog_int(en->log, "unshifted_entries", s->unshifted_entries);
 	jlog_int(en->log, "sent", target.sent);
 	jlog_int(en->log, "answered", target.answered);
 	jlog_int(en->log, "failed", target.failed);
@@ -349,6 +389,7 @@
 	s.former_in_flight = sums.former_in_flight;
 	s.former_slots = sums.former_slots;
 	s.offered_per_s = edge_scale_offered(en->duty, ro->service);
+	s.unshifted_entries = unshifted_entries(en, ro, now);
 	s.established = edge_rollout_serving(ro);
 	if (decide(en, ro, &sums, &s, now))
 		carry_out_step(en, ro, &s, now);
--- a/lib/rollout/rollout.c
+++ b/lib/rollout/rollout.c
@@ -75,6 +75,13 @@
  */
 #define MAX_RUN_OUT_MS 7500
 
+/*
+ * Time for which completion waits for live entries to read the shift. An entry
+ * that is isolated from the store does not read it, and must not block
+ * completion for long.
+ */
+#define MAX_SHIFT_READ_MS 3000
+
 /*
  * A change of the lease holder may delay the shift of all traffic past the
  * deadline by this time; after that, the roll-out is rolled back.
@@ -410,11 +417,23 @@
 	return true;
 }
 
-/* Completion stops the former version's endpoints, so they have to be idle. */
+bool rol_is_shifted(enum rol_stage stage, double share)
+{
+	return stage == ROL_COMPLETED ||
+	       ((stage == ROL_SHIFT || stage == ROL_RUN_OUT) && share >= 1);
+}
+
+/*
+ * Completion stops the former version's endpoints, so they have to be idle, and
+ * no entry may send them another request.
+ */
 static bool step_run_out(struct rol_record *r, const struct rol_observation *s)
 {
-	if (!s->counts_complete || (s->former_running >= 1 &&
-				    s->now_ms - r->changed_ms < MAX_RUN_OUT_MS))
+	const int64_t in_stage_ms = s->now_ms - r->changed_ms;
+
+	if (!s->counts_complete ||
+	    (s->former_running >= 1 && in_stage_ms < MAX_RUN_OUT_MS) ||
+	    (s->unshifted_entries > 0 && in_stage_ms < MAX_SHIFT_READ_MS))
 		return false;
 	set_stage(r, ROL_COMPLETED, 1, "answers as well as the former version",
 		  s->now_ms);
--- a/lib/rollout/rollout.h
+++ b/lib/rollout/rollout.h
@@ -88,7 +88,9 @@
 	 * of these; 0 slots: unknown.
 	 */
 	double former_in_flight, former_slots;
-	double offered_per_s;	  /* new requests of clients; 0: unknown */
+	double offered_per_s; /* new requests of clients; 0: unknown */
+	/* Live entries that may send new requests to `from` by their record. */
+	int unshifted_entries;
 	const struct tal *counts; /* of all entries */
 	const char *established;  /* version that serves */
 };
@@ -110,6 +112,12 @@
  */
 bool rol_is_short(const struct rol_observation *s);
 
+/*
+ * True if an entry whose record has this state sends all new requests to the
+ * target.
+ */
+bool rol_is_shifted(enum rol_stage stage, double share);
+
 /* Sets the stage to rolled back; `why` is copied and truncated to ROL_WHY. */
 void rol_roll_back(struct rol_record *r, const char *why, int64_t now_ms);
 
--- a/tests/test_rollout.c
+++ b/tests/test_rollout.c
@@ -231,6 +231,9 @@
 #define ENTRIES 12
 #define MAX_PENDING 4096
 
+/* Time after which an entry without reports counts as dead, in ms. */
+#define ALIVE_MS 1000
+
 /* Time in a shortage within which a verdict must be possible, in ms. */
 #define EVIDENCE_MS 5000
 #define EVIDENCE_ANSWERS 40
@@ -258,6 +261,8 @@
 	struct rol_record next;	  /* in transit */
 	int64_t next_ms;
 	int64_t partitioned_until_ms; /* receives nothing before */
+	int64_t reported_ms;
+	bool reported_shifted; /* it had read the shift then */
 	int64_t next_report_ms;
 };
 
@@ -452,6 +457,9 @@
 		if (rnd_below(&sim->r, 100) < 3)
 			continue;
 		e->reported = e->own;
+		e->reported_ms = sim->now;
+		e->reported_shifted =
+			rol_is_shifted(e->record.stage, e->record.share);
 	}
 	if (sim->now >= sim->next_running_report_ms) {
 		sim->known_running = former_running(sim);
@@ -460,11 +468,25 @@
 	}
 }
 
+static int unshifted_entries(const struct simulation *sim)
+{
+	const struct entry *e;
+	int n = 0;
+
+	for (e = sim->entries; e < sim->entries + ENTRIES; e++)
+		n += sim->now - e->reported_ms < ALIVE_MS &&
+		     !e->reported_shifted;
+	return n;
+}
+
 /* What the holder knows of a shortage of the former version. */
 static void observe_shortage(const struct simulation *sim,
 			     struct rol_observation *s)
 {
-	if (sim->ignore_shortage || sim->sent_fraction <= 0)
+	if (sim->ignore_shortage)
+		return;
+	s->unshifted_entries = unshifted_entries(sim);
+	if (sim->sent_fraction <= 0)
 		return;
 	s->former_slots = 100;
 	s->former_in_flight = 250;
@@ -524,8 +546,10 @@
 	unsigned i;
 
 	sim->holder_since_ms = sim->now;
-	for (i = 0; sim->sent_fraction > 0 && i < ENTRIES; i++)
+	for (i = 0; sim->sent_fraction > 0 && i < ENTRIES; i++) {
 		memset(&sim->entries[i].reported, 0, sizeof(struct tal));
+		sim->entries[i].reported_ms = 0;
+	}
 }
 
 static void inject_faults(struct simulation *sim)
@@ -888,6 +912,49 @@
 	CU_ASSERT(!rol_step(&r, &limits, &s));
 }
 
+/*
+ * Guards against streams that are cut since an entry sent them to the former
+ * version after its endpoints were idle, and against an isolated entry that
+ * blocks completion.
+ */
+static void completion_waits_until_the_shift_is_read(void)
+{
+	struct rol_record r = begin_rollout("v2", 9000), isolated;
+	struct tal none = { 0 };
+	struct rol_observation s = { .counts_complete = true,
+				     .counts = &none,
+				     .unshifted_entries = 1 };
+
+	r.stage = ROL_RUN_OUT;
+	r.share = 1;
+	r.changed_ms = s.now_ms = 9500;
+	isolated = r;
+	CU_ASSERT(!rol_step(&r, &limits, &s));
+	s.now_ms += 700;
+	s.unshifted_entries = 0;
+	s.former_running = 1; /* sent before the entry read the shift */
+	CU_ASSERT(!rol_step(&r, &limits, &s));
+	s.former_running = 0;
+	CU_ASSERT(rol_step(&r, &limits, &s));
+	CU_ASSERT_EQUAL(r.stage, ROL_COMPLETED);
+
+	s.unshifted_entries = 1;
+	CU_ASSERT(!rol_step(&isolated, &limits, &s));
+	s.now_ms = isolated.changed_ms + 3000;
+	CU_ASSERT(rol_step(&isolated, &limits, &s));
+	CU_ASSERT_EQUAL(isolated.stage, ROL_COMPLETED);
+}
+
+/* Half of the traffic goes to the former version in the first part. */
+static void only_a_full_shift_is_one(void)
+{
+	CU_ASSERT(!rol_is_shifted(ROL_TRIAL, 0.2));
+	CU_ASSERT(!rol_is_shifted(ROL_SHIFT, 0.5));
+	CU_ASSERT(rol_is_shifted(ROL_SHIFT, 1));
+	CU_ASSERT(rol_is_shifted(ROL_RUN_OUT, 1));
+	CU_ASSERT(!rol_is_shifted(ROL_ROLLED_BACK, 0));
+}
+
 /* Guards against store writes at each crossing of the limit. */
 static void a_shortage_ends_once_slots_are_free(void)
 {
@@ -1107,6 +1174,9 @@
 	  a_shortage_does_not_hide_a_slow_version },
 	{ "full endpoints count in the rate of errors",
 	  full_endpoints_count_in_the_rate_of_errors },
+	{ "completion waits until the shift is read",
+	  completion_waits_until_the_shift_is_read },
+	{ "only a full shift is one", only_a_full_shift_is_one },
 	{ "a shortage ends once slots are free",
 	  a_shortage_ends_once_slots_are_free },
 	{ "a target that serves is completed at once",
