--- a/lib/edge/edge_rollout.c
+++ b/lib/edge/edge_rollout.c
@@ -289,6 +289,13 @@
 	return FLT_ON_TRIAL;
 }
 
+/* True if all slots were taken before the request was assigned to it. */
+static bool was_full(const struct flt_endpoint *e)
+{
+	return e->info.slots > 0 &&
+	       e->running - 1 + e->peer_running >= e->info.slots;
+}
+
 void edge_rollout_sent(struct edge_req *r)
 {
 	struct edge_rollout *ro = find(r->en, r->service->name);
@@ -303,7 +310,11 @@
 					 0
 				 ? tal_group(r->endpoint->hash)
 				 : TAL_BASELINE;
-	tal_sent(&ro->own, r->tally.route, r->tally.group);
+	if (r->tally.group == TAL_BASELINE && was_full(r->endpoint))
+		r->tally.route = tal_full_route(r->tally.route);
+	/* The exposure limit is a share of the requests, without repeats. */
+	if (r->tally.group != TAL_BASELINE || !r->sends)
+		tal_sent(&ro->own, r->tally.route, r->tally.group);
 }
 
 /* Reports bad answers at once, so that the duty holder can roll back. */
@@ -369,6 +380,19 @@
 		};
 }
 
+/* The record by which this entry routes requests. */
+static void fill_record(const struct edge_rollout *ro, struct gsp_record *out)
+{
+	if (!ro->recorded || !rol_in_progress(&ro->record) ||
+	    out->nr_rollouts == GSP_MAX_ROLLOUTS)
+		return;
+	out->rollouts[out->nr_rollouts++] = (struct gsp_rollout){
+		.order = rol_order_id(&ro->record),
+		.stage = ro->record.stage,
+		.share = ro->record.share,
+	};
+}
+
 void edge_rollout_fill_gossip(struct edge *en, struct gsp_record *out,
 			      int64_t now)
 {
@@ -377,6 +401,7 @@
 
 	cds_list_for_each_entry(ro, &en->rollouts, node) {
 		fill_tally(ro, out);
+		fill_record(ro, out);
 		if (ro->recorded && ro->record.stage == ROL_ROLLED_BACK &&
 		    true_now - ro->record.changed_ms < REPEAT_ROLLED_BACK_MS &&
 		    out->nr_rolled_back < GSP_MAX_ROLLED_BACK)
