--- a/lib/limit/shed.c
+++ b/lib/limit/shed.c
@@ -2,6 +2,7 @@
 
 #include <float.h>
 #include <math.h>
+#include <stddef.h>
 
 /*
  * Share of the smallest objective that the queueing delay may take, by rank.
@@ -24,15 +25,22 @@
 #define USUAL_MS 60000.0
 
 /* History that is needed before an account has a usual load. */
-#define MIN_HISTORY_MS 8000
+#define MIN_HISTORY_MS 4000.0
 
 /*
  * Minimum share of the recent arrivals of a rank, an account or a size that is
- * admitted. A quarter is promised; the rest covers the deviation of short
- * samples.
+ * admitted. A quarter is promised; the rest covers the deviation of short samples
+ * and the begin of congestion, when arrivals before it count as recent.
  */
 #define MIN_SHARE 0.3
 
+/*
+ * The same for requests whose objective has passed, most of them repeated. At
+ * MIN_SHARE, those that return after four times the capacity took the whole of
+ * it for seconds.
+ */
+#define MIN_LATE_SHARE 0.02
+
 /* Arrivals of a less urgent rank that are needed for a comparison with it. */
 #define MIN_COMPARED 3.0
 
@@ -42,17 +50,14 @@
  */
 #define FAR_ABOVE_USUAL 2.5
 
-/* The multiple of the usual load up to which arrivals count for it. */
-#define MAX_LEARNED 1.5
-
 /* An account asks for far more than its fair share from this ratio on. */
 #define FAR_ABOVE_FAIR 1.1
 
 /* Weight of an arrival with less time left in the longest time left. */
 #define LONGEST_WEIGHT 0.02
 
-/* A row of an account with fewer recent arrivals may be given to another one. */
-#define IDLE_ARRIVALS 0.01
+/* A row of an account that asked for less recently may be given to another one. */
+#define IDLE_TOKENS 0.01
 
 /* Part of the objective for which a request may be held at the entry. */
 #define MAX_WAIT_RATIO 0.25
@@ -101,10 +106,25 @@
 	}
 }
 
+/*
+ * The usual load is the mean of what is asked for: of all of it until there is
+ * enough history, and of about the last USUAL_MS from then on. With the mean of
+ * all of it for USUAL_MS, a surge soon after the start became usual in seconds.
+ */
+static void learn_usual(struct shd_account *a, double ms, int64_t now)
+{
+	/* `asked` is too low at first. */
+	const double age = (double)(now - a->first_ms) - RECENT_MS;
+	const double over = age < MIN_HISTORY_MS ? age : USUAL_MS;
+
+	if (age > 0)
+		a->usual += (a->asked - a->usual) * fmin(ms / over, 1);
+}
+
 static void advance(struct shd *s, int64_t now)
 {
 	const double ms = (double)(now - s->at_ms);
-	double f, slow;
+	double f;
 	unsigned i;
 
 	if (ms <= 0)
@@ -112,16 +132,16 @@
 	drain_returning(s, ms);
 	s->at_ms = now;
 	f = exp(-ms / RECENT_MS);
-	slow = exp(-ms / USUAL_MS);
 	decay_counts(s->ranks, SHD_RANKS, f);
 	decay_counts(s->sizes, SHD_SIZES, f);
+	decay_counts(&s->late, 1, f);
 	for (i = 0; i <= SHD_ACCOUNTS; i++) {
 		struct shd_account *a = &s->accounts[i];
 
 		decay_counts(&a->counts, 1, f);
 		a->asked *= f;
 		a->taken *= f;
-		a->usual *= slow;
+		learn_usual(a, ms, now);
 	}
 }
 
@@ -133,8 +153,7 @@
 	for (i = 0; i < SHD_ACCOUNTS; i++) {
 		if (s->accounts[i].hash == hash)
 			return i;
-		if (idle == SHD_ACCOUNTS &&
-		    s->accounts[i].counts.arrived < IDLE_ARRIVALS)
+		if (idle == SHD_ACCOUNTS && s->accounts[i].asked < IDLE_TOKENS)
 			idle = i;
 	}
 	if (idle < SHD_ACCOUNTS)
@@ -183,41 +202,19 @@
 	return wanting ? left / wanting : DBL_MAX;
 }
 
-/* What the account asks for in RECENT_MS on average. */
-static double usual_load(const struct shd_account *a, int64_t now)
-{
-	const double age = (double)(now - a->first_ms);
-
-	return a->usual * RECENT_MS / USUAL_MS / (1 - exp(-age / USUAL_MS));
-}
-
-/*
- * Learns the usual load. What is asked for beyond MAX_LEARNED times of it hardly
- * counts: a surge soon after the start otherwise became usual within seconds.
- */
-static void learn_usual(struct shd_account *a, double tokens, int64_t now)
-{
-	const double most = MAX_LEARNED * usual_load(a, now);
-
-	if (now - a->first_ms < MIN_HISTORY_MS || a->asked <= most)
-		a->usual += tokens;
-	else
-		a->usual += tokens * most / a->asked;
-}
-
 /*
  * True if the account asks for far more than it usually does. With few requests
  * the number varies, so two standard deviations are added.
  */
 static bool is_surging(const struct shd_account *a, int64_t now)
 {
-	double limit;
+	double limit, mean;
 
-	if (now - a->first_ms < MIN_HISTORY_MS)
+	if ((double)(now - a->first_ms) - RECENT_MS < MIN_HISTORY_MS)
 		return false;
-	limit = FAR_ABOVE_USUAL * usual_load(a, now);
-	return a->asked >
-	       limit + 2 * sqrt(limit * a->asked / a->counts.arrived);
+	limit = FAR_ABOVE_USUAL * a->usual;
+	mean = a->asked / fmax(a->counts.arrived, 1);
+	return a->asked > limit + 2 * sqrt(limit * mean);
 }
 
 /*
@@ -269,19 +266,15 @@
 	return share;
 }
 
-static bool counts_for_rank(const struct shd_entry *e)
-{
-	return !e->demoted && !e->late;
-}
-
 static bool is_below_min_share(const struct shd *s, const struct shd_entry *e,
 			       double fraction)
 {
+	if (e->late)
+		return is_below(&s->late, MIN_LATE_SHARE, fraction);
 	return is_below(&s->accounts[e->account].counts, MIN_SHARE, fraction) ||
 	       is_below(&s->sizes[e->size], MIN_SHARE, fraction) ||
-	       (counts_for_rank(e) &&
-		is_below(&s->ranks[e->rank], min_share_of(s, e->rank),
-			 fraction));
+	       (!e->demoted && is_below(&s->ranks[e->rank],
+					min_share_of(s, e->rank), fraction));
 }
 
 /* ---- Decision ---- */
@@ -289,18 +282,44 @@
 /*
  * True if the request's objective has passed: clients measure it from their
  * first attempt, and a repeated attempt has less time left than first ones of
- * the same account and rank.
+ * the same account and rank. One with still less time left than Retry-After can
+ * have cost is taken for that of a client with a shorter deadline.
  */
 static bool is_late(struct shd_account *a, unsigned rank,
 		    const struct shd_request *q)
 {
-	double *longest = &a->longest_ms[rank];
+	double *longest = &a->longest_ms[rank], gone;
 
 	if (q->left_ms >= *longest)
 		*longest = q->left_ms;
 	else /* forgets a longer deadline that is no longer in use */
 		*longest -= (*longest - q->left_ms) * LONGEST_WEIGHT;
-	return *longest - q->left_ms >= q->objective_ms;
+	gone = *longest - q->left_ms;
+	return gone >= q->objective_ms &&
+	       gone <= *longest * MAX_RETRY_RATIO + q->objective_ms;
+}
+
+/*
+ * Late requests are counted apart: they were counted when they arrived first.
+ * What a demoted account sends does not count for the rank: it would lower the
+ * rank's share, and more of its requests would be admitted beyond the bound.
+ */
+static void count_step(struct shd *s, const struct shd_entry *e, double arrived,
+		       double admitted)
+{
+	struct shd_counts *const counts[] = {
+		e->late ? &s->late : &s->sizes[e->size],
+		e->late ? NULL : &s->accounts[e->account].counts,
+		e->late || e->demoted ? NULL : &s->ranks[e->rank],
+	};
+	unsigned i;
+
+	for (i = 0; i < 3; i++) {
+		if (!counts[i])
+			continue;
+		counts[i]->arrived += arrived;
+		counts[i]->admitted += admitted;
+	}
 }
 
 static void count_arrival(struct shd *s, const struct shd_request *q,
@@ -314,19 +333,10 @@
 	e->tokens = q->tokens > 1 ? q->tokens : 1;
 	e->account = account_row(s, q->account, now);
 	a = &s->accounts[e->account];
-	a->counts.arrived++;
 	a->asked += e->tokens;
-	learn_usual(a, e->tokens, now);
-	s->sizes[e->size].arrived++;
-	/*
-	 * Late requests and those of demoted accounts do not count for the
-	 * rank: they would lower its share, and more of its requests would be
-	 * admitted beyond the bound.
-	 */
-	e->demoted = !q->free_slot && is_unfair(s, e->account, now);
 	e->late = is_late(a, e->rank, q);
-	if (counts_for_rank(e))
-		s->ranks[e->rank].arrived++;
+	e->demoted = !q->free_slot && is_unfair(s, e->account, now);
+	count_step(s, e, 1, 0);
 }
 
 /*
@@ -403,13 +413,11 @@
 		const struct shd_decision *d, int64_t now)
 {
 	advance(s, now);
-	if (d->step == SHD_REJECT)
+	/* Clients return once, and those of late requests did so before. */
+	if (d->step == SHD_REJECT && !e->late)
 		s->returning[e->rank] += e->tokens;
 	if (d->step != SHD_SEND)
 		return;
-	s->accounts[e->account].counts.admitted++;
 	s->accounts[e->account].taken += e->tokens;
-	s->sizes[e->size].admitted++;
-	if (counts_for_rank(e))
-		s->ranks[e->rank].admitted++;
+	count_step(s, e, 0, 1);
 }
--- a/lib/limit/shed.h
+++ b/lib/limit/shed.h
@@ -40,7 +40,7 @@
 	uint64_t hash; /* 0: the row is not in use */
 	struct shd_counts counts;
 	double asked, taken; /* recent tokens: of arrivals, of admissions */
-	double usual;	     /* tokens of arrivals, decayed much more slowly */
+	double usual;	     /* mean of `asked` over about a minute */
 	int64_t first_ms;    /* first arrival */
 	/* The longest time left at an arrival of each rank, about. */
 	double longest_ms[SHD_RANKS];
@@ -51,6 +51,7 @@
 	int64_t at_ms; /* time as of which the sums are decayed */
 	struct shd_counts ranks[SHD_RANKS];
 	struct shd_counts sizes[SHD_SIZES];
+	struct shd_counts late; /* requests whose objective has passed */
 	struct shd_account accounts[SHD_ACCOUNTS + 1]; /* last: shared */
 	/* Tokens rejected by rank that are expected to be sent again. */
 	double returning[SHD_RANKS];
--- a/tests/test_explain.c
+++ b/tests/test_explain.c
@@ -41,6 +41,12 @@
 	AT("560", "edge-1", "send", "\"id\":\"r10\",\"resumes\":\"\""),
 	AT("570", "edge-2", "send", "\"id\":\"r11\",\"resumes\":\"r10\""),
 	AT("580", "edge-2", "passed", "\"id\":\"r11\",\"status\":200"),
+	AT("590", "edge-1", "admission",
+	   "\"id\":\"r12\",\"step\":\"reject\",\"queue_ms\":900,"
+	   "\"bound_ms\":250"),
+	AT("591", "edge-1", "answer",
+	   "\"id\":\"r12\",\"status\":503,\"why\":\"" EDGE_WHY_CONGESTED
+	   "\",\"retry_ms\":700"),
 	"not a line of ours",
 	"",
 };
@@ -130,9 +136,23 @@
 	CU_ASSERT(rest && strstr(rest, "edge-2 passed"));
 }
 
+/* Guards against a rejection whose cause is named without its inputs. */
+static void rejected_under_congestion(void)
+{
+	BUF_AUTO out = BUF_INIT;
+	const char *cause;
+
+	CU_ASSERT(explain("r12", &out));
+	cause = strstr(buf_cstr(&out), "cause: endpoints are congested\n");
+	CU_ASSERT_PTR_NOT_NULL(cause);
+	CU_ASSERT(cause && strstr(cause, "admission step=reject queue_ms=900 "
+					 "bound_ms=250"));
+}
+
 static const struct unit_test tests[] = {
 	{ "a refused request", refused_request },
 	{ "a request that no endpoint takes", request_that_no_endpoint_takes },
+	{ "a rejection under congestion", rejected_under_congestion },
 	{ "a cut stream", cut_stream },
 	{ "a timed-out request", timed_out_request },
 	{ "passed, unknown and unfinished", passed_unknown_and_unfinished },
