--- a/lib/edge/edge_admit.c
+++ b/lib/edge/edge_admit.c
@@ -261,6 +261,12 @@
 	decide_in(r, ms > 0 ? ms : 1);
 }
 
+/* The lower, the more urgent; as the bound on the queueing delay. */
+static unsigned order_of(const struct shd_entry *e)
+{
+	return e->late ? SHD_RANKS : e->rank + e->demoted;
+}
+
 void edge_admit_freed(struct edge *en, const char *service)
 {
 	struct edge_req *r, *first = NULL;
@@ -272,7 +278,8 @@
 		if (!r->admit.waiting || r->admit.woken ||
 		    strcmp(r->service->name, service))
 			continue;
-		if (!first || r->admit.entry.rank < first->admit.entry.rank)
+		if (!first ||
+		    order_of(&r->admit.entry) < order_of(&first->admit.entry))
 			first = r;
 	}
 	if (!first)
--- a/tests/test_shed.c
+++ b/tests/test_shed.c
@@ -430,11 +430,16 @@
 
 static void print(const char *what)
 {
+	static const char *const deciders[] = {
+		[MODULE] = "module",	       [NO_DECISION] = "no decision",
+		[NO_MIN_SHARE] = "no minimum", [FIXED_RETRY] = "fixed retry",
+		[LONG_WAIT] = "long wait",     [ANY_SLOT] = "any slot",
+	};
 	const struct total t = busy_total();
 	int k;
 
-	printf("%s, twin %d: on time before %.3f after %.3f, busy:", what,
-	       f.l.twin, ratio(f.before.on_time, f.before.arrived),
+	printf("%s, %s: on time before %.3f after %.3f, busy:", what,
+	       deciders[f.l.twin], ratio(f.before.on_time, f.before.arrived),
 	       ratio(f.after.on_time, f.after.arrived));
 	for (k = 0; k < KINDS; k++)
 		printf(" %.3f (sent %.3f)",
