edge: log lines name the service, and passed answers the account

The lines of sends, their ends and answers stated the route only, and a route can be served by several services; a passed answer did not state its account. Load could be added up by service or account only by keeping each request's lines.

`send`, `send_ended`, `passed` and `answer` now have `service`, `passed` has `account`, and `answer` has the number of sends: a request that was not sent arrived as well.

--- a/lib/edge/edge_answer.c
+++ b/lib/edge/edge_answer.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "edge/edge_rollout.h"
+#include "edge/explain.h"
 
 /* A request is not sent again with less time than this left. */
 #define MIN_RETRY_TIME_MS 40
@@ -71,6 +72,7 @@
 	jlog_int(en->log, "first_ms",
 		 r->first_event_ms ? r->first_event_ms - r->sent_ms : -1);
 	jlog_int(en->log, "took_ms", now - r->sent_ms);
+	jlog_str(en->log, "service", r->service->name);
 	jlog_end(en->log);
 }
 
@@ -399,6 +401,8 @@
 	jlog_int(en->log, "first_ms",
 		 r->first_event_ms ? r->first_event_ms - r->arrived_ms : -1);
 	jlog_int(en->log, "took_ms", now - r->arrived_ms);
+	jlog_str(en->log, "service", r->service->name);
+	jlog_str(en->log, "account", r->account ? r->account->name : "");
 	jlog_end(en->log);
 }
 
@@ -591,7 +595,7 @@
 	if (r->reply.not_run) {
 		edge_send_not_run(
 			r, r->reply.misdirected ? FLT_MISDIRECTED : FLT_BUSY,
-			"refused by endpoint");
+			EDGE_WHY_REFUSED);
 		return;
 	}
 	if (r->streaming && evs_has_partial(&r->events))
--- a/lib/edge/edge_req.c
+++ b/lib/edge/edge_req.c
@@ -107,8 +107,11 @@
 	jlog_int(en->log, "refusals", r->rq.refusals);
 	jlog_int(en->log, "retry_ms", retry_ms);
 	jlog_int(en->log, "held_ms", edge_now(en) - r->arrived_ms);
+	jlog_int(en->log, "sends", r->sends);
 	if (r->cfg) {
 		jlog_str(en->log, "route", r->route ? r->route->name : "");
+		jlog_str(en->log, "service",
+			 r->service ? r->service->name : "");
 		jlog_str(en->log, "account",
 			 r->account ? r->account->name : "");
 		edge_log_content(en, r->content);
--- a/lib/edge/edge_send.c
+++ b/lib/edge/edge_send.c
@@ -121,6 +121,7 @@
 		 f->resume_after >= 0 ? f->resume_after
 				      : r->attempt.resume_after);
 	jlog_int(en->log, "left_ms", f->deadline_ms);
+	jlog_str(en->log, "service", r->service->name);
 	jlog_end(en->log);
 }
 
--- a/lib/edge/explain.h
+++ b/lib/edge/explain.h
@@ -17,6 +17,9 @@
 /* Why a request is refused that no endpoint takes for now (log field "why"). */
 #define EDGE_WHY_WITHHELD "endpoints take no more for now"
 
+/* How a send ends if the endpoint refuses it (log field "outcome"). */
+#define EDGE_WHY_REFUSED "refused by endpoint"
+
 /* Why it is refused if the entry reaches no endpoint, nor a relay to one. */
 #define EDGE_WHY_CUT_OFF "cut off from all endpoints"
 
