explain: a table of load and capacity from the entries' logs

While capacity was short, an operator could not see whether requests waited at endpoints, were refused, or were sent too late to be answered: each line states one request, and `losses` adds up ends without time, waits and orders.

`marldock-explain load LOG...` prints, for each service in steps of two seconds, arrivals, sends, refusals, predicted waits, requests in flight, endpoints by version, answers on time and late, own answers by reason, orders with the need, and steps of roll-outs; then accounts and routes over the whole time.

Lines are added to rows when they are read and not kept.

--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,7 @@
 
 # The entry on the platform needs only these, and no more of the libraries.
 EDGE_DIRS = io store duty fleet model rollout stream edge
-EDGE_SRC = $(filter-out lib/edge/explain.c lib/edge/losses.c,$(foreach d,$(EDGE_DIRS),$(wildcard lib/$(d)/*.c))) \
+EDGE_SRC = $(filter-out lib/edge/explain.c lib/edge/losses.c lib/edge/loadtab.c,$(foreach d,$(EDGE_DIRS),$(wildcard lib/$(d)/*.c))) \
 	$(wildcard platform/*.c) programs/edge.c \
 	$(addprefix lib/base/,buf.c clk.c err.c hsh.c jlog.c jsn.c met.c rnd.c zip.c) \
 	lib/config/cfg.c lib/config/force.c lib/config/vfy.c lib/limit/acct.c lib/limit/again.c \
--- a/programs/explain.c
+++ b/programs/explain.c
@@ -1,11 +1,12 @@
 /* marldock-explain: from a request's id to the cause of its answer; and what
- * callers lost in all, by reason. */
+ * callers lost in all, by reason; and load and capacity over time. */
 #include <argp.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "edge/explain.h"
+#include "edge/loadtab.h"
 #include "edge/losses.h"
 
 /* A log line is below 2 KB; longer ones are no lines of ours. */
@@ -55,6 +56,11 @@
 	losses_line(to, line);
 }
 
+static void to_load(void *to, const char *line)
+{
+	ltb_line(to, line);
+}
+
 static void read_lines(const struct sink *s, FILE *f)
 {
 	static char line[MAX_LINE];
@@ -112,6 +118,27 @@
 	return n ? 0 : 1;
 }
 
+static int tell_load(const struct options *o)
+{
+	struct ltb *t = ltb_create();
+	const struct sink s = { to_load, t };
+	BUF_AUTO out = BUF_INIT;
+	size_t n;
+
+	if (read_files(&s, o)) {
+		ltb_free(t);
+		return 2;
+	}
+	n = ltb_report(t, &out);
+	if (n)
+		fputs(out.data, stdout);
+	else
+		fprintf(stderr, "marldock-explain: no line on load\n");
+	say_unread(ltb_unparsed(t));
+	ltb_free(t);
+	return n ? 0 : 1;
+}
+
 static int tell_request(const struct options *o)
 {
 	struct explain *x = explain_create(o->id);
@@ -138,10 +165,12 @@
 	static const struct argp argp = {
 		NULL,
 		parse,
-		"ID [FILE...]\nlosses [FILE...]",
+		"ID [FILE...]\nlosses [FILE...]\nload [FILE...]",
 		"Puts the log lines of all entries on a request in order and "
 		"names the deciding one; or adds up what callers lost, by "
-		"route, reason and second. Without files: standard input.",
+		"route, reason and second; or load, waits, answers and orders "
+		"of each service in steps of two seconds. Without files: "
+		"standard input.",
 		NULL,
 		NULL,
 		NULL,
@@ -151,5 +180,7 @@
 	argp_parse(&argp, argc, argv, 0, NULL, &o);
 	if (!strcmp(o.id, "losses"))
 		return tell_losses(&o);
+	if (!strcmp(o.id, "load"))
+		return tell_load(&o);
 	return tell_request(&o);
 }
