--- a/tests/test_loadtab.c
+++ b/tests/test_loadtab.c
@@ -49,7 +49,7 @@
 	AT(second, "order",                                         \
 	   "\"service\":\"llm\",\"zone\":\"z1\",\"before\":" before \
 	   ",\"number\":" number ",\"need\":" need                  \
-	   ",\"load\":30.5,\"usable\":3,\"offered_per_s\":115")
+	   ",\"load\":5.2,\"usable\":3,\"offered_per_s\":115")
 
 #define CHAT PARTY("chat", "llm", "acme")
 #define REVIEW PARTY("review", "llm", "bolt")
@@ -112,7 +112,7 @@
 	"2026-01-11T12:26:04       1  admission_wait: queue full\n"
 	"\n"
 	"time                 orders   added removed    need    load  usable offered/s\n"
-	"2026-01-11T12:26:04       2       4       1     5.5    30.5       3     115.0\n"
+	"2026-01-11T12:26:04       2       4       1     5.5     5.2       3     115.0\n"
 	"\n"
 	"time                last step of a roll-out\n"
 	"2026-01-11T12:26:04 v2 trial share=0.1: enough endpoints\n"
