--- a/lib/edge/edge_admit.c
+++ b/lib/edge/edge_admit.c
@@ -309,10 +309,11 @@
 {
 	struct edge *en = r->en;
 
-	jlog_begin(en->log, JLOG_INFO, "admission");
+	jlog_begin(en->log, JLOG_INFO,
+		   d->step == SHD_WAIT ? "admission_wait" : "admission_reject");
 	jlog_str(en->log, "id", r->attempt.id);
-	jlog_str(en->log, "step", d->step == SHD_WAIT ? "wait" : "reject");
-	jlog_str(en->log, "reason", reason_name(d->reason));
+	jlog_str(en->log, "why", reason_name(d->reason));
+	jlog_str(en->log, "service", r->service->name);
 	jlog_str(en->log, "route", r->route->name);
 	jlog_str(en->log, "account", r->account ? r->account->name : "");
 	jlog_str(en->log, "endpoint", p->endpoint->info.id);
--- a/lib/edge/explain.c
+++ b/lib/edge/explain.c
@@ -260,7 +260,7 @@
 	statement = last_before(x, end->time, is_statement, end->instance);
 	if (!strcmp(why, EDGE_WHY_WITHHELD) && statement)
 		write_line(out, statement);
-	admission = last_of(&x->request_lines, "admission");
+	admission = last_of(&x->request_lines, "admission_reject");
 	if ((!strcmp(why, EDGE_WHY_CONGESTED) ||
 	     !strcmp(why, EDGE_WHY_NO_TIME)) &&
 	    admission)
--- a/lib/edge/explain.h
+++ b/lib/edge/explain.h
@@ -24,6 +24,9 @@
 #define EDGE_WHY_CONGESTED "endpoints are congested"
 #define EDGE_WHY_NO_TIME "no endpoint can begin before the deadline"
 
+/* How a send ends if the endpoint refuses it (log field "outcome"). */
+#define EDGE_WHY_REFUSED "refused by endpoint"
+
 /* Why it is refused if the entry reaches no endpoint, nor a relay to one. */
 #define EDGE_WHY_CUT_OFF "cut off from all endpoints"
 
--- a/tests/test_explain.c
+++ b/tests/test_explain.c
@@ -41,8 +41,8 @@
 	AT("560", "edge-1", "send", "\"id\":\"r10\",\"resumes\":\"\""),
 	AT("570", "edge-2", "send", "\"id\":\"r11\",\"resumes\":\"r10\""),
 	AT("580", "edge-2", "passed", "\"id\":\"r11\",\"status\":200"),
-	AT("590", "edge-1", "admission",
-	   "\"id\":\"r12\",\"step\":\"reject\",\"queue_ms\":900,"
+	AT("590", "edge-1", "admission_reject",
+	   "\"id\":\"r12\",\"why\":\"congested\",\"queue_ms\":900,"
 	   "\"bound_ms\":250"),
 	AT("591", "edge-1", "answer",
 	   "\"id\":\"r12\",\"status\":503,\"why\":\"" EDGE_WHY_CONGESTED
