--- a/lib/model/svc.c
+++ b/lib/model/svc.c
@@ -91,6 +91,13 @@
 	return ms;
 }
 
+double svc_itl_ms(const struct svc *s, const struct svc_state *at)
+{
+	const double x[SVC_ITL_COEFS] = { 1, at->running / RUNNING_UNIT };
+
+	return rls_predict(&s->itl, x);
+}
+
 double svc_prefill_ms(const struct svc *s, double tokens)
 {
 	const double rate = s->ttft.coef[SVC_PREFILL_MS];
--- a/lib/model/svc.h
+++ b/lib/model/svc.h
@@ -76,6 +76,9 @@
 /* Returns the expected TTFT, ms, including a wait for a slot. */
 double svc_ttft_ms(const struct svc *s, const struct svc_state *at);
 
+/* Returns the expected ITL, ms, of an endpoint with a free slot. */
+double svc_itl_ms(const struct svc *s, const struct svc_state *at);
+
 /* Returns an engine's time, ms, to prefill `tokens` tokens. */
 double svc_prefill_ms(const struct svc *s, double tokens);
 
