pick: scale predictions by the endpoint's speed

Cause: slow endpoints got as many requests as fast ones, and streams there paused beyond their bound while a long prompt was prefilled.

Change: the predicted time is multiplied by the endpoint's time factor. If some candidate is slow, a prompt costs more where its prefill, beside what is queued, is expected to delay running streams beyond the shortest bound of the service. With endpoints of one speed, costs are the same as before.

--- a/lib/fleet/flt.h
+++ b/lib/fleet/flt.h
@@ -25,6 +25,7 @@
 
 #include "base/tab.h"
 #include "fleet/gate.h"
+#include "model/speed.h"
 
 /* Size of name buffers in bytes, including the terminating NUL. */
 #define FLT_NAME 64
@@ -95,6 +96,8 @@
 	int suspect_runs; /* requests of all entries suspected to crash it */
 	struct gate gate; /* what it stated in its answers */
 
+	struct spd speed; /* relative to its service, by all entries */
+
 	/* Sums over the latest load reports of the peers. */
 	double peer_running;
 	double reported_prefill_tokens;
--- a/lib/route/pick.c
+++ b/lib/route/pick.c
@@ -137,31 +137,96 @@
 	return at_risk * SUSPECT_COST_MS;
 }
 
-static double cost_of(const struct pick_query *q, const struct flt_endpoint *e,
-		      double p_cached, struct pick_result *r)
+/*
+ * Part of a predicted pause by which it may differ, in addition to the typical
+ * error of the model: the events of a stream come some time after the last
+ * chunk of a prefill, and prompts that are sent meanwhile extend the pause.
+ */
+#define PAUSE_SPREAD 0.25
+
+/*
+ * Cost of a pause to a stream, ms: a pause beyond the bound costs as much as
+ * the bound, and the excess. The real pause is taken to be evenly distributed
+ * within `error` of `pause`.
+ */
+static double late_pause_cost(double pause, double bound, double error)
 {
-	const double repeated_tokens = q->shared_tokens * (1 - p_cached);
-	double cost;
+	const double most = pause + error - bound;
+
+	if (most <= 0)
+		return 0;
+	if (most >= 2 * error)
+		return pause;
+	return most / (2 * error) * (bound + most / 2);
+}
+
+/*
+ * Cost of the pauses that the prompt's prefill, beside what is queued before
+ * it, causes to the requests that run there.
+ */
+static double pause_cost(const struct pick_query *q,
+			 const struct flt_endpoint *e,
+			 const struct svc_state *at)
+{
+	const double factor = spd_last_factor(&e->speed);
+	const double own =
+		factor * svc_prefill_ms(q->model, at->tokens_to_prefill);
+	const double pause =
+		own + factor * svc_prefill_ms(q->model, at->queued_tokens);
+	const double error =
+		factor * q->model->ttft.typical_error + PAUSE_SPREAD * pause;
+
+	return at->running * (late_pause_cost(pause, q->pause_ms, error) +
+			      e->speed.pause_rate * own);
+}
+
+static double engine_cost(const struct pick_query *q,
+			  const struct svc_state *at, double repeated_tokens,
+			  double wait_ms)
+{
+	return wait_ms +
+	       at->running * RUNNING_PREFILL_FRACTION *
+		       svc_prefill_ms(q->model,
+				      q->model->typical_prefill_tokens) +
+	       REPEATED_PREFILL_PENALTY *
+		       svc_prefill_ms(q->model, repeated_tokens);
+}
+
+/* Costs that do not depend on the endpoint's speed. */
+static double other_costs(const struct pick_query *q,
+			  const struct flt_endpoint *e)
+{
+	double cost = crash_risk_cost(q, e);
 
-	r->state = state_of(e, q->unshared_tokens + repeated_tokens);
-	if (q->engine) {
-		r->wait_ms = svc_ttft_ms(q->model, &r->state);
-		cost = r->wait_ms +
-		       r->state.running * RUNNING_PREFILL_FRACTION *
-			       svc_prefill_ms(
-				       q->model,
-				       q->model->typical_prefill_tokens) +
-		       REPEATED_PREFILL_PENALTY *
-			       svc_prefill_ms(q->model, repeated_tokens);
-	} else {
-		r->wait_ms = svc_answer_ms(q->model, &r->state);
-		cost = r->wait_ms;
-	}
 	if (!q->ignore_failures)
 		cost += flt_fail_rate(e, q->now_ms) * FAILURE_COST_MS;
 	if (strcmp(e->info.zone, q->zone))
 		cost += OTHER_ZONE_COST_MS;
-	return cost + crash_risk_cost(q, e);
+	return cost;
+}
+
+/* Sets the predictions, the cost, and the cost at the service's usual speed. */
+static void predict(const struct pick_query *q, const struct flt_endpoint *e,
+		    double p_cached, bool uneven, struct pick_result *r,
+		    double *usual_cost)
+{
+	const double repeated_tokens = q->shared_tokens * (1 - p_cached);
+	const double factor = q->speeds ? spd_factor(&e->speed) : 1;
+	const double other = other_costs(q, e);
+
+	r->state = state_of(e, q->unshared_tokens + repeated_tokens);
+	if (!q->engine) {
+		r->wait_ms = svc_answer_ms(q->model, &r->state);
+		r->cost_ms = *usual_cost = r->wait_ms + other;
+		return;
+	}
+	r->wait_ms = svc_ttft_ms(q->model, &r->state);
+	r->cost_ms = engine_cost(q, &r->state, repeated_tokens, r->wait_ms);
+	*usual_cost = r->cost_ms + other;
+	r->wait_ms *= factor;
+	r->cost_ms = r->cost_ms * factor + other;
+	if (uneven)
+		r->cost_ms += pause_cost(q, e, &r->state);
 }
 
 /*
@@ -215,10 +280,21 @@
 	return RARE_VERSION_COST_MS;
 }
 
-/* Fills in the numbers of candidates and of endpoints that are withheld. */
+/* What count_candidates() learns of all candidates. */
+struct counts {
+	struct pick_result numbers;
+	/*
+	 * Some are slow. Among endpoints of one speed, even waits are all that
+	 * keeps the bound of pauses, and pauses have no cost.
+	 */
+	bool uneven;
+};
+
+/* Counts the candidates, and the endpoints that are withheld. */
 static void count_candidates(struct flt *f, const struct pick_query *q,
-			     struct pick_result *r)
+			     struct counts *c)
 {
+	struct pick_result *r = &c->numbers;
 	struct flt_endpoint *e;
 	int64_t at;
 
@@ -227,7 +303,10 @@
 			continue;
 		at = flt_open_ms(e, q->now_ms);
 		if (at <= q->now_ms) {
-			r->candidates += !excluded(q, e);
+			if (excluded(q, e))
+				continue;
+			r->candidates++;
+			c->uneven |= spd_last_factor(&e->speed) > SPD_NORMAL;
 			continue;
 		}
 		r->waiting += gate_waits(&e->gate, q->now_ms);
@@ -256,16 +335,19 @@
 struct pick_result pick_endpoint(struct flt *f, const struct pick_query *q)
 {
 	const struct flt_endpoint *preferred = first_choice(f, q);
-	struct pick_result best = { .endpoint = NULL }, counts = best, r;
-	struct flt_endpoint *e;
+	struct pick_result best = { .endpoint = NULL }, r;
+	struct counts counts = { .uneven = false };
+	struct flt_endpoint *e, *usual = NULL;
 	struct versions versions;
-	double p_cached, probability;
+	double p_cached, probability, usual_cost, rare, least = 0;
 	unsigned remaining;
+	bool uneven;
 
 	count_candidates(f, q, &counts);
+	uneven = counts.uneven && q->speeds && q->pause_ms > 0;
 	count_versions(f, q, &versions);
-	probability = sampling_probability(q, counts.candidates);
-	remaining = counts.candidates;
+	probability = sampling_probability(q, counts.numbers.candidates);
+	remaining = counts.numbers.candidates;
 	cds_list_for_each_entry(e, &f->endpoints, node) {
 		if (!is_candidate(q, e))
 			continue;
@@ -275,8 +357,13 @@
 		if (!p_cached && !in_sample(q, e, probability) &&
 		    (best.endpoint || remaining))
 			continue;
-		r.cost_ms = cost_of(q, e, p_cached, &r) +
-			    rare_version_cost(&versions, e);
+		predict(q, e, p_cached, uneven, &r, &usual_cost);
+		rare = rare_version_cost(&versions, e);
+		r.cost_ms += rare;
+		if (!usual || usual_cost + rare < least) {
+			usual = e;
+			least = usual_cost + rare;
+		}
 		if (best.endpoint && r.cost_ms >= best.cost_ms)
 			continue;
 		best = r;
@@ -284,9 +371,13 @@
 		best.cached = p_cached > 0;
 		best.cache_certain = p_cached >= 1 || !q->shared_tokens;
 	}
-	best.candidates = counts.candidates;
-	best.withheld = counts.withheld;
-	best.waiting = counts.waiting;
-	best.open_ms = counts.open_ms;
+	best.avoided = usual && usual != best.endpoint &&
+				       spd_is_slow(&usual->speed)
+			       ? usual
+			       : NULL;
+	best.candidates = counts.numbers.candidates;
+	best.withheld = counts.numbers.withheld;
+	best.waiting = counts.numbers.waiting;
+	best.open_ms = counts.numbers.open_ms;
 	return best;
 }
--- a/lib/route/pick.h
+++ b/lib/route/pick.h
@@ -4,7 +4,10 @@
  * Each usable endpoint has a cost in ms: the predicted time to the first event,
  * given the requests that run and wait there, plus penalties for prompt tokens
  * that it has to prefill although another endpoint has them cached, and for its
- * recent failures. The endpoint with the lowest cost is chosen. If many peers
+ * recent failures. The time is scaled by the endpoint's time factor (speed.h),
+ * and prompts that delay running streams for too long cost more at endpoints
+ * that are slow or have shown such pauses. The endpoint with the lowest cost is
+ * chosen. If many peers
  * send requests, only endpoints that may have the prompt's shared part cached
  * and a random sample are considered.
  *
@@ -40,6 +43,8 @@
 	unsigned sending_peers; /* other entries that send requests */
 	bool stream;		/* may have to be continued at its version */
 	bool isolate;		/* may crash its endpoint: avoid busy ones */
+	bool speeds;		/* consider what is known of endpoints' speed */
+	double pause_ms;     /* shortest pause bound of the service; 0: none */
 	enum flt_use use;    /* endpoints that may be picked, unless `bound` */
 	bool bound;	     /* continues a stream: `version` only */
 	uint64_t version;    /* that began it, flt_version() */
@@ -50,6 +55,11 @@
 	struct flt_endpoint *endpoint; /* NULL: none is usable */
 	struct svc_state state; /* assumed load and prefill of the endpoint */
 	double cost_ms;
+	/*
+	 * A slow endpoint that would have been chosen if all had the same speed;
+	 * NULL: none.
+	 */
+	struct flt_endpoint *avoided;
 	double wait_ms;	     /* predicted time to the first event or answer */
 	bool cached;	     /* the endpoint may have the shared part cached */
 	bool cache_certain;  /* it was sent there recently, or is empty */
