edge: measure the speed of endpoints and tell other entries

Cause: an entry gets less than one answer per endpoint in ten seconds if many entries share the load; none can tell a slow endpoint alone.

Change: samples are taken from first events and completed streams, and rows with an entry's own measurements are sent in its datagrams. The model learns from times divided by the endpoint's factor. `policy.speeds` (default true) switches it off.

--- a/lib/edge/conf.c
+++ b/lib/edge/conf.c
@@ -116,6 +116,7 @@
 	FLAG(ease),
 	FLAG(carry_plan),
 	FLAG(offered_load),
+	FLAG(speeds),
 	INTEGER("max_mesh", policy.max_mesh, 1, 1e6, "", true),
 	JSN_END,
 };
@@ -178,6 +179,7 @@
 	c->policy.ease = true;
 	c->policy.carry_plan = true;
 	c->policy.offered_load = true;
+	c->policy.speeds = true;
 	c->policy.max_mesh = OVL_MAX_MESH;
 }
 
--- a/lib/edge/conf.h
+++ b/lib/edge/conf.h
@@ -99,6 +99,7 @@
 		bool ease;	    /* drain on-demand endpoints one by one */
 		bool carry_plan;    /* start from the former holder's plan */
 		bool offered_load;  /* plan by what clients offer */
+		bool speeds;	    /* measure endpoints, slow start */
 		/* Entries up to which each exchanges gossip with each. */
 		int64_t max_mesh;
 	} policy;
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -105,6 +105,11 @@
 			    "refusals of brittle endpoints for want of room");
 	x->endpoints_brittle =
 		met_gauge(m, "endpoints_brittle", "endpoints that state so");
+	x->endpoints_slow = met_gauge(m, "endpoints_slow",
+				      "that take over 1.2 times as predicted");
+	x->sends_off_slow = met_counter(
+		m, "sends_off_slow_total",
+		"sends that went elsewhere since an endpoint is slow");
 	x->endpoints_limited = met_gauge(m, "endpoints_limited",
 					 "endpoints that state a limit");
 }
--- a/lib/edge/edge_gossip.c
+++ b/lib/edge/edge_gossip.c
@@ -187,6 +187,7 @@
 	fill_loads(en, r);
 	fill_services(en, r, now);
 	edge_fatal_fill_gossip(en, r, now);
+	edge_speed_fill_gossip(en, r, now);
 	edge_rollout_fill_gossip(en, r, now);
 	add_counts(en, now);
 	edge_mark_count_keepers(en, now);
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -87,6 +87,7 @@
 	met_value *sends_unreached, *endpoints_unreached, *endpoint_age_ms;
 	met_value *cut_off, *reach_checks, *sends_relayed, *relay_failures;
 	met_value *brittle_refusals, *endpoints_brittle;
+	met_value *endpoints_slow, *sends_off_slow;
 	met_value *tunnels, *tunnels_opened, *tunnels_refused;
 	/* Of whole requests, and of parts of their prompts. */
 	struct edge_suspect_metrics {
@@ -264,6 +265,7 @@
 	struct gsp_record gossip_out, gossip_in; /* scratch space */
 	struct rows rows;	  /* that gossip_out may be too small for */
 	unsigned statements_from; /* those before were sent last */
+	unsigned speeds_from;	  /* rows that take turns start here */
 	uint64_t
 		*live_sources; /* sorted edge_source() of live peers; scratch */
 	size_t nr_live_sources, max_live_sources;
@@ -517,6 +519,30 @@
 /* Drops the request of this connection; false: it is none for a tunnel. */
 bool edge_tunnel_disconnected(struct edge *en, const struct hsc *c);
 
+/* ---- edge_speed.c: time factors of endpoints (speed.h) ---- */
+
+/* The time factor of the request's endpoint; 1 without policy.speeds. */
+double edge_speed_factor(const struct edge_req *r);
+
+/*
+ * Samples for the factor of the request's endpoint: its first event came
+ * `took_ms` after the send; its stream ended, with a mean of `between_ms`
+ * between events (-1: unknown).
+ */
+void edge_speed_first_event(struct edge_req *r, double took_ms);
+void edge_speed_completed(struct edge_req *r, double between_ms);
+
+/* Updates all factors; called in each gossip round. */
+void edge_speed_tick(struct edge *en, int64_t now);
+
+/* Counts the endpoints that are slower than SPD_NORMAL. */
+unsigned edge_speed_count_slow(const struct edge *en);
+
+void edge_speed_fill_gossip(struct edge *en, struct gsp_record *r, int64_t now);
+void edge_speed_apply_gossip(struct edge *en, uint64_t source,
+			     const struct gsp_record *r, int64_t sent_ms,
+			     int64_t now);
+
 /* ---- edge_statement.c: what endpoints state in their answers ---- */
 
 /* Takes over what the head of an answer (r->reply) states. */
--- a/lib/edge/edge_learn.c
+++ b/lib/edge/edge_learn.c
@@ -71,31 +71,44 @@
 	if (r->rq.at_copy || r->rq.started)
 		return;
 	observe_error(r, took);
+	edge_speed_first_event(r, took);
 	if (!may_learn(r))
 		return;
-	svc_on_ttft(r->model, &r->endpoint_state, took, r->prefill_known);
+	svc_on_ttft(r->model, &r->endpoint_state, took / edge_speed_factor(r),
+		    r->prefill_known);
 	if (r->prefill_known)
 		ofd_prefilled(&r->model->offered,
 			      r->endpoint_state.tokens_to_prefill, took);
 	log_model_change(r->en, r->model);
 }
 
+/* Mean time between two events of a stream; -1: it had less than two. */
+static double mean_between_ms(const struct edge_req *r, int64_t now)
+{
+	if (!r->streaming || r->events.events < 2)
+		return -1;
+	return (double)(now - r->first_event_ms) /
+	       (double)(r->events.events - 1);
+}
+
 void edge_learn_completed(struct edge_req *r)
 {
 	const int64_t now = edge_now(r->en);
 	const double took = (double)(now - r->sent_ms);
+	const double between = mean_between_ms(r, now);
 
 	if (!r->streaming)
 		observe_error(r, took);
-	if (!may_learn(r))
-		return;
 	/* The first part of a resumed stream ran at another endpoint. */
 	if (r->streaming && r->sends > 1)
 		return;
-	if (r->streaming && r->events.events > 1)
+	if (r->streaming)
+		edge_speed_completed(r, between);
+	if (!may_learn(r))
+		return;
+	if (between >= 0)
 		svc_on_itl(r->model, &r->endpoint_state,
-			   (double)(now - r->first_event_ms) /
-				   (double)(r->events.events - 1));
+			   between / edge_speed_factor(r));
 	svc_on_run_end(r->model, &r->endpoint_state, took);
 	log_model_change(r->en, r->model);
 }
--- a/lib/edge/edge_move.c
+++ b/lib/edge/edge_move.c
@@ -154,6 +154,7 @@
 		.zone = en->conf->zone,
 		.engine = true,
 		.bound = true,
+		.speeds = en->conf->policy.speeds,
 		.version = r->version,
 		.now_ms = edge_now(en),
 		.nr_excluded = 1,
--- a/lib/edge/edge_peer.c
+++ b/lib/edge/edge_peer.c
@@ -113,6 +113,9 @@
 	edge_fatal_apply_gossip(en, r, now);
 	if (at)
 		edge_statement_apply_gossip(en, r, at, now);
+	if (at)
+		edge_speed_apply_gossip(en, edge_source(p->info.name, p->boot),
+					r, at, now);
 	edge_rollout_apply_gossip(en, edge_source(p->info.name, p->boot), r,
 				  now);
 	at = prs_config_confirmed_ms(r, en->boot);
@@ -292,6 +295,7 @@
 	edge_peer_sum_demands(en, now);
 	edge_peer_sum_loads(en, now);
 	edge_statement_tick(en, now);
+	edge_speed_tick(en, now);
 	edge_bind_tick(en, now);
 	compare_clocks(en, now);
 	edge_serve_followers(en, now);
--- a/lib/edge/edge_peer_http.c
+++ b/lib/edge/edge_peer_http.c
@@ -240,6 +240,7 @@
 	met_set(en->m.lines_dropped, (long long)jlog_dropped(en->log));
 	met_set(en->m.endpoints, (long long)en->fleet.count);
 	met_set(en->m.endpoints_brittle, edge_statement_count_brittle(en));
+	met_set(en->m.endpoints_slow, edge_speed_count_slow(en));
 	met_set(en->m.bindings, HASH_COUNT(en->bindings.rows));
 	met_set(en->m.endpoints_limited, edge_statement_count_limited(en));
 	met_set(en->m.cut_off, en->reach.cut_off);
--- a/lib/edge/edge_send.c
+++ b/lib/edge/edge_send.c
@@ -58,6 +58,8 @@
 		.ignore_failures = !en->conf->policy.avoid_failing,
 		.stream = r->route->kind == CFG_STREAM,
 		.isolate = r->isolated,
+		.speeds = en->conf->policy.speeds,
+		.pause_ms = r->service->gap_ms,
 		.sending_peers = en->sending_peers,
 		.sample_seed = en->conf->policy.sample
 				       ? hsh_str(r->attempt.id, r->sends) | 1
@@ -109,6 +111,8 @@
 	jlog_int(en->log, "candidates", p->candidates);
 	jlog_int(en->log, "withheld", p->withheld);
 	jlog_int(en->log, "wait_ms", (int64_t)p->wait_ms);
+	jlog_num(en->log, "factor", edge_speed_factor(r));
+	jlog_str(en->log, "avoided", p->avoided ? p->avoided->info.id : "");
 	jlog_bool(en->log, "cached", p->cached);
 	jlog_int(en->log, "running", p->endpoint->running);
 	jlog_int(en->log, "peer_running", (int64_t)p->endpoint->peer_running);
@@ -176,6 +180,8 @@
 	met_inc(en->m.sends);
 	if (way.relay)
 		met_inc(en->m.sends_relayed);
+	if (p->avoided)
+		met_inc(en->m.sends_off_slow);
 	if (p->endpoint->use == FLT_ON_TRIAL)
 		met_inc(en->m.sends_on_trial);
 	edge_statement_count_send(en, p->endpoint);
