rows: cut endpoint speeds that do not fit into a datagram

Cause: with a roll-out, statements, brittle and slow endpoints at once, the rows of the first datagram exceed its size, and nothing at all was sent.

Change: if it does not fit without demands and counts either, the speeds are halved until it does. They are sent again in the next rounds.

--- a/lib/member/rows.c
+++ b/lib/member/rows.c
@@ -119,8 +119,12 @@
 		       record->nr_counts;
 		record->last_part = !left;
 		n = gsp_encode(record, out, size);
-		if (n || !(record->nr_demands + record->nr_counts))
+		if (n || !(record->nr_demands + record->nr_counts +
+			   record->nr_speeds))
 			break;
+		/* Speeds are sent again soon, and no other part has them. */
+		if (!(record->nr_demands + record->nr_counts))
+			record->nr_speeds /= 2;
 		record->nr_demands /= 2;
 		record->nr_counts /= 2;
 	}
--- a/tests/test_prs.c
+++ b/tests/test_prs.c
@@ -657,7 +657,39 @@
 	rows_free(&rows);
 }
 
+/*
+ * Guards against entries that stop sending when a roll-out, brittle endpoints
+ * and slow ones fill all rows at once.
+ */
+static void speeds_are_cut_if_a_datagram_is_full(void)
+{
+	static struct gsp_record r;
+	static struct rows none;
+	const struct rows_filter filter = { .demands = false };
+	struct rows_cursor at = { 0 };
+	char bytes[GSP_MAX_BYTES];
+	size_t n;
+
+	memset(&r, 0, sizeof(r));
+	strcpy(r.name, "e1");
+	r.has_role = r.relays = r.has_capacity = true;
+	r.nr_loads = GSP_MAX_LOADS;
+	r.nr_services = GSP_MAX_SERVICES;
+	r.nr_tallies = GSP_MAX_TALLIES;
+	r.nr_statements = GSP_MAX_STATEMENTS;
+	r.nr_brittle = GSP_MAX_BRITTLE;
+	r.nr_speeds = GSP_MAX_SPEEDS;
+	n = rows_encode(&none, &filter, &at, &r, bytes, sizeof(bytes));
+	CU_ASSERT(n > 0);
+	CU_ASSERT_TRUE(gsp_decode(&r, bytes, n));
+	CU_ASSERT_EQUAL(r.nr_tallies, GSP_MAX_TALLIES);
+	CU_ASSERT_EQUAL(r.nr_brittle, GSP_MAX_BRITTLE);
+	CU_ASSERT(r.nr_speeds > 0 && r.nr_speeds < GSP_MAX_SPEEDS);
+}
+
 static const struct unit_test tests[] = {
+	{ "speeds are cut if a datagram is full",
+	  speeds_are_cut_if_a_datagram_is_full },
 	{ "all rows arrive in parts", all_rows_arrive_in_parts },
 	{ "unchanged counts are left out", unchanged_counts_are_left_out },
 	{ "a peer that was cut off is not up to date",
