pick: slow start of endpoints

Cause: an endpoint that has just started appears idle to all entries until their load reports arrive, and got twenty requests in its first second.

Change: lib/route/ramp bounds what each of ten or more sending entries has in flight at an endpoint in its first five seconds. The bound begins with one or two; if there are more entries than half its slots, with one at some of them. It doubles with the answers. pick_endpoint() prefers another endpoint with a free slot to one with its bound. It is chosen nevertheless if no other can take the request, and among new endpoints alone the choice is as before. `policy.speeds` switches it off. The `send` log line names the endpoint that was passed over (`held`).

--- a/lib/edge/edge_send.c
+++ b/lib/edge/edge_send.c
@@ -59,6 +59,9 @@
 		.stream = r->route->kind == CFG_STREAM,
 		.isolate = r->isolated,
 		.speeds = en->conf->policy.speeds,
+		.slow_start = en->conf->policy.speeds,
+		.entry = en->source,
+		.true_ms = walltime_now(&en->walltime, edge_now(en)),
 		.pause_ms = r->service->gap_ms,
 		.sending_peers = en->sending_peers,
 		.sample_seed = en->conf->policy.sample
@@ -112,6 +115,7 @@
 	jlog_int(en->log, "withheld", p->withheld);
 	jlog_int(en->log, "wait_ms", (int64_t)p->wait_ms);
 	jlog_num(en->log, "factor", edge_speed_factor(r));
+	jlog_str(en->log, "held", p->held ? p->held->info.id : "");
 	jlog_str(en->log, "avoided", p->avoided ? p->avoided->info.id : "");
 	jlog_bool(en->log, "cached", p->cached);
 	jlog_int(en->log, "running", p->endpoint->running);
--- a/lib/fleet/flt.c
+++ b/lib/fleet/flt.c
@@ -396,6 +396,7 @@
 	e->failed *= weight;
 	e->tried = e->tried * weight + 1;
 	e->decayed_ms = now;
+	e->answers += o == FLT_GOOD;
 	if (o == FLT_FAILED || o == FLT_UNREACHABLE)
 		e->failed += 1;
 	if (o == FLT_UNREACHABLE)
--- a/lib/fleet/flt.h
+++ b/lib/fleet/flt.h
@@ -85,6 +85,7 @@
 	/* From this entry's own requests. */
 	int running;		    /* in flight */
 	double prefill_tokens;	    /* of prompts without a first event yet */
+	unsigned answers;	    /* good ones */
 	double failed, tried;	    /* outcomes, decayed exponentially */
 	int64_t decayed_ms;	    /* time as of which they are decayed */
 	int64_t backoff_until_ms;   /* no new requests before */
--- a/lib/route/pick.c
+++ b/lib/route/pick.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "base/hsh.h"
+#include "route/ramp.h"
 
 /*
  * Prefill of a long prompt delays the requests in the same batch, since the
@@ -324,19 +325,94 @@
 	return candidates > 0 ? MEAN_SAMPLE_SIZE / candidates : 1;
 }
 
+/* A number in [0, 1) that differs for each seed and endpoint. */
+static double draw(uint64_t seed, const struct flt_endpoint *e)
+{
+	return (double)(hsh_rendezvous(seed, e->hash) >> 11) /
+	       (double)(1ull << 53);
+}
+
 static bool in_sample(const struct pick_query *q, const struct flt_endpoint *e,
 		      double probability)
 {
-	const uint64_t h = hsh_rendezvous(q->sample_seed, e->hash);
+	return draw(q->sample_seed, e) < probability;
+}
+
+/* ---- Slow start ---- */
 
-	return (double)(h >> 11) / (double)(1ull << 53) < probability;
+enum readiness {
+	SETTLED,
+	NEW,  /* with less than its bound of requests of this entry */
+	HELD, /* new, with its bound */
+};
+
+static enum readiness readiness_of(const struct pick_query *q,
+				   const struct flt_endpoint *e)
+{
+	const struct rmp_start start = { e->first_seen_ms, e->info.started_ms };
+	struct rmp_input in = {
+		.answers = e->answers,
+		.senders = q->sending_peers + 1,
+		.slots = e->info.slots,
+	};
+	unsigned bound;
+
+	if (!q->slow_start || in.senders < RMP_MIN_SENDERS)
+		return SETTLED;
+	in.age_ms = rmp_age(&start, q->now_ms, q->true_ms);
+	if (in.age_ms >= RMP_NEW_MS)
+		return SETTLED;
+	in.draw = draw(q->entry, e);
+	bound = rmp_bound(&in);
+	if (bound == RMP_UNBOUNDED)
+		return SETTLED;
+	return e->running < (int)bound ? NEW : HELD;
+}
+
+/* The cheapest endpoints that were considered. */
+struct cheapest {
+	struct pick_result any;
+	struct pick_result open; /* of those that are not held */
+	bool settled;		 /* there was one that is not new */
+};
+
+static void consider(struct cheapest *c, const struct pick_result *r,
+		     enum readiness readiness)
+{
+	c->settled |= readiness == SETTLED;
+	if (!c->any.endpoint || r->cost_ms < c->any.cost_ms)
+		c->any = *r;
+	if (readiness != HELD &&
+	    (!c->open.endpoint || r->cost_ms < c->open.cost_ms))
+		c->open = *r;
+}
+
+/*
+ * Returns the cheapest endpoint, or instead of a held one the cheapest other, if
+ * that can take the request: it has a free slot, and neither failures nor the
+ * risk of a crash outweigh the wait. If all endpoints are new, none is held.
+ */
+static struct pick_result choose(const struct cheapest *c)
+{
+	const struct svc_state *at = &c->open.state;
+	struct pick_result r = c->any;
+
+	if (!c->settled || !c->open.endpoint ||
+	    c->open.endpoint == c->any.endpoint ||
+	    c->open.cost_ms >= c->any.cost_ms + FAILURE_COST_MS ||
+	    (at->slots > 0 && at->running >= at->slots))
+		return r;
+	r = c->open;
+	r.held = c->any.endpoint;
+	return r;
 }
 
 struct pick_result pick_endpoint(struct flt *f, const struct pick_query *q)
 {
 	const struct flt_endpoint *preferred = first_choice(f, q);
-	struct pick_result best = { .endpoint = NULL }, r;
+	struct pick_result best, r = { .endpoint = NULL };
 	struct counts counts = { .uneven = false };
+	struct cheapest cheapest = { .settled = false };
 	struct flt_endpoint *e, *usual = NULL;
 	struct versions versions;
 	double p_cached, probability, usual_cost, rare, least = 0;
@@ -355,7 +431,7 @@
 		p_cached = cached_probability(q, e, e == preferred);
 		/* Falls back to the last candidate if the sample is empty. */
 		if (!p_cached && !in_sample(q, e, probability) &&
-		    (best.endpoint || remaining))
+		    (cheapest.any.endpoint || remaining))
 			continue;
 		predict(q, e, p_cached, uneven, &r, &usual_cost);
 		rare = rare_version_cost(&versions, e);
@@ -364,17 +440,14 @@
 			usual = e;
 			least = usual_cost + rare;
 		}
-		if (best.endpoint && r.cost_ms >= best.cost_ms)
-			continue;
-		best = r;
-		best.endpoint = e;
-		best.cached = p_cached > 0;
-		best.cache_certain = p_cached >= 1 || !q->shared_tokens;
+		r.endpoint = e;
+		r.cached = p_cached > 0;
+		r.cache_certain = p_cached >= 1 || !q->shared_tokens;
+		consider(&cheapest, &r, readiness_of(q, e));
 	}
-	best.avoided = usual && usual != best.endpoint &&
-				       spd_is_slow(&usual->speed)
-			       ? usual
-			       : NULL;
+	best = choose(&cheapest);
+	if (usual && usual != best.endpoint && spd_is_slow(&usual->speed))
+		best.avoided = usual;
 	best.candidates = counts.numbers.candidates;
 	best.withheld = counts.numbers.withheld;
 	best.waiting = counts.numbers.waiting;
--- a/lib/route/pick.h
+++ b/lib/route/pick.h
@@ -11,6 +11,9 @@
  * send requests, only endpoints that may have the prompt's shared part cached
  * and a random sample are considered.
  *
+ * An endpoint that has just started and has its bound of requests (ramp.h) is
+ * chosen only if no other one can take the request.
+ *
  * The first choice for a shared part is determined by rendezvous hashing. All
  * entries agree on it without communication, and under load they go on to other
  * endpoints in the same order.
@@ -43,6 +46,9 @@
 	unsigned sending_peers; /* other entries that send requests */
 	bool stream;		/* may have to be continued at its version */
 	bool isolate;		/* may crash its endpoint: avoid busy ones */
+	bool slow_start;	/* prefer others to new endpoints (ramp.h) */
+	uint64_t entry;		/* this one, for slow start */
+	int64_t true_ms;	/* Unix time, for slow start; 0: unknown */
 	bool speeds;		/* consider what is known of endpoints' speed */
 	double pause_ms;     /* shortest pause bound of the service; 0: none */
 	enum flt_use use;    /* endpoints that may be picked, unless `bound` */
@@ -60,6 +66,8 @@
 	 * NULL: none.
 	 */
 	struct flt_endpoint *avoided;
+	/* A new one with a lower cost that has its bound of requests. */
+	struct flt_endpoint *held;
 	double wait_ms;	     /* predicted time to the first event or answer */
 	bool cached;	     /* the endpoint may have the shared part cached */
 	bool cache_certain;  /* it was sent there recently, or is empty */
