speed: report normal measurements beside unusual ones of others

Cause: only unusual times were reported, and with many entries that have few samples each, these alone seemed to be the endpoint's speed.

Change: an entry also reports a normal measurement if two others reported unusual ones.

--- a/lib/model/speed.c
+++ b/lib/model/speed.c
@@ -24,6 +24,9 @@
 /* A row is sent for this long after the last sample. */
 #define REPORTED_MS 5000
 
+/* So many unusual reports are answered with a normal measurement. */
+#define MIN_UNUSUAL_REPORTS 2
+
 /* Most samples of a report that count within an interval. */
 #define MAX_REPORT_SAMPLES 4.0
 
@@ -288,6 +291,20 @@
 
 /* ---- Reports ---- */
 
+/* True if several entries reported an unusual speed. */
+static bool is_doubted(const struct spd *s, int64_t now)
+{
+	unsigned n = 0, k;
+
+	for (k = 0; k < SPD_MAX_REPORTS; k++) {
+		const struct spd_report *r = &s->reports[k];
+
+		n += r->source && now - r->measured_ms < REPORTED_MS &&
+		     !is_normal(exp(r->log_factor));
+	}
+	return n >= MIN_UNUSUAL_REPORTS;
+}
+
 bool spd_export(const struct spd *s, struct spd_row *out, int64_t now)
 {
 	struct summary all[SPD_INTERVALS] = { 0 };
@@ -309,7 +326,8 @@
 	out->pause_rate = streams > 0 ? paused / streams : 0;
 	out->age_ms = now - s->own_ms;
 	return !is_normal(out->factor) || out->pause_rate > MIN_PAUSE_RATE ||
-	       !is_normal(spd_factor(s)) || s->pause_rate > 0;
+	       !is_normal(spd_factor(s)) || s->pause_rate > 0 ||
+	       is_doubted(s, now);
 }
 
 double spd_difference(const struct spd_row *row)
--- a/lib/model/speed.h
+++ b/lib/model/speed.h
@@ -90,8 +90,9 @@
 
 /*
  * Fills in this entry's own measurements. Returns false if there is nothing to
- * report: no recent sample, or both these and the merged figures are normal. A
- * normal measurement is reported if those of others are not.
+ * report: no recent sample, or these are normal, and so are the merged figures
+ * and all reports of others but one. Normal measurements have to be told
+ * otherwise, since unusual ones alone would seem to be the endpoint's speed.
  */
 bool spd_export(const struct spd *s, struct spd_row *out, int64_t now_ms);
 
--- a/tests/test_pick.c
+++ b/tests/test_pick.c
@@ -391,6 +391,24 @@
 	flt_free(&w.fleet);
 }
 
+/* Guards against factors that follow from the load of engines of one speed. */
+static void engines_of_one_speed_have_no_factor(void)
+{
+	unsigned other = 0, rounds, i;
+
+	set_up(&w, true, 9, 100);
+	for (i = 0; i < NR_ENGINES; i++)
+		w.engines[i].speed = 1.2;
+	run(&w, 10000);
+	for (rounds = 0; rounds < 200; rounds++) {
+		run(&w, 300);
+		for (i = 0; i < NR_ENGINES; i++)
+			other += spd_factor(&w.engines[i].e->speed) != 1;
+	}
+	CU_ASSERT(other <= rounds * NR_ENGINES / 100);
+	flt_free(&w.fleet);
+}
+
 /* ---- Single choices ---- */
 
 /* A fleet with random load, and a trained model. */
@@ -526,6 +544,8 @@
 	{ "recovered engine is used within seconds",
 	  recovered_engine_is_used_within_seconds },
 	{ "noise changes no choice", noise_changes_no_choice },
+	{ "engines of one speed have no factor",
+	  engines_of_one_speed_have_no_factor },
 	{ "choice among equal speeds is as before",
 	  choice_among_equal_speeds_is_as_before },
 	{ "slow endpoint is better than none",
--- a/tests/test_speed.c
+++ b/tests/test_speed.c
@@ -1,7 +1,9 @@
 /* Tests the time factors of endpoints (speed.h). */
 #include <math.h>
+#include <stdio.h>
 #include <string.h>
 
+#include "base/rnd.h"
 #include "model/speed.h"
 #include "support/unit.h"
 
@@ -247,6 +249,89 @@
 	CU_ASSERT_DOUBLE_EQUAL(factor_at(&s, 30000), 2, 0.01);
 }
 
+/* ---- Many entries ---- */
+
+#define NR_ENTRIES 74
+#define ROUND_MS 300
+#define SAMPLES_PER_S 5
+
+static struct spd all[NR_ENTRIES];
+
+/* Each entry tells each other what it measured. */
+static void exchange(int64_t now)
+{
+	struct spd_row r;
+	unsigned from, to;
+
+	for (from = 0; from < NR_ENTRIES; from++) {
+		if (!spd_export(&all[from], &r, now))
+			continue;
+		for (to = 0; to < NR_ENTRIES; to++) {
+			if (to != from)
+				spd_reported(&all[to], from + 1, &r, now, now);
+		}
+	}
+}
+
+/*
+ * Entries measure an endpoint that takes `ratio` times as long, with times that
+ * vary by half. Returns the part of the entries, over some seconds, that take it
+ * for slow; `*known_ms`: the time until nine in ten did.
+ */
+static double part_that_sees_slow(double ratio, uint64_t seed,
+				  int64_t *known_ms)
+{
+	double slow = 0, now_slow;
+	struct rnd rnd;
+	int64_t now;
+	unsigned i;
+
+	memset(all, 0, sizeof(all));
+	rnd_seed(&rnd, seed);
+	*known_ms = -1;
+	for (now = 20000; now < 80000; now++) {
+		if (rnd_unit(&rnd) < SAMPLES_PER_S / 1000.0)
+			spd_took(&all[rnd_below(&rnd, NR_ENTRIES)],
+				 ratio * 100 * (0.5 + rnd_unit(&rnd)), 100,
+				 now);
+		if (now % ROUND_MS)
+			continue;
+		exchange(now);
+		now_slow = 0;
+		for (i = 0; i < NR_ENTRIES; i++)
+			now_slow += factor_at(&all[i], now) > SPD_NORMAL;
+		now_slow /= NR_ENTRIES;
+		slow += now_slow / (60000.0 / ROUND_MS);
+		if (*known_ms < 0 && now_slow > 0.9)
+			*known_ms = now - 20000;
+	}
+	return slow;
+}
+
+/*
+ * Guards against a speed that no entry knows, as each has a sample in ten
+ * seconds, and against reports of exceptional times only.
+ */
+static void many_entries_agree(void)
+{
+	const unsigned sequences = 6;
+	double slow, equal, sum = 0;
+	int64_t known, never;
+	unsigned i;
+
+	for (i = 0; i < sequences; i++) {
+		slow = part_that_sees_slow(2.2, unit_seed(i), &known);
+		equal = part_that_sees_slow(1, unit_seed(i), &never);
+		printf("  slow: known after %lld ms, by %.3f of entries; "
+		       "usual: by %.3f\n",
+		       (long long)known, slow, equal);
+		CU_ASSERT(known >= 0 && known < 5000);
+		CU_ASSERT(slow > 0.8);
+		sum += equal;
+	}
+	CU_ASSERT(sum / sequences < 0.01);
+}
+
 /* ---- The service ---- */
 
 /* All endpoints became slower: the model has to learn it, not the factors. */
@@ -292,6 +377,7 @@
 	{ "invalid or extreme reports change nothing",
 	  invalid_or_extreme_reports_change_nothing },
 	{ "newest reports are kept", newest_reports_are_kept },
+	{ "many entries agree", many_entries_agree },
 	{ "factor is relative to the usual", factor_is_relative_to_the_usual },
 	{ "logs considerable changes", logs_considerable_changes },
 };
