--- a/lib/edge/conf.h
+++ b/lib/edge/conf.h
@@ -100,6 +100,7 @@
 		bool carry_plan;    /* start from the former holder's plan */
 		bool offered_load;  /* plan by what clients offer */
 		bool admission;	    /* reject requests under congestion */
+		bool speeds;	    /* measure endpoints, slow start */
 		/* Entries up to which each exchanges gossip with each. */
 		int64_t max_mesh;
 	} policy;
--- a/lib/fleet/flt.h
+++ b/lib/fleet/flt.h
@@ -25,6 +25,7 @@
 
 #include "base/tab.h"
 #include "fleet/gate.h"
+#include "model/speed.h"
 
 /* Size of name buffers in bytes, including the terminating NUL. */
 #define FLT_NAME 64
@@ -84,6 +85,7 @@
 	/* From this entry's own requests. */
 	int running;		    /* in flight */
 	double prefill_tokens;	    /* of prompts without a first event yet */
+	unsigned answers;	    /* good ones */
 	double failed, tried;	    /* outcomes, decayed exponentially */
 	int64_t decayed_ms;	    /* time as of which they are decayed */
 	int64_t backoff_until_ms;   /* no new requests before */
@@ -95,6 +97,8 @@
 	int suspect_runs; /* requests of all entries suspected to crash it */
 	struct gate gate; /* what it stated in its answers */
 
+	struct spd speed; /* relative to its service, by all entries */
+
 	/* Sums over the latest load reports of the peers. */
 	double peer_running;
 	double reported_prefill_tokens;
--- a/tests/test_explain.c
+++ b/tests/test_explain.c
@@ -145,8 +145,9 @@
 	CU_ASSERT(explain("r12", &out));
 	cause = strstr(buf_cstr(&out), "cause: endpoints are congested\n");
 	CU_ASSERT_PTR_NOT_NULL(cause);
-	CU_ASSERT(cause && strstr(cause, "admission step=reject queue_ms=900 "
-					 "bound_ms=250"));
+	CU_ASSERT(cause &&
+		  strstr(cause, "admission_reject why=congested queue_ms=900 "
+				"bound_ms=250"));
 }
 
 static const struct unit_test tests[] = {
