conf: endpoint speeds and slow start are off by default

Speeds move requests off the endpoints that have their prompts cached (shared parts read again doubled), and slow start sends to the endpoints that are left after a reclaim what the new ones could take. Slow start has a setting of its own, policy.slow_start. The test of the defaults states the new ones.

--- a/lib/edge/conf.c
+++ b/lib/edge/conf.c
@@ -118,6 +118,7 @@
 	FLAG(offered_load),
 	FLAG(admission),
 	FLAG(speeds),
+	FLAG(slow_start),
 	INTEGER("max_mesh", policy.max_mesh, 1, 1e6, "", true),
 	JSN_END,
 };
@@ -181,7 +182,7 @@
 	c->policy.carry_plan = true;
 	c->policy.offered_load = true;
 	c->policy.admission = true;
-	c->policy.speeds = true;
+	c->policy.speeds = false;
 	c->policy.max_mesh = OVL_MAX_MESH;
 }
 
--- a/lib/edge/conf.h
+++ b/lib/edge/conf.h
@@ -100,7 +100,8 @@
 		bool carry_plan;    /* start from the former holder's plan */
 		bool offered_load;  /* plan by what clients offer */
 		bool admission;	    /* reject requests under congestion */
-		bool speeds;	    /* measure endpoints, slow start */
+		bool speeds;	    /* measure the speeds of endpoints */
+		bool slow_start;    /* few requests to new endpoints */
 		/* Entries up to which each exchanges gossip with each. */
 		int64_t max_mesh;
 	} policy;
--- a/lib/edge/edge_send.c
+++ b/lib/edge/edge_send.c
@@ -59,7 +59,7 @@
 		.stream = r->route->kind == CFG_STREAM,
 		.isolate = r->isolated,
 		.speeds = en->conf->policy.speeds,
-		.slow_start = en->conf->policy.speeds,
+		.slow_start = en->conf->policy.slow_start,
 		.entry = en->source,
 		.true_ms = walltime_now(&en->walltime, edge_now(en)),
 		.pause_ms = r->service->gap_ms,
--- a/tests/test_conf.c
+++ b/tests/test_conf.c
@@ -111,7 +111,8 @@
 	read_example(&text);
 	CU_ASSERT_EQUAL(load(text.data, &c, &e), 0);
 	CU_ASSERT(c.policy.moves && c.policy.affinity && c.policy.learn);
-	CU_ASSERT(c.policy.speeds);
+	CU_ASSERT(c.policy.admission && c.policy.offered_load);
+	CU_ASSERT(!c.policy.speeds && !c.policy.slow_start);
 	changed_example(from,
 			"\"policy\": {\"moves\": false}, "
 			"\"first_internal_port\":",
