--- a/review/lib.sh
+++ b/review/lib.sh
@@ -66,8 +66,10 @@
 	sed -n 's/^ready //p' "$DIR/$1.out" | tail -1
 }
 
+# start_store [ERA]: the platform's store; it is the cloud API as well, unless
+# CLOUD is set.
 start_store() {
-	start store "$STANDIN" store
+	start store "$STANDIN" store $1
 	STORE=$(address_of store) || exit 2
 }
 
@@ -107,7 +109,7 @@
 		"first_internal_port": 0,
 		"store": { "address": "$STORE", "writes_per_s": 400,
 			"reads_per_s": 2000, "min_lease_ms": 1000 },
-		"cloud": { "address": "$STORE", "duties": ["usage"],
+		"cloud": { "address": "${CLOUD:-$STORE}", "duties": ["usage"],
 			"duty_calls_per_s": 50.0 },
 		"limits": { "memory_mb": 260, "link_mbps": 1000.0,
 			"descriptors": 4100 },
