duty: a holder's right ends with the lease that its key is bound to

What the platform saw: after a drill of the store, a former holder of the duties that was cut off from the store sent the usage report of a window after the new holder did, with the lower fencing token. Callers saw nothing of it.

Cause: after a restore an entry drops its lease and is granted another one. The copy still has the duty key with the entry's name, bound to the lease from before, which nobody renews. lead_on_key() went by the name alone and made the entry the holder again; lead_may_act() then went by the new lease. The key ended with the old lease and another entry took the duties, while the former holder acted on until its watch showed the change. Besides, a refused conditional write of a report was read as "the report exists", so that it read its successor's report and sent that under its own token.

The former holder's token was that of the copy's revision in the new era, without a write of the key; its report went "conflict", "sent", two seconds after the key had ended.

Fix: the key's value states the lease that it is bound to. It makes an entry the holder only under the lease that the entry has now; a key under a former lease is taken over by a conditional write, with a new token, like that of an earlier process. After a conflict the duty key is read before the stored report. So an entry acts only under a key that ends no sooner than the lease by which it reckons. Reads of the key that overtake each other are told apart by revision.

The log's "duty" line states the key's version and lease and the entry's lease. The stand-in's answer 412 has the items of the conditions, as the protocol says.

--- a/lib/duty/lead.c
+++ b/lib/duty/lead.c
@@ -20,33 +20,54 @@
 	l->not_before_ms = now + l->holdoff_ms;
 }
 
-void lead_on_key(struct lead *l, enum lead_owner owner, int64_t revision,
-		 int64_t now)
+void lead_on_lease_granted(struct lead *l, int64_t lease)
 {
-	if (l->is_holder && revision < l->fence)
+	l->lease = lease;
+}
+
+/* True if the key ends with the lease that this entry renews. */
+static bool is_bound_to_lease(const struct lead *l, const struct lead_key *key)
+{
+	return key->owner == LEAD_OWNER_SELF && l->lease &&
+	       key->lease == l->lease;
+}
+
+/* Reads come from watches and single calls, which may overtake each other. */
+static bool is_outdated(struct lead *l, int64_t revision)
+{
+	if (revision < l->seen_revision)
+		return true;
+	l->seen_revision = revision;
+	return false;
+}
+
+void lead_on_key(struct lead *l, const struct lead_key *key, int64_t now)
+{
+	if (is_outdated(l, key->revision))
 		return;
 	l->key_exists = true;
-	l->previous_boot_revision = owner == LEAD_OWNER_PREVIOUS_BOOT ? revision
-								      : 0;
-	if (owner != LEAD_OWNER_SELF) {
+	l->stale_revision = 0;
+	if (!is_bound_to_lease(l, key)) {
+		if (key->owner != LEAD_OWNER_OTHER)
+			l->stale_revision = key->revision;
 		step_down(l, now);
 		return;
 	}
-	if (l->is_holder && l->fence == revision)
+	if (l->is_holder && l->fence == key->revision)
 		return;
 	l->is_holder = true;
-	l->fence = revision;
+	l->fence = key->revision;
 	l->held_since_ms = now;
 }
 
 void lead_on_key_deleted(struct lead *l, int64_t revision, int64_t now)
 {
-	if (l->is_holder && revision < l->fence)
+	if (is_outdated(l, revision))
 		return;
 	if (l->key_exists)
 		l->vacant_since_ms = now;
 	l->key_exists = false;
-	l->previous_boot_revision = 0;
+	l->stale_revision = 0;
 	step_down(l, now);
 }
 
@@ -58,7 +79,7 @@
 
 static bool may_acquire(const struct lead *l, int rank, int64_t now)
 {
-	if (l->previous_boot_revision)
+	if (l->stale_revision)
 		return now >= l->takeover_not_before_ms;
 	return !l->key_exists && now >= l->not_before_ms &&
 	       now >= l->vacant_since_ms + rank_delay_ms(rank);
@@ -67,40 +88,46 @@
 bool lead_begin_acquire(struct lead *l, int rank, int64_t lease_until,
 			int64_t now)
 {
-	if (l->acquiring || !may_acquire(l, rank, now))
+	if (l->acquiring || !l->lease || !may_acquire(l, rank, now))
 		return false;
 	if (now >= lease_until - LEAD_MARGIN_MS)
 		return false;
 	l->acquiring = true;
+	l->acquiring_lease = l->lease;
 	return true;
 }
 
 int64_t lead_expected_revision(const struct lead *l)
 {
-	return l->previous_boot_revision;
+	return l->stale_revision;
 }
 
 void lead_end_acquire(struct lead *l, bool acquired, int64_t revision,
 		      int64_t now)
 {
+	const struct lead_key written = { .owner = LEAD_OWNER_SELF,
+					  .lease = l->acquiring_lease,
+					  .revision = revision };
+
 	l->acquiring = false;
 	l->takeover_not_before_ms = now + LEAD_RETRY_MS;
-	if (acquired)
-		lead_on_key(l, LEAD_OWNER_SELF, revision, now);
+	if (acquired && l->acquiring_lease == l->lease)
+		lead_on_key(l, &written, now);
 	else if (l->not_before_ms < now + LEAD_RETRY_MS)
 		l->not_before_ms = now + LEAD_RETRY_MS;
 }
 
 void lead_on_lease_lost(struct lead *l, int64_t now)
 {
+	l->lease = 0;
 	step_down(l, now);
 }
 
 void lead_on_store_restored(struct lead *l, int64_t lease_ms, int64_t now)
 {
-	step_down(l, now);
+	lead_on_lease_lost(l, now);
 	l->key_exists = false;
-	l->previous_boot_revision = 0;
+	l->stale_revision = 0;
 	l->vacant_since_ms = now;
 	l->no_act_before_ms = now + lease_ms;
 	if (l->not_before_ms < l->no_act_before_ms)
--- a/lib/duty/lead.h
+++ b/lib/duty/lead.h
@@ -7,9 +7,12 @@
  * holder's registration. The revision at which the key was written is the
  * fencing token of all calls that the duties make.
  *
- * The holder acts only while its lease provably runs: the lease is counted from
- * before the renewal was sent, on a clock that includes suspension. A new
- * holder waits until calls of its predecessor have arrived or failed.
+ * The holder acts only while the lease that its key is bound to provably runs:
+ * the lease is counted from before the renewal was sent, on a clock that includes
+ * suspension. A new holder waits until calls of its predecessor have arrived or
+ * failed. A key that names this entry under a lease that it no longer has grants
+ * nothing, since that lease is not renewed and the key ends with it: the entry
+ * takes such a key over like that of an earlier process.
  *
  * This guards against an entry that is suspended while it holds the duties: it
  * resumes, acts as if it were still the holder, and its call arrives after one
@@ -62,18 +65,29 @@
 	LEAD_OWNER_PREVIOUS_BOOT, /* an earlier boot of this entry, now ended */
 };
 
+/* The duty key as read from the store. */
+struct lead_key {
+	enum lead_owner owner;
+	int64_t lease; /* that the key is bound to, if owner is SELF */
+	int64_t revision;
+};
+
 struct lead {
-	int64_t holdoff_ms; /* delay after holding, or after a restart */
-	bool key_exists;    /* as last seen */
-	bool is_holder;	    /* the key names this boot, as last seen */
-	int64_t fence;	    /* the key's revision; 0 unless is_holder */
+	int64_t holdoff_ms;    /* delay after holding, or after a restart */
+	int64_t lease;	       /* that this entry has; 0: none */
+	bool key_exists;       /* as last seen */
+	int64_t seen_revision; /* of the latest read or deletion of the key */
+	/* The key names this boot and is bound to `lease`, as last seen. */
+	bool is_holder;
+	int64_t fence; /* the key's revision; 0 unless is_holder */
 	int64_t held_since_ms;
 	int64_t not_before_ms;	 /* no attempt to take a vacant key before */
 	int64_t vacant_since_ms; /* when the key was last seen to be deleted */
-	int64_t previous_boot_revision; /* of a key that a previous boot of this
-					   entry wrote; 0: none */
+	int64_t stale_revision;	 /* of a key that this entry wrote under a lease
+				   that it no longer has; 0: none */
 	int64_t takeover_not_before_ms; /* next attempt to take over that key */
 	bool acquiring;			/* a write of the key is in flight */
+	int64_t acquiring_lease;	/* that this write binds the key to */
 	int64_t no_act_before_ms;	/* set when the store is restored from a
 				     copy */
 };
@@ -85,31 +99,32 @@
  */
 void lead_init(struct lead *l, int64_t holdoff_ms, int64_t now_ms);
 
-/*
- * Processes a read of the key: its revision and whom it names. A revision below
- * that of our own write is outdated and ignored.
- */
-void lead_on_key(struct lead *l, enum lead_owner owner, int64_t revision,
-		 int64_t now_ms);
+/* This entry was granted a lease. `lease`: its id in the store, not 0. */
+void lead_on_lease_granted(struct lead *l, int64_t lease);
 
 /*
- * Processes the deletion of the key at `revision`. A revision below that of our
- * own write is outdated and ignored.
+ * Processes a read of the key. One that is older than what was seen before, or
+ * than our own write, is ignored.
  */
+void lead_on_key(struct lead *l, const struct lead_key *key, int64_t now_ms);
+
+/* Processes the deletion of the key at `revision`, or before; as above. */
 void lead_on_key_deleted(struct lead *l, int64_t revision, int64_t now_ms);
 
 /*
- * Returns true if the caller must now write the key, on condition that the
- * key's revision is still lead_expected_revision(); report the result with
- * lead_end_acquire(). Returns false while an attempt is in flight.
+ * Returns true if the caller must now write the key, bound to the present lease,
+ * on condition that the key's revision is still lead_expected_revision(); report
+ * the result with lead_end_acquire(). Returns false while an attempt is in
+ * flight, and without a lease.
  *
  * `rank`: of this entry among the preferred holders of the duties, from 0; -1:
  * none. `lease_until_ms`: end of this entry's lease as far as it is proven.
  *
- * A key that a previous boot of this entry wrote is taken over without delay:
+ * A key that this entry wrote under a former lease is taken over without delay:
  * no other entry has acted since, or the key would name it. Otherwise the lease
  * would have to expire first; when all entries were killed at once, no
- * endpoints were ordered for five seconds.
+ * endpoints were ordered for five seconds. After a restore of the store another
+ * entry may have acted, but nobody acts until its lease has expired.
  */
 bool lead_begin_acquire(struct lead *l, int rank, int64_t lease_until_ms,
 			int64_t now_ms);
@@ -120,18 +135,20 @@
 /*
  * Ends an attempt. `acquired`: the write succeeded at `revision`; false: it
  * failed or its result is unknown. In the latter case lead_on_key() reports the
- * key if it was written after all.
+ * key if it was written after all. A success under a lease that was lost
+ * meanwhile counts as a failure.
  */
 void lead_end_acquire(struct lead *l, bool acquired, int64_t revision,
 		      int64_t now_ms);
 
-/* The lease of the registration expired or was lost, and the key with it. */
+/* This entry's lease expired or was lost, and the key with it. */
 void lead_on_lease_lost(struct lead *l, int64_t now_ms);
 
 /*
- * The store was restored from an older copy: the key may name a former holder
- * again, while the last holder still relies on its lease from before. No holder
- * acts for the next `lease_ms`, after which that lease has expired.
+ * The store was restored from an older copy: this entry's lease is lost, and the
+ * key may name a former holder again, while the last holder still relies on its
+ * lease from before. No holder acts for the next `lease_ms`, after which that
+ * lease has expired.
  */
 void lead_on_store_restored(struct lead *l, int64_t lease_ms, int64_t now_ms);
 
--- a/lib/edge/edge_duty.c
+++ b/lib/edge/edge_duty.c
@@ -173,12 +173,30 @@
 	d->next_attempt_ms = edge_now(d->en) + EDGE_DUTY_RETRY_MS;
 }
 
+/* True if this entry has held the duties since the write was sent. */
+static bool holds_as_written(const struct edge_duty *d)
+{
+	return d->en->lead.is_holder && d->en->lead.fence == d->report_fence;
+}
+
+/* The report is left to the holder of the duties. */
+static void drop_report(struct edge_duty *d, const char *why)
+{
+	log_report(d, why, 0);
+	d->report_state = REPORT_IDLE;
+	d->next_window = d->report_window;
+}
+
 static void on_read_back(void *arg, struct sto_answer *a)
 {
 	struct edge_duty *d = arg;
 
 	if (d->report_state != REPORT_WRITING)
 		return;
+	if (!holds_as_written(d)) {
+		drop_report(d, "not the holder");
+		return;
+	}
 	if (a->outcome == STO_OK && a->nr_items && a->items[0].value)
 		send_stored_report(d, a->items[0].value, a->items[0].len);
 	else
@@ -190,10 +208,7 @@
 	snprintf(out, size, "%s%lld", EDGE_USAGE_PREFIX, (long long)window);
 }
 
-/*
- * The report was already written, by a former holder or by a write whose answer
- * was lost. Only the stored counts may be sent.
- */
+/* Reads the stored counts: only these may be sent. */
 static void read_back(struct edge_duty *d)
 {
 	char key[64];
@@ -203,6 +218,33 @@
 	sto_call(d->en->store, &c, on_read_back, d);
 }
 
+static void on_holder_read(void *arg, struct sto_answer *a)
+{
+	struct edge_duty *d = arg;
+
+	edge_lease_duty_read(d->en, a);
+	if (d->report_state != REPORT_WRITING)
+		return;
+	if (a->outcome != STO_OK && a->outcome != STO_ABSENT)
+		retry_write(d);
+	else if (holds_as_written(d))
+		read_back(d);
+	else
+		drop_report(d, "not the holder");
+}
+
+/*
+ * The store refused the write: the report is there already, from a former holder
+ * or from a write whose answer was lost, or this entry no longer holds the
+ * duties, and the report is its successor's. Reads the duty key first.
+ */
+static void resolve_conflict(struct edge_duty *d)
+{
+	const struct sto_call c = { .kind = STO_GET, .key = EDGE_DUTY_KEY };
+
+	sto_call(d->en->store, &c, on_holder_read, d);
+}
+
 static void on_written(void *arg, struct sto_answer *a)
 {
 	struct edge_duty *d = arg;
@@ -214,7 +256,7 @@
 		d->report_state = REPORT_SENDING;
 		send_report(d);
 	} else if (a->outcome == STO_CONFLICT) {
-		read_back(d);
+		resolve_conflict(d);
 	} else {
 		retry_write(d);
 	}
@@ -242,6 +284,7 @@
 				      d->report_counts.len, 0 };
 	c.rows[1] = (struct sto_row){ old, NULL, 0, 0 };
 	d->report_state = REPORT_WRITING;
+	d->report_fence = en->lead.fence;
 	sto_call(en->store, &c, on_written, d);
 }
 
--- a/lib/edge/edge_duty_internal.h
+++ b/lib/edge/edge_duty_internal.h
@@ -56,6 +56,7 @@
 
 	enum edge_report_state report_state;
 	int64_t report_window;	  /* usage window of the current report */
+	int64_t report_fence;	  /* when its write was sent */
 	struct buf report_counts; /* its encoded counts */
 	int64_t next_window;	  /* to be reported next; 0: not yet set */
 	int64_t next_attempt_ms;  /* no report is written or sent before */
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -851,14 +851,22 @@
 void edge_lease_resign(struct edge *en);
 
 /*
- * Writes the value of EDGE_DUTY_KEY that names this process: entry name and
- * boot, cut off at `size` bytes with the final NUL.
+ * EDGE_DUTY_KEY was read, or was found to be deleted, at `revision`. `value`
+ * needs no final NUL.
  */
-void edge_lease_format_holder(const struct edge *en, char *out, size_t size);
+void edge_lease_duty_seen(struct edge *en, const char *value, size_t len,
+			  int64_t revision);
+void edge_lease_duty_deleted(struct edge *en, int64_t revision);
+
+/* Applies the answer to a STO_GET of EDGE_DUTY_KEY. */
+void edge_lease_duty_read(struct edge *en, const struct sto_answer *a);
 
-/* Extracts the entry's name from such a value, which needs no final NUL. */
-void edge_lease_parse_holder(const char *holder, size_t len, char *out,
-			     size_t size);
+/*
+ * Reads EDGE_DUTY_KEY from the store without waiting for its watch. For writes on
+ * condition of the key that the store refused: this entry may no longer hold the
+ * duties.
+ */
+void edge_lease_read_duty(struct edge *en);
 
 /* ---- edge_peer_http.c: HTTP server for other entries ---- */
 
--- a/lib/edge/edge_lease.c
+++ b/lib/edge/edge_lease.c
@@ -3,6 +3,7 @@
  * the duty holder are bound to it.
  */
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "edge/edge_internal.h"
@@ -25,19 +26,33 @@
 /* Delay after a call that failed. */
 #define LEASE_RETRY_MS 250
 
-void edge_lease_format_holder(const struct edge *en, char *out, size_t size)
+static void format_holder(const struct edge *en, char *out, size_t size)
 {
-	snprintf(out, size, "%s/%016llx", en->conf->name,
-		 (unsigned long long)en->boot);
+	snprintf(out, size, "%s/%016llx/%lld", en->conf->name,
+		 (unsigned long long)en->boot, (long long)en->lease.id);
 }
 
-void edge_lease_parse_holder(const char *holder, size_t len, char *out,
-			     size_t size)
+/* True if the value names this process; *lease: that it states, 0: none. */
+static bool names_this_boot(const struct edge *en, const char *value,
+			    int64_t *lease)
 {
-	const char *end = memchr(holder, '/', len);
-	const size_t n = end ? (size_t)(end - holder) : len;
+	char own[128];
+	int len;
 
-	snprintf(out, size, "%.*s", (int)n, holder);
+	len = snprintf(own, sizeof(own), "%s/%016llx", en->conf->name,
+		       (unsigned long long)en->boot);
+	*lease = 0;
+	if (strncmp(value, own, (size_t)len) != 0)
+		return false;
+	if (value[len] == '/')
+		*lease = strtoll(value + len + 1, NULL, 10);
+	return value[len] == '/' || !value[len];
+}
+
+/* Copies the name of the entry that the value of EDGE_DUTY_KEY names. */
+static void copy_holder_name(const char *value, char *out, size_t size)
+{
+	snprintf(out, size, "%.*s", (int)strcspn(value, "/"), value);
 }
 
 /* ---- Registration ---- */
@@ -114,6 +129,7 @@
 	en->lease.id = a->lease;
 	en->lease.expires_ms = a->asked_ms + a->ttl_ms;
 	en->lease.registered = false;
+	lead_on_lease_granted(&en->lead, a->lease);
 	en->lease.next_call_ms = now;
 }
 
@@ -168,20 +184,82 @@
 
 /* ---- Election of the duty holder ---- */
 
-static void on_duty_taken(void *arg, struct sto_answer *a)
+static void log_duty(struct edge *en, const struct lead_key *key)
 {
-	struct edge *en = arg;
-	const int64_t now = edge_now(en);
-
-	lead_end_acquire(&en->lead, a->outcome == STO_OK, a->revision, now);
-	if (a->outcome != STO_OK)
-		return;
 	jlog_begin(en->log, JLOG_INFO, "duty");
-	jlog_bool(en->log, "holding", true);
+	jlog_bool(en->log, "holding", en->lead.is_holder);
 	jlog_int(en->log, "fence", en->lead.fence);
+	jlog_int(en->log, "key", key->revision);
+	jlog_int(en->log, "key_lease", key->lease);
+	jlog_int(en->log, "lease", en->lease.id);
 	jlog_end(en->log);
 }
 
+void edge_lease_duty_seen(struct edge *en, const char *value, size_t len,
+			  int64_t revision)
+{
+	const bool was_holder = en->lead.is_holder;
+	const int64_t was_stale = en->lead.stale_revision;
+	struct lead_key key = { .revision = revision };
+	BUF_AUTO text = BUF_INIT;
+
+	buf_add(&text, value, len);
+	copy_holder_name(buf_cstr(&text), en->duty_holder,
+			 sizeof(en->duty_holder));
+	if (names_this_boot(en, buf_cstr(&text), &key.lease))
+		key.owner = LEAD_OWNER_SELF;
+	else if (!strcmp(en->duty_holder, en->conf->name))
+		key.owner = LEAD_OWNER_PREVIOUS_BOOT;
+	lead_on_key(&en->lead, &key, edge_now(en));
+	if (was_holder != en->lead.is_holder ||
+	    (en->lead.stale_revision && was_stale != en->lead.stale_revision))
+		log_duty(en, &key);
+}
+
+static void on_duty_taken(void *arg, struct sto_answer *a)
+{
+	struct edge *en = arg;
+	const struct lead_key key = { LEAD_OWNER_SELF, en->lead.acquiring_lease,
+				      a->revision };
+
+	lead_end_acquire(&en->lead, a->outcome == STO_OK, a->revision,
+			 edge_now(en));
+	if (a->outcome == STO_OK)
+		log_duty(en, &key);
+}
+
+void edge_lease_duty_deleted(struct edge *en, int64_t revision)
+{
+	const bool was_holder = en->lead.is_holder;
+	const struct lead_key gone = { .revision = revision };
+
+	en->duty_holder[0] = '\0';
+	lead_on_key_deleted(&en->lead, revision, edge_now(en));
+	if (was_holder != en->lead.is_holder)
+		log_duty(en, &gone);
+}
+
+void edge_lease_duty_read(struct edge *en, const struct sto_answer *a)
+{
+	if (a->outcome == STO_OK && a->nr_items && a->items[0].value)
+		edge_lease_duty_seen(en, a->items[0].value, a->items[0].len,
+				     a->items[0].revision);
+	else if (a->outcome == STO_ABSENT)
+		edge_lease_duty_deleted(en, a->revision);
+}
+
+static void on_duty_read(void *arg, struct sto_answer *a)
+{
+	edge_lease_duty_read(arg, a);
+}
+
+void edge_lease_read_duty(struct edge *en)
+{
+	const struct sto_call c = { .kind = STO_GET, .key = EDGE_DUTY_KEY };
+
+	sto_call(en->store, &c, on_duty_read, en);
+}
+
 static void duty_tick(struct edge *en, int64_t now)
 {
 	char holder[128];
@@ -192,12 +270,12 @@
 	if (!en->conf->cloud.address[0] || !en->lease.registered ||
 	    en->stopping || !en->watches[EDGE_WATCH_SYSTEM].mirror.complete)
 		return;
-	if ((en->lead.key_exists && !en->lead.previous_boot_revision) ||
+	if ((en->lead.key_exists && !en->lead.stale_revision) ||
 	    !lead_begin_acquire(&en->lead,
 				ovl_watch_rank(&en->ovl, &en->prs, now),
 				en->lease.expires_ms, now))
 		return;
-	edge_lease_format_holder(en, holder, sizeof(holder));
+	format_holder(en, holder, sizeof(holder));
 	c.conditions[0] =
 		(struct sto_condition){ EDGE_DUTY_KEY,
 					lead_expected_revision(&en->lead) };
--- a/lib/edge/edge_scale.c
+++ b/lib/edge/edge_scale.c
@@ -576,6 +576,8 @@
 	d->plan_write_in_flight = false;
 	if (a->outcome != STO_OK)
 		met_inc(d->en->m.store_failures);
+	if (a->outcome == STO_CONFLICT)
+		edge_lease_read_duty(d->en);
 }
 
 static void write_plan(struct edge_duty *d, const struct saved_plan *plan)
--- a/lib/edge/edge_store.c
+++ b/lib/edge/edge_store.c
@@ -137,36 +137,6 @@
 	jlog_end(en->log);
 }
 
-static enum lead_owner classify_holder(const struct edge *en, const char *value,
-				       size_t len)
-{
-	char own_value[128];
-
-	edge_lease_format_holder(en, own_value, sizeof(own_value));
-	if (strlen(own_value) == len && !memcmp(own_value, value, len))
-		return LEAD_OWNER_SELF;
-	if (!strcmp(en->duty_holder, en->conf->name))
-		return LEAD_OWNER_PREVIOUS_BOOT;
-	return LEAD_OWNER_OTHER;
-}
-
-static void apply_duty(struct edge *en, const char *value, size_t len,
-		       int64_t revision)
-{
-	const bool was_mine = en->lead.is_holder;
-
-	edge_lease_parse_holder(value, len, en->duty_holder,
-				sizeof(en->duty_holder));
-	lead_on_key(&en->lead, classify_holder(en, value, len), revision,
-		    edge_now(en));
-	if (was_mine == en->lead.is_holder)
-		return;
-	jlog_begin(en->log, JLOG_INFO, "duty");
-	jlog_bool(en->log, "holding", en->lead.is_holder);
-	jlog_int(en->log, "fence", en->lead.fence);
-	jlog_end(en->log);
-}
-
 static bool has_prefix(const char *key, const char *prefix)
 {
 	return !strncmp(key, prefix, strlen(prefix));
@@ -182,7 +152,7 @@
 	else if (has_prefix(key, EDGE_ENTRY_PREFIX))
 		apply_entry(en, key, value, len);
 	else if (!strcmp(key, EDGE_DUTY_KEY))
-		apply_duty(en, value, len, revision);
+		edge_lease_duty_seen(en, value, len, revision);
 	else if (!strcmp(key, EDGE_ERA_KEY))
 		edge_era_record_seen(en, value, len, revision);
 	else if (has_prefix(key, EDGE_FATAL_PREFIX))
@@ -236,8 +206,7 @@
 	} else if (has_prefix(key, en->wire->rollout_prefix)) {
 		edge_rollout_order_deleted(en, key);
 	} else if (!strcmp(key, EDGE_DUTY_KEY)) {
-		en->duty_holder[0] = '\0';
-		lead_on_key_deleted(&en->lead, revision, now);
+		edge_lease_duty_deleted(en, revision);
 	}
 }
 
--- a/scripts/older_copy_test.sh
+++ b/scripts/older_copy_test.sh
@@ -134,6 +134,16 @@
 expect "a version lost twice is written again" wait_for store_has_version 7
 expect "and is in force" wait_for everywhere in_force 7
 expect "versions never decrease" everywhere versions_rise
+
+# Guards against duties under a key that ends with a lease that nobody renews. The
+# copy's leases last, so that the key of before does not lapse at once.
+platform_test copy >/dev/null
+platform_test 'return?ms=300&leases=20000' >/dev/null
+expect "a restore with lasting leases is known" wait_for everywhere era_known 7
+BEFORE=$(seen usage)
+expect "and usage windows are reported" wait_for reports_at_least $((BEFORE + 2))
+expect "each call was made under a key bound to its caller's lease" \
+	is "$(seen not_bound)" 0
 expect "no generation number decreased" is "$(seen wrong_fence)" 0
 expect "no usage window was reported with two contents" is "$(seen usage_twice)" 0
 : >"$DIR/stop"
--- a/tests/standin/platform.c
+++ b/tests/standin/platform.c
@@ -166,6 +166,7 @@
 	int start_again_ms;
 	enum again again;
 	int nr_usage, nr_scale, wrong_fence, usage_twice;
+	int not_bound; /* duty calls, see check_holder() */
 	int64_t last_fence;
 	char usage[64][512];
 	struct rnd rnd;
@@ -426,6 +427,27 @@
 	reply(c, 200, text);
 }
 
+/* The items of the conditions as they are now, as the answer 412 has them. */
+static void put_conditions(struct buf *out, struct json_object *list)
+{
+	const struct item *it;
+	const char *key;
+	int n = 0;
+	size_t i;
+
+	buf_str(out, "{\"items\":[");
+	for (i = 0; i < jsn_len(list); i++) {
+		key = jsn_str(json_object_array_get_idx(list, i), "key", "");
+		it = find_item(key, false);
+		if (!it || !it->value)
+			continue;
+		if (n++)
+			buf_str(out, ",");
+		put_item(out, it, false, 0);
+	}
+	buf_str(out, "]}");
+}
+
 static bool conditions_hold(struct json_object *list)
 {
 	size_t i;
@@ -449,11 +471,13 @@
 {
 	struct json_object *writes = jsn_get(o, "writes");
 	struct json_object *deletes = jsn_get(o, "deletes");
+	BUF_AUTO refusal = BUF_INIT;
 	char text[64];
 	size_t i;
 
 	if (!conditions_hold(jsn_get(o, "expectedRev"))) {
-		reply(c, 412, "{\"items\":[]}");
+		put_conditions(&refusal, jsn_get(o, "expectedRev"));
+		reply(c, 412, buf_cstr(&refusal));
 		return;
 	}
 	for (i = 0; i < jsn_len(writes); i++) {
@@ -533,7 +557,8 @@
 	it->revision = old ? old->revision : 0;
 }
 
-static void come_back(int away_ms)
+/* `lease_ms`: how long the leases of the copy last; 0: as long as granted. */
+static void come_back(int away_ms, int lease_ms)
 {
 	struct watcher *v, *next;
 	int i;
@@ -545,7 +570,9 @@
 	w.nr_leases = w.older.nr_leases;
 	w.down_until_ms = now_ms() + away_ms;
 	for (i = 0; i < w.nr_leases; i++)
-		w.leases[i].until_ms = w.down_until_ms + w.leases[i].ttl_ms;
+		w.leases[i].until_ms =
+			w.down_until_ms +
+			(lease_ms ? lease_ms : w.leases[i].ttl_ms);
 	w.revision = w.older.revision;
 	w.next_lease = w.older.next_lease;
 	w.nr_history = 0;
@@ -614,12 +641,29 @@
 	w.last_fence = fence;
 }
 
+/*
+ * The caller's duty key has to end with the lease that the caller renews, which
+ * is that of its registration.
+ */
+static void check_holder(struct hsc *c)
+{
+	const char *holder = hmsg_find(&c->parse.msg, "Duty-Holder");
+	const struct item *duty = find_item("md/duty", false), *entry;
+	char key[200];
+
+	snprintf(key, sizeof(key), "md/entry/%.60s", holder ? holder : "");
+	entry = find_item(key, false);
+	w.not_bound += !duty || !duty->value || !entry || !entry->value ||
+		       duty->lease != entry->lease;
+}
+
 static void on_usage(struct hsc *c)
 {
 	const char *body = buf_cstr(&c->body);
 	int i;
 
 	check_fence(c);
+	check_holder(c);
 	for (i = 0; i < w.nr_usage; i++) {
 		const size_t n = strcspn(body, ",");
 
@@ -634,6 +678,7 @@
 static void on_scale(struct hsc *c)
 {
 	check_fence(c);
+	check_holder(c);
 	w.nr_scale++;
 	reply(c, 200, "{}");
 }
@@ -1239,13 +1284,13 @@
 		(long long)(known_ms ? now_ms() - known_ms : -1));
 	buf_fmt(&out,
 		"runs %d once %d once_twice %d to_leaving %d usage %d usage_twice %d "
-		"orders %d wrong_fence %d revision %lld config_told %d "
+		"orders %d wrong_fence %d not_bound %d revision %lld config_told %d "
 		"ended %d over_limit %u most_in_window %u "
 		"to_stated_leaving %u in_wait %u fell %d full %d\n",
 		w.nr_runs, once, twice, late, w.nr_usage, w.usage_twice,
-		w.nr_scale, w.wrong_fence, (long long)w.revision, w.config_told,
-		w.nr_ended, over_limit, most, stated_leaving, in_wait,
-		w.nr_fell, w.nr_full);
+		w.nr_scale, w.wrong_fence, w.not_bound, (long long)w.revision,
+		w.config_told, w.nr_ended, over_limit, most, stated_leaving,
+		in_wait, w.nr_fell, w.nr_full);
 	for (i = 0; i < w.nr_endpoints; i++)
 		buf_fmt(&out, "%s %s %d\n", w.endpoints[i].id,
 			w.endpoints[i].service, per[i]);
@@ -1378,7 +1423,7 @@
 static void on_test(struct hsc *c, const char *url)
 {
 	struct endpoint *e = asked_endpoint(url);
-	char number[32] = "0", key[200] = "";
+	char number[32] = "0", lasts[32] = "0", key[200] = "";
 
 	if (!strncmp(url, "/test/seen", 10)) {
 		seen(c);
@@ -1421,7 +1466,8 @@
 		copy_store();
 	} else if (!strncmp(url, "/test/return", 12)) {
 		hmsg_query(url, "ms", number, sizeof(number));
-		come_back(atoi(number));
+		hmsg_query(url, "leases", lasts, sizeof(lasts));
+		come_back(atoi(number), atoi(lasts));
 	} else if (!strncmp(url, "/test/add", 9)) {
 		open_endpoint("app", "v1");
 	} else if (!strncmp(url, "/test/start", 11)) {
--- a/tests/test_duties.c
+++ b/tests/test_duties.c
@@ -81,22 +81,33 @@
 	}
 }
 
-static enum lead_owner owner_of(const struct world *w, const struct node *x,
-				int n)
+/* Each boot of a node has one lease. */
+static int64_t lease_of(int n, int boot)
 {
-	if (w->holder != n)
-		return LEAD_OWNER_OTHER;
-	return w->holder_boot == x->boot ? LEAD_OWNER_SELF
-					 : LEAD_OWNER_PREVIOUS_BOOT;
+	return 1000 * (n + 1) + boot;
+}
+
+static struct lead_key key_of(const struct world *w, const struct node *x,
+			      int n)
+{
+	struct lead_key k = { .revision = w->fence };
+
+	if (w->holder == n)
+		k.owner = w->holder_boot == x->boot ? LEAD_OWNER_SELF
+						    : LEAD_OWNER_PREVIOUS_BOOT;
+	k.lease = lease_of(w->holder, w->holder_boot);
+	return k;
 }
 
 /* The watch of a node delivers the current state of the key. */
 static void catch_up(struct world *w, struct node *x, int n, int64_t now)
 {
+	const struct lead_key key = key_of(w, x, n);
+
 	if (w->holder < 0)
 		lead_on_key_deleted(&x->lead, w->revision, now);
 	else
-		lead_on_key(&x->lead, owner_of(w, x, n), w->fence, now);
+		lead_on_key(&x->lead, &key, now);
 }
 
 static void renew(struct world *w, struct node *x, int n, int64_t now,
@@ -126,6 +137,7 @@
 		x->down = false;
 		x->boot++;
 		lead_init(&x->lead, HOLDOFF_MS, now);
+		lead_on_lease_granted(&x->lead, lease_of(n, x->boot));
 		catch_up(w, x, n, now);
 	}
 	if (lead_begin_acquire(&x->lead, n, now + LEASE_MS, now)) {
@@ -169,8 +181,10 @@
 	w.cloud.last_holder = w.cloud.previous_holder = -1;
 	/* The broken variant trusts its lease two seconds too long. */
 	w.margin = broken_variant ? -2000 : 0;
-	for (n = 0; n < NODES; n++)
+	for (n = 0; n < NODES; n++) {
 		lead_init(&w.nodes[n].lead, HOLDOFF_MS, 1);
+		lead_on_lease_granted(&w.nodes[n].lead, lease_of(n, 0));
+	}
 	for (now = 10; now < 40000; now += 10) {
 		store_tick(&w, now);
 		for (n = 0; n < NODES; n++) {
@@ -219,18 +233,35 @@
 	CU_ASSERT(violations > 0);
 }
 
+#define LEASE 7
+
+/* The node starts, with a lease. */
+static void start_lead(struct lead *l, int64_t now)
+{
+	lead_init(l, HOLDOFF_MS, now);
+	lead_on_lease_granted(l, LEASE);
+}
+
+static void read_key(struct lead *l, enum lead_owner owner, int64_t lease,
+		     int64_t revision, int64_t now)
+{
+	const struct lead_key key = { owner, lease, revision };
+
+	lead_on_key(l, &key, now);
+}
+
 /* An outdated read of the key must not end the new holder's term. */
 static void outdated_reads_are_ignored(void)
 {
 	struct lead l;
 
-	lead_init(&l, HOLDOFF_MS, 0);
+	start_lead(&l, 0);
 	CU_ASSERT_FALSE(lead_begin_acquire(&l, 0, 10000, 100));
 	CU_ASSERT(lead_begin_acquire(&l, 0, 10000, HOLDOFF_MS));
 	CU_ASSERT_FALSE(lead_begin_acquire(&l, 0, 10000, HOLDOFF_MS));
 	lead_end_acquire(&l, true, 50, HOLDOFF_MS);
 	lead_on_key_deleted(&l, 49, HOLDOFF_MS + 1);
-	lead_on_key(&l, LEAD_OWNER_OTHER, 40, HOLDOFF_MS + 2);
+	read_key(&l, LEAD_OWNER_OTHER, 0, 40, HOLDOFF_MS + 2);
 	CU_ASSERT(l.is_holder);
 	CU_ASSERT_FALSE(lead_may_act(&l, 20000, HOLDOFF_MS + 10));
 	CU_ASSERT(lead_may_act(&l, 20000, HOLDOFF_MS + LEAD_SETTLE_MS));
@@ -238,6 +269,8 @@
 				     HOLDOFF_MS + LEAD_SETTLE_MS));
 	lead_on_key_deleted(&l, 51, 9000);
 	CU_ASSERT_FALSE(l.is_holder);
+	read_key(&l, LEAD_OWNER_OTHER, 0, 45, 9001);
+	CU_ASSERT_FALSE(l.key_exists);
 	CU_ASSERT_FALSE(
 		lead_begin_acquire(&l, 0, 20000, 9000 + HOLDOFF_MS - 1));
 	CU_ASSERT(lead_begin_acquire(&l, 0, 20000, 9000 + HOLDOFF_MS));
@@ -248,8 +281,8 @@
 {
 	struct lead l;
 
-	lead_init(&l, HOLDOFF_MS, 0);
-	lead_on_key(&l, LEAD_OWNER_PREVIOUS_BOOT, 40, 100);
+	start_lead(&l, 0);
+	read_key(&l, LEAD_OWNER_PREVIOUS_BOOT, 0, 40, 100);
 	CU_ASSERT(lead_begin_acquire(&l, -1, 20000, 100));
 	CU_ASSERT_EQUAL(lead_expected_revision(&l), 40);
 	lead_end_acquire(&l, true, 41, 110);
@@ -259,14 +292,55 @@
 	CU_ASSERT(lead_may_act(&l, 20000, 110 + LEAD_SETTLE_MS));
 
 	/* Another entry holds the key, or held it since: normal delays. */
-	lead_init(&l, HOLDOFF_MS, 0);
-	lead_on_key(&l, LEAD_OWNER_OTHER, 40, 100);
+	start_lead(&l, 0);
+	read_key(&l, LEAD_OWNER_OTHER, 0, 40, 100);
 	CU_ASSERT_FALSE(lead_begin_acquire(&l, 0, 20000, 200));
 	lead_on_key_deleted(&l, 45, 300);
 	CU_ASSERT_FALSE(lead_begin_acquire(&l, 0, 20000, 300));
 	CU_ASSERT_EQUAL(lead_expected_revision(&l), 0);
 }
 
+/* Guards against a holder whose key ends with a lease that it does not renew. */
+static void key_under_a_former_lease_grants_nothing(void)
+{
+	struct lead l;
+
+	start_lead(&l, 0);
+	CU_ASSERT(lead_begin_acquire(&l, 0, 20000, HOLDOFF_MS));
+	lead_end_acquire(&l, true, 40, HOLDOFF_MS);
+	CU_ASSERT(lead_may_act(&l, 20000, HOLDOFF_MS + LEAD_SETTLE_MS));
+
+	/* The store is restored, and lists the key under the lease from before. */
+	lead_on_store_restored(&l, LEASE_MS, 5000);
+	CU_ASSERT_FALSE(l.is_holder);
+	lead_on_lease_granted(&l, LEASE + 1);
+	read_key(&l, LEAD_OWNER_SELF, LEASE, 40, 5100);
+	CU_ASSERT_FALSE(l.is_holder);
+	CU_ASSERT_FALSE(lead_may_act(&l, 20000, 5000 + 2 * LEASE_MS));
+
+	/* Written anew under the present lease, it does. */
+	CU_ASSERT(lead_begin_acquire(&l, 0, 20000, 5100));
+	CU_ASSERT_EQUAL(lead_expected_revision(&l), 40);
+	lead_end_acquire(&l, true, 41, 5110);
+	CU_ASSERT(l.is_holder);
+	CU_ASSERT_FALSE(lead_may_act(&l, 20000, 5000 + LEASE_MS - 1));
+	CU_ASSERT(lead_may_act(&l, 20000, 5000 + LEASE_MS));
+
+	/* The lease is lost while the key's next write is in flight. */
+	lead_on_lease_lost(&l, 9000);
+	CU_ASSERT_FALSE(l.is_holder);
+	CU_ASSERT_FALSE(lead_begin_acquire(&l, 0, 20000, 15000));
+	lead_on_lease_granted(&l, LEASE + 2);
+	lead_on_key_deleted(&l, 50, 9100);
+	CU_ASSERT(lead_begin_acquire(&l, 0, 20000, 15000));
+	lead_on_lease_lost(&l, 15001);
+	lead_on_lease_granted(&l, LEASE + 3);
+	lead_end_acquire(&l, true, 51, 15002);
+	CU_ASSERT_FALSE(l.is_holder);
+	read_key(&l, LEAD_OWNER_SELF, LEASE + 2, 51, 15003);
+	CU_ASSERT_FALSE(l.is_holder);
+}
+
 /* A vacant key must not make every entry write to the store. */
 static void few_entries_write_a_vacant_key(void)
 {
@@ -284,8 +358,8 @@
 		tries = 0;
 		first_try_ms = 0;
 		for (i = 0; i < ENTRIES; i++) {
-			lead_init(&all[i], HOLDOFF_MS, -HOLDOFF_MS);
-			lead_on_key(&all[i], LEAD_OWNER_OTHER, 5, 0);
+			start_lead(&all[i], -HOLDOFF_MS);
+			read_key(&all[i], LEAD_OWNER_OTHER, 0, 5, 0);
 			lead_on_key_deleted(&all[i], 6, 1000);
 		}
 		/* Entries that rank before `first` have crashed. */
@@ -295,8 +369,8 @@
 
 				if (first_try_ms &&
 				    now >= first_try_ms + SEEN_AFTER_MS)
-					lead_on_key(&all[i], LEAD_OWNER_OTHER,
-						    7, now);
+					read_key(&all[i], LEAD_OWNER_OTHER, 0,
+						 7, now);
 				if (!lead_begin_acquire(&all[i], rank,
 							now + LEASE_MS, now))
 					continue;
@@ -1043,6 +1117,8 @@
 	{ "outdated reads are ignored", outdated_reads_are_ignored },
 	{ "the key of a previous boot is taken over",
 	  key_of_previous_boot_is_taken_over },
+	{ "a key under a former lease grants nothing",
+	  key_under_a_former_lease_grants_nothing },
 	{ "few entries write a vacant key", few_entries_write_a_vacant_key },
 	{ "a report has all accounts", a_report_has_all_accounts },
 	{ "counts of crashed entries are kept",
--- a/tests/test_era.c
+++ b/tests/test_era.c
@@ -284,31 +284,33 @@
 	CORRECT,
 	IGNORES_ERA,
 	ACTS_WITHOUT_DELAY,
-	TRUSTS_LATE_ANSWERS
+	TRUSTS_LATE_ANSWERS,
+	TRUSTS_FORMER_LEASES
 };
 
 struct node {
 	struct lead lead;
 	int64_t until;	      /* proven end of its lease */
+	int64_t lease_end;    /* in the store */
 	int64_t era;	      /* last one received */
 	int64_t next_read_ms; /* its watch answers next */
 	int64_t frozen_until;
 	/* A renewal whose answer is in flight; 0: none. */
 	int64_t renewal_asked, renewal_due, renewal_era;
 	/* A write of the duty key that is in flight; 0: none. */
-	int64_t write_due, write_expected;
+	int64_t write_due, write_expected, write_lease;
 };
 
 struct duty_key {
 	int holder; /* -1: none */
-	int64_t rev, lease_end;
+	int64_t rev, lease, lease_end;
 };
 
 static struct {
 	enum variant variant;
 	struct node nodes[NODES];
 	struct duty_key key, copy;
-	int64_t revision, copy_revision, era, unreachable_until;
+	int64_t revision, copy_revision, era, unreachable_until, leases;
 	struct rnd rnd;
 	int64_t now;
 	/* Calls that the platform received. */
@@ -339,6 +341,14 @@
 	w.last_fence = fence;
 }
 
+/* The node has no lease: it is granted another one. */
+static void grant_lease(struct node *x)
+{
+	x->until = 0;
+	x->lease_end = w.now + LEASE_MS;
+	lead_on_lease_granted(&x->lead, ++w.leases);
+}
+
 /* An answer of the store, or gossip of another entry, names the era. */
 static void learn_era(struct node *x)
 {
@@ -349,29 +359,36 @@
 		return;
 	if (w.variant != ACTS_WITHOUT_DELAY)
 		lead_on_store_restored(&x->lead, LEASE_MS, w.now);
-	x->until = 0;
+	grant_lease(x);
 }
 
 static void read_key(struct node *x, int n)
 {
+	struct lead_key key = { 0 };
+
 	learn_era(x);
-	if (w.key.holder < 0)
+	key.revision = fence_version(w.key.rev);
+	if (w.key.holder < 0) {
 		lead_on_key_deleted(&x->lead, fence_version(w.revision), w.now);
-	else
-		lead_on_key(&x->lead,
-			    w.key.holder == n ? LEAD_OWNER_SELF
-					      : LEAD_OWNER_OTHER,
-			    fence_version(w.key.rev), w.now);
+		return;
+	}
+	key.owner = w.key.holder == n ? LEAD_OWNER_SELF : LEAD_OWNER_OTHER;
+	key.lease = w.variant == TRUSTS_FORMER_LEASES ? x->lead.lease
+						      : w.key.lease;
+	lead_on_key(&x->lead, &key, w.now);
 }
 
 static void write_arrives(struct node *x, int n)
 {
 	const int64_t key_revision = w.key.holder < 0 ? 0 : w.key.rev;
-	const bool done = key_revision == x->write_expected;
+	/* A lease that was lost with the store's writes does not exist. */
+	const bool done = key_revision == x->write_expected &&
+			  x->write_lease == x->lead.lease;
 
 	x->write_due = 0;
 	if (done) {
-		w.key = (struct duty_key){ n, ++w.revision, w.now + LEASE_MS };
+		w.key = (struct duty_key){ n, ++w.revision, x->write_lease,
+					   w.now + LEASE_MS };
 		x->until = w.now + LEASE_MS;
 	}
 	learn_era(x);
@@ -382,13 +399,17 @@
 		lead_end_acquire(&x->lead, false, 0, w.now);
 }
 
-/* Renews the lease in the store; the answer may be late. */
+/* Renews the node's lease in the store; the answer may be late. */
 static void renew(struct node *x, int n)
 {
-	if (w.key.holder == n)
-		w.key.lease_end = w.now + LEASE_MS;
-	else if (x->lead.is_holder)
+	if (w.now >= x->lease_end) {
+		lead_on_lease_lost(&x->lead, w.now);
+		grant_lease(x);
 		return;
+	}
+	x->lease_end = w.now + LEASE_MS;
+	if (w.key.holder == n && w.key.lease == x->lead.lease)
+		w.key.lease_end = x->lease_end;
 	x->renewal_asked = w.now;
 	x->renewal_due =
 		w.now + 4 + (rnd_below(&w.rnd, 4) ? 0 : rnd_below(&w.rnd, 900));
@@ -429,6 +450,7 @@
 		renew(x, n);
 	if (!x->write_due &&
 	    lead_begin_acquire(&x->lead, n, w.now + LEASE_MS, w.now)) {
+		x->write_lease = x->lead.acquiring_lease;
 		x->write_expected =
 			ver_revision(lead_expected_revision(&x->lead));
 		/* It may be applied seconds later, if its condition holds. */
@@ -479,6 +501,7 @@
 	rnd_seed(&w.rnd, unit_seed(seed));
 	for (n = 0; n < NODES; n++) {
 		lead_init(&w.nodes[n].lead, LEASE_MS, 1);
+		grant_lease(&w.nodes[n]);
 		w.nodes[n].era = 1;
 	}
 	for (w.now = STEP_MS; w.now < 60000; w.now += STEP_MS) {
@@ -516,6 +539,7 @@
 {
 	CU_ASSERT(run_duties(SEEDS, IGNORES_ERA) > 0);
 	CU_ASSERT(run_duties(SEEDS, ACTS_WITHOUT_DELAY) > 0);
+	CU_ASSERT(run_duties(SEEDS, TRUSTS_FORMER_LEASES) > 0);
 }
 
 static const struct unit_test tests[] = {
