edge: a stream that was stopped for a copy is not complete

What callers saw: a stream without length or chunks ended as complete, with the last chunk, at about half of its events, when its endpoint left.

Cause: an entry asks the leaving endpoint to stop the run and to copy its cache. The endpoint stops the run, closes the stream, and refuses the copy (503). hand_on_refused() took the closed stream for a complete one, and on_end() asked it before it looked at the framing. The same followed if the call got no answer.

Fix: whole_judge() decides about the end of every answer: framed, an incomplete event, a run that this entry had stopped or may have had stopped, and whether the process that answered still runs. The hand-over keeps whether a refused call may have stopped the run (not after 404, nor if the call was not sent) and no longer says that a stream is complete. A stream that was stopped is continued elsewhere, or broken off, and does not speak against its endpoint.

--- a/lib/edge/edge_answer.c
+++ b/lib/edge/edge_answer.c
@@ -5,6 +5,7 @@
 
 #include "edge/edge_rollout.h"
 #include "edge/explain.h"
+#include "stream/whole.h"
 
 /* A request is not sent again with less time than this left. */
 #define MIN_RETRY_TIME_MS 40
@@ -525,9 +526,7 @@
 	handle_lost(r, FLT_FAILED, why);
 }
 
-/* ---- Answers without framing ---- */
-
-#define WHY_UNVERIFIED "answer without framing, and endpoint gone"
+/* ---- The end of an answer ---- */
 
 static void finish(struct edge_req *r)
 {
@@ -537,6 +536,8 @@
 		finish_answer(r);
 }
 
+static void end_answer(struct edge_req *r, enum whole_process process);
+
 static void on_verified(void *arg, enum htc_probe_result found)
 {
 	struct edge_verify *v = arg;
@@ -547,10 +548,8 @@
 	if (!r)
 		return;
 	r->verify = NULL;
-	if (found == HTC_PROBE_CONNECTED)
-		finish(r);
-	else
-		handle_broken(r, WHY_UNVERIFIED, true);
+	end_answer(r, found == HTC_PROBE_CONNECTED ? WHOLE_PROCESS_SAME
+						   : WHOLE_PROCESS_OTHER);
 }
 
 /* Connects by the way on which the answer came. False: it is gone. */
@@ -575,16 +574,43 @@
 	return true;
 }
 
-/*
- * An answer with neither a length nor chunks ends with its connection, also if the
- * endpoint, or the relay, crashes in the middle of it. It is complete if they accept
- * a connection after that.
- */
-static void verify_whole(struct edge_req *r)
+/* A run that was stopped for a copy does not speak against its endpoint. */
+static void handle_cut_off(struct edge_req *r, const struct whole_facts *facts)
 {
-	met_inc(r->en->m.answers_verified);
-	if (!start_verify(r))
-		handle_broken(r, WHY_UNVERIFIED, true);
+	if (migration_continues(r, hand_on_stream_broken(&r->hand)))
+		return;
+	if (facts->stopped)
+		handle_lost(r, FLT_FAILED, EDGE_WHY_STOPPED);
+	else if (facts->partial_event)
+		handle_broken(r, "stream ended within an event", true);
+	else
+		handle_broken(r, "answer without framing, and endpoint gone",
+			      true);
+}
+
+/* The connection ended in order: the answer is passed on if it is whole. */
+static void end_answer(struct edge_req *r, enum whole_process process)
+{
+	const struct whole_facts facts = {
+		.framed = !r->unframed,
+		.partial_event = r->streaming && evs_has_partial(&r->events),
+		.stopped = hand_may_have_stopped(&r->hand),
+		.process = process,
+	};
+
+	switch (whole_judge(&facts)) {
+	case WHOLE_COMPLETE:
+		finish(r);
+		break;
+	case WHOLE_UNVERIFIED:
+		met_inc(r->en->m.answers_verified);
+		if (!start_verify(r))
+			end_answer(r, WHOLE_PROCESS_OTHER);
+		break;
+	case WHOLE_CUT_OFF:
+		handle_cut_off(r, &facts);
+		break;
+	}
 }
 
 static void on_end(struct htc_call *call)
@@ -599,15 +625,10 @@
 			EDGE_WHY_REFUSED);
 		return;
 	}
-	if (r->streaming && evs_has_partial(&r->events))
-		handle_broken(r, "stream ended within an event", true);
-	else if (r->streaming &&
-		 migration_continues(r, hand_on_stream_closed(&r->hand)))
+	if (r->streaming && !evs_has_partial(&r->events) &&
+	    migration_continues(r, hand_on_stream_closed(&r->hand)))
 		return;
-	else if (r->unframed)
-		verify_whole(r);
-	else
-		finish(r);
+	end_answer(r, WHOLE_PROCESS_UNKNOWN);
 }
 
 static void on_failed(struct htc_call *call, enum htc_failure why)
@@ -648,9 +669,9 @@
 	handle_lost(r, FLT_FAILED, why);
 }
 
-void edge_send_finished(struct edge_req *r)
+void edge_send_closed(struct edge_req *r)
 {
-	finish_stream(r);
+	end_answer(r, WHOLE_PROCESS_UNKNOWN);
 }
 
 /* True if the endpoint may never have got the request, and it may be repeated. */
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -730,11 +730,13 @@
 void edge_log_send_ended(struct edge_req *r, const char *outcome, int status);
 
 /*
- * End the current send after its migration failed: the rest of the run is lost,
- * or the stream was complete. Both may free `r`.
+ * End the current send after its migration failed: the stream broke off, or its
+ * connection closed in order, and the stream is passed on as complete if it is.
+ * Both may free `r`.
  */
+#define EDGE_WHY_STOPPED "stopped for a copy that failed"
 void edge_send_lost(struct edge_req *r, const char *why);
-void edge_send_finished(struct edge_req *r);
+void edge_send_closed(struct edge_req *r);
 
 /* ---- edge_learn.c: samples for the services' models ---- */
 
--- a/lib/edge/edge_move.c
+++ b/lib/edge/edge_move.c
@@ -71,19 +71,24 @@
 	edge_send_moved(r, r->move->to, r->move->moved.handle);
 }
 
-/* No copy was made: the stream goes on where it is, or ends. */
-static void move_failed(struct edge_move *m, const char *why)
+/*
+ * No copy was made: the stream goes on where it is, or ends. `may_have_stopped`:
+ * the endpoint may have stopped the run before.
+ */
+static void move_failed(struct edge_move *m, const char *why,
+			bool may_have_stopped)
 {
 	struct edge_req *r = m->r;
 
 	met_inc(r->en->m.moves_failed);
 	log_move(m, why);
-	switch (hand_on_refused(&r->hand)) {
-	case HAND_DONE:
-		edge_send_finished(r);
+	switch (hand_on_refused(&r->hand, may_have_stopped)) {
+	case HAND_ENDED:
+		edge_move_cancel(r);
+		edge_send_closed(r);
 		break;
 	case HAND_LOST:
-		edge_send_lost(r, "stopped for a copy that failed");
+		edge_send_lost(r, EDGE_WHY_STOPPED);
 		break;
 	case HAND_NO_CHANGE:
 	case HAND_WAIT:
@@ -116,12 +121,13 @@
 
 	m->call = NULL;
 	if (m->status != 200) {
-		move_failed(m, "refused");
+		/* 404: there is no such run to stop. */
+		move_failed(m, "refused", m->status != 404);
 		return;
 	}
 	if (r->en->wire->decode_move_result(buf_cstr(&m->body), m->body.len,
 					    &m->moved, &e)) {
-		move_failed(m, e.text);
+		move_failed(m, e.text, true);
 		return;
 	}
 	met_inc(r->en->m.moves);
@@ -136,8 +142,10 @@
 	struct edge_move *m = htc_owner(call);
 
 	m->call = NULL;
-	move_failed(m,
-		    why == HTC_NOT_SENT ? "endpoint not reached" : "no answer");
+	if (why == HTC_NOT_SENT)
+		move_failed(m, "endpoint not reached", false);
+	else
+		move_failed(m, "no answer", true);
 }
 
 static const struct htc_vtable move_vtable = { on_head, on_body, on_end,
@@ -199,7 +207,7 @@
 	if (m->call)
 		return;
 	buf_free(&wire);
-	move_failed(m, "no connection to the endpoint");
+	move_failed(m, "no connection to the endpoint", false);
 }
 
 static bool should_move(const struct edge_req *r, int64_t now)
--- a/lib/stream/hand.c
+++ b/lib/stream/hand.c
@@ -19,12 +19,13 @@
 	return hand_on_event(h, last_id);
 }
 
-enum hand_step hand_on_refused(struct hand *h)
+enum hand_step hand_on_refused(struct hand *h, bool may_have_stopped)
 {
 	assert(h->state == HAND_REQUESTED);
 	h->state = HAND_REFUSED;
+	h->refused_stopped = may_have_stopped;
 	if (h->stream_closed)
-		return HAND_DONE;
+		return HAND_ENDED;
 	return h->stream_broken ? HAND_LOST : HAND_NO_CHANGE;
 }
 
@@ -53,7 +54,14 @@
 enum hand_step hand_on_stream_closed(struct hand *h)
 {
 	h->stream_closed = true;
-	return on_stream_end(h, HAND_DONE);
+	return on_stream_end(h, HAND_ENDED);
+}
+
+bool hand_may_have_stopped(const struct hand *h)
+{
+	if (h->state == HAND_REFUSED)
+		return h->refused_stopped;
+	return h->state != HAND_NONE;
 }
 
 enum hand_step hand_on_event(const struct hand *h, int64_t last_id)
--- a/lib/stream/hand.h
+++ b/lib/stream/hand.h
@@ -35,13 +35,14 @@
 	HAND_WAIT,	/* for the answer, or for the source's last events */
 	HAND_CONTINUE,	/* send the request to the target */
 	HAND_LOST,	/* the stream broke, and nothing was copied */
-	HAND_DONE,	/* the stream was complete already */
+	HAND_ENDED,	/* the stream closed; whole.h says if it was complete */
 };
 
 struct hand {
 	enum hand_state state;
 	bool stream_broken;	/* the source's stream broke off */
 	bool stream_closed;	/* it closed as it does at its end */
+	bool refused_stopped;	/* refused, but the run may have been stopped */
 	int64_t events_at_stop; /* events that the run made at the source */
 };
 
@@ -56,19 +57,25 @@
 enum hand_step hand_on_granted(struct hand *h, int64_t events_at_stop,
 			       int64_t last_id);
 
-/* The call was refused, or its answer was lost; only in HAND_REQUESTED. */
-enum hand_step hand_on_refused(struct hand *h);
+/*
+ * The call was refused, or its answer was lost; only in HAND_REQUESTED.
+ * `may_have_stopped`: the source may have stopped the run all the same.
+ */
+enum hand_step hand_on_refused(struct hand *h, bool may_have_stopped);
 
 /* The source's stream broke off. */
 enum hand_step hand_on_stream_broken(struct hand *h);
 
 /*
  * The source's stream closed as it does at its end. If its length is not
- * stated, it may also have closed because the run was stopped; the call's
- * answer decides between the two.
+ * stated, it may also have closed because the run was stopped, see
+ * hand_may_have_stopped().
  */
 enum hand_step hand_on_stream_closed(struct hand *h);
 
+/* True if the source has stopped the run for the call, or may have. */
+bool hand_may_have_stopped(const struct hand *h);
+
 /* Events were received; `last_id`: of the last whole one. */
 enum hand_step hand_on_event(const struct hand *h, int64_t last_id);
 
--- /dev/null
+++ b/lib/stream/whole.h
@@ -0,0 +1,37 @@
+/*
+ * whole: whether the answer of an endpoint is whole.
+ *
+ * A length or a last chunk proves that an answer is whole. An answer with neither
+ * ends with its connection, and so does one that was cut off. It counts as whole
+ * only if nothing made the run stop and the process that made it still runs.
+ *
+ * Pure functions.
+ */
+#ifndef WHOLE_H
+#define WHOLE_H
+
+#include <stdbool.h>
+
+/* The process at the endpoint's address, after the end of the answer. */
+enum whole_process {
+	WHOLE_PROCESS_UNKNOWN, /* not checked yet */
+	WHOLE_PROCESS_SAME,    /* it runs, and is the one that answered */
+	WHOLE_PROCESS_OTHER,   /* it has exited, or is another one */
+};
+
+struct whole_facts {
+	bool framed;	    /* by a length or chunks, and complete by these */
+	bool partial_event; /* of a stream: its last event is incomplete */
+	bool stopped; /* this entry had the run stopped, or may have had it */
+	enum whole_process process;
+};
+
+enum whole_verdict {
+	WHOLE_COMPLETE,
+	WHOLE_CUT_OFF,
+	WHOLE_UNVERIFIED, /* whole_facts.process has to be found out */
+};
+
+enum whole_verdict whole_judge(const struct whole_facts *f);
+
+#endif
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -109,6 +109,8 @@
 	add brittle_test $?
 	BIN=$BUILD/bin scripts/order_test.sh 3 >"$OUT" 2>/dev/null
 	add order_test $?
+	BIN=$BUILD/bin scripts/whole_test.sh >"$OUT" 2>/dev/null
+	add whole_test $?
 	BIN=$BUILD/bin scripts/power_test.sh >"$OUT" 2>/dev/null
 	add power_test $?
 	BIN=$BUILD/bin scripts/older_copy_test.sh >"$OUT" 2>/dev/null
--- a/tests/standin/platform.c
+++ b/tests/standin/platform.c
@@ -150,6 +150,8 @@
 	int config_told;       /* times that a configuration was in an answer */
 	struct copy copies[MAX_COPIES];
 	int nr_copies;
+	int copy_mode;	/* enum copy_mode */
+	int nr_stopped; /* runs, for a copy */
 	int64_t down_until_ms;
 	struct copy_of_store older; /* the store comes back from it */
 	int64_t era;
@@ -805,6 +807,14 @@
 	free(s);
 }
 
+/* How endpoints answer a call to stop a run and to copy its memory. */
+enum copy_mode {
+	COPY_MADE,
+	COPY_REFUSED, /* the run is stopped, and there is no room for its copy */
+	COPY_SILENT,  /* the run is stopped, and no answer comes */
+	COPY_UNKNOWN, /* the run is not known, and goes on */
+};
+
 /* A run is stopped, and its memory copied. */
 static void move_run(struct endpoint *e, struct hsc *c)
 {
@@ -816,8 +826,16 @@
 	cds_list_for_each_entry(s, &w.streams, node) {
 		if (s->at != e || strcmp(s->id, id))
 			continue;
-		if (w.nr_copies == MAX_COPIES || !jsn_bool(o, "last", false))
+		if (w.nr_copies == MAX_COPIES || !jsn_bool(o, "last", false) ||
+		    w.copy_mode == COPY_UNKNOWN)
 			break;
+		w.nr_stopped++;
+		if (w.copy_mode != COPY_MADE) {
+			cut_stream(s);
+			if (w.copy_mode == COPY_REFUSED)
+				reply(c, 503, "{\"handle\":\"h-0\"}");
+			return;
+		}
 		str_copy(w.copies[w.nr_copies].id, id, sizeof(w.copies[0].id));
 		snprintf(text, sizeof(text),
 			 "{\"handle\":\"h-%d\",\"created\":%d}", w.nr_copies++,
@@ -1286,11 +1304,11 @@
 		"runs %d once %d once_twice %d to_leaving %d usage %d usage_twice %d "
 		"orders %d wrong_fence %d not_bound %d revision %lld config_told %d "
 		"ended %d over_limit %u most_in_window %u "
-		"to_stated_leaving %u in_wait %u fell %d full %d\n",
+		"to_stated_leaving %u in_wait %u fell %d full %d stopped %d\n",
 		w.nr_runs, once, twice, late, w.nr_usage, w.usage_twice,
 		w.nr_scale, w.wrong_fence, w.not_bound, (long long)w.revision,
 		w.config_told, w.nr_ended, over_limit, most, stated_leaving,
-		in_wait, w.nr_fell, w.nr_full);
+		in_wait, w.nr_fell, w.nr_full, w.nr_stopped);
 	for (i = 0; i < w.nr_endpoints; i++)
 		buf_fmt(&out, "%s %s %d\n", w.endpoints[i].id,
 			w.endpoints[i].service, per[i]);
@@ -1408,6 +1426,9 @@
 	} else if (!strncmp(url, "/test/unframed", 14)) {
 		hmsg_query(url, "n", number, sizeof(number));
 		w.unframed = atoi(number);
+	} else if (!strncmp(url, "/test/copies", 12)) {
+		hmsg_query(url, "mode", number, sizeof(number));
+		w.copy_mode = atoi(number);
 	} else if (!strncmp(url, "/test/again", 11)) {
 		hmsg_query(url, "ms", number, sizeof(number));
 		w.start_again_ms = atoi(number);
--- a/tests/test_hand.c
+++ b/tests/test_hand.c
@@ -1,7 +1,11 @@
-/* Tests of the hand-over: each order of stream end and call answer. */
+/*
+ * Tests of the hand-over, each order of stream end and call answer, and of what
+ * proves that an answer is whole.
+ */
 #include <string.h>
 
 #include "stream/hand.h"
+#include "stream/whole.h"
 #include "support/unit.h"
 
 /* What happens to the stream of the source endpoint. */
@@ -56,20 +60,20 @@
 {
 	static const enum hand_step want[STREAM_CASES] = { HAND_NO_CHANGE,
 							   HAND_LOST,
-							   HAND_DONE };
+							   HAND_ENDED };
 	struct hand h;
 	int s;
 
 	for (s = 0; s < STREAM_CASES; s++) {
 		memset(&h, 0, sizeof(h));
 		hand_on_requested(&h);
-		CU_ASSERT_EQUAL(hand_on_refused(&h), HAND_NO_CHANGE);
+		CU_ASSERT_EQUAL(hand_on_refused(&h, false), HAND_NO_CHANGE);
 		CU_ASSERT_EQUAL(end_stream(&h, (enum stream)s), want[s]);
 
 		memset(&h, 0, sizeof(h));
 		hand_on_requested(&h);
 		end_stream(&h, (enum stream)s);
-		CU_ASSERT_EQUAL(hand_on_refused(&h), want[s]);
+		CU_ASSERT_EQUAL(hand_on_refused(&h, false), want[s]);
 	}
 }
 
@@ -93,6 +97,63 @@
 	CU_ASSERT_EQUAL(hand_on_stream_closed(&h), HAND_CONTINUE);
 }
 
+/* Guards against a run that was stopped for a refused copy, taken for complete. */
+static void refused_call_may_have_stopped_the_run(void)
+{
+	struct hand h;
+	int s, stopped;
+
+	for (stopped = 0; stopped < 2; stopped++) {
+		for (s = 0; s < STREAM_CASES; s++) {
+			memset(&h, 0, sizeof(h));
+			CU_ASSERT_FALSE(hand_may_have_stopped(&h));
+			hand_on_requested(&h);
+			CU_ASSERT(hand_may_have_stopped(&h));
+			end_stream(&h, (enum stream)s);
+			hand_on_refused(&h, stopped);
+			CU_ASSERT_EQUAL(hand_may_have_stopped(&h), stopped);
+
+			/* The stream may also end after the refusal. */
+			memset(&h, 0, sizeof(h));
+			hand_on_requested(&h);
+			hand_on_refused(&h, stopped);
+			end_stream(&h, (enum stream)s);
+			CU_ASSERT_EQUAL(hand_may_have_stopped(&h), stopped);
+		}
+	}
+}
+
+/* Guards against a close that is taken for the end of an answer. */
+static void only_a_proven_answer_is_whole(void)
+{
+	static const struct {
+		struct whole_facts facts;
+		enum whole_verdict want;
+	} rows[] = {
+		/* A length or a last chunk proves it, whatever happened. */
+		{ { .framed = true }, WHOLE_COMPLETE },
+		{ { .framed = true, .stopped = true }, WHOLE_COMPLETE },
+		{ { .framed = true, .process = WHOLE_PROCESS_OTHER },
+		  WHOLE_COMPLETE },
+		{ { .framed = true, .partial_event = true }, WHOLE_CUT_OFF },
+		/* A close does not. */
+		{ { .framed = false }, WHOLE_UNVERIFIED },
+		{ { .process = WHOLE_PROCESS_SAME }, WHOLE_COMPLETE },
+		{ { .process = WHOLE_PROCESS_OTHER }, WHOLE_CUT_OFF },
+		{ { .partial_event = true, .process = WHOLE_PROCESS_SAME },
+		  WHOLE_CUT_OFF },
+		{ { .stopped = true }, WHOLE_CUT_OFF },
+		{ { .stopped = true, .process = WHOLE_PROCESS_SAME },
+		  WHOLE_CUT_OFF },
+		{ { .stopped = true, .process = WHOLE_PROCESS_OTHER },
+		  WHOLE_CUT_OFF },
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++)
+		CU_ASSERT_EQUAL(whole_judge(&rows[i].facts), rows[i].want);
+}
+
 static void without_a_call_streams_end_normally(void)
 {
 	struct hand h;
@@ -101,13 +162,16 @@
 	CU_ASSERT_EQUAL(hand_on_event(&h, 3), HAND_NO_CHANGE);
 	CU_ASSERT_EQUAL(hand_on_stream_broken(&h), HAND_LOST);
 	memset(&h, 0, sizeof(h));
-	CU_ASSERT_EQUAL(hand_on_stream_closed(&h), HAND_DONE);
+	CU_ASSERT_EQUAL(hand_on_stream_closed(&h), HAND_ENDED);
 }
 
 static const struct unit_test tests[] = {
 	{ "waits for stream end and answer", waits_for_stream_end_and_answer },
 	{ "a refused call changes nothing", refused_call_changes_nothing },
 	{ "a stopped run is not complete", stopped_run_is_not_complete },
+	{ "a refused call may have stopped the run",
+	  refused_call_may_have_stopped_the_run },
+	{ "only a proven answer is whole", only_a_proven_answer_is_whole },
 	{ "without a call streams end normally",
 	  without_a_call_streams_end_normally },
 };
