hsc: bytes wait behind those that were set aside

What callers saw: with several GETs on one connection a client got the answer of its third request where that of the second one was due, after the machine had been frozen; then the entry's process ended by an assertion, with all that ran there. The body of a POST that was split from its head could run as a request.

Cause: bytes that arrive during a response are set aside, and hsc_done() starts a timer that parses them in the loop's next iteration. If the socket is readable in the iteration in which the response ends, on_data() saw an idle connection and parsed the new bytes first; then two requests shared one struct hsc. A freeze makes the two events fall into one iteration, load may.

The test plays both orders of the two events without a freeze.

Fix: on_data() adds bytes to those set aside as long as there are any. The idle timer starts when none are left: it could fire before they were parsed.

--- a/lib/io/hsc.c
+++ b/lib/io/hsc.c
@@ -193,7 +193,8 @@
 
 	if (c->state == HSC_LINGERING)
 		return;
-	if (c->state == HSC_RESPONDING) {
+	/* Behind the bytes that on_resume() has yet to parse, if there are any. */
+	if (c->state == HSC_RESPONDING || c->pipelined.len) {
 		if (c->pipelined.len + len > MAX_PIPELINED_BYTES)
 			ioc_pause(io, true);
 		buf_add(&c->pipelined, data, len);
@@ -370,11 +371,12 @@
 	c->server->nr_responding--;
 	c->state = HSC_IDLE;
 	c->server->vt->limits(c->server, &c->limits);
-	set_timer(c, c->limits.idle_ms);
-	if (c->pipelined.len)
+	if (c->pipelined.len) {
 		ev_timer_start(c->server->loop, &c->resume);
-	else
-		ioc_pause(c->io, false);
+		return;
+	}
+	set_timer(c, c->limits.idle_ms);
+	ioc_pause(c->io, false);
 }
 
 void hsc_disconnect(struct hsc *c)
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -864,6 +864,89 @@
 	hsc_server_close(&p.server);
 }
 
+static struct hsc *first_request; /* not answered yet; NULL: answered */
+
+/* Answers with the URL, all but the first request at once. */
+static void answer_url(struct hsc *c)
+{
+	const char *url = hmsg_url(&c->parse.msg);
+	BUF_AUTO out = BUF_INIT;
+
+	if (!strcmp(url, "/1") && !first_request) {
+		first_request = c;
+		return;
+	}
+	buf_fmt(&out, "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s%s",
+		strlen(url) + c->body.len, url, buf_cstr(&c->body));
+	hsc_write(c, out.data, out.len);
+	hsc_done(c, false);
+}
+
+static void on_first_ready(struct ev_loop *l, ev_io *w, int revents)
+{
+	(void)revents;
+	ev_io_stop(l, w);
+	answer_url(first_request);
+}
+
+/*
+ * Guards against bytes that arrive as a response ends, parsed before those that
+ * were set aside during it: clients got each other's answers. The response ends
+ * and the bytes arrive in the same iteration of the loop, in either order.
+ */
+static void bytes_set_aside_are_parsed_first(void)
+{
+	static const struct hsc_vtable vtable = { answer_url, peer_disconnected,
+						  peer_read_error,
+						  peer_limits };
+	/* The second part goes on where the first one ends. */
+	static const char *const parts[][2] = {
+		{ "GET /2 HTTP/1.1\r\nHost: x\r\n\r\n",
+		  "GET /3 HTTP/1.1\r\nHost: x\r\n\r\n" },
+		{ "POST /2 HTTP/1.1\r\nHost: x\r\nContent-Length: 28\r\n\r\n",
+		  "GET /4 HTTP/1.1\r\nHost: x\r\n\r\n"
+		  "GET /3 HTTP/1.1\r\nHost: x\r\n\r\n" },
+	};
+	static const char *const expected[] = {
+		OK(2, "/1") OK(2, "/2") OK(2, "/3"),
+		OK(2, "/1") OK(30, "/2GET /4 HTTP/1.1\r\nHost: x\r\n\r\n")
+			OK(2, "/3"),
+	};
+	char got[1024];
+	ev_io ready;
+	unsigned i;
+	int fd, ends[2];
+
+	for (i = 0; i < 4; i++) {
+		const char *const *part = parts[i / 2];
+		struct peer p;
+
+		open_peer(&p, NULL);
+		p.server.vt = &vtable;
+		first_request = NULL;
+		fd = connect_to(&p);
+		send_text(fd, "GET /1 HTTP/1.1\r\nHost: x\r\n\r\n");
+		send_text(fd, part[0]);
+		run_loop(0.03);
+		CU_ASSERT_EQUAL_FATAL(pipe(ends), 0);
+		ev_io_init(&ready, on_first_ready, ends[0], EV_READ);
+		ev_io_start(loop, &ready);
+		if (i % 2)
+			send_text(fd, part[1]);
+		CU_ASSERT_EQUAL(write(ends[1], "x", 1), 1);
+		if (!(i % 2))
+			send_text(fd, part[1]);
+		run_loop(0.05);
+		read_all(fd, got, sizeof(got));
+		CU_ASSERT_STRING_EQUAL(got, expected[i / 2]);
+		close(ends[0]);
+		close(ends[1]);
+		close(fd);
+		run_loop(0.02);
+		hsc_server_close(&p.server);
+	}
+}
+
 static void bad_requests_get_an_error_response(void)
 {
 	static const struct {
@@ -991,6 +1074,8 @@
 	  peer_can_be_freed_by_its_last_call },
 	{ "pipelined requests get responses in order",
 	  pipelined_requests_get_responses_in_order },
+	{ "bytes set aside are parsed first",
+	  bytes_set_aside_are_parsed_first },
 	{ "malformed, slow and large requests get an error response",
 	  bad_requests_get_an_error_response },
 	{ "closing idle connections keeps requests that were read",
