hsc: responses to HEAD end with their head

What callers saw: after a refused HEAD request on a kept connection the next answer could not be read, since the refusal's body was taken for its start.

Cause: the entry's own responses have a body whatever the method is; each writer of responses decided for itself, and two of six looked at the method.

Evidence: HEAD and GET of no route on one connection: the second status line does not begin a line.

Fix: hsc_write() drops what follows the head of a response to HEAD, so that no writer has to know.

Tests: test_http "responses to HEAD have no body", at once and in pieces (28 passed, 1 failed before; 29 pass), and edge_test "a refusal of a HEAD request has no body" (57 passed, 1 failed before; 58 pass).

--- a/lib/io/hsc.c
+++ b/lib/io/hsc.c
@@ -140,6 +140,7 @@
 {
 	ev_timer_stop(c->server->loop, &c->timer);
 	c->state = HSC_RESPONDING;
+	c->head_match = 0;
 	c->server->nr_responding++;
 	if (!c->parse.msg.keep_alive)
 		c->close_after = true;
@@ -356,8 +357,26 @@
 	return c->close_after || c->server->draining;
 }
 
+/* The number of bytes that still belong to the head of the response. */
+static size_t head_part(struct hsc *c, const char *data, size_t len)
+{
+	static const char end[] = "\r\n\r\n";
+	size_t n = 0;
+
+	while (n < len && c->head_match < strlen(end)) {
+		if (data[n] == end[c->head_match])
+			c->head_match++;
+		else
+			c->head_match = data[n] == end[0];
+		n++;
+	}
+	return n;
+}
+
 void hsc_write(struct hsc *c, const void *data, size_t len)
 {
+	if (c->state == HSC_RESPONDING && c->parse.msg.method == HTTP_HEAD)
+		len = head_part(c, data, len);
 	ioc_write(c->io, data, len);
 }
 
--- a/lib/io/hsc.h
+++ b/lib/io/hsc.h
@@ -91,8 +91,11 @@
 	struct buf body;
 	struct buf pipelined; /* bytes received after the current request */
 	ev_timer timer;
-	ev_timer resume;  /* parses `pipelined` in the loop's next iteration */
-	bool close_after; /* the client requests a close */
+	ev_timer resume; /* parses `pipelined` in the loop's next iteration */
+	unsigned
+		head_match; /* bytes of the empty line that ends the head of the
+				response, as far as it was written */
+	bool close_after;   /* the client requests a close */
 	bool body_too_large; /* body_bytes exceeded */
 	bool in_feed;	     /* the parser is on the stack */
 	bool free_pending;   /* freed when the parser returns */
@@ -122,7 +125,8 @@
 
 /*
  * Sends or queues the next bytes of the response, the first of which is the
- * status line. `data` is copied.
+ * status line. `data` is copied. The response to a HEAD request ends with its
+ * head: what is written after that is dropped.
  */
 void hsc_write(struct hsc *c, const void *data, size_t len);
 
--- a/scripts/edge_test.sh
+++ b/scripts/edge_test.sh
@@ -64,6 +64,17 @@
 expect "the stream is complete and in order" stream_complete
 expect "401 for an unknown key" is "$(KEY=zz request 2 key-1 /l/x)" 401
 expect "404 for an unknown route" is "$(request 2 route-1 /none/x)" 404
+# heads_and_next N PATH: a HEAD of the path and the next request on one connection;
+# prints the number of status lines that begin a line.
+heads_and_next() {
+	local at=$(address "$1" callers)
+	(
+		exec 3<>"/dev/tcp/${at%:*}/${at#*:}"
+		printf 'HEAD %s HTTP/1.1\r\nHost: t.example\r\nAttempt-Id: head-1\r\nAuthorization: Bearer k1\r\n\r\nGET /none/y HTTP/1.1\r\nHost: t.example\r\nAttempt-Id: head-2\r\nAuthorization: Bearer k1\r\nConnection: close\r\n\r\n' "$2" >&3
+		timeout 5 cat <&3
+	) | grep -c '^HTTP/1.1 '
+}
+expect "a refusal of a HEAD request has no body" is "$(heads_and_next 2 /none/x)" 2
 expect "400 without an attempt id" is "$(request 2 '' /l/x)" 400
 expect "413 for a body over the limit" \
 	is "$(head -c 200000 /dev/zero | request 2 large-1 /u/x --data-binary @-)" 413
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -974,6 +974,49 @@
 	hsc_server_close(&p.server);
 }
 
+static void write_in_pieces(struct hsc *c)
+{
+	const struct peer *p = c->server->owner;
+	const char *at;
+
+	for (at = p->raw; *at; at++)
+		hsc_write(c, at, 1);
+	hsc_done(c, false);
+}
+
+/* Guards against the body of a refused HEAD request, read as the next response. */
+static void responses_to_head_have_no_body(void)
+{
+	static const char head[] =
+		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n";
+	static const struct hsc_vtable in_pieces = { write_in_pieces,
+						     peer_disconnected,
+						     peer_read_error,
+						     peer_limits, NULL };
+	BUF_AUTO expected = BUF_INIT;
+	char got[1024];
+	int fd, pieces;
+
+	buf_str(&expected, head);
+	buf_str(&expected, OK(2, "hi"));
+	for (pieces = 0; pieces < 2; pieces++) {
+		struct peer p;
+
+		open_peer(&p, OK(2, "hi"));
+		if (pieces)
+			p.server.vt = &in_pieces;
+		fd = connect_to(&p);
+		send_text(fd, "HEAD /1 HTTP/1.1\r\nHost: x\r\n\r\n"
+			      "GET /2 HTTP/1.1\r\nHost: x\r\n\r\n");
+		run_loop(0.03);
+		read_all(fd, got, sizeof(got));
+		CU_ASSERT_STRING_EQUAL(got, buf_cstr(&expected));
+		close(fd);
+		run_loop(0.02);
+		hsc_server_close(&p.server);
+	}
+}
+
 static struct hsc *first_request; /* not answered yet; NULL: answered */
 
 /* Answers with the URL, all but the first request at once. */
@@ -1187,6 +1230,7 @@
 	  peer_can_be_freed_by_its_last_call },
 	{ "pipelined requests get responses in order",
 	  pipelined_requests_get_responses_in_order },
+	{ "responses to HEAD have no body", responses_to_head_have_no_body },
 	{ "bytes set aside are parsed first",
 	  bytes_set_aside_are_parsed_first },
 	{ "malformed, slow and large requests get an error response",
