sse: bound the data of an event

What could happen: an engine that sends an event of many lines that never ends is read into memory by marldock-entry until its caller leaves. Read in the code while looking for the cause of answers without end on other paths; not seen with processes. Its reports (64 kB) and its other replies (8 MB) have bounds already.

Cause: the parser bounds a line, not the event that the lines add up to.

Fix: an event's data beyond 1 MB breaks the stream off, as a line does. A line of the key-value store's watch beyond 16 MB ends the watch, which is started again.

Test: test_base "events of a stream are bounded" failed on the code before (12 passed, 1 failed); now 13 pass.

--- a/lib/net/sse.c
+++ b/lib/net/sse.c
@@ -69,6 +69,8 @@
 		if (s->line.data[0] != ':')
 			take_field(s, s->line.data);
 		buf_reset(&s->line);
+		if (s->data.len > SSE_MAX_DATA)
+			return false;
 	}
 	return true;
 }
--- a/lib/net/sse.h
+++ b/lib/net/sse.h
@@ -9,8 +9,9 @@
 
 #include "base/buf.h"
 
-/* A line longer than this ends the stream as broken. */
+/* A line, or the data of an event, longer than this ends the stream as broken. */
 #define SSE_MAX_LINE (1024 * 1024)
+#define SSE_MAX_DATA (1024 * 1024)
 
 struct sse_event {
 	const char *id;	  /* "" if none */
@@ -31,7 +32,7 @@
 
 /*
  * Takes bytes in and calls `fn` for each complete event. Returns false when a
- * line is too long or `fn` returned false.
+ * line or an event's data is too long, or `fn` returned false.
  */
 bool sse_feed(struct sse *s, const char *bytes, size_t len,
 	      bool (*fn)(const struct sse_event *ev, void *arg), void *arg);
--- a/lib/platform/kv_etcd.c
+++ b/lib/platform/kv_etcd.c
@@ -240,6 +240,9 @@
 
 /* ---- Watch ---- */
 
+/* A line of a watch longer than this ends it; it is then started again. */
+#define MAX_WATCH_LINE (16u << 20)
+
 struct watch_ctx {
 	bool (*fn)(const struct kv_event *ev, void *arg);
 	void *arg;
@@ -281,6 +284,8 @@
 
 	for (i = 0; i < len; i++) {
 		if (data[i] != '\n') {
+			if (w->line.len == MAX_WATCH_LINE)
+				return false;
 			buf_add(&w->line, data + i, 1);
 			continue;
 		}
--- a/tests/test_base.c
+++ b/tests/test_base.c
@@ -212,6 +212,24 @@
 	return strcmp(ev->data, "stop") != 0;
 }
 
+/* Guards against an event of many lines that never ends, kept in memory. */
+static void sse_events_are_bounded(void)
+{
+	static const char line[] = "data: 0123456789\n";
+	struct event_log s = { "" };
+	size_t fed = 0;
+	struct sse p;
+
+	sse_init(&p);
+	while (fed < 4u * SSE_MAX_DATA &&
+	       sse_feed(&p, line, strlen(line), log_event, &s))
+		fed += strlen(line);
+	CU_ASSERT(fed > SSE_MAX_DATA);
+	CU_ASSERT(fed < 2u * SSE_MAX_DATA);
+	CU_ASSERT_STRING_EQUAL(s.text, "");
+	sse_free(&p);
+}
+
 /* The events are the same for every size of the pieces that arrive. */
 static void sse_pieces(void)
 {
@@ -356,6 +374,7 @@
 	{ "settings", settings_errors },
 	{ "a ring is bounded", ring_bounds },
 	{ "server-sent events in pieces of any size", sse_pieces },
+	{ "events of a stream are bounded", sse_events_are_bounded },
 	{ "engine events", engine_events },
 	{ "engine orders", engine_orders },
 	{ "metrics text", metrics_text },
