--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -216,6 +216,19 @@
 					     "waits for a shorter queue");
 }
 
+static void register_answer_metrics(struct met *m, struct edge_metrics *x)
+{
+	x->answers_verified =
+		met_counter(m, "answers_verified_total",
+			    "answers without framing, probed for a crash");
+	x->answers_oversized =
+		met_counter(m, "answers_oversized_total",
+			    "answers given up since they were too large");
+	x->streams_paused =
+		met_counter(m, "streams_paused_total",
+			    "pauses of streams that callers read too slowly");
+}
+
 static void register_metrics(struct edge *en)
 {
 	struct met *m = &en->met;
@@ -250,15 +263,7 @@
 	x->endpoints_ended =
 		met_counter(m, "endpoints_ended_total",
 			    "endpoints that ended under our requests");
-	x->answers_verified =
-		met_counter(m, "answers_verified_total",
-			    "answers without framing, probed for a crash");
-	x->answers_oversized =
-		met_counter(m, "answers_oversized_total",
-			    "answers given up since they were too large");
-	x->streams_paused =
-		met_counter(m, "streams_paused_total",
-			    "pauses of streams that callers read too slowly");
+	register_answer_metrics(m, x);
 	register_suspect_metrics(m, x);
 	x->sends_not_run = met_counter(m, "sends_not_run_total",
 				       "sends that endpoints did not run");
