sto: no detour by a relay while the direct way works

What callers saw: in drills that keep entry after entry from the store, requests with a key that had been taken away were run 2.3 to 3.2 s after that, and a leaving endpoint got requests after 2.2 to 3.4 s; 2 s are allowed.

Cause: an entry whose way to the store is back goes on by a relay until its direct backoff ends, 2.8 s at most. If the relay has lost the store meanwhile, each call waits for its time-out; reads did so for up to 2.9 s even after a direct call had succeeded.

Fix: a relayed call that fails ends the direct backoff, and a direct call that succeeds has the reads that wait for a relay sent again. Reads may be repeated, and what is sent again counts from then on.

--- a/lib/store/sto.c
+++ b/lib/store/sto.c
@@ -81,6 +81,7 @@
 #define IDLE_MS 8000
 
 struct sto {
+	struct cds_list_head relayed_reads; /* of pending.node */
 	struct ev_loop *loop;
 	const struct clk *clk;
 	const struct sto_codec *codec;
@@ -113,6 +114,11 @@
 };
 
 struct pending {
+	struct cds_list_head node; /* in sto.relayed_reads, if wire is set */
+	struct htc_call *call;
+	struct buf wire; /* a relayed read, to be sent again; else empty */
+	int timeout_ms;
+	size_t max_answer;
 	struct sto *s;
 	enum sto_kind kind;
 	sto_done done;
@@ -191,6 +197,7 @@
 	s->on_reachability = on_reachability;
 	s->on_reachability_arg = arg;
 	s->direct_ok = true;
+	CDS_INIT_LIST_HEAD(&s->relayed_reads);
 	strcpy(s->host, "store");
 	htc_peer_init(&s->direct, loop, clk, addr, &limits);
 	return s;
@@ -311,6 +318,8 @@
 	return failed && success_ms && now - success_ms > OUTAGE_MS;
 }
 
+static void read_directly(struct sto *s);
+
 /* Outcomes before STO_BUSY are answers of a store that works. */
 static void record_outcome(struct pending *p, enum sto_outcome o)
 {
@@ -324,9 +333,13 @@
 		s->success_ms = now;
 	}
 	s->failed = !good;
+	/* The relay is no better: the next call is direct. */
+	if (!p->direct && !good)
+		s->backoff_until_ms = now;
 	if (p->direct) {
 		s->direct_ok = good;
 		if (good) {
+			read_directly(s);
 			s->backoff_ms = 0;
 			s->direct_success_ms = now;
 		} else {
@@ -404,8 +417,17 @@
 		s->on_trace(s->on_trace_arg, &t);
 }
 
+static void forget_wire(struct pending *p)
+{
+	if (!p->wire.len)
+		return;
+	cds_list_del(&p->node);
+	buf_free(&p->wire);
+}
+
 static void finish(struct pending *p, struct sto_answer *a)
 {
+	forget_wire(p);
 	check_era(p, a);
 	trace(p, a->outcome);
 	a->asked_ms = p->asked_ms;
@@ -545,17 +567,50 @@
 	ev_timer_start(p->s->loop, &p->later);
 }
 
+/*
+ * The direct way works: reads that wait for a relay, which may have lost the store
+ * meanwhile, are sent again.
+ */
+static void read_directly(struct sto *s)
+{
+	struct pending *p, *next;
+	BUF_AUTO wire = BUF_INIT;
+
+	cds_list_for_each_entry_safe(p, next, &s->relayed_reads, node) {
+		htc_cancel(p->call);
+		buf_reset(&wire);
+		buf_add(&wire, p->wire.data, p->wire.len);
+		forget_wire(p);
+		buf_free(&p->body);
+		p->direct = true;
+		p->status = 0;
+		p->era = -1;
+		p->asked_ms = clk_boot_ms(s->clk);
+		p->call = htc_start(&s->direct, &wire, 0, false, p->timeout_ms,
+				    &call_vtable, p);
+		if (p->call)
+			htc_set_max_body(p->call, p->max_answer);
+		else
+			finish_later(p, STO_UNREACHABLE);
+	}
+}
+
+static bool is_read(const struct sto_call *call)
+{
+	return call->kind == STO_GET || call->kind == STO_LIST ||
+	       call->kind == STO_WATCH;
+}
+
 static int timeout_for(const struct sto_call *call, bool direct)
 {
-	const bool reads = call->kind == STO_GET || call->kind == STO_LIST ||
-			   call->kind == STO_WATCH;
 	int ms = CALL_MS;
 
 	if (call->kind == STO_WATCH)
 		ms += call->wait_ms;
 	if (direct)
 		return ms;
-	return ms + VIA_RELAY_EXTRA_MS + (reads ? VIA_RELAY_READ_MS : 0);
+	return ms + VIA_RELAY_EXTRA_MS +
+	       (is_read(call) ? VIA_RELAY_READ_MS : 0);
 }
 
 /*
@@ -604,7 +659,6 @@
 	struct pending *p = calloc(1, sizeof(*p));
 	struct sto_call plain = *call;
 	struct buf wire = BUF_INIT;
-	struct htc_call *started;
 	struct htc_peer *to;
 
 	assert(p);
@@ -622,12 +676,20 @@
 	}
 	to = choose_peer(s, &p->direct);
 	s->codec->encode(&plain, s->host, &wire);
-	started = htc_start(to, &wire, 0, false, timeout_for(call, p->direct),
+	p->timeout_ms = timeout_for(call, true);
+	p->max_answer = max_answer(call);
+	if (!p->direct && is_read(call)) {
+		buf_add(&p->wire, wire.data, wire.len);
+		cds_list_add_tail(&p->node, &s->relayed_reads);
+	}
+	p->call = htc_start(to, &wire, 0, false, timeout_for(call, p->direct),
 			    &call_vtable, p);
-	if (started)
-		htc_set_max_body(started, max_answer(call));
-	else
-		finish_later(p, STO_UNREACHABLE);
+	if (p->call) {
+		htc_set_max_body(p->call, p->max_answer);
+		return;
+	}
+	forget_wire(p);
+	finish_later(p, STO_UNREACHABLE);
 }
 
 /* ---- Following another entry ---- */
