edge, sto: one function ends an answer; names

edge_answer_end() replaces two functions that did nothing but call it. The members of a call that waits for a relay stand together. No change of behaviour: test_sto, test_http, test_hand, test_flt and whole_test pass.

--- a/lib/edge/edge_answer.c
+++ b/lib/edge/edge_answer.c
@@ -628,8 +628,7 @@
 			      true);
 }
 
-/* The connection ended in order: the answer is passed on if it is whole. */
-static void end_answer(struct edge_req *r, enum whole_process process)
+void edge_answer_end(struct edge_req *r, enum whole_process process)
 {
 	const struct whole_facts facts = {
 		.framed = !r->unframed,
@@ -645,7 +644,7 @@
 	case WHOLE_UNVERIFIED:
 		met_inc(r->en->m.answers_verified);
 		if (!edge_verify_start(r))
-			end_answer(r, WHOLE_PROCESS_OTHER);
+			edge_answer_end(r, WHOLE_PROCESS_OTHER);
 		break;
 	case WHOLE_CUT_OFF:
 		handle_cut_off(r, &facts);
@@ -653,11 +652,6 @@
 	}
 }
 
-void edge_answer_verified(struct edge_req *r, enum whole_process process)
-{
-	end_answer(r, process);
-}
-
 static void end_refused(struct edge_req *r)
 {
 	edge_send_not_run(r, r->reply.misdirected ? FLT_MISDIRECTED : FLT_BUSY,
@@ -677,7 +671,7 @@
 	if (r->streaming && !evs_has_partial(&r->events) &&
 	    migration_continues(r, hand_on_stream_closed(&r->hand)))
 		return;
-	end_answer(r, WHOLE_PROCESS_UNKNOWN);
+	edge_answer_end(r, WHOLE_PROCESS_UNKNOWN);
 }
 
 static void on_failed(struct htc_call *call, enum htc_failure why)
@@ -726,11 +720,6 @@
 	handle_lost(r, FLT_FAILED, why);
 }
 
-void edge_send_closed(struct edge_req *r)
-{
-	end_answer(r, WHOLE_PROCESS_UNKNOWN);
-}
-
 /* True if the endpoint may never have got the request, and it may be repeated. */
 static bool is_silent(const struct edge_req *r, int64_t now)
 {
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -742,24 +742,28 @@
 /* Logs the end of the current send. `status`: HTTP status; 0: no answer. */
 void edge_log_send_ended(struct edge_req *r, const char *outcome, int status);
 
+/* Why the rest of a stream is lost whose run was stopped for its migration. */
+#define EDGE_WHY_STOPPED "stopped for a copy that failed"
+
 /*
- * End the current send after its migration failed: the stream broke off, or its
- * connection closed in order, and the stream is passed on as complete if it is.
- * Both may free `r`.
+ * The current send broke off after its migration had failed. May free `r`. `why`:
+ * for the log and the response.
  */
-#define EDGE_WHY_STOPPED "stopped for a copy that failed"
 void edge_send_lost(struct edge_req *r, const char *why);
-void edge_send_closed(struct edge_req *r);
 
-/* The process behind an answer without framing was found out. May free `r`. */
-void edge_answer_verified(struct edge_req *r, enum whole_process process);
+/*
+ * The connection of the current send closed in order: passes the answer on if it is
+ * whole (whole.h), else takes the next step. May free `r`. `process`: UNKNOWN until
+ * edge_verify_start() has found it out.
+ */
+void edge_answer_end(struct edge_req *r, enum whole_process process);
 
 /* ---- edge_verify.c: the process behind an answer without framing ---- */
 
 /*
  * Finds out whether the process that answered still runs, after its connection
- * has closed: calls edge_answer_verified() later, never from within. False: it
- * is gone, or cannot be found out.
+ * has closed: calls edge_answer_end() later, never from within. False: it is
+ * gone, or cannot be found out.
  */
 bool edge_verify_start(struct edge_req *r);
 
--- a/lib/edge/edge_move.c
+++ b/lib/edge/edge_move.c
@@ -88,7 +88,7 @@
 	switch (hand_on_refused(&r->hand, may_have_stopped)) {
 	case HAND_ENDED:
 		edge_move_cancel(r);
-		edge_send_closed(r);
+		edge_answer_end(r, WHOLE_PROCESS_UNKNOWN);
 		break;
 	case HAND_LOST:
 		edge_send_lost(r, EDGE_WHY_STOPPED);
--- a/lib/edge/edge_verify.c
+++ b/lib/edge/edge_verify.c
@@ -41,7 +41,7 @@
 	struct edge *en;
 	struct edge_req *r;	/* NULL: its send was stopped */
 	struct flt_endpoint *e; /* referenced */
-	bool prompt; /* the connection closed right after its last byte */
+	bool prompt; /* the close is younger than another start can be */
 	int64_t connected_ms; /* waits for a newer list since; 0: connecting */
 };
 
@@ -61,7 +61,7 @@
 	if (!r)
 		return;
 	r->verify = NULL;
-	edge_answer_verified(r, process);
+	edge_answer_end(r, process);
 }
 
 static void on_probed(void *arg, enum htc_probe_result found)
--- a/lib/io/hsc.h
+++ b/lib/io/hsc.h
@@ -93,8 +93,7 @@
 	ev_timer timer;
 	ev_timer resume; /* parses `pipelined` in the loop's next iteration */
 	unsigned
-		head_match; /* bytes of the empty line that ends the head of the
-				response, as far as it was written */
+		head_match; /* bytes written of the CRLF CRLF that ends a head */
 	bool close_after;   /* the client requests a close */
 	bool body_too_large; /* body_bytes exceeded */
 	bool in_feed;	     /* the parser is on the stack */
--- a/lib/io/htc.c
+++ b/lib/io/htc.c
@@ -209,7 +209,6 @@
 static void on_body(struct hparse *p, const char *data, size_t len)
 {
 	struct htc_conn *k = p->owner;
-
 	struct htc_call *c = k->call;
 
 	if (k->skip_response || !c)
--- a/lib/store/sto.c
+++ b/lib/store/sto.c
@@ -114,15 +114,16 @@
 };
 
 struct pending {
-	struct cds_list_head node; /* in sto.relayed_reads, if wire is set */
-	struct htc_call *call;
-	struct buf wire; /* a relayed read, to be sent again; else empty */
-	int timeout_ms;
-	size_t max_answer;
 	struct sto *s;
 	enum sto_kind kind;
 	sto_done done;
 	void *arg;
+	struct htc_call *call; /* NULL: none was started */
+	size_t max_answer;     /* bytes */
+	/* Of a read that waits for a relay; else `wire` is empty. */
+	struct cds_list_head node; /* in sto.relayed_reads */
+	struct buf wire;	   /* the request, to be sent again */
+	int direct_ms;		   /* time-out of that */
 	int64_t asked_ms;
 	int wait_ms; /* longest wait of a watch; 0: other calls */
 	bool direct;
@@ -417,7 +418,8 @@
 		s->on_trace(s->on_trace_arg, &t);
 }
 
-static void forget_wire(struct pending *p)
+/* The call is not, or no longer, a read that waits for a relay. */
+static void end_relayed_read(struct pending *p)
 {
 	if (!p->wire.len)
 		return;
@@ -427,7 +429,7 @@
 
 static void finish(struct pending *p, struct sto_answer *a)
 {
-	forget_wire(p);
+	end_relayed_read(p);
 	check_era(p, a);
 	trace(p, a->outcome);
 	a->asked_ms = p->asked_ms;
@@ -580,13 +582,13 @@
 		htc_cancel(p->call);
 		buf_reset(&wire);
 		buf_add(&wire, p->wire.data, p->wire.len);
-		forget_wire(p);
+		end_relayed_read(p);
 		buf_free(&p->body);
 		p->direct = true;
 		p->status = 0;
 		p->era = -1;
 		p->asked_ms = clk_boot_ms(s->clk);
-		p->call = htc_start(&s->direct, &wire, 0, false, p->timeout_ms,
+		p->call = htc_start(&s->direct, &wire, 0, false, p->direct_ms,
 				    &call_vtable, p);
 		if (p->call)
 			htc_set_max_body(p->call, p->max_answer);
@@ -676,7 +678,7 @@
 	}
 	to = choose_peer(s, &p->direct);
 	s->codec->encode(&plain, s->host, &wire);
-	p->timeout_ms = timeout_for(call, true);
+	p->direct_ms = timeout_for(call, true);
 	p->max_answer = max_answer(call);
 	if (!p->direct && is_read(call)) {
 		buf_add(&p->wire, wire.data, wire.len);
@@ -688,7 +690,7 @@
 		htc_set_max_body(p->call, p->max_answer);
 		return;
 	}
-	forget_wire(p);
+	end_relayed_read(p);
 	finish_later(p, STO_UNREACHABLE);
 }
 
