--- a/lib/edge/edge_answer.c
+++ b/lib/edge/edge_answer.c
@@ -315,7 +315,7 @@
 	return NULL;
 }
 
-/* Ends a send whose answer is not worth reading. */
+/* Ends a send as failed by the head of its answer; the rest is not read. */
 static void give_up_answer(struct edge_req *r, const char *why)
 {
 	htc_cancel(r->call);
@@ -614,7 +614,7 @@
 		finish_answer(r);
 }
 
-/* A run that was stopped for a copy does not speak against its endpoint. */
+/* A run that was stopped for its migration is no sign of a crash. */
 static void handle_cut_off(struct edge_req *r, const struct whole_facts *facts)
 {
 	if (migration_continues(r, hand_on_stream_broken(&r->hand)))
--- a/scripts/endless_test.sh
+++ b/scripts/endless_test.sh
@@ -3,8 +3,8 @@
 # entries on a stand-in of the platform. Checks counts and the entries' memory, never
 # times.
 #
-# Failure: one event that never ended was read into memory, 800 MB a call, until its
-# caller left; the entry grew to eight times what its machine has.
+# Failure: one event that never ended was read into memory, gigabytes a call, until
+# its caller left; the entry grew to many times what its machine has.
 # Usage: endless_test.sh [SECONDS] (of load in each case; default 2)
 cd "$(dirname "$0")/.." || exit 1
 EDGES=${EDGES:-2}
