sto, edge: one place for a call's start, a short list of verifications

No change of behaviour; found by reading the change once more.

- sto: a call and a read that is sent again directly start in one function.
The time-out and the bound of the answer follow from the call's kind and wait and are no longer kept; the stored request is moved, not copied.
- edge_verify: ends that wait for a list of endpoints stand in a list of their own.
Each tick went through all requests for them, twenty times a second, and there are hardly ever any.
- htc: one bound for small responses in place of four constants.
- edge_lease: the part of the duty key's value that names a process is written by one function, for writing the key and for recognizing it.
- edge_answer: a send given up by its head is cancelled where all sends are.

--- a/lib/duty/lead.h
+++ b/lib/duty/lead.h
@@ -124,7 +124,7 @@
  * no other entry has acted since, or the key would name it. Otherwise the lease
  * would have to expire first; when all entries were killed at once, no
  * endpoints were ordered for five seconds. After a restore of the store another
- * entry may have acted, but nobody acts until its lease has expired.
+ * entry may have acted, but no holder acts until its lease has expired.
  */
 bool lead_begin_acquire(struct lead *l, int rank, int64_t lease_until_ms,
 			int64_t now_ms);
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -541,6 +541,7 @@
 	en->source = edge_source(c->name, en->boot);
 	rnd_seed(&en->rnd, en->boot);
 	CDS_INIT_LIST_HEAD(&en->requests);
+	CDS_INIT_LIST_HEAD(&en->verifying);
 	CDS_INIT_LIST_HEAD(&en->awaiting_config);
 	CDS_INIT_LIST_HEAD(&en->followers);
 	CDS_INIT_LIST_HEAD(&en->held_probes);
--- a/lib/edge/edge_answer.c
+++ b/lib/edge/edge_answer.c
@@ -12,9 +12,6 @@
 /* Refusals by brittle endpoints before a last one ends the request. */
 #define MAX_BRITTLE_REFUSALS 1
 
-/* Maximum body of a refusal, which is not read. */
-#define MAX_REFUSAL_BYTES 65536
-
 /*
  * Part of the machine's memory that the bodies of all answers under way may take.
  * An answer is copied twice on its way to the caller.
@@ -318,8 +315,6 @@
 /* Ends a send as failed by the head of its answer; the rest is not read. */
 static void give_up_answer(struct edge_req *r, const char *why)
 {
-	htc_cancel(r->call);
-	r->call = NULL;
 	edge_rollout_failed(r, false);
 	handle_lost(r, FLT_FAILED, why);
 }
@@ -351,7 +346,7 @@
 	if (r->streaming)
 		htc_set_max_body(call, 0); /* its events are bounded */
 	else if (r->reply.not_run)
-		htc_set_max_body(call, MAX_REFUSAL_BYTES);
+		htc_set_max_body(call, HTC_SMALL_BODY_BYTES);
 	/* Of a resumed stream the caller already has the head. */
 	if (!r->streaming || !r->rq.started) {
 		buf_reset(&r->answer_head);
--- a/lib/edge/edge_duty.c
+++ b/lib/edge/edge_duty.c
@@ -33,7 +33,7 @@
 	.user_timeout_ms = EDGE_DUTY_CALL_MS,
 	.keepalive_s = 1,
 	.idle_ms = 8000,
-	.max_body_bytes = 65536, /* it is not read */
+	.max_body_bytes = HTC_SMALL_BODY_BYTES,
 };
 
 bool edge_duty_may_act(const struct edge *en)
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -204,7 +204,8 @@
 
 	/* The listeners. */
 	struct hsc_server callers, ready, lookup, peers;
-	struct cds_list_head requests; /* of edge_req.node */
+	struct cds_list_head requests;	/* of edge_req.node */
+	struct cds_list_head verifying; /* of edge_verify.node */
 
 	struct sto *store;
 	struct edge_watch watches[EDGE_NR_WATCHES];
--- a/lib/edge/edge_lease.c
+++ b/lib/edge/edge_lease.c
@@ -26,10 +26,19 @@
 /* Delay after a call that failed. */
 #define LEASE_RETRY_MS 250
 
+/* The part of the value of EDGE_DUTY_KEY that names this process. */
+static int format_boot(const struct edge *en, char *out, size_t size)
+{
+	return snprintf(out, size, "%s/%016llx", en->conf->name,
+			(unsigned long long)en->boot);
+}
+
 static void format_holder(const struct edge *en, char *out, size_t size)
 {
-	snprintf(out, size, "%s/%016llx/%lld", en->conf->name,
-		 (unsigned long long)en->boot, (long long)en->lease.id);
+	const int len = format_boot(en, out, size);
+
+	snprintf(out + len, size - (size_t)len, "/%lld",
+		 (long long)en->lease.id);
 }
 
 /* True if the value names this process; *lease: that it states, 0: none. */
@@ -37,10 +46,8 @@
 			    int64_t *lease)
 {
 	char own[128];
-	int len;
+	const int len = format_boot(en, own, sizeof(own));
 
-	len = snprintf(own, sizeof(own), "%s/%016llx", en->conf->name,
-		       (unsigned long long)en->boot);
 	*lease = 0;
 	if (strncmp(value, own, (size_t)len) != 0)
 		return false;
--- a/lib/edge/edge_move.c
+++ b/lib/edge/edge_move.c
@@ -18,9 +18,6 @@
  */
 #define MOVE_DELAY_MS 250
 
-/* Maximum length of the answer, which has a handle and a number. */
-#define MAX_BODY_BYTES 65536
-
 /* Timeout of the call: the endpoint is gone by then, so a copy is too late. */
 #define MOVE_CALL_TIMEOUT_MS 900
 
@@ -208,7 +205,7 @@
 	m->call = htc_start(from, &wire, 0, false, MOVE_CALL_TIMEOUT_MS,
 			    &move_vtable, m);
 	if (m->call) {
-		htc_set_max_body(m->call, MAX_BODY_BYTES);
+		htc_set_max_body(m->call, HTC_SMALL_BODY_BYTES);
 		return;
 	}
 	buf_free(&wire);
--- a/lib/edge/edge_verify.c
+++ b/lib/edge/edge_verify.c
@@ -38,6 +38,8 @@
 #define MAX_LIST_WAIT_MS 2000
 
 struct edge_verify {
+	struct cds_list_head
+		node; /* in edge.verifying, if connected_ms is set */
 	struct edge *en;
 	struct edge_req *r;	/* NULL: its send was stopped */
 	struct flt_endpoint *e; /* referenced */
@@ -47,6 +49,8 @@
 
 static void verify_free(struct edge_verify *v)
 {
+	if (v->connected_ms)
+		cds_list_del(&v->node);
 	flt_unref(&v->en->fleet, v->e);
 	free(v);
 }
@@ -64,6 +68,12 @@
 	edge_answer_end(r, process);
 }
 
+static void await_list(struct edge_verify *v)
+{
+	v->connected_ms = edge_now(v->en);
+	cds_list_add_tail(&v->node, &v->en->verifying);
+}
+
 static void on_probed(void *arg, enum htc_probe_result found)
 {
 	struct edge_verify *v = arg;
@@ -75,7 +85,7 @@
 	else if (v->r->relay[0])
 		finish(v, WHOLE_PROCESS_OTHER); /* the list has no relays */
 	else
-		v->connected_ms = edge_now(v->en);
+		await_list(v);
 }
 
 static bool is_silent(const struct edge_req *r, int64_t now)
@@ -151,18 +161,15 @@
 				    enum whole_process *process)
 {
 	const int64_t listed = en->watches[EDGE_WATCH_ENDPOINTS].complete_ms;
-	struct edge_req *r;
-
-	cds_list_for_each_entry(r, &en->requests, node) {
-		const int64_t since = r->verify ? r->verify->connected_ms : 0;
+	struct edge_verify *v;
 
-		if (!since)
-			continue;
-		*process = listed > since + REGISTERED_MS ? WHOLE_PROCESS_SAME
-							  : WHOLE_PROCESS_OTHER;
+	cds_list_for_each_entry(v, &en->verifying, node) {
+		*process = listed > v->connected_ms + REGISTERED_MS
+				   ? WHOLE_PROCESS_SAME
+				   : WHOLE_PROCESS_OTHER;
 		if (*process == WHOLE_PROCESS_SAME ||
-		    now > since + MAX_LIST_WAIT_MS)
-			return r->verify;
+		    now > v->connected_ms + MAX_LIST_WAIT_MS)
+			return v;
 	}
 	return NULL;
 }
--- a/lib/io/htc.h
+++ b/lib/io/htc.h
@@ -72,6 +72,9 @@
 	void (*failed)(struct htc_call *call, enum htc_failure why);
 };
 
+/* As max_body_bytes: of responses that have a few fields, or that are not read. */
+#define HTC_SMALL_BODY_BYTES ((size_t)65536)
+
 struct htc_limits {
 	int connect_ms;	     /* to establish a connection */
 	int user_timeout_ms; /* TCP_USER_TIMEOUT, for unacknowledged bytes */
--- a/lib/store/sto.c
+++ b/lib/store/sto.c
@@ -69,7 +69,6 @@
  * 1.4 MB as text, and a page has 1 MB and one value more. A watch returns all
  * changes since its revision.
  */
-#define MAX_SMALL_BYTES (64u << 10)
 #define MAX_VALUE_BYTES (2u << 20)
 #define MAX_PAGE_BYTES (4u << 20)
 #define MAX_CHANGES_BYTES (16u << 20)
@@ -119,11 +118,9 @@
 	sto_done done;
 	void *arg;
 	struct htc_call *call; /* NULL: none was started */
-	size_t max_answer;     /* bytes */
 	/* Of a read that waits for a relay; else `wire` is empty. */
 	struct cds_list_head node; /* in sto.relayed_reads */
 	struct buf wire;	   /* the request, to be sent again */
-	int direct_ms;		   /* time-out of that */
 	int64_t asked_ms;
 	int wait_ms; /* longest wait of a watch; 0: other calls */
 	bool direct;
@@ -569,6 +566,55 @@
 	ev_timer_start(p->s->loop, &p->later);
 }
 
+static bool is_read(enum sto_kind kind)
+{
+	return kind == STO_GET || kind == STO_LIST || kind == STO_WATCH;
+}
+
+static int timeout_for(const struct pending *p)
+{
+	int ms = CALL_MS + p->wait_ms;
+
+	if (p->direct)
+		return ms;
+	return ms + VIA_RELAY_EXTRA_MS +
+	       (is_read(p->kind) ? VIA_RELAY_READ_MS : 0);
+}
+
+static size_t max_answer(enum sto_kind kind, unsigned nr_conditions)
+{
+	switch (kind) {
+	case STO_GET:
+		return MAX_VALUE_BYTES;
+	case STO_LIST:
+		return MAX_PAGE_BYTES;
+	case STO_WATCH:
+		return MAX_CHANGES_BYTES;
+	case STO_WRITE:
+		/* A refusal has the values of all conditions. */
+		return HTC_SMALL_BODY_BYTES + nr_conditions * MAX_VALUE_BYTES;
+	case STO_LEASE_GRANT:
+	case STO_LEASE_RENEW:
+	case STO_LEASE_END:
+		break;
+	}
+	return HTC_SMALL_BODY_BYTES;
+}
+
+/* Sends the request to the store, or to a relay; takes the contents of `wire`. */
+static void start(struct pending *p, struct htc_peer *to, struct buf *wire,
+		  size_t max_answer_bytes)
+{
+	p->call =
+		htc_start(to, wire, 0, false, timeout_for(p), &call_vtable, p);
+	if (p->call) {
+		htc_set_max_body(p->call, max_answer_bytes);
+		return;
+	}
+	end_relayed_read(p);
+	finish_later(p, STO_UNREACHABLE);
+}
+
 /*
  * The direct way works: reads that wait for a relay, which may have lost the store
  * meanwhile, are sent again.
@@ -576,45 +622,22 @@
 static void read_directly(struct sto *s)
 {
 	struct pending *p, *next;
-	BUF_AUTO wire = BUF_INIT;
+	struct buf wire;
 
 	cds_list_for_each_entry_safe(p, next, &s->relayed_reads, node) {
 		htc_cancel(p->call);
-		buf_reset(&wire);
-		buf_add(&wire, p->wire.data, p->wire.len);
-		end_relayed_read(p);
+		cds_list_del(&p->node);
+		wire = p->wire;
+		p->wire = (struct buf)BUF_INIT;
 		buf_free(&p->body);
-		p->direct = true;
 		p->status = 0;
 		p->era = -1;
 		p->asked_ms = clk_boot_ms(s->clk);
-		p->call = htc_start(&s->direct, &wire, 0, false, p->direct_ms,
-				    &call_vtable, p);
-		if (p->call)
-			htc_set_max_body(p->call, p->max_answer);
-		else
-			finish_later(p, STO_UNREACHABLE);
+		p->direct = true;
+		start(p, &s->direct, &wire, max_answer(p->kind, 0));
 	}
 }
 
-static bool is_read(const struct sto_call *call)
-{
-	return call->kind == STO_GET || call->kind == STO_LIST ||
-	       call->kind == STO_WATCH;
-}
-
-static int timeout_for(const struct sto_call *call, bool direct)
-{
-	int ms = CALL_MS;
-
-	if (call->kind == STO_WATCH)
-		ms += call->wait_ms;
-	if (direct)
-		return ms;
-	return ms + VIA_RELAY_EXTRA_MS +
-	       (is_read(call) ? VIA_RELAY_READ_MS : 0);
-}
-
 /*
  * Converts the versions of a call to the store's revisions. False if a
  * condition is on a version of another era: as a revision it could hold by
@@ -635,26 +658,6 @@
 	return true;
 }
 
-static size_t max_answer(const struct sto_call *call)
-{
-	switch (call->kind) {
-	case STO_GET:
-		return MAX_VALUE_BYTES;
-	case STO_LIST:
-		return MAX_PAGE_BYTES;
-	case STO_WATCH:
-		return MAX_CHANGES_BYTES;
-	case STO_WRITE:
-		/* A refusal has the values of all conditions. */
-		return MAX_SMALL_BYTES + call->nr_conditions * MAX_VALUE_BYTES;
-	case STO_LEASE_GRANT:
-	case STO_LEASE_RENEW:
-	case STO_LEASE_END:
-		break;
-	}
-	return MAX_SMALL_BYTES;
-}
-
 void sto_call(struct sto *s, const struct sto_call *call, sto_done done,
 	      void *arg)
 {
@@ -678,20 +681,11 @@
 	}
 	to = choose_peer(s, &p->direct);
 	s->codec->encode(&plain, s->host, &wire);
-	p->direct_ms = timeout_for(call, true);
-	p->max_answer = max_answer(call);
-	if (!p->direct && is_read(call)) {
+	if (!p->direct && is_read(call->kind)) {
 		buf_add(&p->wire, wire.data, wire.len);
 		cds_list_add_tail(&p->node, &s->relayed_reads);
 	}
-	p->call = htc_start(to, &wire, 0, false, timeout_for(call, p->direct),
-			    &call_vtable, p);
-	if (p->call) {
-		htc_set_max_body(p->call, p->max_answer);
-		return;
-	}
-	end_relayed_read(p);
-	finish_later(p, STO_UNREACHABLE);
+	start(p, to, &wire, max_answer(call->kind, call->nr_conditions));
 }
 
 /* ---- Following another entry ---- */
