--- a/scripts/edge_cluster.sh
+++ b/scripts/edge_cluster.sh
@@ -103,6 +103,21 @@
 	curl -s "http://$PLATFORM/test/$1"
 }
 
+# stored_value KEY: prints the value of a key in the store.
+stored_value() {
+	curl -s "http://$PLATFORM/v1/kv-key?key=$1" |
+		sed -n 's/.*"value":"\([^"]*\)".*/\1/p' | base64 -d 2>/dev/null
+}
+
+# port_of ID: the port of the endpoint, as it is listed.
+port_of() { stored_value "servers/$1" | sed 's/.*"address":"[^:]*:\([0-9]*\)".*/\1/'; }
+
+# holder: prints the number of the entry that last took the duty lease.
+holder() {
+	grep -h '"event":"duty"' "$DIR"/edge-*.out | grep '"holding":true' |
+		sort | tail -1 | sed 's/.*"instance":"edge-\([0-9]*\)".*/\1/'
+}
+
 is() { [ "$1" = "$2" ]; }
 
 # count_of NAME: picks a count from what the stand-in saw, on standard input.
@@ -122,6 +137,9 @@
 		"http://$(address "$n" callers)$path"
 }
 
+# begins N: entry N serves a stream.
+begins() { is "$(request "$1" "first-$1-$RANDOM" /s/x -d hello)" 200; }
+
 # everywhere COMMAND [ARG...]: it holds for each entry, given as first argument.
 everywhere() {
 	local n
--- a/scripts/endless_test.sh
+++ b/scripts/endless_test.sh
@@ -169,12 +169,11 @@
 	end_bad
 }
 
-serves() { is "$(request "$1" "first-$1-$RANDOM" /s/x -d hello)" 200; }
 knows_bad() { grep -q "\"endpoint\":\"bad-app-$CASE[-0-9]*\"" "$DIR/edge-$1.out"; }
 
 start_edges || exit 1
 put_document 2 '"k1"'
-expect "all entries serve" wait_for everywhere serves
+expect "all entries serve" wait_for everywhere begins
 for C in $CASES; do case_of "$C"; done
 [ -n "$NO_FLOOD" ] || flood
 
--- a/scripts/older_copy_test.sh
+++ b/scripts/older_copy_test.sh
@@ -31,9 +31,7 @@
 }
 
 store_has_version() {
-	curl -s "http://$PLATFORM/v1/kv-key?key=op/config" |
-		sed -n 's/.*"value":"\([^"]*\)".*/\1/p' | base64 -d |
-		grep -qE "\"version\": *$1\b"
+	stored_value op/config | grep -qE "\"version\": *$1\b"
 }
 
 registered_all() {
@@ -144,17 +142,13 @@
 expect "and usage windows are reported" wait_for reports_at_least $((BEFORE + 2))
 # Guards against a holder that is frozen when the lease of the copy ends, under which
 # it held the duties before, and that goes by a later lease when it wakes.
-holder() {
-	grep -h '"event":"duty","holding":true' "$DIR"/edge-*.out | sort | tail -1 |
-		sed 's/.*"instance":"\([^"]*\)".*/\1/'
-}
 for ERA in 8 9; do
 	platform_test copy >/dev/null
 	sleep 1
 	platform_test 'return?ms=200' >/dev/null
 	expect "restore $ERA is known" wait_for everywhere era_known "$ERA"
 	sleep 2.5
-	FROZEN=$(pid_of "$(holder)")
+	FROZEN=$(pid_of "edge-$(holder)")
 	BEFORE=$(seen usage)
 	kill -STOP "$FROZEN"
 	sleep 1.7
--- a/scripts/order_test.sh
+++ b/scripts/order_test.sh
@@ -181,8 +181,6 @@
 }
 reports() { begins "$1" && [ "$(datagrams "$1")" -gt 0 ]; }
 
-begins() { is "$(request "$1" "first-$1-$RANDOM" /s/x -d hello)" 200; }
-
 start_edges || exit 1
 put_document 2 '"k1"'
 expect "all entries serve" wait_for everywhere begins
--- a/scripts/parts_test.sh
+++ b/scripts/parts_test.sh
@@ -210,8 +210,6 @@
 
 start_versions() { platform_test 'start?service=llm&version=v2&n=6' >/dev/null; }
 
-begins() { is "$(request "$1" "first-$1-$RANDOM" /s/x -d hello)" 200; }
-
 start_edges || exit 1
 put_document 2 '"k1"'
 expect "all entries serve" wait_for everywhere begins
--- a/scripts/rollout_test.sh
+++ b/scripts/rollout_test.sh
@@ -22,12 +22,6 @@
 	platform_test "start?service=$1&version=$2&n=$3&spoilt=${4:-0}" >/dev/null
 }
 
-# stored_value KEY: prints the value of a key in the store.
-stored_value() {
-	curl -s "http://$PLATFORM/v1/kv-key?key=$1" |
-		sed -n 's/.*"value":"\([^"]*\)".*/\1/p' | base64 -d 2>/dev/null
-}
-
 # state SERVICE: prints the status that operators read.
 state() { stored_value "status/rollout/$1"; }
 state_is() { state "$1" | grep -q "\"state\":\"$2\""; }
@@ -103,12 +97,6 @@
 		paste -sd+)))
 }
 
-# holder: prints the number of the entry that last took the duty lease.
-holder() {
-	grep -h '"event":"duty"' "$DIR"/edge-*.out | grep '"holding":true' |
-		sort | tail -1 | sed 's/.*"instance":"edge-\([0-9]*\)".*/\1/'
-}
-
 start_edges || exit 1
 put_document 2 '"k1"'
 expect "a version is in force" wait_for everywhere in_force 2
--- a/scripts/silence_test.sh
+++ b/scripts/silence_test.sh
@@ -19,13 +19,6 @@
 # A route whose requests may not be repeated, with time for a silence.
 PATIENT=',{"name":"patient","host":"t.example","prefix":"/p/","routeKind":"unsafe","timeoutMs":6000,"service":"app","maxAttempts":1}'
 
-# port_of ID: the port of the endpoint, as it is listed.
-port_of() {
-	curl -s "http://$PLATFORM/v1/kv-range?prefix=servers/$1" |
-		sed 's/.*"value":"\([^"]*\)".*/\1/' | base64 -d |
-		sed 's/.*"address":"[^:]*:\([0-9]*\)".*/\1/'
-}
-
 silent_in_turn() {
 	local round
 	for round in $(seq 1 "$ROUNDS"); do
--- a/scripts/whole_test.sh
+++ b/scripts/whole_test.sh
@@ -85,12 +85,6 @@
 	for n in $(seq 1 "$EDGES"); do kill -CONT "$(pid_of "edge-$n")"; done
 }
 
-port_of() {
-	curl -s "http://$PLATFORM/v1/kv-key?key=servers/$1" |
-		sed -n 's/.*"value":"\([^"]*\)".*/\1/p' | base64 -d |
-		sed 's/.*"address":"[^:]*:\([0-9]*\)".*/\1/'
-}
-
 cut() {
 	cut_off "hang $(port_of "$1")" $(seq 1 "$EDGES")
 	sleep 0.1
@@ -108,11 +102,9 @@
 	check
 }
 
-serves() { is "$(request "$1" "first-$1-$RANDOM" /s/x -d hello)" 200; }
-
 start_edges || exit 1
 put_document 2 '"k1"'
-expect "all entries serve" wait_for everywhere serves
+expect "all entries serve" wait_for everywhere begins
 platform_test "unframed?n=1" >/dev/null
 leaves refused 1 i-1
 leaves silent 2 i-3
