fatal: a guilty part keeps its first crashes

Callers saw (found by tests): while a part of prompts crashed endpoints, a part that sound requests share was convicted beside it and its requests refused; the guilty part was convicted seconds late.

Cause: a row kept the latest six crashes, and five convict. Each later crash of the guilty part dropped one that sound parts still had. It then spoke against these alone, and once one was convicted, it explained the crashes of the guilty part.

Change: rows keep ten crashes, datagrams the latest six as before. As an answer clears all crashes before it, those that are not gossiped are cleared too.

It works since evidence against a sound part is only what the guilty part does not share, and this can be seen as long as its row has the crash.

--- a/lib/member/gsp.c
+++ b/lib/member/gsp.c
@@ -137,7 +137,8 @@
 	unsigned i;
 
 	if (!xdr_hsh128(x, &t->key) || !xdr_uint64_t(x, &t->running_at) ||
-	    !xdr_u_int(x, &t->nr_crashes) || t->nr_crashes > FATAL_MAX_CRASHES)
+	    !xdr_u_int(x, &t->nr_crashes) ||
+	    t->nr_crashes > FATAL_MAX_GOSSIP_CRASHES)
 		return FALSE;
 	for (i = 0; i < t->nr_crashes; i++) {
 		if (!xdr_uint64_t(x, &t->crashes[i].endpoint) ||
--- a/lib/request/fatal.h
+++ b/lib/request/fatal.h
@@ -57,9 +57,10 @@
 
 /*
  * Per feature: the latest crashes, runs at other entries, and endpoints whose
- * crash is not confirmed yet.
+ * crash is not confirmed yet. A crash that was dropped from the row of a guilty part
+ * seems to speak against a sound one that was there.
  */
-#define FATAL_MAX_CRASHES 6
+#define FATAL_MAX_CRASHES 10
 #define FATAL_MAX_RUNS 8
 #define FATAL_MAX_PENDING 8
 
@@ -69,8 +70,9 @@
 /* Duration of the quarantine after the last crash, unless released: 1 h. */
 #define FATAL_KEEP_MS 3600000
 
-/* Rows in one gossip datagram. */
+/* Rows in one gossip datagram, and the latest crashes of each. */
 #define FATAL_MAX_GOSSIP 16
+#define FATAL_MAX_GOSSIP_CRASHES 6
 
 /* Size of route and account names in bytes, with the null byte. */
 #define FATAL_NAME 64
@@ -285,7 +287,7 @@
 		uint32_t age_ms; /* time since the crash was observed */
 		uint32_t weight;
 		bool cleared;
-	} crashes[FATAL_MAX_CRASHES];
+	} crashes[FATAL_MAX_GOSSIP_CRASHES];
 	uint64_t running_at; /* endpoint where the sender runs it; 0: none */
 };
 
--- a/lib/request/fatal_told.c
+++ b/lib/request/fatal_told.c
@@ -6,22 +6,37 @@
 /* For this long after a change, a row is part of each gossip round. */
 #define FRESH_MS 3000
 
+/* The number of the row's crashes that are later, or as late and before it. */
+static unsigned later_crashes(const struct fatal_row *row, unsigned at)
+{
+	const int64_t at_ms = row->crashes[at].at_ms;
+	unsigned i, n = 0;
+
+	for (i = 0; i < row->nr_crashes; i++)
+		n += row->crashes[i].at_ms > at_ms ||
+		     (row->crashes[i].at_ms == at_ms && i < at);
+	return n;
+}
+
 static void fill_row(const struct fatal_row *row, uint64_t running_at,
 		     struct fatal_gossip *out, int64_t now)
 {
-	unsigned i;
+	const struct fatal_crash *e;
+	unsigned i, n = 0;
 
 	memset(out, 0, sizeof(*out));
 	out->key = row->key;
 	out->running_at = running_at;
-	out->nr_crashes = row->nr_crashes;
 	for (i = 0; i < row->nr_crashes; i++) {
-		out->crashes[i].endpoint = row->crashes[i].endpoint;
-		out->crashes[i].age_ms =
-			(uint32_t)(now - row->crashes[i].at_ms);
-		out->crashes[i].weight = row->crashes[i].weight;
-		out->crashes[i].cleared = row->crashes[i].cleared;
+		e = &row->crashes[i];
+		if (later_crashes(row, i) >= FATAL_MAX_GOSSIP_CRASHES)
+			continue;
+		out->crashes[n].endpoint = e->endpoint;
+		out->crashes[n].age_ms = (uint32_t)(now - e->at_ms);
+		out->crashes[n].weight = e->weight;
+		out->crashes[n++].cleared = e->cleared;
 	}
+	out->nr_crashes = n;
 }
 
 /*
@@ -167,6 +182,21 @@
 	return false;
 }
 
+/* An answer clears all crashes before it, also those that are not gossiped. */
+static void clear_earlier(struct fatal_row *row)
+{
+	int64_t cleared_ms = INT64_MIN;
+	unsigned i;
+
+	for (i = 0; i < row->nr_crashes; i++) {
+		if (row->crashes[i].cleared &&
+		    row->crashes[i].at_ms > cleared_ms)
+			cleared_ms = row->crashes[i].at_ms;
+	}
+	for (i = 0; i < row->nr_crashes; i++)
+		row->crashes[i].cleared |= row->crashes[i].at_ms < cleared_ms;
+}
+
 /* Merges a received row into `row`. */
 static void merge_row(struct fatal *f, struct fatal_row *row,
 		      const struct fatal_gossip *received, int64_t now)
@@ -194,6 +224,7 @@
 	}
 	if (!is_news)
 		return;
+	clear_earlier(row);
 	fatal_touch(f, row, now);
 	after = fatal_crash_count(row);
 	if (after > before)
--- a/tests/test_fatal.c
+++ b/tests/test_fatal.c
@@ -444,6 +444,47 @@
 	fatal_free(&f);
 }
 
+/*
+ * Guards against a sound part that is convicted for the first crashes of a guilty one,
+ * which were dropped from the guilty one's row by its later crashes.
+ */
+static void a_guilty_part_explains_its_first_crashes(void)
+{
+	struct fatal f;
+	unsigned i;
+
+	start(&f);
+	for (i = 0; i < 11; i++)
+		crash_under_parts(&f, i < 5 ? "GO" : "G", 11 + i, T0 + i);
+	CU_ASSERT_EQUAL(check_parts(&f, "G", T0 + 11 + SETTLED_MS),
+			FATAL_QUARANTINED);
+	CU_ASSERT(check_parts(&f, "O", T0 + 11 + SETTLED_MS) !=
+		  FATAL_QUARANTINED);
+	fatal_free(&f);
+}
+
+/* Guards against crashes that count at other entries after an answer cleared them. */
+static void an_answer_clears_crashes_that_are_not_gossiped(void)
+{
+	struct fatal f, g;
+	unsigned i;
+
+	start(&f);
+	start(&g);
+	for (i = 0; i < FATAL_MAX_CRASHES; i++) {
+		crash_under_parts(&f, "O", 11 + i, T0 + i);
+		send_gossip(&f, &g, 1, T0 + i);
+	}
+	CU_ASSERT_EQUAL(fatal_crash_count(fatal_find(
+				&g, request(A, "O")->features[1].key)),
+			FATAL_MAX_CRASHES);
+	answer_parts(&f, "O", T0 + i);
+	send_gossip(&f, &g, 1, T0 + i);
+	CU_ASSERT_EQUAL(check_parts(&g, "O", T0 + i), FATAL_SEND);
+	fatal_free(&f);
+	fatal_free(&g);
+}
+
 /*
  * Guards against blame of a part that all requests have while nothing has been
  * answered yet: it is in the crashes of each of several guilty ones.
@@ -1383,6 +1424,10 @@
 	{ "parts that cannot be told apart", parts_that_cannot_be_told_apart },
 	{ "crashes of convicted parts convict no other",
 	  crashes_of_convicted_parts_convict_no_other },
+	{ "a guilty part explains its first crashes",
+	  a_guilty_part_explains_its_first_crashes },
+	{ "an answer clears crashes that are not gossiped",
+	  an_answer_clears_crashes_that_are_not_gossiped },
 	{ "a part beside several guilty ones is tried",
 	  a_part_beside_several_guilty_ones_is_tried },
 	{ "endpoints that crash at once do not make a strong suspect",
