fatal: a common part is tried before it is convicted

Cause: while nothing was answered, a part that all requests have is in the crashes of each guilty one, and in more than any of them. A suspect with fewer crashes explained none of them, unless all were explained by suspects with half as many.

Evidence: the logs of that soak: five requests with two guilty parts crashed five endpoints in 0.5 s before a sound one was sent; the common part was convicted.

Change: an entry counts what share of its sends has a part. For a part in half of them, suspects with two crashes and a third as many explain a crash. A trial that ends in a crash convicts as before. For other parts, too, all crashes are taken as explained by a third as many, was half.

It works since a part that every request has meets every crash, whatever caused it; only a request with it and without the other suspects tells.

--- a/lib/edge/edge_fatal.c
+++ b/lib/edge/edge_fatal.c
@@ -373,23 +373,29 @@
 	return false;
 }
 
-void edge_fatal_sent(struct edge_req *r)
+/* Other entries delay a strong suspect, and avoid its endpoint. */
+static void share_runs(struct edge_req *r)
 {
 	if (!r->isolated)
 		return;
 	edge_fatal_mark_endpoints(r->en);
-	/* Other entries delay a strong suspect, and avoid its endpoint. */
 	if (is_strong_suspect(r))
 		gossip_soon(r->en);
 }
 
+void edge_fatal_sent(struct edge_req *r)
+{
+	fatal_note_sent(&r->en->fatal, &r->fatal, edge_now(r->en));
+	share_runs(r);
+}
+
 void edge_fatal_stopped(struct edge_req *r)
 {
 	const int64_t now = edge_now(r->en);
 
 	fatal_add_run_time(&r->en->fatal, now - r->sent_ms, now);
 	/* Other entries may wait for the end of the send. */
-	edge_fatal_sent(r);
+	share_runs(r);
 }
 
 /* ---- Records in the store ---- */
--- a/lib/request/fatal.h
+++ b/lib/request/fatal.h
@@ -166,9 +166,9 @@
 	uint64_t (*running_at)(void *arg, struct hsh128 key);
 };
 
-/* Parts that were answered lately: sets, and parts in each of them. */
-#define FATAL_ANSWERED_SETS 256
-#define FATAL_ANSWERED_WAYS 4
+/* Parts that were sent or answered lately: sets, and parts in each of them. */
+#define FATAL_USED_SETS 256
+#define FATAL_USED_WAYS 4
 
 struct fatal {
 	const struct fatal_vtable *vt;
@@ -177,11 +177,14 @@
 	struct fatal_row *table; /* by key */
 	unsigned count;		 /* rows */
 	unsigned nr_convicted;	 /* of them */
-	/* The least recently answered part of a set is replaced. */
-	struct fatal_answered {
+	/* The least recently used part of a set is replaced. */
+	struct fatal_used {
 		struct hsh128 key;
-		int64_t at_ms; /* 0: empty */
-	} answered[FATAL_ANSWERED_SETS][FATAL_ANSWERED_WAYS];
+		int64_t used_ms;     /* last send or answer; 0: empty */
+		int64_t answered_ms; /* last answer; 0: none */
+		struct decay_sum sends;
+	} used[FATAL_USED_SETS][FATAL_USED_WAYS];
+	struct decay_sum sends; /* of requests with parts */
 	/* Decayed sums, for the rate at which sends meet a crash by chance. */
 	struct decay_sum
 		crashed_sends;	 /* aborted by a crash, no strong suspect */
@@ -241,6 +244,10 @@
 				    const struct fatal_feature **why,
 				    int64_t now_ms);
 
+/* Notes that the request is being sent. */
+void fatal_note_sent(struct fatal *f, const struct fatal_request *q,
+		     int64_t now_ms);
+
 /*
  * Notes that a send broke off after `ran_ms` at an endpoint that has not
  * announced its shutdown. With `probing`, a call of fatal_endpoint_crashed(),
--- a/lib/request/fatal_evidence.c
+++ b/lib/request/fatal_evidence.c
@@ -24,40 +24,84 @@
  */
 #define APART_MS 200
 
-/* ---- Parts that were answered lately ---- */
+/* Time constant of the share of sends that have a part. */
+#define SHARE_MS 10000.0
 
-static struct fatal_answered *answered_set(struct fatal *f, struct hsh128 key)
+/* ---- Parts that were used lately ---- */
+
+static const struct fatal_used *find_used(const struct fatal *f,
+					  struct hsh128 key)
 {
-	return f->answered[key.lo % FATAL_ANSWERED_SETS];
+	const struct fatal_used *set = f->used[key.lo % FATAL_USED_SETS];
+	unsigned i;
+
+	for (i = 0; i < FATAL_USED_WAYS; i++) {
+		if (set[i].used_ms && hsh128_equal(set[i].key, key))
+			return &set[i];
+	}
+	return NULL;
 }
 
-void fatal_note_answered(struct fatal *f, struct hsh128 key, int64_t now)
+/* Returns the part's slot, in place of the least recently used part of its set. */
+static struct fatal_used *note_used(struct fatal *f, struct hsh128 key,
+				    int64_t now)
 {
-	struct fatal_answered *set = answered_set(f, key), *at = set;
+	struct fatal_used *set = f->used[key.lo % FATAL_USED_SETS];
+	struct fatal_used *at = &set[0];
 	unsigned i;
 
-	for (i = 0; i < FATAL_ANSWERED_WAYS; i++) {
-		if (set[i].at_ms && hsh128_equal(set[i].key, key)) {
+	for (i = 0; i < FATAL_USED_WAYS; i++) {
+		if (set[i].used_ms && hsh128_equal(set[i].key, key)) {
 			at = &set[i];
 			break;
 		}
-		if (set[i].at_ms < at->at_ms)
+		if (set[i].used_ms < at->used_ms)
 			at = &set[i];
 	}
-	/* 0 means empty. */
-	*at = (struct fatal_answered){ key, now ? now : 1 };
+	if (!hsh128_equal(at->key, key))
+		*at = (struct fatal_used){ .key = key };
+	at->used_ms = now ? now : 1; /* 0 means empty */
+	return at;
+}
+
+void fatal_note_answered(struct fatal *f, struct hsh128 key, int64_t now)
+{
+	struct fatal_used *at = note_used(f, key, now);
+
+	at->answered_ms = at->used_ms;
 }
 
 int64_t fatal_answered_ms(struct fatal *f, struct hsh128 key)
 {
-	const struct fatal_answered *set = answered_set(f, key);
+	const struct fatal_used *at = find_used(f, key);
+
+	return at ? at->answered_ms : 0;
+}
+
+void fatal_note_sent(struct fatal *f, const struct fatal_request *q,
+		     int64_t now)
+{
 	unsigned i;
 
-	for (i = 0; i < FATAL_ANSWERED_WAYS; i++) {
-		if (set[i].at_ms && hsh128_equal(set[i].key, key))
-			return set[i].at_ms;
+	for (i = 0; i < q->nr_features; i++) {
+		if (q->features[i].kind == FATAL_PART)
+			decay_sum_add(
+				&note_used(f, q->features[i].key, now)->sends,
+				1, SHARE_MS, now);
 	}
-	return 0;
+	if (q->nr_features > 1)
+		decay_sum_add(&f->sends, 1, SHARE_MS, now);
+}
+
+/* True if half of the sends from here have the part, or too few to say so. */
+static bool is_common(const struct fatal *f, struct hsh128 key, int64_t now)
+{
+	const double all = decay_sum_at(&f->sends, SHARE_MS, now);
+	const struct fatal_used *at = find_used(f, key);
+
+	if (all < 1)
+		return true;
+	return at && 2 * decay_sum_at(&at->sends, SHARE_MS, now) >= all;
 }
 
 bool fatal_was_answered(struct fatal *f, struct hsh128 key, int64_t crash_ms)
@@ -159,14 +203,14 @@
 }
 
 /*
- * True if `other` has two crashes and half as many as the row. Shared parts are in
- * fewer crashes of a guilty one, by chance.
+ * True if `other` has two crashes and a third as many as the row. Most shared parts
+ * are in fewer crashes of a guilty one, by chance.
  */
-static bool is_half_as_suspect(const struct fatal_row *other,
-			       const struct fatal_row *row)
+static bool is_third_as_suspect(const struct fatal_row *other,
+				const struct fatal_row *row)
 {
 	return fatal_crash_count(other) >= FATAL_STRONG_CRASHES &&
-	       2 * fatal_crash_count(other) >= fatal_crash_count(row);
+	       3 * fatal_crash_count(other) >= fatal_crash_count(row);
 }
 
 /* True if another such suspect, which `q` does not have, was at the endpoint. */
@@ -202,26 +246,70 @@
 	for (i = 0; i < row->nr_crashes; i++) {
 		if (!row->crashes[i].cleared &&
 		    !is_explained(f, row, row->crashes[i].endpoint, q,
-				  is_half_as_suspect))
+				  is_third_as_suspect))
 			return false;
 	}
 	return true;
 }
 
 /*
- * The number of crashes that no other suspect explains; of a part, those that are
- * settled.
+ * True if the part was evident when the run was sent that met the crash: it was
+ * isolated, and had none of the other suspects of that time.
  */
-static unsigned unexplained_crashes(const struct fatal *f,
-				    const struct fatal_row *row,
-				    const struct fatal_request *q, int64_t now)
+static bool is_trial(const struct fatal_row *row, const struct fatal_crash *e)
+{
+	unsigned i, n = 0;
+
+	for (i = 0; i < row->nr_crashes; i++)
+		n += !row->crashes[i].cleared &&
+		     row->crashes[i].at_ms + SETTLE_MS <= e->at_ms;
+	return n >= FATAL_CONVICT_ALWAYS_CRASHES;
+}
+
+/*
+ * The evidence of one crash against a part: 1, or 0 if another suspect explains it. A
+ * part that is in half of all sends meets the crashes of every guilty one: for it, less
+ * suspect ones explain a crash, but a trial that ends in a crash decides.
+ */
+static unsigned evidence_of_crash(const struct fatal *f,
+				  const struct fatal_row *row,
+				  const struct fatal_crash *e, bool common,
+				  const struct fatal_request *q)
+{
+	if (is_explained(f, row, e->endpoint, q, is_suspect_instead) ||
+	    (common &&
+	     is_explained(f, row, e->endpoint, q, is_third_as_suspect)))
+		return 0;
+	return common && is_trial(row, e) ? FATAL_CONVICT_UNEXPLAINED : 1;
+}
+
+/* The evidence of the settled crashes against a part. */
+static unsigned evidence_against_part(const struct fatal *f,
+				      const struct fatal_row *row,
+				      const struct fatal_request *q,
+				      int64_t now)
+{
+	const bool common = is_common(f, row->key, now);
+	const struct fatal_crash *e;
+	unsigned i, n = 0;
+
+	for (i = 0; i < row->nr_crashes; i++) {
+		e = &row->crashes[i];
+		if (!e->cleared && now - e->at_ms >= SETTLE_MS)
+			n += evidence_of_crash(f, row, e, common, q);
+	}
+	return n;
+}
+
+/* The number of crashes of a content that no other suspect explains. */
+static unsigned evidence_against_content(const struct fatal *f,
+					 const struct fatal_row *row,
+					 const struct fatal_request *q)
 {
 	unsigned i, n = 0;
 
 	for (i = 0; i < row->nr_crashes; i++)
 		n += !row->crashes[i].cleared &&
-		     (row->kind == FATAL_CONTENT ||
-		      now - row->crashes[i].at_ms >= SETTLE_MS) &&
 		     !is_explained(f, row, row->crashes[i].endpoint, q,
 				   is_suspect_instead);
 	return n;
@@ -246,13 +334,15 @@
 		return true;
 	if (!fatal_is_evident(row) || is_beside_suspects(f, row, q))
 		return false;
+	if (row->kind == FATAL_CONTENT)
+		return evidence_against_content(f, row, q) >=
+		       FATAL_CONVICT_UNEXPLAINED_CONTENT;
 	/*
 	 * Sound requests may share a part, and would be refused until the record
 	 * is deleted.
 	 */
-	return unexplained_crashes(f, row, q, now) >=
-	       (row->kind == FATAL_CONTENT ? FATAL_CONVICT_UNEXPLAINED_CONTENT
-					   : FATAL_CONVICT_UNEXPLAINED);
+	return evidence_against_part(f, row, q, now) >=
+	       FATAL_CONVICT_UNEXPLAINED;
 }
 
 bool fatal_is_convicted(const struct fatal *f, const struct fatal_row *row,
--- a/tests/test_fatal.c
+++ b/tests/test_fatal.c
@@ -324,8 +324,10 @@
 static void crash_under_parts(struct fatal *f, const char *parts,
 			      uint64_t endpoint, int64_t now)
 {
-	fatal_send_broke(f, request(some_content(), parts), endpoint, 100, true,
-			 now);
+	const struct fatal_request *q = request(some_content(), parts);
+
+	fatal_note_sent(f, q, now);
+	fatal_send_broke(f, q, endpoint, 100, true, now);
 	fatal_endpoint_crashed(f, endpoint, now);
 }
 
@@ -513,6 +515,44 @@
 	fatal_free(&f);
 }
 
+/* Guards against the same blame where one guilty part is in most of the crashes. */
+static void a_common_part_is_tried_before_it_is_convicted(void)
+{
+	static const char *const crashes[] = { "GO", "HO", "GO", "GO", "HO" };
+	const int64_t later = T0 + 500 + SETTLED_MS;
+	struct fatal f;
+	unsigned i, nr_guilty;
+
+	for (nr_guilty = 1; nr_guilty <= 2; nr_guilty++) {
+		start(&f);
+		for (i = 0; i < 5; i++)
+			crash_under_parts(&f,
+					  i == 1 && nr_guilty == 1 ? "GO"
+								   : crashes[i],
+					  11 + i, T0 + 100 * i);
+		CU_ASSERT_EQUAL(check_parts(&f, "O", later), FATAL_ISOLATE);
+		CU_ASSERT_EQUAL(check_parts(&f, "GO", later),
+				FATAL_QUARANTINED);
+		answer_parts(&f, "O", later + 100);
+		CU_ASSERT_EQUAL(check_parts(&f, "O", later + 100), FATAL_SEND);
+		fatal_free(&f);
+	}
+}
+
+/* Guards against a guilty part that is tried again and again since it is common. */
+static void a_common_part_is_convicted(void)
+{
+	struct fatal f;
+	unsigned i;
+
+	start(&f);
+	for (i = 0; i < 5; i++)
+		crash_under_parts(&f, i < 2 ? "GO" : "G", 11 + i, T0 + i);
+	CU_ASSERT_EQUAL(check_parts(&f, "G", T0 + 5 + SETTLED_MS),
+			FATAL_QUARANTINED);
+	fatal_free(&f);
+}
+
 /*
  * Guards against shared parts that endpoints are avoided for, and isolated, because a
  * zone lost its power.
@@ -895,6 +935,7 @@
 	r = free_run();
 	if (!r)
 		return;
+	fatal_note_sent(&sim.f[entry], request_of(like), sim.now);
 	*r = *like;
 	r->entry = entry;
 	r->at = at;
@@ -1430,6 +1471,9 @@
 	  an_answer_clears_crashes_that_are_not_gossiped },
 	{ "a part beside several guilty ones is tried",
 	  a_part_beside_several_guilty_ones_is_tried },
+	{ "a common part is tried before it is convicted",
+	  a_common_part_is_tried_before_it_is_convicted },
+	{ "a common part is convicted", a_common_part_is_convicted },
 	{ "endpoints that crash at once do not make a strong suspect",
 	  endpoints_that_crash_at_once_do_not_make_a_strong_suspect },
 	{ "an answer elsewhere speaks for a part",
