older_copy_test: count the entry that starts meanwhile

The check "all entries are registered again" waited for exactly five registrations, while the sixth entry, started just before, registers. All six were registered: the test was wrong.

It waits for six now, the five entries and the new one, which is stricter: before, the new one could stand for a missing one.

--- a/scripts/older_copy_test.sh
+++ b/scripts/older_copy_test.sh
@@ -92,12 +92,12 @@
 start_edge 6 false
 expect "all entries know that the store was restored" \
 	wait_for everywhere era_known 2
+EDGES=6
 expect "all entries are registered again" wait_for registered_all
 expect "there is a duty holder" wait_for holder_is_known
 expect "the revoked API key stays revoked" eval \
 	'for n in 1 2 3 4 5; do KEY=k1 request $n "taken-$n" /l/x; echo; done |
 		grep -v 401 | grep -v 503 | wc -l | grep -qx 0'
-EDGES=6
 expect "the newest version is in force everywhere" wait_for everywhere in_force 3
 never() { ! in_force "$@"; }
 expect "an entry that started meanwhile had no older version" never 6 2
