fatal: one sum of evidence, one search of the used parts

After a last reading; behaviour unchanged. The search for a part's slot stood twice: used_way(). Tests: crash_in_turn() for a loop that stood four times; the cases of the common part are a table. Two comments of fields that broke their declarations moved or shortened.

--- a/lib/edge/edge_verify.c
+++ b/lib/edge/edge_verify.c
@@ -38,8 +38,7 @@
 #define MAX_LIST_WAIT_MS 2000
 
 struct edge_verify {
-	struct cds_list_head
-		node; /* in edge.verifying, if connected_ms is set */
+	struct cds_list_head node; /* in edge.verifying, while it waits */
 	struct edge *en;
 	struct edge_req *r;	/* NULL: its send was stopped */
 	struct flt_endpoint *e; /* referenced */
--- a/lib/io/hsc.h
+++ b/lib/io/hsc.h
@@ -92,9 +92,9 @@
 	struct buf pipelined; /* bytes received after the current request */
 	ev_timer timer;
 	ev_timer resume; /* parses `pipelined` in the loop's next iteration */
-	unsigned
-		head_match; /* bytes written of the CRLF CRLF that ends a head */
-	bool close_after;   /* the client requests a close */
+	/* Bytes written of the CRLF CRLF that ends the response's head. */
+	unsigned head_match;
+	bool close_after;    /* the client requests a close */
 	bool body_too_large; /* body_bytes exceeded */
 	bool in_feed;	     /* the parser is on the stack */
 	bool free_pending;   /* freed when the parser returns */
--- a/lib/request/fatal_evidence.c
+++ b/lib/request/fatal_evidence.c
@@ -29,17 +29,28 @@
 
 /* ---- Parts that were used lately ---- */
 
+/* The index of the part in its set, or else of the least recently used one. */
+static unsigned used_way(const struct fatal_used *set, struct hsh128 key)
+{
+	unsigned i, least = 0;
+
+	for (i = 0; i < FATAL_USED_WAYS; i++) {
+		if (hsh128_equal(set[i].key, key))
+			return i;
+		if (set[i].used_ms < set[least].used_ms)
+			least = i;
+	}
+	return least;
+}
+
+/* Returns NULL if the part was not used lately. */
 static const struct fatal_used *find_used(const struct fatal *f,
 					  struct hsh128 key)
 {
 	const struct fatal_used *set = f->used[key.lo % FATAL_USED_SETS];
-	unsigned i;
+	const struct fatal_used *at = &set[used_way(set, key)];
 
-	for (i = 0; i < FATAL_USED_WAYS; i++) {
-		if (set[i].used_ms && hsh128_equal(set[i].key, key))
-			return &set[i];
-	}
-	return NULL;
+	return at->used_ms && hsh128_equal(at->key, key) ? at : NULL;
 }
 
 /* Returns the part's slot, in place of the least recently used part of its set. */
@@ -47,17 +58,8 @@
 				    int64_t now)
 {
 	struct fatal_used *set = f->used[key.lo % FATAL_USED_SETS];
-	struct fatal_used *at = &set[0];
-	unsigned i;
+	struct fatal_used *at = &set[used_way(set, key)];
 
-	for (i = 0; i < FATAL_USED_WAYS; i++) {
-		if (set[i].used_ms && hsh128_equal(set[i].key, key)) {
-			at = &set[i];
-			break;
-		}
-		if (set[i].used_ms < at->used_ms)
-			at = &set[i];
-	}
 	if (!hsh128_equal(at->key, key))
 		*at = (struct fatal_used){ .key = key };
 	at->used_ms = now ? now : 1; /* 0 means empty */
@@ -267,9 +269,9 @@
 }
 
 /*
- * The evidence of one crash against a part: 1, or 0 if another suspect explains it. A
- * part that is in half of all sends meets the crashes of every guilty one: for it, less
- * suspect ones explain a crash, but a trial that ends in a crash decides.
+ * The evidence of one crash: 1, or 0 if another suspect explains it. `common`: of a part
+ * that is in half of all sends, and so meets the crashes of every guilty one. For it,
+ * less suspect ones explain a crash, but a trial that ends in a crash decides.
  */
 static unsigned evidence_of_crash(const struct fatal *f,
 				  const struct fatal_row *row,
@@ -283,38 +285,23 @@
 	return common && is_trial(row, e) ? FATAL_CONVICT_UNEXPLAINED : 1;
 }
 
-/* The evidence of the settled crashes against a part. */
-static unsigned evidence_against_part(const struct fatal *f,
-				      const struct fatal_row *row,
-				      const struct fatal_request *q,
-				      int64_t now)
+/* The evidence of all crashes; of a part, of those that are settled. */
+static unsigned evidence(const struct fatal *f, const struct fatal_row *row,
+			 const struct fatal_request *q, int64_t now)
 {
-	const bool common = is_common(f, row->key, now);
+	const bool content = row->kind == FATAL_CONTENT;
+	const bool common = !content && is_common(f, row->key, now);
 	const struct fatal_crash *e;
 	unsigned i, n = 0;
 
 	for (i = 0; i < row->nr_crashes; i++) {
 		e = &row->crashes[i];
-		if (!e->cleared && now - e->at_ms >= SETTLE_MS)
+		if (!e->cleared && (content || now - e->at_ms >= SETTLE_MS))
 			n += evidence_of_crash(f, row, e, common, q);
 	}
 	return n;
 }
 
-/* The number of crashes of a content that no other suspect explains. */
-static unsigned evidence_against_content(const struct fatal *f,
-					 const struct fatal_row *row,
-					 const struct fatal_request *q)
-{
-	unsigned i, n = 0;
-
-	for (i = 0; i < row->nr_crashes; i++)
-		n += !row->crashes[i].cleared &&
-		     !is_explained(f, row, row->crashes[i].endpoint, q,
-				   is_suspect_instead);
-	return n;
-}
-
 bool fatal_is_settling(const struct fatal_row *row, int64_t now)
 {
 	unsigned i;
@@ -334,15 +321,13 @@
 		return true;
 	if (!fatal_is_evident(row) || is_beside_suspects(f, row, q))
 		return false;
-	if (row->kind == FATAL_CONTENT)
-		return evidence_against_content(f, row, q) >=
-		       FATAL_CONVICT_UNEXPLAINED_CONTENT;
 	/*
 	 * Sound requests may share a part, and would be refused until the record
 	 * is deleted.
 	 */
-	return evidence_against_part(f, row, q, now) >=
-	       FATAL_CONVICT_UNEXPLAINED;
+	return evidence(f, row, q, now) >=
+	       (row->kind == FATAL_CONTENT ? FATAL_CONVICT_UNEXPLAINED_CONTENT
+					   : FATAL_CONVICT_UNEXPLAINED);
 }
 
 bool fatal_is_convicted(const struct fatal *f, const struct fatal_row *row,
--- a/tests/test_fatal.c
+++ b/tests/test_fatal.c
@@ -331,14 +331,23 @@
 	fatal_endpoint_crashed(f, endpoint, now);
 }
 
+#define T0 100000 /* begin of a test, ms */
+#define SETTLED_MS 1000
+
+/* Crashes `n` endpoints under G, the first `together` of them with O beside it. */
+static void crash_in_turn(struct fatal *f, unsigned together, unsigned n)
+{
+	unsigned i;
+
+	for (i = 0; i < n; i++)
+		crash_under_parts(f, i < together ? "GO" : "G", 11 + i, T0 + i);
+}
+
 static void answer_parts(struct fatal *f, const char *parts, int64_t now)
 {
 	fatal_answer_complete(f, request(some_content(), parts), now);
 }
 
-#define T0 100000 /* begin of a test, ms */
-#define SETTLED_MS 1000
-
 /* Guards against a part that crashes endpoints in requests that all differ. */
 static void a_part_is_convicted_whatever_else_the_request_has(void)
 {
@@ -398,11 +407,9 @@
 {
 	const int64_t later = T0 + 10 + SETTLED_MS;
 	struct fatal f;
-	unsigned i;
 
 	start(&f);
-	for (i = 0; i < 5; i++)
-		crash_under_parts(&f, "GO", 11 + i, T0 + i);
+	crash_in_turn(&f, 5, 5);
 	CU_ASSERT_EQUAL(check_parts(&f, "GO", later), FATAL_QUARANTINED);
 	CU_ASSERT_EQUAL(check_parts(&f, "O", later), FATAL_ISOLATE);
 	in_flight = request(A, "O")->features[1].key;
@@ -415,8 +422,7 @@
 
 	/* The other way round: the one that is tried alone is the guilty one. */
 	start(&f);
-	for (i = 0; i < 5; i++)
-		crash_under_parts(&f, "GO", 11 + i, T0 + i);
+	crash_in_turn(&f, 5, 5);
 	crash_under_parts(&f, "G", 21, later);
 	CU_ASSERT_EQUAL(check_parts(&f, "G", later + SETTLED_MS),
 			FATAL_QUARANTINED);
@@ -453,11 +459,9 @@
 static void a_guilty_part_explains_its_first_crashes(void)
 {
 	struct fatal f;
-	unsigned i;
 
 	start(&f);
-	for (i = 0; i < 11; i++)
-		crash_under_parts(&f, i < 5 ? "GO" : "G", 11 + i, T0 + i);
+	crash_in_turn(&f, 5, 11);
 	CU_ASSERT_EQUAL(check_parts(&f, "G", T0 + 11 + SETTLED_MS),
 			FATAL_QUARANTINED);
 	CU_ASSERT(check_parts(&f, "O", T0 + 11 + SETTLED_MS) !=
@@ -518,18 +522,19 @@
 /* Guards against the same blame where one guilty part is in most of the crashes. */
 static void a_common_part_is_tried_before_it_is_convicted(void)
 {
-	static const char *const crashes[] = { "GO", "HO", "GO", "GO", "HO" };
+	static const char *const crashes[2][5] = {
+		{ "GO", "GO", "GO", "GO", "HO" },
+		{ "GO", "HO", "GO", "GO", "HO" },
+	};
 	const int64_t later = T0 + 500 + SETTLED_MS;
 	struct fatal f;
-	unsigned i, nr_guilty;
+	unsigned i, k;
 
-	for (nr_guilty = 1; nr_guilty <= 2; nr_guilty++) {
+	for (k = 0; k < 2; k++) {
 		start(&f);
 		for (i = 0; i < 5; i++)
-			crash_under_parts(&f,
-					  i == 1 && nr_guilty == 1 ? "GO"
-								   : crashes[i],
-					  11 + i, T0 + 100 * i);
+			crash_under_parts(&f, crashes[k][i], 11 + i,
+					  T0 + 100 * i);
 		CU_ASSERT_EQUAL(check_parts(&f, "O", later), FATAL_ISOLATE);
 		CU_ASSERT_EQUAL(check_parts(&f, "GO", later),
 				FATAL_QUARANTINED);
@@ -543,11 +548,9 @@
 static void a_common_part_is_convicted(void)
 {
 	struct fatal f;
-	unsigned i;
 
 	start(&f);
-	for (i = 0; i < 5; i++)
-		crash_under_parts(&f, i < 2 ? "GO" : "G", 11 + i, T0 + i);
+	crash_in_turn(&f, 2, 5);
 	CU_ASSERT_EQUAL(check_parts(&f, "G", T0 + 5 + SETTLED_MS),
 			FATAL_QUARANTINED);
 	fatal_free(&f);
