standin-platform: endpoints of their own pace, or silent for a while

Streams of one endpoint can take longer to their first event and between two events (/test/pace), and an endpoint can write nothing for a while and then go on (/test/silent). Needed to reproduce what happens to requests at a slow endpoint when their entry shuts down. No test uses them yet.

--- a/tests/standin/platform.c
+++ b/tests/standin/platform.c
@@ -84,6 +84,8 @@
 	bool ended, started_again, lapsed;
 	unsigned seen; /* requests since it was drained */
 	int room;      /* requests that run at the same time; 0: any number */
+	int first_ms, gap_ms; /* to the first event, between two; 0: as all */
+	int64_t silent_until_ms;
 	struct stm statements;
 };
 
@@ -742,6 +744,11 @@
 	hsc_done(c, true);
 }
 
+static int gap_of(const struct endpoint *e)
+{
+	return e->gap_ms ? e->gap_ms : w.gap_ms;
+}
+
 static void start_stream(struct endpoint *e, struct hsc *c, const char *id,
 			 unsigned poison)
 {
@@ -758,7 +765,9 @@
 	s->last = 20;
 	s->poison = poison;
 	s->unframed = w.unframed;
-	s->due_ms = now_ms() + (poison ? POISON_MS : w.gap_ms);
+	s->due_ms = now_ms() + (poison	      ? POISON_MS
+				: e->first_ms ? e->first_ms
+					      : gap_of(e));
 	/* Nothing is left to be written, and nothing crashes. */
 	if (s->next > s->last)
 		s->poison = 0;
@@ -1245,7 +1254,7 @@
 	}
 	write_piece(s, event.data, event.len);
 	s->made++;
-	s->due_ms = now_ms() + w.gap_ms;
+	s->due_ms = now_ms() + gap_of(s->at);
 	if (s->next++ == s->last)
 		end_stream(s);
 }
@@ -1403,6 +1412,14 @@
 	} else if (!strncmp(url, "/test/room", 10)) {
 		hmsg_query(url, "n", number, sizeof(number));
 		e->room = atoi(number);
+	} else if (!strncmp(url, "/test/pace", 10)) {
+		hmsg_query(url, "first", number, sizeof(number));
+		e->first_ms = atoi(number);
+		hmsg_query(url, "gap", number, sizeof(number));
+		e->gap_ms = atoi(number);
+	} else if (!strncmp(url, "/test/silent", 12)) {
+		hmsg_query(url, "ms", number, sizeof(number));
+		e->silent_until_ms = now_ms() + atoll(number);
 	} else if (!strncmp(url, "/test/fail", 10)) {
 		e->fail = true;
 	} else if (!strncmp(url, "/test/mute", 10)) {
@@ -1582,7 +1599,7 @@
 			answer_watcher(v, true);
 	}
 	cds_list_for_each_entry_safe(s, sn, &w.streams, node) {
-		if (now >= s->due_ms)
+		if (now >= s->due_ms && now >= s->at->silent_until_ms)
 			stream_step(s);
 	}
 	slow_link_tick(&w.link, TICK_S);
