move: copies that are not used are freed

A stream may end while the copy of its run is made, or between the two steps of its migration.

The migration outlives its request until the handle of the copy is known, and frees it by a call to the source. It keeps a reference to the source, whose connections the calls use.

The stand-in now brings a run's copy up to date with the second call, as endpoints do, and counts copies that are held.

--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -258,6 +258,9 @@
 			       "runs copied away from leaving endpoints");
 	x->moves_failed = met_counter(m, "moves_failed_total",
 				      "copies of runs that failed");
+	x->copies_unused =
+		met_counter(m, "copies_unused_total",
+			    "copies of runs that ended before they were used");
 	x->probes = met_counter(m, "probes_total",
 				"looks whether an endpoint is still there");
 	x->endpoints_ended =
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -77,7 +77,7 @@
 struct edge_metrics {
 	met_value *requests, *answers_passed, *answers_refused, *answers_failed,
 		*streams_cut, *callers_gone, *requests_denied;
-	met_value *moves, *moves_failed, *moves_untargeted;
+	met_value *moves, *moves_failed, *moves_untargeted, *copies_unused;
 	met_value *streams_taken_up, *streams_mixed;
 	met_value *answers_oversized, *streams_paused;
 	met_value *bindings, *bindings_asked, *bindings_unknown,
--- a/lib/edge/edge_move.c
+++ b/lib/edge/edge_move.c
@@ -47,8 +47,11 @@
 
 /* The migration of one stream. */
 struct edge_move {
-	struct edge_req *r;
-	struct flt_endpoint *to; /* the target; referenced */
+	struct edge *en;
+	struct edge_req *r;	   /* NULL: its copy is not used any more */
+	struct flt_endpoint *from; /* referenced */
+	struct flt_endpoint *to;   /* the target; referenced while `r` is set */
+	bool relayed;		   /* calls go through a relay */
 	struct htc_call *call;
 	enum move_step step;
 	int64_t began_ms;
@@ -80,12 +83,19 @@
 	jlog_end(en->log);
 }
 
-/* ---- Copies that are not used ---- */
+/* ---- End of a migration ---- */
 
-static bool on_free_head(struct htc_call *call, const struct hmsg *m)
+static void move_free(struct edge_move *m)
+{
+	flt_unref(&m->en->fleet, m->from);
+	buf_free(&m->body);
+	free(m);
+}
+
+static bool on_free_head(struct htc_call *call, const struct hmsg *msg)
 {
 	(void)call;
-	(void)m;
+	(void)msg;
 	return true;
 }
 
@@ -98,56 +108,59 @@
 
 static void on_free_end(struct htc_call *call)
 {
-	(void)call;
+	move_free(htc_owner(call));
 }
 
 /* The target then keeps the copy until it expires. */
 static void on_free_failed(struct htc_call *call, enum htc_failure why)
 {
-	(void)call;
 	(void)why;
+	move_free(htc_owner(call));
 }
 
 static const struct htc_vtable free_vtable = { on_free_head, on_free_body,
 					       on_free_end, on_free_failed };
 
-/* Frees the copy, which takes a slot and memory at the target, at its source. */
-static void free_copy(struct edge_move *m)
+static struct htc_peer *way_to_source(struct edge_move *m)
 {
-	struct edge_req *r = m->r;
-	struct htc_peer *from =
-		edge_way_to(r->en, r->endpoint, r->relay[0]).pool;
+	return edge_way_to(m->en, m->from, m->relayed).pool;
+}
+
+/* Ends a migration whose copy, if there is one, takes a slot at the target. */
+static void release_copy(struct edge_move *m)
+{
+	struct htc_peer *from = way_to_source(m);
 	struct buf wire = BUF_INIT;
 
-	if (!m->copy.handle[0] || !from || r->endpoint->exited)
+	if (!m->copy.handle[0] || !from || m->from->exited) {
+		move_free(m);
 		return;
-	r->en->wire->encode_copy_free(m->copy.handle, &wire);
-	if (!htc_start(from, &wire, 0, false, FREE_CALL_TIMEOUT_MS,
-		       &free_vtable, NULL))
-		buf_free(&wire);
+	}
+	met_inc(m->en->m.copies_unused);
+	m->en->wire->encode_copy_free(m->copy.handle, &wire);
+	if (htc_start(from, &wire, 0, false, FREE_CALL_TIMEOUT_MS, &free_vtable,
+		      m))
+		return;
+	buf_free(&wire);
+	move_free(m);
 }
 
-/* ---- End of a migration ---- */
-
-static void move_free(struct edge_move *m)
+void edge_move_cancel(struct edge_req *r)
 {
-	struct edge_req *r = m->r;
+	struct edge_move *m = r->move;
 
+	if (!m)
+		return;
 	r->move = NULL;
-	if (m->call)
-		htc_cancel(m->call);
+	m->r = NULL;
 	m->to->running--;
-	flt_unref(&r->en->fleet, m->to);
-	buf_free(&m->body);
-	free(m);
-}
-
-void edge_move_cancel(struct edge_req *r)
-{
-	if (!r->move)
+	flt_unref(&m->en->fleet, m->to);
+	/* The copy in progress is released once its handle is known. */
+	if (m->call && m->step == MOVE_COPY)
 		return;
-	free_copy(r->move);
-	move_free(r->move);
+	if (m->call)
+		htc_cancel(m->call);
+	release_copy(m);
 }
 
 void edge_move_continue(struct edge_req *r)
@@ -295,12 +308,14 @@
 	struct err e = ERR_INIT;
 
 	m->call = NULL;
-	if (!m->r->en->wire->decode_move_result(buf_cstr(&m->body), m->body.len,
-						&copy, &e))
+	if (!m->en->wire->decode_move_result(buf_cstr(&m->body), m->body.len,
+					     &copy, &e))
 		m->copy = copy;
 	else if (m->status == 200)
 		m->copy.handle[0] = '\0';
-	if (m->step == MOVE_COPY)
+	if (!m->r)
+		release_copy(m);
+	else if (m->step == MOVE_COPY)
 		handle_copy_answer(m);
 	else
 		handle_stop_answer(m);
@@ -313,7 +328,9 @@
 	const char *text = sent ? "no answer" : "endpoint not reached";
 
 	m->call = NULL;
-	if (m->step == MOVE_COPY)
+	if (!m->r)
+		release_copy(m);
+	else if (m->step == MOVE_COPY)
 		copy_failed(m, text);
 	else
 		stop_failed(m, text, sent);
@@ -367,8 +384,7 @@
 static void start_step(struct edge_move *m, enum move_step step)
 {
 	struct edge_req *r = m->r;
-	struct htc_peer *from =
-		edge_way_to(r->en, r->endpoint, r->relay[0]).pool;
+	struct htc_peer *from = way_to_source(m);
 	struct buf wire = BUF_INIT;
 
 	m->step = step;
@@ -409,10 +425,14 @@
 		return;
 	m = calloc(1, sizeof(*m));
 	assert(m);
+	m->en = r->en;
 	m->r = r;
+	m->from = r->endpoint;
 	m->to = to;
+	m->relayed = r->relay[0];
 	m->began_ms = edge_now(r->en);
 	m->copy.created = -1;
+	flt_ref(m->from);
 	flt_ref(to);
 	gate_pass(&to->gate, edge_now(r->en));
 	/* So that the next pick takes this stream into account. */
--- a/scripts/migration_test.sh
+++ b/scripts/migration_test.sh
@@ -13,7 +13,7 @@
 . scripts/cluster.sh
 . scripts/edge_cluster.sh
 trap cluster_stop EXIT
-CASES=${CASES:-made late no_room kept silent unknown}
+CASES=${CASES:-made late no_room kept silent unknown ended}
 EVENTS=20
 STREAMS=8
 
@@ -29,8 +29,8 @@
 
 whole() { awk -v all=$EVENTS '$1 == "200:0" && $2 == all' "$DIR/told-$CASE" | wc -l; }
 
-# leaves NAME ENDPOINT COPIES [ALIVE_MS]: the endpoint leaves while streams run at all
-# entries.
+# leaves NAME ENDPOINT COPIES [ALIVE_MS [BEFORE_S]]: the endpoint leaves while streams
+# run at all entries.
 leaves() {
 	local n k pids=
 	case " $CASES " in *" $1 "*) ;; *) return ;; esac
@@ -42,7 +42,7 @@
 			pids="$pids $!"
 		done
 	done
-	sleep 0.4
+	sleep "${5:-0.4}"
 	platform_test "drain?id=$2" >/dev/null
 	platform_test "end?id=$2&ms=${4:-4000}" >/dev/null
 	wait $pids
@@ -64,6 +64,11 @@
 leaves kept i-7 "mode=1"
 leaves silent i-11 "mode=2"
 leaves unknown i-9 "mode=3"
+leaves ended i-13 "mode=0&ms=1100" 4000 2.3
+expect "copies that are not used are freed" wait_for eval '[ "$(seen copies_held)" = 0 ]'
+expect "ended: there were such copies" [ "$(seen copies_freed)" -gt 0 ]
+expect "no entry ended by itself" \
+	[ -z "$(grep -lE 'Sanitizer|Assertion' "$DIR"/*.log)" ]
 
 echo "migration_test: $PASSED passed, $FAILED failed"
 [ "$FAILED" = 0 ]
--- a/tests/standin/platform.c
+++ b/tests/standin/platform.c
@@ -35,6 +35,7 @@
 #define MAX_REPORTS 512
 #define TICK_S 0.005
 #define CONFIG_KEY "op/config"
+#define FREE_COPY "/v1/kv-handle/h-"
 
 /*
  * An endpoint that begins to run a body with this word ends so much later. Its
@@ -99,7 +100,7 @@
 /* Memory of a run, at another endpoint or at the source that stopped it. */
 struct copy {
 	char id[80]; /* of the attempt */
-	bool used;
+	bool used;   /* or freed */
 };
 
 /* The answer to a call for a copy, which is queued behind others. */
@@ -165,6 +166,7 @@
 	int copy_ms;   /* until a copy is made */
 	struct cds_list_head late_answers;
 	int nr_stopped; /* runs, for a copy */
+	int nr_freed;	/* copies that were not used */
 	int64_t down_until_ms;
 	struct copy_of_store older; /* the store comes back from it */
 	int64_t era;
@@ -888,6 +890,30 @@
 	}
 }
 
+/* The number of the run's copy, which a second call brings up to date. */
+static int copy_of(const char *id)
+{
+	int i;
+
+	for (i = 0; i < w.nr_copies; i++) {
+		if (!w.copies[i].used && !strcmp(w.copies[i].id, id))
+			return i;
+	}
+	str_copy(w.copies[w.nr_copies].id, id, sizeof(w.copies[0].id));
+	return w.nr_copies++;
+}
+
+static void free_copy(struct hsc *c, int n)
+{
+	if (n < 0 || n >= w.nr_copies || w.copies[n].used) {
+		reply(c, 404, "{}");
+		return;
+	}
+	w.copies[n].used = true;
+	w.nr_freed++;
+	reply(c, 200, "{}");
+}
+
 /* A run's memory is copied; with "last" the run is stopped before. */
 static void move_run(struct endpoint *e, struct hsc *c)
 {
@@ -905,9 +931,8 @@
 		reply(c, 503, "{}");
 		return;
 	}
-	str_copy(w.copies[w.nr_copies].id, id, sizeof(w.copies[0].id));
 	snprintf(text, sizeof(text), "{\"handle\":\"h-%d\",\"created\":%d}",
-		 w.nr_copies++, s->next - 1);
+		 copy_of(id), s->next - 1);
 	if (last) {
 		w.nr_stopped++;
 		cut_stream(s);
@@ -991,6 +1016,10 @@
 		move_run(e, c);
 		return;
 	}
+	if (!strncmp(hmsg_url(m), FREE_COPY, strlen(FREE_COPY))) {
+		free_copy(c, atoi(hmsg_url(m) + strlen(FREE_COPY)));
+		return;
+	}
 	if (!id || !expected || strcmp(expected, e->id)) {
 		reply(c, 421, "{}");
 		return;
@@ -1341,6 +1370,7 @@
 {
 	BUF_AUTO out = BUF_INIT;
 	int i, twice = 0, once = 0, late = 0, per[MAX_ENDPOINTS] = { 0 };
+	int held = 0;
 	unsigned over_limit = 0, most = 0, stated_leaving = 0, in_wait = 0;
 	unsigned sends = 0, crashes = 0, poison_late = 0, poison_known = 0;
 	int64_t known_ms = 0;
@@ -1350,6 +1380,8 @@
 		twice += w.runs[i].once && w.runs[i].times > 1;
 		per[w.runs[i].endpoint]++;
 	}
+	for (i = 0; i < w.nr_copies; i++)
+		held += !w.copies[i].used;
 	for (i = 0; i < w.nr_endpoints; i++) {
 		const struct stm *s = &w.endpoints[i].statements;
 
@@ -1377,11 +1409,12 @@
 		"runs %d once %d once_twice %d to_leaving %d usage %d usage_twice %d "
 		"orders %d wrong_fence %d not_bound %d revision %lld config_told %d "
 		"ended %d over_limit %u most_in_window %u "
-		"to_stated_leaving %u in_wait %u fell %d full %d stopped %d\n",
+		"to_stated_leaving %u in_wait %u fell %d full %d stopped %d "
+		"copies_held %d copies_freed %d\n",
 		w.nr_runs, once, twice, late, w.nr_usage, w.usage_twice,
 		w.nr_scale, w.wrong_fence, w.not_bound, (long long)w.revision,
 		w.config_told, w.nr_ended, over_limit, most, stated_leaving,
-		in_wait, w.nr_fell, w.nr_full, w.nr_stopped);
+		in_wait, w.nr_fell, w.nr_full, w.nr_stopped, held, w.nr_freed);
 	for (i = 0; i < w.nr_endpoints; i++)
 		buf_fmt(&out, "%s %s %d\n", w.endpoints[i].id,
 			w.endpoints[i].service, per[i]);
