stop: log each request that the end of the process cuts off

An entry that ended with requests open logged only how many there were. From its lines it could not be told whether a request had been accepted too late, waited for its endpoint, or for a caller that read slowly, nor whether the entry had noticed the signal late.

Each request that is left when the process ends now has a `cut` line with how far it was, its age, its endpoint, the time since the signal and since the endpoint last sent something, and counts in requests_cut_by_exit_total. `stopping` says how old the signal may be: it came after the begin of the last poll that found none. `stopped` says how many requests are cut off, and how many answers have ended but are not sent whole.

The shutdown moves from edge.c to a file of its own.

--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -24,15 +24,6 @@
 /* Interval of gossip rounds and of the work that depends on them. */
 #define GOSSIP_INTERVAL_MS OVL_ROUND_MS
 
-/*
- * A shutdown lasts at least MIN_SHUTDOWN_MS after SIGTERM, since callers may
- * still use an older answer of a look-up. It ends at the latest KILL_MARGIN_MS
- * before the platform kills the process (bounds.grace_s), for the time that
- * closing takes.
- */
-#define MIN_SHUTDOWN_MS 2500
-#define KILL_MARGIN_MS 400
-
 /* A counter for each kind: calls are billed, so growth must be traceable. */
 static void register_store_metrics(struct met *m, struct edge_metrics *x)
 {
@@ -245,6 +236,9 @@
 					"requests told that no answer came");
 	x->streams_cut = met_counter(m, "streams_cut_total",
 				     "answers broken off half-way");
+	x->requests_cut_by_exit = met_counter(
+		m, "requests_cut_by_exit_total",
+		"requests without a whole answer as the process ended");
 	x->callers_gone = met_counter(m, "callers_gone_total",
 				      "callers who left before their answer");
 	x->requests_denied =
@@ -321,51 +315,6 @@
 		"first event, or answer without events, against what was expected");
 }
 
-/* ---- Shutdown ---- */
-
-static void log_event(struct edge *en, const char *event)
-{
-	jlog_begin(en->log, JLOG_INFO, event);
-	jlog_int(en->log, "requests", en->callers.nr_responding);
-	jlog_int(en->log, "connections", en->callers.nr_conns);
-	jlog_end(en->log);
-}
-
-static void on_stop_signal(struct ev_loop *loop, ev_signal *w, int revents)
-{
-	struct edge *en = w->data;
-
-	(void)loop;
-	(void)revents;
-	if (en->stopping)
-		return;
-	en->stopping = true;
-	en->stop_ms = edge_now(en);
-	log_event(en, "stopping");
-	hsc_server_drain(&en->callers);
-	edge_lease_resign(en);
-	edge_peer_tick(en, en->stop_ms);
-}
-
-static void shutdown_tick(struct edge *en, int64_t now)
-{
-	const int64_t since = now - en->stop_ms;
-	const int64_t latest =
-		(int64_t)(en->conf->bounds.grace_s * 1000) - KILL_MARGIN_MS;
-
-	if (since < MIN_SHUTDOWN_MS)
-		return;
-	/*
-	 * Stop accepting requests first, then wait until the last one has
-	 * ended. Exiting as soon as no request was in flight cut off one that
-	 * was read in the same iteration of the event loop.
-	 */
-	hsc_server_close_idle(&en->callers);
-	if ((en->callers.nr_conns || en->nr_tunnels) && since < latest)
-		return;
-	ev_break(en->loop, EVBREAK_ALL);
-}
-
 /* ---- Reload of the settings ---- */
 
 static void on_reload_signal(struct ev_loop *loop, ev_signal *w, int revents)
@@ -386,7 +335,7 @@
 	en->mutable_conf.bounds = c.bounds;
 	en->mutable_conf.list_ttl_s = c.list_ttl_s;
 	en->mutable_conf.policy = c.policy;
-	log_event(en, "reloaded");
+	edge_log_process(en, "reloaded");
 }
 
 /* ---- Totals ---- */
@@ -490,7 +439,7 @@
 	if (now - en->totals_ms >= TOTALS_INTERVAL_MS)
 		log_totals(en, now);
 	if (en->stopping)
-		shutdown_tick(en, now);
+		edge_stop_tick(en, now);
 	set_tick_interval(en);
 }
 
@@ -522,14 +471,6 @@
 	return edge_peer_open(en, e);
 }
 
-static void watch_signal(struct edge *en, ev_signal *w, int number,
-			 void (*cb)(struct ev_loop *, ev_signal *, int))
-{
-	ev_signal_init(w, cb, number);
-	w->data = en;
-	ev_signal_start(en->loop, w);
-}
-
 static void init(struct edge *en)
 {
 	const struct conf *c = en->conf;
@@ -585,18 +526,6 @@
 	jlog_end(en->log);
 }
 
-/* Cuts off requests that did not end within the grace period. */
-static void close_listeners(struct edge *en)
-{
-	log_event(en, "stopped");
-	hsc_server_close(&en->callers);
-	hsc_server_close(&en->ready);
-	hsc_server_close(&en->lookup);
-	hsc_server_close(&en->peers);
-	close(en->gossip_fd);
-	jlog_free(en->log);
-}
-
 int edge_run(const char *settings_path, const struct conf *conf,
 	     const struct wire *wire, const struct clk *clk,
 	     enum jlog_level level, struct err *e)
@@ -619,9 +548,10 @@
 	log_start(en);
 	edge_store_open(en, &store);
 	edge_duty_open(en);
-	watch_signal(en, &en->on_term, SIGTERM, on_stop_signal);
-	watch_signal(en, &en->on_int, SIGINT, on_stop_signal);
-	watch_signal(en, &en->on_hup, SIGHUP, on_reload_signal);
+	edge_stop_open(en);
+	ev_signal_init(&en->on_hup, on_reload_signal, SIGHUP);
+	en->on_hup.data = en;
+	ev_signal_start(en->loop, &en->on_hup);
 	ev_timer_init(&en->tick, on_tick, 0, (double)TICK_INTERVAL_MS / 1000);
 	en->tick.data = en;
 	ev_timer_start(en->loop, &en->tick);
@@ -631,7 +561,7 @@
 	en->iteration.data = en;
 	ev_check_start(en->loop, &en->iteration);
 	ev_run(en->loop, 0);
-	close_listeners(en);
+	edge_stop_finish(en);
 	/* The process exits, so the remaining memory is not freed. */
 	return 0;
 }
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -76,7 +76,8 @@
 /* Named after the metrics that they hold; see register_metrics (edge.c). */
 struct edge_metrics {
 	met_value *requests, *answers_passed, *answers_refused, *answers_failed,
-		*streams_cut, *callers_gone, *requests_denied;
+		*streams_cut, *callers_gone, *requests_denied,
+		*requests_cut_by_exit;
 	met_value *moves, *moves_failed, *moves_untargeted, *copies_unused;
 	met_value *streams_taken_up, *streams_mixed;
 	met_value *answers_oversized, *streams_paused;
@@ -294,6 +295,9 @@
 	/* The process was suspended, or had no processor, until then; 0: never. */
 	int64_t stalled_ms;
 	ev_signal on_term, on_int, on_hup;
+	ev_prepare turn; /* of the event loop, before it polls */
+	/* Begin of the last two polls; only the newest can have found a signal. */
+	int64_t poll_ms, former_poll_ms;
 	bool stopping;
 	int64_t stop_ms; /* when the signal came */
 };
@@ -430,6 +434,20 @@
 /* Puts back a retry that edge_may_retry() spent and that no send follows. */
 void edge_retry_put_back(struct edge_req *r);
 
+/* ---- edge_stop.c: the entry's own shutdown ---- */
+
+/* Begins to watch for SIGTERM and SIGINT. */
+void edge_stop_open(struct edge *en);
+
+/* Ends the event loop once the requests have ended, or the grace period has. */
+void edge_stop_tick(struct edge *en, int64_t now);
+
+/* Cuts off the requests that are left, and closes all listeners and the log. */
+void edge_stop_finish(struct edge *en);
+
+/* Logs an event of the process, with its requests and connections. */
+void edge_log_process(struct edge *en, const char *event);
+
 /* ---- edge_send.c: sending requests to endpoints ---- */
 
 /* Picks an endpoint and sends the request, or ends it; may free `r`. */
