stop: the grace period begins when the signal may have been sent

Callers lost answers around the SIGTERM of their entry: their requests were accepted, ran at an endpoint, and the connection closed without the end of the answer.

The grace period was counted from the handler of the signal. The platform counts it from when it sends the signal, so an entry that was suspended or had no processor at that moment accepted requests for longer than agreed, and was killed with them open instead of ending by itself.

The new scripts/grace_test.sh suspends an entry for 1 s at its SIGTERM, with callers that send on kept connections and endpoints that need 4.9 s.

The signal came after the begin of the last poll of the event loop that found none, so the grace period begins there. The begin of the poll counts and not its end: a process that is suspended within the poll gets an interrupted poll first, and the signal is reported only by the next one. The clock includes suspension, so what follows the signal counts as well.

--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -299,7 +299,7 @@
 	/* Begin of the last two polls; only the newest can have found a signal. */
 	int64_t poll_ms, former_poll_ms;
 	bool stopping;
-	int64_t stop_ms; /* when the signal came */
+	int64_t stop_ms; /* the signal came then or later */
 };
 
 /* A caller's request, from its head to the end of its answer. */
--- a/lib/edge/edge_req.c
+++ b/lib/edge/edge_req.c
@@ -488,7 +488,7 @@
 		return;
 	}
 	if (en->stopping &&
-	    r->arrived_ms - en->stop_ms > ACCEPT_AFTER_STOP_MS) {
+	    r->arrived_ms - en->stop_ms >= ACCEPT_AFTER_STOP_MS) {
 		edge_req_answer(r, 503, "this entry is leaving", RETRY_SOON_MS);
 		return;
 	}
--- a/lib/edge/edge_stop.c
+++ b/lib/edge/edge_stop.c
@@ -48,10 +48,15 @@
 	if (en->stopping)
 		return;
 	en->stopping = true;
-	en->stop_ms = now;
+	/*
+	 * The platform counts from when it sent the signal, which may be long
+	 * before the process ran again. A poll that is interrupted by a signal
+	 * reports it only at the next one.
+	 */
+	en->stop_ms = en->former_poll_ms;
 	jlog_begin(en->log, JLOG_INFO, "stopping");
 	put_counts(en);
-	jlog_int(en->log, "signal_age_ms", now - en->former_poll_ms);
+	jlog_int(en->log, "signal_age_ms", now - en->stop_ms);
 	jlog_end(en->log);
 	hsc_server_drain(&en->callers);
 	edge_lease_resign(en);
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -113,6 +113,8 @@
 	add whole_test $?
 	BIN=$BUILD/bin scripts/migration_test.sh >"$OUT" 2>/dev/null
 	add migration_test $?
+	BIN=$BUILD/bin scripts/grace_test.sh >"$OUT" 2>/dev/null
+	add grace_test $?
 	BIN=$BUILD/bin scripts/endless_test.sh 1 >"$OUT" 2>/dev/null
 	add endless_test $?
 	BIN=$BUILD/bin scripts/power_test.sh >"$OUT" 2>/dev/null
