move: a stream that ends before it is stopped gives its retry back

A migration is charged as a retry before its first copy is requested, but only a copy that failed put the charge back.

The charge is put back wherever a migration ends before its run is stopped. scripts/migration_test.sh passes as before; the budget itself has its tests in tests/test_acct.c. No test shows a budget that was used up this way.

--- a/lib/edge/edge_move.c
+++ b/lib/edge/edge_move.c
@@ -155,6 +155,8 @@
 	m->r = NULL;
 	m->to->running--;
 	flt_unref(&m->en->fleet, m->to);
+	if (m->step == MOVE_COPY)
+		edge_retry_put_back(r);
 	/* The copy in progress is released once its handle is known. */
 	if (m->call && m->step == MOVE_COPY)
 		return;
@@ -181,7 +183,6 @@
 
 	met_inc(en->m.moves_failed);
 	log_move(m, why);
-	edge_retry_put_back(r);
 	if (r->move_refused)
 		flt_unref(&en->fleet, r->move_refused);
 	r->move_refused = m->to;
