ioc: a peer that reads slowly keeps its connection

Callers with small receive buffers that stopped reading for 2.5 s lost their answers, at entries that were not stopping: the connection was reset. Some of these answers had been logged as passed before, others ended as caller_gone.

Cause: TCP_USER_TIMEOUT. The same option was set on connections to endpoints, so that a large body that is read late was lost, and for the store and the duties.

Now no connection sets it. The time-outs stay what they were. A peer that is there answers, and so keeps its connection; one that does not acknowledge anything still loses it.

--- a/lib/edge/edge_duty.c
+++ b/lib/edge/edge_duty.c
@@ -30,7 +30,7 @@
 
 static const struct htc_limits cloud_limits = {
 	.connect_ms = 300,
-	.user_timeout_ms = EDGE_DUTY_CALL_MS,
+	.ack_timeout_ms = EDGE_DUTY_CALL_MS,
 	.keepalive_s = 1,
 	.idle_ms = 8000,
 	.max_body_bytes = HTC_SMALL_BODY_BYTES,
--- a/lib/edge/edge_relay.c
+++ b/lib/edge/edge_relay.c
@@ -18,7 +18,7 @@
  * silent for a second or so: to give it up sooner would lose requests that must
  * not be repeated, and resume streams that it still runs.
  */
-#define USER_TIMEOUT_MS 2500
+#define ACK_TIMEOUT_MS 2500
 /* TCP keepalive starts after this silence. */
 #define KEEPALIVE_S 1
 /* Idle connections are kept for this long unless the endpoint states less. */
@@ -38,7 +38,7 @@
 struct ioc_timeouts edge_endpoint_timeouts(void)
 {
 	return (struct ioc_timeouts){
-		.user_timeout_ms = USER_TIMEOUT_MS,
+		.ack_timeout_ms = ACK_TIMEOUT_MS,
 		.keepalive_s = KEEPALIVE_S,
 	};
 }
@@ -141,7 +141,7 @@
 {
 	static const struct htc_limits limits = {
 		.connect_ms = EDGE_CONNECT_TIMEOUT_MS,
-		.user_timeout_ms = USER_TIMEOUT_MS,
+		.ack_timeout_ms = ACK_TIMEOUT_MS,
 		.keepalive_s = KEEPALIVE_S,
 		.idle_ms = IDLE_TIMEOUT_MS,
 		.max_body_bytes = EDGE_MAX_ANSWER_BYTES,
--- a/lib/edge/edge_send.c
+++ b/lib/edge/edge_send.c
@@ -11,8 +11,8 @@
 #define FRESH_CONN_MS 9000
 
 /*
- * TCP_USER_TIMEOUT of requests that may run twice: they are repeated elsewhere
- * before their endpoint counts as gone.
+ * How long the machine of an endpoint may acknowledge nothing of a request that
+ * may run twice: it is repeated elsewhere before its endpoint counts as gone.
  */
 #define REPEAT_AFTER_MS 1000
 
@@ -219,7 +219,7 @@
 			c->parse.msg.method == HTTP_HEAD, 0,
 			&edge_answer_vtable, r);
 	if (r->call && r->rq.kind == CFG_IDEMPOTENT)
-		htc_set_user_timeout(r->call, REPEAT_AFTER_MS);
+		htc_set_ack_timeout(r->call, REPEAT_AFTER_MS);
 	if (r->call)
 		return;
 	buf_free(&wire);
--- a/lib/io/hsc.c
+++ b/lib/io/hsc.c
@@ -24,12 +24,9 @@
 /* Connections accepted per iteration of the event loop. */
 #define ACCEPT_BATCH 32
 
-/*
- * An unreachable client machine is detected after five seconds; one that does
- * not read its response for a moment is not.
- */
+/* An unreachable client machine is detected after five seconds. */
 static const struct ioc_timeouts tcp_timeouts = {
-	.user_timeout_ms = 5000,
+	.ack_timeout_ms = 5000,
 	.keepalive_s = 2,
 };
 
--- a/lib/io/htc.c
+++ b/lib/io/htc.c
@@ -36,7 +36,7 @@
 	enum htc_unreached unreached; /* unless it timed out */
 	bool tunnelling;	      /* the relay has not answered yet */
 	struct buf tunnel_answer;
-	int user_timeout_ms; /* as it was last set */
+	int ack_timeout_ms; /* as it was last set */
 };
 
 struct htc_call {
@@ -527,7 +527,7 @@
 static struct htc_conn *open_conn(struct htc_peer *p)
 {
 	const struct ioc_timeouts timeouts = {
-		.user_timeout_ms = p->limits.user_timeout_ms,
+		.ack_timeout_ms = p->limits.ack_timeout_ms,
 		.keepalive_s = p->limits.keepalive_s,
 	};
 	struct htc_conn *k = calloc(1, sizeof(*k));
@@ -535,7 +535,7 @@
 	assert(k);
 	k->peer = p;
 	k->tunnelling = p->tunnel_to[0];
-	k->user_timeout_ms = p->limits.user_timeout_ms;
+	k->ack_timeout_ms = p->limits.ack_timeout_ms;
 	k->io = ioc_connect(p->loop, &p->addr, &timeouts, &io_vtable, k, NULL);
 	if (!k->io) {
 		free(k);
@@ -549,17 +549,17 @@
 	return k;
 }
 
-static void set_user_timeout(struct htc_conn *k, int ms)
+static void set_ack_timeout(struct htc_conn *k, int ms)
 {
-	if (k->user_timeout_ms == ms)
+	if (k->ack_timeout_ms == ms)
 		return;
-	k->user_timeout_ms = ms;
-	ioc_set_user_timeout(k->io, ms);
+	k->ack_timeout_ms = ms;
+	ioc_set_ack_timeout(k->io, ms);
 }
 
-void htc_set_user_timeout(struct htc_call *c, int ms)
+void htc_set_ack_timeout(struct htc_call *c, int ms)
 {
-	set_user_timeout(c->conn, ms);
+	set_ack_timeout(c->conn, ms);
 }
 
 bool htc_probe(struct htc_peer *p, htc_probe_cb done, void *arg)
@@ -601,7 +601,7 @@
 	k->sent_before = k->io->sent;
 	if (reused) {
 		p->reused++;
-		set_user_timeout(k, p->limits.user_timeout_ms);
+		set_ack_timeout(k, p->limits.ack_timeout_ms);
 		set_call_timer(k);
 		ioc_write(k->io, wire->data, wire->len);
 		buf_free(wire);
--- a/lib/io/htc.h
+++ b/lib/io/htc.h
@@ -76,10 +76,10 @@
 #define HTC_SMALL_BODY_BYTES ((size_t)65536)
 
 struct htc_limits {
-	int connect_ms;	     /* to establish a connection */
-	int user_timeout_ms; /* TCP_USER_TIMEOUT, for unacknowledged bytes */
-	int keepalive_s;     /* idle time before TCP keep-alive probes */
-	int idle_ms;	     /* maximum idle time before reuse */
+	int connect_ms;	    /* to establish a connection */
+	int ack_timeout_ms; /* see ioc_timeouts */
+	int keepalive_s;    /* idle time before TCP keep-alive probes */
+	int idle_ms;	    /* maximum idle time before reuse */
 	/*
 	 * Of a response, and of what is skipped before it; a larger one fails
 	 * with HTC_TOO_LARGE. 0: no limit.
@@ -165,8 +165,8 @@
  */
 void htc_pause(struct htc_call *c, bool paused);
 
-/* TCP_USER_TIMEOUT during this call, instead of the peer's user_timeout_ms. */
-void htc_set_user_timeout(struct htc_call *c, int ms);
+/* The time-out of acknowledgements during this call, instead of the peer's ack_timeout_ms. */
+void htc_set_ack_timeout(struct htc_call *c, int ms);
 
 /* Why the call was not sent; valid in `failed` with HTC_NOT_SENT. */
 enum htc_unreached htc_unreached(const struct htc_call *c);
--- a/lib/io/ioc.c
+++ b/lib/io/ioc.c
@@ -3,12 +3,16 @@
 #include <arpa/inet.h>
 #include <assert.h>
 #include <errno.h>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "base/clk.h"
+
 /*
  * Bytes read from a connection per iteration of the event loop. Bounded, so
  * that a fast peer does not delay the other connections. One event of a stream
@@ -22,6 +26,12 @@
  */
 #define LISTEN_BACKLOG 1024
 
+/* Between two keep-alive probes. */
+#define KEEPALIVE_INTERVAL_S 1
+
+/* Unanswered keep-alive probes, without ack_timeout_ms. */
+#define KEEPALIVE_PROBES 2
+
 int ioc_address(const char *text, struct sockaddr_in *out, struct err *e)
 {
 	char host[64];
@@ -57,17 +67,23 @@
 	c->closed = true;
 	ev_io_stop(c->loop, &c->reader);
 	ev_io_stop(c->loop, &c->writer);
+	ev_timer_stop(c->loop, &c->ack_timer);
 	close(c->fd);
 	if (!c->in_callback)
 		release(c);
 }
 
-void ioc_abort(struct ioc *c)
+static void reset_on_close(struct ioc *c)
 {
 	const struct linger now = { .l_onoff = 1, .l_linger = 0 };
 
+	setsockopt(c->fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+}
+
+void ioc_abort(struct ioc *c)
+{
 	if (!c->closed)
-		setsockopt(c->fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+		reset_on_close(c);
 	ioc_close(c);
 }
 
@@ -116,11 +132,79 @@
 	finish_callback(c);
 }
 
+static size_t unacked_in_kernel(const struct ioc *c)
+{
+	int bytes = 0;
+
+	if (ioctl(c->fd, SIOCOUTQ, &bytes) || bytes < 0)
+		return 0;
+	return (size_t)bytes;
+}
+
+static struct ack_facts get_ack_facts(const struct ioc *c)
+{
+	const size_t in_kernel = unacked_in_kernel(c);
+	struct tcp_info info = { 0 };
+	socklen_t len = sizeof(info);
+
+	getsockopt(c->fd, IPPROTO_TCP, TCP_INFO, &info, &len);
+	return (struct ack_facts){
+		.acked = c->sent - in_kernel,
+		.unacked = in_kernel + ioc_pending(c),
+		.retransmits = info.tcpi_retransmits,
+		.probes = info.tcpi_probes,
+		.silence_ms = info.tcpi_last_ack_recv,
+	};
+}
+
+static void set_ack_timer(struct ioc *c)
+{
+	const int64_t ms = ack_interval(c->ack_timeout_ms);
+
+	ev_timer_stop(c->loop, &c->ack_timer);
+	ev_timer_set(&c->ack_timer, (double)ms / 1000, 0);
+	ev_timer_start(c->loop, &c->ack_timer);
+}
+
+static void on_ack_timer(struct ev_loop *loop, ev_timer *t, int revents)
+{
+	struct ioc *c = t->data;
+	const struct ack_facts f = get_ack_facts(c);
+
+	(void)loop;
+	(void)revents;
+	switch (ack_check(&c->ack, &f, c->ack_timeout_ms, clk_ms(clk_real()))) {
+	case ACK_DONE:
+		break;
+	case ACK_WAIT:
+		set_ack_timer(c);
+		break;
+	case ACK_SILENT:
+		reset_on_close(c);
+		notify_ended(c, IOC_END_RESET);
+		break;
+	}
+}
+
+/* Checks acknowledgements until none is missing. */
+static void watch_acks(struct ioc *c)
+{
+	struct ack_facts f;
+
+	if (!c->ack_timeout_ms || ev_is_active(&c->ack_timer))
+		return;
+	f = get_ack_facts(c);
+	ack_begin(&c->ack, &f, clk_ms(clk_real()));
+	set_ack_timer(c);
+}
+
 /* Writes queued bytes until the socket is full. False: the connection broke. */
 static bool write_pending(struct ioc *c)
 {
 	ssize_t n;
 
+	if (c->out.len)
+		watch_acks(c);
 	while (c->out_written < c->out.len) {
 		n = send(c->fd, c->out.data + c->out_written,
 			 c->out.len - c->out_written, MSG_NOSIGNAL);
@@ -187,16 +271,30 @@
 	finish_callback(c);
 }
 
+/*
+ * The kernel probes only while nothing is unacknowledged, so keep-alive and
+ * the checks of acknowledgements complement each other.
+ */
+static void set_keepalive_probes(int fd, int ack_timeout_ms, int keepalive_s)
+{
+	const int interval_ms = KEEPALIVE_INTERVAL_S * 1000;
+	const int left_ms = ack_timeout_ms - keepalive_s * 1000;
+	int probes = KEEPALIVE_PROBES;
+
+	if (ack_timeout_ms)
+		probes = left_ms > interval_ms
+				 ? (left_ms + interval_ms - 1) / interval_ms
+				 : 1;
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+}
+
 static void set_tcp_options(int fd, const struct ioc_timeouts *t)
 {
-	const int on = 1, probes = 2, interval_s = 1;
+	const int on = 1, interval_s = KEEPALIVE_INTERVAL_S;
 
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 	if (!t)
 		return;
-	if (t->user_timeout_ms)
-		setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT,
-			   &t->user_timeout_ms, sizeof(t->user_timeout_ms));
 	if (!t->keepalive_s)
 		return;
 	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
@@ -204,10 +302,11 @@
 		   sizeof(t->keepalive_s));
 	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval_s,
 		   sizeof(interval_s));
-	setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+	set_keepalive_probes(fd, t->ack_timeout_ms, t->keepalive_s);
 }
 
 static struct ioc *create(struct ev_loop *loop, int fd,
+			  const struct ioc_timeouts *t,
 			  const struct ioc_vtable *vt, void *owner)
 {
 	struct ioc *c = calloc(1, sizeof(*c));
@@ -219,8 +318,15 @@
 	c->fd = fd;
 	ev_io_init(&c->reader, on_readable, fd, EV_READ);
 	ev_io_init(&c->writer, on_writable, fd, EV_WRITE);
+	ev_timer_init(&c->ack_timer, on_ack_timer, 0, 0);
 	c->reader.data = c;
 	c->writer.data = c;
+	c->ack_timer.data = c;
+	if (t) {
+		c->ack_timeout_ms = t->ack_timeout_ms;
+		c->keepalive_s = t->keepalive_s;
+	}
+	set_tcp_options(fd, t);
 	return c;
 }
 
@@ -237,14 +343,13 @@
 			strerror(errno));
 		return NULL;
 	}
-	set_tcp_options(fd, t);
 	if (connect(fd, (const struct sockaddr *)to, sizeof(*to)) &&
 	    errno != EINPROGRESS) {
 		err_set(e, ERR_REFUSED, "connect: %s", strerror(errno));
 		close(fd);
 		return NULL;
 	}
-	c = create(loop, fd, vt, owner);
+	c = create(loop, fd, t, vt, owner);
 	c->connecting = true;
 	ev_io_start(loop, &c->writer);
 	return c;
@@ -254,9 +359,8 @@
 		      const struct ioc_timeouts *t, const struct ioc_vtable *vt,
 		      void *owner)
 {
-	struct ioc *c = create(loop, fd, vt, owner);
+	struct ioc *c = create(loop, fd, t, vt, owner);
 
-	set_tcp_options(fd, t);
 	ev_io_start(loop, &c->reader);
 	return c;
 }
@@ -272,9 +376,15 @@
 		ev_io_start(c->loop, &c->writer);
 }
 
-void ioc_set_user_timeout(struct ioc *c, int ms)
+void ioc_set_ack_timeout(struct ioc *c, int ms)
 {
-	setsockopt(c->fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
+	c->ack_timeout_ms = ms;
+	if (c->keepalive_s)
+		set_keepalive_probes(c->fd, ms, c->keepalive_s);
+	if (!ev_is_active(&c->ack_timer))
+		return;
+	ev_timer_stop(c->loop, &c->ack_timer);
+	watch_acks(c);
 }
 
 size_t ioc_pending(const struct ioc *c)
@@ -282,6 +392,11 @@
 	return c->out.len - c->out_written;
 }
 
+size_t ioc_unacked(const struct ioc *c)
+{
+	return ioc_pending(c) + unacked_in_kernel(c);
+}
+
 void ioc_pause(struct ioc *c, bool paused)
 {
 	if (c->closed || c->connecting || c->paused == paused)
--- a/lib/io/ioc.h
+++ b/lib/io/ioc.h
@@ -16,12 +16,13 @@
 
 #include "base/buf.h"
 #include "base/err.h"
+#include "io/ack.h"
 
 struct ioc;
 
 enum ioc_end {
 	IOC_END_CLOSED,	     /* the peer closed it (FIN) */
-	IOC_END_RESET,	     /* reset, or a TCP time-out */
+	IOC_END_RESET,	     /* reset, or the peer's machine is silent */
 	IOC_END_REFUSED,     /* never established: no process listens there */
 	IOC_END_UNREACHABLE, /* never established for another reason */
 };
@@ -43,6 +44,11 @@
 	struct ev_loop *loop;
 	ev_io reader;
 	ev_io writer;
+	ev_timer
+		ack_timer; /* of the next check, while bytes are unacknowledged */
+	struct ack_watch ack;
+	int ack_timeout_ms; /* 0: none */
+	int keepalive_s;
 	int fd;
 	bool connecting;
 	bool closed;	    /* by ioc_close */
@@ -53,13 +59,14 @@
 	size_t out_written; /* bytes of `out` that are written */
 };
 
-/* When the kernel gives up a connection whose peer is silent. */
+/* When a connection ends whose peer is silent. */
 struct ioc_timeouts {
 	/*
-	 * TCP_USER_TIMEOUT, 0: the system's default. If set, it also decides
-	 * when keep-alive probes give up, whatever their number.
+	 * For which the peer's machine answers nothing, neither bytes sent nor
+	 * probes; 0: the system's default. A peer that answers but does not
+	 * read is not silent: the owner limits what it queues, and how long.
 	 */
-	int user_timeout_ms;
+	int ack_timeout_ms;
 	int keepalive_s; /* idle time before keep-alive probes; 0: none */
 };
 
@@ -90,12 +97,15 @@
  */
 void ioc_write(struct ioc *c, const void *data, size_t len);
 
-/* Replaces the user_timeout_ms of the connection. */
-void ioc_set_user_timeout(struct ioc *c, int ms);
+/* Replaces the ack_timeout_ms of the connection. */
+void ioc_set_ack_timeout(struct ioc *c, int ms);
 
 /* Number of queued bytes. */
 size_t ioc_pending(const struct ioc *c);
 
+/* Number of bytes that the peer has not acknowledged, with the queued ones. */
+size_t ioc_unacked(const struct ioc *c);
+
 /*
  * Stops or resumes reading. While paused, the receive window fills, which stops
  * the peer from sending. No effect until the connection is established.
--- a/lib/store/sto.c
+++ b/lib/store/sto.c
@@ -175,7 +175,7 @@
 
 static const struct htc_limits limits = {
 	.connect_ms = CONNECT_MS,
-	.user_timeout_ms = CALL_MS,
+	.ack_timeout_ms = CALL_MS,
 	.keepalive_s = 1,
 	.idle_ms = IDLE_MS,
 	.max_body_bytes = MAX_CHANGES_BYTES,
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -105,6 +105,8 @@
 	add cut_test $?
 	BIN=$BUILD/bin scripts/silence_test.sh 2 >"$OUT" 2>/dev/null
 	add silence_test $?
+	BIN=$BUILD/bin scripts/slow_reader_test.sh >"$OUT" 2>/dev/null
+	add slow_reader_test $?
 	BIN=$BUILD/bin scripts/brittle_test.sh 4 >"$OUT" 2>/dev/null
 	add brittle_test $?
 	BIN=$BUILD/bin scripts/order_test.sh 3 >"$OUT" 2>/dev/null
--- a/tests/standin/platform.c
+++ b/tests/standin/platform.c
@@ -173,9 +173,10 @@
 	int64_t rewrite_ms; /* operators and endpoints write again then; 0 */
 	int64_t lapse_ms; /* endpoints that left are off the list again then */
 	int gap_ms;
-	int nr_ended; /* endpoints */
-	int nr_fell;  /* of them: brittle ones that refused too much */
-	int nr_full;  /* requests refused for want of room */
+	int answer_pad, event_pad; /* bytes by which each one is longer */
+	int nr_ended;		   /* endpoints */
+	int nr_fell; /* of them: brittle ones that refused too much */
+	int nr_full; /* requests refused for want of room */
 	struct stm_brittle brittle; /* service "": none */
 	bool mended;		    /* no body ends an endpoint any more */
 	struct psn poison;
@@ -801,6 +802,7 @@
 
 	buf_fmt(&body, "%s ran %s for %s", e->id, id,
 		account ? account : "nobody");
+	buf_fmt(&body, "%*s", w.answer_pad, "");
 	put_head(e, &out, answers_error(e) ? 500 : 200, id, false);
 	if (!w.unframed)
 		hmsg_put_int(&out, "Content-Length", (int64_t)body.len);
@@ -1329,6 +1331,8 @@
 		cut_stream(s);
 		return;
 	}
+	if (w.event_pad)
+		buf_fmt(&event, ":%*s\n", w.event_pad, "");
 	buf_fmt(&event, "id: %d\ndata: piece %d of %s\n\n", s->next, s->next,
 		s->at->version);
 	if (s->next > s->last) {
@@ -1599,6 +1603,11 @@
 	} else if (!strncmp(url, "/test/gap", 9)) {
 		hmsg_query(url, "ms", number, sizeof(number));
 		w.gap_ms = atoi(number);
+	} else if (!strncmp(url, "/test/pad", 9)) {
+		hmsg_query(url, "answer", number, sizeof(number));
+		w.answer_pad = atoi(number);
+		hmsg_query(url, "event", number, sizeof(number));
+		w.event_pad = atoi(number);
 	} else if (!strncmp(url, "/test/link", 10)) {
 		hmsg_query(url, "bytes", number, sizeof(number));
 		w.link.bytes_per_s = atoi(number);
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -321,7 +321,7 @@
 
 static const struct htc_limits call_limits = {
 	.connect_ms = 300,
-	.user_timeout_ms = 1000,
+	.ack_timeout_ms = 1000,
 	.keepalive_s = 1,
 	.idle_ms = 5000,
 };
