hsc: a response is not cut off while its client reads

A client that reads slowly still had bytes of its response queued in the process when the response had ended. Three timers then closed its connection without asking for them: the close of idle connections by a leaving entry (the head had gone out before the signal and announced no close), the time-out of idle connections, and the second for which a last response waits for its peer to close. The caller saw a cut answer, which the log called passed.

A connection with queued bytes is not idle: it is closed after the last of them, and its times count from then. Only a client that takes no byte for ten seconds is given up; a leaving process still ends with its grace period.

A close of the whole server still waits for nobody.

--- a/lib/io/hsc.c
+++ b/lib/io/hsc.c
@@ -21,6 +21,12 @@
  */
 #define LINGER_MS 1000
 
+/*
+ * A client that takes no byte of a response for this long is not waited for, ms.
+ * Callers pause for seconds while they process what they have read.
+ */
+#define UNREAD_MS 10000
+
 /* Connections accepted per iteration of the event loop. */
 #define ACCEPT_BATCH 32
 
@@ -66,12 +72,19 @@
 	ev_timer_start(c->server->loop, &c->timer);
 }
 
+/* Waits for the client to take what is queued, else for `ms`. */
+static void await_client(struct hsc *c, int ms)
+{
+	c->sent = c->io->sent;
+	set_timer(c, ioc_pending(c->io) ? UNREAD_MS : ms);
+}
+
 static void linger(struct hsc *c)
 {
 	if (c->state == HSC_RESPONDING)
 		c->server->nr_responding--;
 	c->state = HSC_LINGERING;
-	set_timer(c, LINGER_MS);
+	await_client(c, LINGER_MS);
 	if (!ioc_pending(c->io))
 		shutdown(c->io->fd, SHUT_WR);
 }
@@ -93,6 +106,8 @@
 	(void)revents;
 	if (c->state == HSC_READING)
 		reject(c, HSC_TIMEOUT);
+	else if (ioc_pending(c->io) && c->io->sent != c->sent)
+		await_client(c, 0);
 	else if (c->state != HSC_RESPONDING)
 		drop(c, ioc_close);
 }
@@ -233,10 +248,22 @@
 {
 	struct hsc *c = io->owner;
 
-	if (c->state == HSC_LINGERING)
+	switch (c->state) {
+	case HSC_IDLE:
+		if (!c->pipelined.len)
+			set_timer(c, c->limits.idle_ms);
+		break;
+	case HSC_READING:
+		break;
+	case HSC_RESPONDING:
+		if (c->server->vt->drained)
+			c->server->vt->drained(c);
+		break;
+	case HSC_LINGERING:
 		shutdown(io->fd, SHUT_WR);
-	else if (c->state == HSC_RESPONDING && c->server->vt->drained)
-		c->server->vt->drained(c);
+		set_timer(c, LINGER_MS);
+		break;
+	}
 }
 
 static const struct ioc_vtable io_vtable = {
@@ -327,7 +354,11 @@
 
 	stop_listening(s);
 	cds_list_for_each_entry_safe(c, next, &s->conns, node) {
-		if (c->state == HSC_IDLE && !c->pipelined.len)
+		if (c->state != HSC_IDLE || c->pipelined.len)
+			continue;
+		if (ioc_pending(c->io))
+			linger(c);
+		else
 			drop(c, ioc_close);
 	}
 }
@@ -398,7 +429,7 @@
 		ev_timer_start(c->server->loop, &c->resume);
 		return;
 	}
-	set_timer(c, c->limits.idle_ms);
+	await_client(c, c->limits.idle_ms);
 	ioc_pause(c->io, false);
 }
 
--- a/lib/io/hsc.h
+++ b/lib/io/hsc.h
@@ -94,7 +94,8 @@
 	ev_timer resume; /* parses `pipelined` in the loop's next iteration */
 	/* Bytes written of the CRLF CRLF that ends the response's head. */
 	unsigned head_match;
-	bool close_after;    /* the client requests a close */
+	uint64_t sent;	  /* ioc.sent when `timer` was set for queued bytes */
+	bool close_after; /* the client requests a close */
 	bool body_too_large; /* body_bytes exceeded */
 	bool in_feed;	     /* the parser is on the stack */
 	bool free_pending;   /* freed when the parser returns */
@@ -117,8 +118,8 @@
 
 /*
  * Stops listening and closes the connections on which nothing was read since
- * their last response. A client whose request arrives during that close can
- * repeat it safely, since it was not read.
+ * their last response, once all of it is sent. A client whose request arrives
+ * during that close can repeat it safely, since it was not read.
  */
 void hsc_server_close_idle(struct hsc_server *s);
 
@@ -131,8 +132,8 @@
 
 /*
  * Ends the response. With `close`, or if hsc_must_close is true, the connection
- * is shut down after the last byte, and freed when the peer closes it or one
- * second later.
+ * is shut down after the last byte, and freed when the peer closes it, one
+ * second later, or when the peer has taken no byte for ten seconds.
  */
 void hsc_done(struct hsc *c, bool close);
 
