standin-platform: when runs began and ended, and how

A test could see which requests had run, but not whether their endpoint had written the whole answer, was still at work, or had broken off when the caller's connection ended. Without that, an answer that an entry cut off looks like one that its endpoint broke off.

The stand-in notes each run with its endpoint, begin, end and how it ended, in a module of its own; /test/runs?times lists them. A body can ask for larger events, so that an answer fills a small socket buffer of its caller.

--- a/Makefile
+++ b/Makefile
@@ -99,7 +99,8 @@
 	$(CC) $(CSTD) $(WARN) -O2 -g -shared -fPIC -o $@ $< -ldl
 
 $(BUILD)/bin/standin-platform: $(BUILD)/tests/support/slow_link.o \
-	$(BUILD)/tests/support/statements.o $(BUILD)/tests/support/poison.o
+	$(BUILD)/tests/support/statements.o $(BUILD)/tests/support/poison.o \
+	$(BUILD)/tests/support/run_log.o
 $(BUILD)/bin/standin-caller: $(BUILD)/programs/load_request.o
 
 $(BUILD)/tests/test_%: $(BUILD)/tests/test_%.o $(TEST_LIB_OBJ) $(LIB)
--- a/tests/standin/platform.c
+++ b/tests/standin/platform.c
@@ -22,6 +22,7 @@
 #include "base/rnd.h"
 #include "io/hsc.h"
 #include "support/poison.h"
+#include "support/run_log.h"
 #include "support/slow_link.h"
 #include "support/statements.h"
 
@@ -129,6 +130,7 @@
 	int64_t due_ms;
 	unsigned poison; /* the parts that crash the endpoint, psn_sent() */
 	bool unframed;
+	int pad; /* bytes more in each event */
 };
 
 /* How an endpoint comes back after a crash. */
@@ -155,6 +157,7 @@
 	int nr_history;
 	struct run runs[MAX_RUNS];
 	int nr_runs;
+	struct run_log run_log;
 	struct endpoint endpoints[MAX_ENDPOINTS];
 	int nr_endpoints;
 	struct cds_list_head watchers, streams;
@@ -762,6 +765,25 @@
 	return e->gap_ms ? e->gap_ms : w.gap_ms;
 }
 
+/* A body with this word and a number gets events that are so much larger. */
+#define PAD "pad "
+
+static int pad_of(struct hsc *c)
+{
+	const char *pad = strstr(buf_cstr(&c->body), PAD);
+	const int n = pad ? atoi(pad + strlen(PAD)) : 0;
+
+	return n > 0 && n <= 65536 ? n : 0;
+}
+
+/* A stream ends here; `how`: see run_log.h. */
+static void free_stream(struct stream *s, const char *how)
+{
+	run_log_end(&w.run_log, s->id, s->at->id, how);
+	cds_list_del(&s->node);
+	free(s);
+}
+
 static void start_stream(struct endpoint *e, struct hsc *c, const char *id,
 			 unsigned poison)
 {
@@ -778,6 +800,7 @@
 	s->last = 20;
 	s->poison = poison;
 	s->unframed = w.unframed;
+	s->pad = pad_of(c);
 	s->due_ms = now_ms() + (poison	      ? POISON_MS
 				: e->first_ms ? e->first_ms
 					      : gap_of(e));
@@ -785,6 +808,7 @@
 	if (s->next > s->last)
 		s->poison = 0;
 	c->request = s;
+	run_log_begin(&w.run_log, id, e->id);
 	cds_list_add_tail(&s->node, &w.streams);
 }
 
@@ -797,13 +821,15 @@
 static void answer_plain(struct endpoint *e, struct hsc *c, const char *id)
 {
 	const char *account = hmsg_find(&c->parse.msg, "Tenant");
+	const bool error = answers_error(e);
 	BUF_AUTO out = BUF_INIT;
 	BUF_AUTO body = BUF_INIT;
 
 	buf_fmt(&body, "%s ran %s for %s", e->id, id,
 		account ? account : "nobody");
 	buf_fmt(&body, "%*s", w.answer_pad, "");
-	put_head(e, &out, answers_error(e) ? 500 : 200, id, false);
+	put_head(e, &out, error ? 500 : 200, id, false);
+	run_log_begin(&w.run_log, id, e->id);
 	if (!w.unframed)
 		hmsg_put_int(&out, "Content-Length", (int64_t)body.len);
 	hmsg_put_end(&out);
@@ -812,10 +838,12 @@
 		hsc_write(c, out.data, out.len);
 		if (!e->end_ms)
 			e->end_ms = now_ms();
+		run_log_end(&w.run_log, id, e->id, RUN_BROKE);
 		return;
 	}
 	buf_add(&out, body.data, body.len);
 	hsc_write(c, out.data, out.len);
+	run_log_end(&w.run_log, id, e->id, error ? RUN_REFUSED : RUN_WHOLE);
 	if (w.unframed)
 		close_after_answer(c);
 	else
@@ -823,12 +851,13 @@
 }
 
 /* Ends a stream without its end. */
-static void cut_stream(struct stream *s)
+static void cut_stream(struct stream *s, const char *how)
 {
-	cds_list_del(&s->node);
-	s->conn->request = NULL;
-	hsc_disconnect(s->conn);
-	free(s);
+	struct hsc *c = s->conn;
+
+	c->request = NULL;
+	free_stream(s, how);
+	hsc_disconnect(c);
 }
 
 /* How endpoints answer a call to stop a run and to copy its memory. */
@@ -937,7 +966,7 @@
 		 copy_of(id), s->next - 1);
 	if (last) {
 		w.nr_stopped++;
-		cut_stream(s);
+		cut_stream(s, RUN_MOVED);
 	}
 	if (!last || w.copy_mode == COPY_MADE)
 		answer_copy(c, text);
@@ -1072,10 +1101,8 @@
 	struct stream *s = c->request;
 
 	drop_late_answers(c, NULL);
-	if (!s)
-		return;
-	cds_list_del(&s->node);
-	free(s);
+	if (s)
+		free_stream(s, RUN_LEFT);
 }
 
 static void no_fault(struct hsc *c, enum hsc_read_error f, struct buf *out)
@@ -1158,9 +1185,8 @@
 	cds_list_for_each_entry_safe(s, next, &w.streams, node) {
 		if (s->at != e)
 			continue;
-		cds_list_del(&s->node);
 		s->conn->request = NULL;
-		free(s);
+		free_stream(s, RUN_BROKE);
 	}
 	drop_late_answers(NULL, e);
 	e->ended = true;
@@ -1308,7 +1334,6 @@
 {
 	BUF_AUTO out = BUF_INIT;
 
-	cds_list_del(&s->node);
 	s->conn->request = NULL;
 	if (s->unframed) {
 		close_after_answer(s->conn);
@@ -1317,7 +1342,7 @@
 		hsc_write(s->conn, out.data, out.len);
 		hsc_done(s->conn, false);
 	}
-	free(s);
+	free_stream(s, RUN_WHOLE);
 }
 
 static void stream_step(struct stream *s)
@@ -1328,13 +1353,13 @@
 	if (s->at->break_streams && s->next == s->last / 2) {
 		/* In the middle of an event. */
 		write_piece(s, "id: 999\nda", 10);
-		cut_stream(s);
+		cut_stream(s, RUN_BROKE);
 		return;
 	}
 	if (w.event_pad)
 		buf_fmt(&event, ":%*s\n", w.event_pad, "");
-	buf_fmt(&event, "id: %d\ndata: piece %d of %s\n\n", s->next, s->next,
-		s->at->version);
+	buf_fmt(&event, "id: %d\ndata: piece %d of %s%*s\n\n", s->next, s->next,
+		s->at->version, s->pad, "");
 	if (s->next > s->last) {
 		end_stream(s);
 		return;
@@ -1427,13 +1452,19 @@
 	reply(c, 200, out.data);
 }
 
-/* A line for each attempt that ran: its id, and how often. */
-static void list_runs(struct hsc *c)
+/*
+ * A line for each attempt that ran: its id, and how often; with "?times" one for
+ * each run, as run_log_put() has it.
+ */
+static void list_runs(struct hsc *c, const char *url)
 {
+	const bool times = strstr(url, "?times");
 	BUF_AUTO out = BUF_INIT;
 	int i;
 
-	for (i = 0; i < w.nr_runs; i++)
+	if (times)
+		run_log_put(&w.run_log, &out);
+	for (i = 0; !times && i < w.nr_runs; i++)
 		buf_fmt(&out, "%s %d\n", w.runs[i].id, w.runs[i].times);
 	reply(c, 200, buf_cstr(&out));
 }
@@ -1574,7 +1605,7 @@
 		return;
 	}
 	if (!strncmp(url, "/test/runs", 10)) {
-		list_runs(c);
+		list_runs(c, url);
 		return;
 	}
 	if (change_crashes(url)) {
