--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -135,6 +135,24 @@
 					 "requests for a tunnel refused");
 }
 
+/* Requests at the shutdown of the entry, or of their endpoint. */
+static void register_leaving_metrics(struct met *m, struct edge_metrics *x)
+{
+	x->rejected_leaving = met_counter(
+		m, "rejected_leaving_total",
+		"requests rejected that could not end before this entry does");
+	x->requests_cut_by_exit = met_counter(
+		m, "requests_cut_by_exit_total",
+		"requests without a whole answer as the process ended");
+	x->moves = met_counter(m, "moves_total",
+			       "runs copied away from leaving endpoints");
+	x->moves_failed = met_counter(m, "moves_failed_total",
+				      "copies of runs that failed");
+	x->copies_unused =
+		met_counter(m, "copies_unused_total",
+			    "copies of runs that ended before they were used");
+}
+
 /* Streams, and the versions that began them. */
 static void register_stream_metrics(struct met *m, struct edge_metrics *x)
 {
@@ -236,12 +254,6 @@
 					"requests told that no answer came");
 	x->streams_cut = met_counter(m, "streams_cut_total",
 				     "answers broken off half-way");
-	x->rejected_leaving = met_counter(
-		m, "rejected_leaving_total",
-		"requests rejected that could not end before this entry does");
-	x->requests_cut_by_exit = met_counter(
-		m, "requests_cut_by_exit_total",
-		"requests without a whole answer as the process ended");
 	x->callers_gone = met_counter(m, "callers_gone_total",
 				      "callers who left before their answer");
 	x->requests_denied =
@@ -251,13 +263,6 @@
 	x->resends = met_counter(m, "resends_total", "sent once more");
 	x->resumes = met_counter(m, "resumes_total",
 				 "streams continued at another endpoint");
-	x->moves = met_counter(m, "moves_total",
-			       "runs copied away from leaving endpoints");
-	x->moves_failed = met_counter(m, "moves_failed_total",
-				      "copies of runs that failed");
-	x->copies_unused =
-		met_counter(m, "copies_unused_total",
-			    "copies of runs that ended before they were used");
 	x->probes = met_counter(m, "probes_total",
 				"looks whether an endpoint is still there");
 	x->endpoints_ended =
@@ -273,6 +278,7 @@
 	register_gossip_metrics(m, x);
 	register_statement_metrics(m, x);
 	register_relay_metrics(m, x);
+	register_leaving_metrics(m, x);
 	register_stream_metrics(m, x);
 	register_admission_metrics(m, x);
 	x->entries_unreadable =
