move: a call that fails takes no live stream with it

Faults of the migration in two steps, found by a review of the change:

- A call that stops a run may be refused without a handle; the run goes on then.
The handle of the first copy, still there, was taken for one of a run that the source keeps: the live stream was dropped and the request sent to the source, which refused it.
A handle now belongs to the answer that states it.
- A stream without framing may end while its copy is made.
The stop followed all the same, its refusal judged the end a second time, and the first verification used a freed request: the entry crashed, once in a run with the address sanitizer.
A stream that has ended is not stopped any more.
- A target was checked only after the run had been stopped.
It is checked before.
- An end that is proven by its framing was continued at the copy if the call that stops the run was still open.
It is complete, as whole.h says.
- If the stop could not be sent and the stream had broken, the first copy was thrown away; the stream now continues there.
- Whether a leaving source may be sent a run back is asked when it is sent.

--- a/lib/edge/edge_answer.c
+++ b/lib/edge/edge_answer.c
@@ -663,7 +663,8 @@
 		end_refused(r);
 		return;
 	}
-	if (r->streaming && !evs_has_partial(&r->events) &&
+	edge_move_stream_ended(r);
+	if (r->streaming && r->unframed && !evs_has_partial(&r->events) &&
 	    migration_continues(r, hand_on_stream_closed(&r->hand)))
 		return;
 	edge_answer_end(r, WHOLE_PROCESS_UNKNOWN);
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -481,6 +481,10 @@
  */
 void edge_send_abandon_silent(struct edge *en);
 
+/* True if a migrated run may continue at `to`. */
+bool edge_send_can_move(const struct edge_req *r,
+			const struct flt_endpoint *to);
+
 /*
  * Continues a migrated run on `to`, which holds a copy of its KV cache under
  * `handle`. May free `r`.
@@ -848,6 +852,12 @@
 /* Cancels the migration, if one is in progress. */
 void edge_move_cancel(struct edge_req *r);
 
+/* The stream ended at the source; cancels a migration that has not stopped it. */
+void edge_move_stream_ended(struct edge_req *r);
+
+/* True if a leaving endpoint may be sent a run back that it stopped and kept. */
+bool edge_move_source_continues(const struct edge_req *r);
+
 /*
  * The KV cache was copied and the stream has stopped: continues at the copy.
  * May free `r`.
--- a/lib/edge/edge_move.c
+++ b/lib/edge/edge_move.c
@@ -162,16 +162,34 @@
 		return;
 	if (m->call)
 		htc_cancel(m->call);
+	if (!m->copy.handle[0])
+		m->copy = m->prepared;
 	release_copy(m);
 }
 
+void edge_move_stream_ended(struct edge_req *r)
+{
+	if (r->move && r->move->step == MOVE_COPY)
+		edge_move_cancel(r);
+}
+
+bool edge_move_source_continues(const struct edge_req *r)
+{
+	const double drain_ms = r->en->conf->bounds.drain_ms;
+
+	return !r->endpoint->exited &&
+	       (double)flt_leaving_ms(r->endpoint, edge_now(r->en)) <
+		       drain_ms / SOURCE_TIME_DIVISOR;
+}
+
 void edge_move_continue(struct edge_req *r)
 {
 	struct edge_move *m = r->move;
 	char handle[sizeof(m->copy.handle)];
 
 	str_copy(handle, m->copy.handle, sizeof(handle));
-	m->copy.handle[0] = '\0'; /* used from now on */
+	/* Used from now on. */
+	m->copy.handle[0] = m->prepared.handle[0] = '\0';
 	edge_send_moved(r, m->to, handle);
 }
 
@@ -206,37 +224,34 @@
 		edge_move_continue(r);
 }
 
+/* The stream continues at the first copy, once it has ended at the source. */
+static void continue_as_prepared(struct edge_move *m)
+{
+	m->copy = m->prepared;
+	m->copy.created = -1; /* by the time of the stop */
+	stopped(m, "continued as prepared");
+}
+
 /*
- * The call that stops the run failed. If the endpoint may have stopped it before,
- * the stream continues at the first copy, else where it is.
+ * The call that stops the run was refused, or not sent: the stream goes on where
+ * it is. `may_have_stopped`: the endpoint may have stopped the run all the same.
  */
-static void stop_failed(struct edge_move *m, const char *why,
-			bool may_have_stopped)
+static void stop_refused(struct edge_move *m, const char *why,
+			 bool may_have_stopped)
 {
 	struct edge_req *r = m->r;
+	enum hand_step next;
 
 	met_inc(r->en->m.moves_failed);
 	log_move(m, why);
-	if (may_have_stopped) {
-		m->copy = m->prepared;
-		m->copy.created = -1; /* by the time of the stop */
-		stopped(m, "continued as prepared");
+	if (r->hand.stream_broken) {
+		continue_as_prepared(m);
 		return;
 	}
-	switch (hand_on_refused(&r->hand, may_have_stopped)) {
-	case HAND_ENDED:
-		edge_move_cancel(r);
+	next = hand_on_refused(&r->hand, may_have_stopped);
+	edge_move_cancel(r);
+	if (next == HAND_ENDED)
 		edge_answer_end(r, WHOLE_PROCESS_UNKNOWN);
-		break;
-	case HAND_LOST:
-		edge_send_lost(r, EDGE_WHY_STOPPED);
-		break;
-	case HAND_NO_CHANGE:
-	case HAND_WAIT:
-	case HAND_CONTINUE:
-		edge_move_cancel(r);
-		break;
-	}
 }
 
 /* ---- Answers of the endpoint ---- */
@@ -244,16 +259,6 @@
 static void start_step(struct edge_move *m, enum move_step step);
 
 /* The source keeps a run that it stopped and could not copy. */
-static bool can_continue_at_source(const struct edge_move *m)
-{
-	const struct edge_req *r = m->r;
-	const double drain_ms = r->en->conf->bounds.drain_ms;
-
-	return m->copy.handle[0] && !r->endpoint->exited &&
-	       (double)flt_leaving_ms(r->endpoint, edge_now(r->en)) <
-		       drain_ms / SOURCE_TIME_DIVISOR;
-}
-
 static void continue_at_source(struct edge_move *m)
 {
 	struct edge_req *r = m->r;
@@ -268,23 +273,32 @@
 
 static void handle_copy_answer(struct edge_move *m)
 {
-	if (m->status == 200 && m->copy.handle[0]) {
+	if (m->status != 200) {
+		copy_failed(m, "refused");
+	} else if (!m->copy.handle[0]) {
+		copy_failed(m, "no handle");
+	} else if (!edge_send_can_move(m->r, m->to)) {
+		copy_failed(m, "target not usable");
+	} else {
 		m->prepared = m->copy;
 		log_move(m, "prepared");
 		start_step(m, MOVE_STOP);
-	} else {
-		copy_failed(m, m->status == 200 ? "no handle" : "refused");
 	}
 }
 
 static void handle_stop_answer(struct edge_move *m)
 {
-	if (m->status == 200 && m->copy.handle[0])
+	const bool has_handle = m->copy.handle[0];
+
+	if (m->status == 200 && has_handle)
 		stopped(m, "copied");
-	else if (m->status == 503 && can_continue_at_source(m))
+	else if (m->status == 503 && has_handle &&
+		 edge_move_source_continues(m->r))
 		continue_at_source(m);
+	else if (has_handle || m->status == 200)
+		continue_as_prepared(m);
 	else /* 404: there is no such run to stop. */
-		stop_failed(m, "refused", m->status != 404);
+		stop_refused(m, "refused", m->status != 404);
 }
 
 static bool on_head(struct htc_call *call, const struct hmsg *msg)
@@ -312,8 +326,6 @@
 	if (!m->en->wire->decode_move_result(buf_cstr(&m->body), m->body.len,
 					     &copy, &e))
 		m->copy = copy;
-	else if (m->status == 200)
-		m->copy.handle[0] = '\0';
 	if (!m->r)
 		release_copy(m);
 	else if (m->step == MOVE_COPY)
@@ -329,12 +341,17 @@
 	const char *text = sent ? "no answer" : "endpoint not reached";
 
 	m->call = NULL;
-	if (!m->r)
+	if (!m->r) {
 		release_copy(m);
-	else if (m->step == MOVE_COPY)
+	} else if (m->step == MOVE_COPY) {
 		copy_failed(m, text);
-	else
-		stop_failed(m, text, sent);
+	} else if (sent) {
+		met_inc(m->en->m.moves_failed);
+		log_move(m, text);
+		continue_as_prepared(m);
+	} else {
+		stop_refused(m, text, false);
+	}
 }
 
 static const struct htc_vtable move_vtable = { on_head, on_body, on_end,
@@ -390,6 +407,7 @@
 
 	m->step = step;
 	m->status = 0;
+	m->copy.handle[0] = '\0';
 	buf_reset(&m->body);
 	if (step == MOVE_STOP)
 		hand_on_requested(&r->hand);
@@ -406,7 +424,7 @@
 	if (step == MOVE_COPY)
 		copy_failed(m, "no connection to the endpoint");
 	else
-		stop_failed(m, "no connection to the endpoint", false);
+		stop_refused(m, "no connection to the endpoint", false);
 }
 
 static void start_move(struct edge_req *r)
--- a/lib/edge/edge_send.c
+++ b/lib/edge/edge_send.c
@@ -351,19 +351,25 @@
 	start_send(r, &p, NULL);
 }
 
+bool edge_send_can_move(const struct edge_req *r, const struct flt_endpoint *to)
+{
+	const int64_t now = edge_now(r->en);
+
+	if (edge_fatal_is_quarantined(r))
+		return false;
+	if (to == r->endpoint)
+		return edge_move_source_continues(r);
+	return flt_in_service(to, now) && !gate_waits(&to->gate, now);
+}
+
 void edge_send_moved(struct edge_req *r, struct flt_endpoint *to,
 		     const char *handle)
 {
 	const struct pick_result p = { .endpoint = to, .cached = true };
 	char copy_at[sizeof(r->endpoint->info.address) + 64];
 
-	/* A leaving source goes on with a run that it could not copy. */
-	const bool usable = to == r->endpoint ||
-			    (flt_in_service(to, edge_now(r->en)) &&
-			     !gate_waits(&to->gate, edge_now(r->en)));
-
 	/* Its limit was charged when the copy was requested. */
-	if (edge_fatal_is_quarantined(r) || !usable) {
+	if (!edge_send_can_move(r, to)) {
 		edge_send_lost(r, "no way to the copy");
 		return;
 	}
--- a/lib/edge/edge_verify.c
+++ b/lib/edge/edge_verify.c
@@ -143,6 +143,7 @@
 	if (r->endpoint->exited || !way.pool ||
 	    strcmp(way.relay ? way.relay : "", r->relay) != 0)
 		return false;
+	assert(!r->verify);
 	v = calloc(1, sizeof(*v));
 	assert(v);
 	v->en = r->en;
--- a/scripts/migration_test.sh
+++ b/scripts/migration_test.sh
@@ -8,12 +8,12 @@
 # Usage: migration_test.sh
 cd "$(dirname "$0")/.." || exit 1
 EDGES=${EDGES:-2}
-EDGE_SERVICES_EACH=8
+EDGE_SERVICES_EACH=9
 PLATFORM_ARGS="--gap 150"
 . scripts/cluster.sh
 . scripts/edge_cluster.sh
 trap cluster_stop EXIT
-CASES=${CASES:-made late no_room kept silent unknown ended}
+CASES=${CASES:-made late no_room kept silent unknown ended busy}
 EVENTS=20
 STREAMS=8
 
@@ -65,6 +65,7 @@
 leaves silent i-11 "mode=2"
 leaves unknown i-9 "mode=3"
 leaves ended i-13 "mode=0&ms=1100" 4000 2.3
+leaves busy i-15 "mode=5"
 expect "copies that are not used are freed" wait_for eval '[ "$(seen copies_held)" = 0 ]'
 expect "ended: there were such copies" [ "$(seen copies_freed)" -gt 0 ]
 expect "no entry ended by itself" \
--- a/tests/standin/platform.c
+++ b/tests/standin/platform.c
@@ -102,6 +102,8 @@
 struct copy {
 	char id[80]; /* of the attempt */
 	bool used;   /* or freed */
+	const struct endpoint *source;
+	bool stopped; /* its run, at the source */
 };
 
 /* The answer to a call for a copy, which is queued behind others. */
@@ -867,6 +869,7 @@
 	COPY_SILENT,  /* the run is stopped, and no answer comes */
 	COPY_UNKNOWN, /* the run is not known, and goes on */
 	COPY_NO_ROOM, /* as COPY_REFUSED; without a stop it is refused, too */
+	COPY_BUSY, /* a call that would stop the run is refused; it goes on */
 };
 
 static struct stream *find_stream(const struct endpoint *e, const char *id)
@@ -922,7 +925,7 @@
 }
 
 /* The number of the run's copy, which a second call brings up to date. */
-static int copy_of(const char *id)
+static int copy_of(const char *id, const struct endpoint *source)
 {
 	int i;
 
@@ -931,6 +934,7 @@
 			return i;
 	}
 	str_copy(w.copies[w.nr_copies].id, id, sizeof(w.copies[0].id));
+	w.copies[w.nr_copies].source = source;
 	return w.nr_copies++;
 }
 
@@ -953,18 +957,21 @@
 	const bool last = jsn_bool(o, "last", false);
 	struct stream *s = find_stream(e, id);
 	char text[80];
+	int n;
 
 	if (!s || w.nr_copies == MAX_COPIES || w.copy_mode == COPY_UNKNOWN) {
 		reply(c, 404, "{}");
 		return;
 	}
-	if (!last && w.copy_mode == COPY_NO_ROOM) {
+	if (w.copy_mode == (last ? COPY_BUSY : COPY_NO_ROOM)) {
 		reply(c, 503, "{}");
 		return;
 	}
-	snprintf(text, sizeof(text), "{\"handle\":\"h-%d\",\"created\":%d}",
-		 copy_of(id), s->next - 1);
+	n = copy_of(id, e);
+	snprintf(text, sizeof(text), "{\"handle\":\"h-%d\",\"created\":%d}", n,
+		 s->next - 1);
 	if (last) {
+		w.copies[n].stopped = true;
 		w.nr_stopped++;
 		cut_stream(s, RUN_MOVED);
 	}
@@ -974,14 +981,20 @@
 		reply(c, 503, text);
 }
 
-/* True if the request names a copy of its own run that was not used yet. */
-static bool take_copy(const char *from, const char *id)
+/*
+ * True if the request names a copy of its own run that was not used yet. A source
+ * goes on only with a run that it stopped.
+ */
+static bool take_copy(const struct endpoint *e, const char *from,
+		      const char *id)
 {
 	const char *handle = strstr(from, "/h-");
 	const int n = handle ? atoi(handle + 3) : w.nr_copies;
 
 	if (n >= w.nr_copies || w.copies[n].used || strcmp(w.copies[n].id, id))
 		return false;
+	if (w.copies[n].source == e && !w.copies[n].stopped)
+		return false;
 	w.copies[n].used = true;
 	return true;
 }
@@ -1064,7 +1077,7 @@
 	}
 	if (refuse_if_full(e, c, id))
 		return;
-	if (copy && !take_copy(copy, id)) {
+	if (copy && !take_copy(e, copy, id)) {
 		refuse(e, c, id);
 		return;
 	}
