stop: pass on completed answers before the process ends

An entry that was suspended shortly before the end of its grace period cut off answers that their endpoints had completed meanwhile, and whose bytes were in its sockets. Callers of endpoints that had sent nothing saw a closed connection, from which they could not tell whether their request had run.

The process ended in the first turn of the event loop after the grace period. In that turn timers come before sockets, and a poll that is interrupted by the resumption of the process returns no sockets at all.

From 0.4 s before the kill, or from the first turn after that moment, the entry now reads on for 0.2 s. Requests of which the caller has received nothing are then answered: 503 if they have not run, 504 if they may have. The process ends 0.1 s later, in which time callers receive what is queued.

--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -304,7 +304,8 @@
 	/* Begin of the last two polls; only the newest can have found a signal. */
 	int64_t poll_ms, former_poll_ms;
 	bool stopping;
-	int64_t stop_ms;		  /* the signal came then or later */
+	int64_t stop_ms;   /* the signal came then or later */
+	int64_t ending_ms; /* the grace period was found to be over; 0: not yet */
 	struct cds_list_head route_times; /* of edge_route_times */
 };
 
--- a/lib/edge/edge_stop.c
+++ b/lib/edge/edge_stop.c
@@ -9,12 +9,16 @@
 
 /*
  * A shutdown lasts at least MIN_SHUTDOWN_MS after SIGTERM, since callers may
- * still use an older answer of a look-up. It ends at the latest KILL_MARGIN_MS
- * before the platform kills the process (bounds.grace_s), for the time that
- * closing takes.
+ * still use an older answer of a look-up. Requests have to end KILL_MARGIN_MS
+ * before the platform kills the process (bounds.grace_s). In this time, or
+ * later if the process did not run meanwhile, answers that endpoints have
+ * completed are read, requests without any part of an answer are answered by
+ * the entry after READ_MS, and callers receive all that after FLUSH_MS.
  */
 #define MIN_SHUTDOWN_MS 2500
 #define KILL_MARGIN_MS 400
+#define READ_MS 200
+#define FLUSH_MS 300
 
 /* ---- The signal ---- */
 
@@ -192,6 +196,32 @@
 
 /* ---- The end ---- */
 
+static struct edge_req *find_unanswered(const struct edge *en)
+{
+	struct edge_req *r;
+
+	cds_list_for_each_entry(r, &en->requests, node) {
+		if (!r->rq.started)
+			return r;
+	}
+	return NULL;
+}
+
+/* Answers the requests whose callers have received nothing. */
+static void answer_unanswered(struct edge *en)
+{
+	struct edge_req *r;
+
+	/* What ends one request may end others too. */
+	while ((r = find_unanswered(en))) {
+		if (r->rq.runs || r->rq.sending)
+			edge_step(r, rq_timed_out(&r->rq), EDGE_WHY_STOPPING);
+		else
+			edge_req_answer(r, 503, EDGE_WHY_STOPPING,
+					EDGE_STOPPING_RETRY_MS);
+	}
+}
+
 void edge_stop_tick(struct edge *en, int64_t now)
 {
 	if (now - en->stop_ms < MIN_SHUTDOWN_MS)
@@ -202,9 +232,13 @@
 	 * was read in the same iteration of the event loop.
 	 */
 	hsc_server_close_idle(&en->callers);
-	if ((en->callers.nr_conns || en->nr_tunnels) && now < latest_ms(en))
-		return;
-	ev_break(en->loop, EVBREAK_ALL);
+	if (!en->ending_ms && now >= latest_ms(en))
+		en->ending_ms = now;
+	if (en->ending_ms && now - en->ending_ms >= READ_MS)
+		answer_unanswered(en);
+	if ((!en->callers.nr_conns && !en->nr_tunnels) ||
+	    (en->ending_ms && now - en->ending_ms >= FLUSH_MS))
+		ev_break(en->loop, EVBREAK_ALL);
 }
 
 static const char *progress_of(const struct edge_req *r)
