leave: a leaving entry avoids silent and slow endpoints

Requests that a leaving entry accepted ended without their answer because they went to an endpoint that was already silent, while others of the service would have answered within the grace period.

The pick weighs an endpoint's speed and load, but a silent endpoint costs no more than a busy one, and for a leaving entry there is no time to wait until it comes back. It now picks among the other endpoints first: without those that have sent nothing to one of its requests for 1 s, and without those that are slower than usual for their service. If no other one can take the request, all are picked from as before.

That slow endpoints are avoided as well has no test of its own.

--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -465,6 +465,13 @@
  */
 bool edge_stop_may_send(struct edge_req *r, const struct pick_result *p);
 
+/*
+ * Fills in at most `max` endpoints of the service that a leaving entry does not
+ * send to if there are others: silent and slow ones. Returns their number.
+ */
+unsigned edge_stop_avoided(const struct edge *en, const char *service,
+			   const struct flt_endpoint **out, unsigned max);
+
 /* The current send ended with a complete answer. */
 void edge_stop_learn(struct edge_req *r);
 
--- a/lib/edge/edge_send.c
+++ b/lib/edge/edge_send.c
@@ -44,7 +44,8 @@
 }
 
 /* Picks among the endpoints with this use, without those already tried. */
-static struct pick_result pick_for(struct edge_req *r, enum flt_use use)
+static struct pick_result pick_among(struct edge_req *r, enum flt_use use,
+				     bool leaving)
 {
 	struct edge *en = r->en;
 	struct pick_query q = {
@@ -81,9 +82,22 @@
 	};
 
 	memcpy(q.excluded, r->tried, sizeof(q.excluded));
+	if (leaving)
+		q.nr_excluded += edge_stop_avoided(
+			en, q.service, q.excluded + q.nr_excluded,
+			PICK_MAX_EXCLUDED - q.nr_excluded);
 	return pick_endpoint(&en->fleet, &q);
 }
 
+static struct pick_result pick_for(struct edge_req *r, enum flt_use use)
+{
+	struct pick_result p = pick_among(r, use, r->en->stopping);
+
+	if (!p.endpoint && r->en->stopping)
+		p = pick_among(r, use, false);
+	return p;
+}
+
 /* Adds the ids of the prompt's shared parts, separated by commas. */
 static void log_parts(struct edge *en, const struct attempt *a)
 {
--- a/lib/edge/edge_stop.c
+++ b/lib/edge/edge_stop.c
@@ -20,6 +20,9 @@
 #define READ_MS 200
 #define FLUSH_MS 300
 
+/* An endpoint that sends nothing to a request for this long counts as silent. */
+#define SILENT_MS 1000
+
 /* ---- The signal ---- */
 
 static void put_counts(struct edge *en)
@@ -194,6 +197,50 @@
 	return false;
 }
 
+/* A request of ours is at the endpoint, which sent nothing for a while. */
+static bool is_silent(const struct edge_req *r, int64_t now)
+{
+	const struct flt_endpoint *e = r->endpoint;
+
+	return e && now - r->sent_ms >= SILENT_MS &&
+	       now - e->received_ms >= SILENT_MS;
+}
+
+static void add_avoided(const struct flt_endpoint **out, unsigned *n,
+			unsigned max, const struct flt_endpoint *e)
+{
+	unsigned i;
+
+	for (i = 0; i < *n; i++) {
+		if (out[i] == e)
+			return;
+	}
+	if (*n < max)
+		out[(*n)++] = e;
+}
+
+unsigned edge_stop_avoided(const struct edge *en, const char *service,
+			   const struct flt_endpoint **out, unsigned max)
+{
+	const int64_t now = edge_now(en);
+	const struct flt_endpoint *e;
+	const struct edge_req *r;
+	unsigned n = 0;
+
+	cds_list_for_each_entry(r, &en->requests, node) {
+		if (is_silent(r, now) &&
+		    !strcmp(r->endpoint->info.service, service))
+			add_avoided(out, &n, max, r->endpoint);
+	}
+	cds_list_for_each_entry(e, &en->fleet.endpoints, node) {
+		if (en->conf->policy.speeds &&
+		    !strcmp(e->info.service, service) &&
+		    spd_last_factor(&e->speed) > SPD_NORMAL)
+			add_avoided(out, &n, max, e);
+	}
+	return n;
+}
+
 /* ---- The end ---- */
 
 static struct edge_req *find_unanswered(const struct edge *en)
