hsc: a response that its client still receives is not over

Callers that read slowly lost the ends of large answers, all of which the entry had logged as passed: after the last response of a connection, when the entry stopped, and when they took longer than the idle time-out.

Cause: a connection counted as idle once the last byte of its response was queued here, not once its client had received it.

Now the bytes that the client has not acknowledged decide, in place of the queue. The connection stays while the client receives a part of them within each idle time-out, a second at least, and is shut down after the last one. A client that never reads is disconnected as before, so its response does not stay in memory.

--- a/lib/io/hsc.c
+++ b/lib/io/hsc.c
@@ -15,17 +15,14 @@
 #define MAX_PIPELINED_BYTES 65536
 
 /*
- * Time for the peer to close after the last response, in milliseconds. Closing
- * a socket that has unread bytes resets the connection, which can discard the
- * response before the peer reads it.
+ * Time for the peer to close after it has received the last response, in
+ * milliseconds. Closing a socket that has unread bytes resets the connection,
+ * which can discard the response before the peer reads it.
  */
 #define LINGER_MS 1000
 
-/*
- * A client that takes no byte of a response for this long is not waited for, ms.
- * Callers pause for seconds while they process what they have read.
- */
-#define UNREAD_MS 10000
+/* Callers may pause this long while they process what they have read, ms. */
+#define MIN_STALL_MS 1000
 
 /* Connections accepted per iteration of the event loop. */
 #define ACCEPT_BATCH 32
@@ -72,19 +69,35 @@
 	ev_timer_start(c->server->loop, &c->timer);
 }
 
-/* Waits for the client to take what is queued, else for `ms`. */
-static void await_client(struct hsc *c, int ms)
+static void begin_delivery(struct hsc *c)
 {
-	c->sent = c->io->sent;
-	set_timer(c, ioc_pending(c->io) ? UNREAD_MS : ms);
+	c->unacked = ioc_unacked(c->io);
+	c->stalled_ms = 0;
+}
+
+/*
+ * True if the client has not received all of the last response, and received a
+ * part of it within the last limits.idle_ms, MIN_STALL_MS at least. `elapsed_ms`:
+ * since the last call.
+ */
+static bool is_delivering(struct hsc *c, int elapsed_ms)
+{
+	const size_t unacked = ioc_unacked(c->io);
+	const int max_ms = c->limits.idle_ms > MIN_STALL_MS ? c->limits.idle_ms
+							    : MIN_STALL_MS;
+
+	c->stalled_ms = unacked == c->unacked ? c->stalled_ms + elapsed_ms : 0;
+	c->unacked = unacked;
+	return unacked && c->stalled_ms < max_ms;
 }
 
 static void linger(struct hsc *c)
 {
+	begin_delivery(c);
 	if (c->state == HSC_RESPONDING)
 		c->server->nr_responding--;
 	c->state = HSC_LINGERING;
-	await_client(c, LINGER_MS);
+	set_timer(c, LINGER_MS);
 	if (!ioc_pending(c->io))
 		shutdown(c->io->fd, SHUT_WR);
 }
@@ -106,8 +119,10 @@
 	(void)revents;
 	if (c->state == HSC_READING)
 		reject(c, HSC_TIMEOUT);
-	else if (ioc_pending(c->io) && c->io->sent != c->sent)
-		await_client(c, 0);
+	else if (c->state == HSC_LINGERING && is_delivering(c, LINGER_MS))
+		set_timer(c, LINGER_MS);
+	else if (c->state == HSC_IDLE && is_delivering(c, c->limits.idle_ms))
+		set_timer(c, c->limits.idle_ms);
 	else if (c->state != HSC_RESPONDING)
 		drop(c, ioc_close);
 }
@@ -248,22 +263,10 @@
 {
 	struct hsc *c = io->owner;
 
-	switch (c->state) {
-	case HSC_IDLE:
-		if (!c->pipelined.len)
-			set_timer(c, c->limits.idle_ms);
-		break;
-	case HSC_READING:
-		break;
-	case HSC_RESPONDING:
-		if (c->server->vt->drained)
-			c->server->vt->drained(c);
-		break;
-	case HSC_LINGERING:
+	if (c->state == HSC_LINGERING)
 		shutdown(io->fd, SHUT_WR);
-		set_timer(c, LINGER_MS);
-		break;
-	}
+	else if (c->state == HSC_RESPONDING && c->server->vt->drained)
+		c->server->vt->drained(c);
 }
 
 static const struct ioc_vtable io_vtable = {
@@ -356,7 +359,7 @@
 	cds_list_for_each_entry_safe(c, next, &s->conns, node) {
 		if (c->state != HSC_IDLE || c->pipelined.len)
 			continue;
-		if (ioc_pending(c->io))
+		if (ioc_unacked(c->io))
 			linger(c);
 		else
 			drop(c, ioc_close);
@@ -424,12 +427,13 @@
 	}
 	c->server->nr_responding--;
 	c->state = HSC_IDLE;
+	begin_delivery(c);
 	c->server->vt->limits(c->server, &c->limits);
 	if (c->pipelined.len) {
 		ev_timer_start(c->server->loop, &c->resume);
 		return;
 	}
-	await_client(c, c->limits.idle_ms);
+	set_timer(c, c->limits.idle_ms);
 	ioc_pause(c->io, false);
 }
 
--- a/lib/io/hsc.h
+++ b/lib/io/hsc.h
@@ -22,7 +22,11 @@
 	size_t body_bytes;   /* without chunk framing */
 	int header_ms;	     /* for a head to arrive, from its first byte */
 	int body_ms; /* for a body to arrive, from the end of the head */
-	int idle_ms; /* between requests, and before the first */
+	/*
+	 * Between requests, and before the first. Also for which a client may
+	 * receive nothing of a response that waits for it.
+	 */
+	int idle_ms;
 };
 
 enum hsc_read_error {
@@ -92,10 +96,11 @@
 	struct buf pipelined; /* bytes received after the current request */
 	ev_timer timer;
 	ev_timer resume; /* parses `pipelined` in the loop's next iteration */
+	size_t unacked;	 /* bytes, at the last check of a delivery */
+	int stalled_ms;	 /* since when the client received nothing of them */
 	/* Bytes written of the CRLF CRLF that ends the response's head. */
 	unsigned head_match;
-	uint64_t sent;	  /* ioc.sent when `timer` was set for queued bytes */
-	bool close_after; /* the client requests a close */
+	bool close_after;    /* the client requests a close */
 	bool body_too_large; /* body_bytes exceeded */
 	bool in_feed;	     /* the parser is on the stack */
 	bool free_pending;   /* freed when the parser returns */
@@ -118,7 +123,7 @@
 
 /*
  * Stops listening and closes the connections on which nothing was read since
- * their last response, once all of it is sent. A client whose request arrives
+ * their last response, once it has been received. A client whose request arrives
  * during that close can repeat it safely, since it was not read.
  */
 void hsc_server_close_idle(struct hsc_server *s);
@@ -132,8 +137,8 @@
 
 /*
  * Ends the response. With `close`, or if hsc_must_close is true, the connection
- * is shut down after the last byte, and freed when the peer closes it, one
- * second later, or when the peer has taken no byte for ten seconds.
+ * is shut down after the last byte, and freed when the peer closes it or one
+ * second after it has received that byte.
  */
 void hsc_done(struct hsc *c, bool close);
 
--- a/scripts/slow_reader_test.sh
+++ b/scripts/slow_reader_test.sh
@@ -5,6 +5,9 @@
 # Failure: callers with small buffers that read nothing for 2.5 s lost their answers,
 # some of which the entry had logged as complete: the kernel had reset connections
 # whose peer acknowledged all that it had room for.
+# Failure: the entry closed connections one second after the last byte was queued,
+# and at a shutdown those whose answers had begun before it, while callers were still
+# to receive megabytes.
 # Usage: slow_reader_test.sh
 cd "$(dirname "$0")/.." || exit 1
 EDGES=1
@@ -48,7 +51,8 @@
 reader stream /s/x 2500 3
 reader plain /l/x 2500 3
 reader once /o/x 6000 1
-for name in stream plain once; do
+reader closed /l/x 2500 1 --close 1
+for name in stream plain once closed; do
 	expect "$name: callers that read late get whole answers" all_whole $name
 	expect "$name: none counts as gone" is "$(logged caller_gone $name)" 0
 done
@@ -60,6 +64,13 @@
 expect "gone: callers whose machine is gone are detected" wait_for all_gone
 expect "gone: no stream runs to its end" is "$(logged answer gone)" 0
 
+# They read when idle connections have been closed, and before the grace period ends.
+reader stop /l/x 4000 1
+all_passed() { is "$(logged passed stop)" "$CONNECTIONS"; }
+expect "stop: the answers are complete at the entry" wait_for all_passed
+kill -TERM "$(pid_of edge-1)"
+expect "stop: callers get whole answers from an entry that stops" all_whole stop
+
 expect "the entry did not end by itself" \
 	[ -z "$(grep -lE 'Sanitizer|Assertion' "$DIR"/*.log)" ]
 
