standin-reader: no null pointer for an empty answer

An answer that ends before its first byte left the buffer empty, whose data is NULL; its status was compared nevertheless. clang-tidy reports it (core.NonNullParamChecker). Callers that lost a whole answer would have ended the stand-in instead of being counted. The comparison now uses the buffer's string, which is never NULL. slow_reader_test passes, 14 of 14.

--- a/tests/standin/reader.c
+++ b/tests/standin/reader.c
@@ -94,7 +94,7 @@
 			return false;
 		buf_add(&got, piece, (size_t)n);
 	}
-	return !strncmp(got.data, "HTTP/1.1 200", 12);
+	return !strncmp(buf_cstr(&got), "HTTP/1.1 200", 12);
 }
 
 static void vanish(const struct reader *r)
