tunnel: the end of an answer is not dropped while the other entry reads

A relay that had read the endpoint's close kept the tunnel for one more second. If the other entry had not taken all queued bytes by then (it was suspended, or the link between them slow), the tunnel was closed in order with bytes left. An answer without framing ends with its connection: its first part then came to the other entry as a whole answer, and the relay and the endpoint were both there when it asked.

The second counts from the last byte. Only an entry that takes no byte for ten seconds is given up, by a reset, which is no end of an answer.

--- a/lib/edge/edge_tunnel.c
+++ b/lib/edge/edge_tunnel.c
@@ -20,6 +20,9 @@
 /* Time for the other entry to close after the endpoint did, ms. */
 #define LINGER_MS 1000
 
+/* The other entry is given up after it has taken no byte for this long, ms. */
+#define UNREAD_MS 10000
+
 struct edge_tunnel {
 	struct cds_list_head node; /* in edge.tunnels */
 	struct edge *en;
@@ -29,6 +32,7 @@
 	bool endpoint_closed;	      /* in order, after its last byte */
 	bool established;
 	ev_timer timer; /* of connecting, then of lingering */
+	uint64_t sent;	/* to the other entry, when `timer` was set to linger */
 	int64_t since_ms;
 };
 
@@ -87,6 +91,36 @@
 	answer(c, status);
 }
 
+static void set_timer(struct edge_tunnel *t, int ms)
+{
+	ev_timer_stop(t->en->loop, &t->timer);
+	ev_timer_set(&t->timer, (double)ms / 1000, 0);
+	ev_timer_start(t->en->loop, &t->timer);
+}
+
+/* The endpoint has closed: waits for the other entry. */
+static void linger(struct edge_tunnel *t)
+{
+	t->sent = t->entry->sent;
+	if (ioc_pending(t->entry)) {
+		set_timer(t, UNREAD_MS);
+		return;
+	}
+	shutdown(t->entry->fd, SHUT_WR);
+	set_timer(t, LINGER_MS);
+}
+
+/* An orderly close would make what was passed on look complete. */
+static void end_lingering(struct edge_tunnel *t)
+{
+	if (!ioc_pending(t->entry))
+		tunnel_free(t, ioc_close);
+	else if (t->entry->sent != t->sent)
+		linger(t);
+	else
+		tunnel_free(t, ioc_abort);
+}
+
 static void on_timer(struct ev_loop *loop, ev_timer *timer, int revents)
 {
 	struct edge_tunnel *t = timer->data;
@@ -94,18 +128,11 @@
 	(void)loop;
 	(void)revents;
 	if (t->established)
-		tunnel_free(t, ioc_close);
+		end_lingering(t);
 	else
 		refuse(t, 504, "endpoint silent");
 }
 
-static void set_timer(struct edge_tunnel *t, int ms)
-{
-	ev_timer_stop(t->en->loop, &t->timer);
-	ev_timer_set(&t->timer, (double)ms / 1000, 0);
-	ev_timer_start(t->en->loop, &t->timer);
-}
-
 /* ---- The other entry's side ---- */
 
 static void on_entry_data(struct ioc *io, const char *data, size_t len)
@@ -126,7 +153,7 @@
 	if (t->endpoint)
 		ioc_pause(t->endpoint, false);
 	if (t->endpoint_closed)
-		shutdown(io->fd, SHUT_WR);
+		linger(t);
 }
 
 /* A reset cancels the request at the endpoint, so it is passed on as one. */
@@ -206,9 +233,7 @@
 	}
 	t->endpoint_closed = true;
 	ioc_pause(t->entry, false);
-	set_timer(t, LINGER_MS);
-	if (!ioc_pending(t->entry))
-		shutdown(t->entry->fd, SHUT_WR);
+	linger(t);
 }
 
 static const struct ioc_vtable endpoint_vtable = {
