verify, test_tunnel: state two invariants for the analyzer

clang-tidy followed two ways that do not occur: a verification in the list whose request is gone, and a socket without an address. The first is an invariant of edge_verify_cancel, which takes it out of the list, and is asserted; the second is the test's, which clears the address first.

scripts/lint.sh on both files reported one error each before, and is clean now; test_tunnel and the cases away and frozen of whole_test pass.

--- a/lib/edge/edge_verify.c
+++ b/lib/edge/edge_verify.c
@@ -248,6 +248,7 @@
 	struct edge_verify *v;
 
 	cds_list_for_each_entry(v, &en->verifying, node) {
+		assert(v->r);
 		*process = is_newer(v, listed) ? WHOLE_PROCESS_SAME
 					       : WHOLE_PROCESS_OTHER;
 		if (*process == WHOLE_PROCESS_SAME ||
--- a/tests/test_tunnel.c
+++ b/tests/test_tunnel.c
@@ -70,6 +70,7 @@
 	socklen_t len = sizeof(*at);
 
 	memset(en, 0, sizeof(*en));
+	memset(at, 0, sizeof(*at));
 	en->loop = ev_default_loop(EVFLAG_AUTO);
 	en->clk = clk_real();
 	en->log = jlog_create(en->loop, en->clk, open("/dev/null", O_WRONLY),
