whole_test: cases begin once all entries serve

An entry whose keys were not confirmed since an outage of the store refuses requests as not run.

Each case now waits until every entry has served a stream, and checks that.

--- a/scripts/whole_test.sh
+++ b/scripts/whole_test.sh
@@ -145,7 +145,7 @@
 	local STREAM_PATH=/o/x DEADLINE_MS=12000
 	case " $CASES " in *" $1 "*) ;; *) return ;; esac
 	CASE=$1
-	wait_for eval '[ -n "$(stored_value servers/i-11)" ]'
+	expect "$CASE: all entries serve" wait_for everywhere begins
 	streams "$1"
 	check
 	case $1 in leaving*) begin_again ;; esac
