shutdown_soak: SIGTERM in series, with callers that keep their connections

Callers lost answers around the SIGTERM of their entry, and no test could show it: the soaks' callers open a connection for each request, read at once, and leave for the time an entry is stopped.

The new stand-in keeps connections and sends until the process is gone; some of its callers read slowly through small buffers. The soak ends entries in overlapping series as the platform does, freezes them around the signal, and judges each answer that is not whole by the rule for planned work, with what its endpoint saw and the entry's last log line.

--- a/Makefile
+++ b/Makefile
@@ -146,6 +146,11 @@
 fault-soak: all
 	BIN=$(BUILD)/bin scripts/fault_soak.sh $(SOAK_SECONDS) $(SOAK_SEEDS)
 
+SHUTDOWN_SECONDS = 30
+.PHONY: shutdown-soak
+shutdown-soak: all
+	BIN=$(BUILD)/bin scripts/shutdown_soak.sh $(SHUTDOWN_SECONDS) $(SOAK_SEEDS)
+
 bench: all $(BENCHES)
 	scripts/bench.sh $(BUILD)
 
