check: a short seeded run of the shutdown soak

The soak of shutdowns finds two faults on the code as it is: an entry that is frozen at its SIGTERM accepts requests later than 3 s after it and is killed with them open, and callers that read slowly are reset by TCP_USER_TIMEOUT with bytes of their answer left.

--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -136,6 +136,8 @@
 	add version_soak $?
 	BIN=$BUILD/bin POISON=1 scripts/fault_soak.sh 6 1 2 3 134 >"$OUT" 2>&1
 	add poison_soak $?
+	BIN=$BUILD/bin scripts/shutdown_soak.sh 20 301 312 >"$OUT" 2>/dev/null
+	add shutdown_soak $?
 fi
 rm -f "$OUT"
 echo "$passed passed, $failed failed"
