grace_test: as strict a bound on requests served as before

The number of requests at the entry that runs went from 20 to 13, so that the callers are in time on a busy machine, and the bound on those served from 8 to 4. That is less strict: 8 of 20 are 40%, 4 of 13 are 31%. With it, a leaving entry that rejects more than it has to could pass.

The bound is 6 of 13 now, 46%.

--- a/scripts/grace_test.sh
+++ b/scripts/grace_test.sh
@@ -141,7 +141,7 @@
 wait $pids $!
 platform_test runs >"$DIR/runs"
 judge 1
-expect "running: requests that end in time are served" [ $SERVED -ge 4 ]
+expect "running: requests that end in time are served" [ $SERVED -ge 6 ]
 judge 2
 judge 3
 expect "ending: what endpoints completed is passed on" [ $SERVED -ge 1 ]
