stop: the time of the signal is taken as it is delivered

An entry that was suspended at its SIGTERM still counted the grace period from when it ran again, if 64 or more of its connections were ready by then: libev reports a signal behind the sockets of its first batch, one poll later, and the begin of the poll before that was already after the suspension.

The handler of the signal itself now notes the begin of the poll in or after which it runs, and passes the signal on to libev. A suspended process runs the handler before anything else.

scripts/grace_test.sh suspends its entry with 100 connections that become ready meanwhile: "the grace period includes the suspension" failed on the code before, and passes.

--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -301,8 +301,6 @@
 	int64_t stall_length_ms; /* the longest recent one */
 	ev_signal on_term, on_int, on_hup;
 	ev_prepare turn; /* of the event loop, before it polls */
-	/* Begin of the last two polls; only the newest can have found a signal. */
-	int64_t poll_ms, former_poll_ms;
 	bool stopping;
 	int64_t stop_ms;   /* the signal came then or later */
 	int64_t ending_ms; /* the grace period was found to be over; 0: not yet */
--- a/lib/edge/edge_stop.c
+++ b/lib/edge/edge_stop.c
@@ -38,14 +38,28 @@
 	jlog_end(en->log);
 }
 
+/*
+ * Begin of the last poll of the event loop, and of the one in or after which the
+ * signal was delivered; 0: it was not.
+ */
+static volatile int64_t poll_ms, poll_of_signal_ms;
+
 static void on_turn(struct ev_loop *loop, ev_prepare *w, int revents)
 {
-	struct edge *en = w->data;
-
 	(void)loop;
 	(void)revents;
-	en->former_poll_ms = en->poll_ms;
-	en->poll_ms = edge_now(en);
+	poll_ms = edge_now(w->data);
+}
+
+/*
+ * Notes the time before the event loop reports the signal, which it does only
+ * behind the sockets that became ready meanwhile.
+ */
+static void on_delivery(int number)
+{
+	if (!poll_of_signal_ms)
+		poll_of_signal_ms = poll_ms;
+	ev_feed_signal(number);
 }
 
 static void on_stop_signal(struct ev_loop *loop, ev_signal *w, int revents)
@@ -60,10 +74,9 @@
 	en->stopping = true;
 	/*
 	 * The platform counts from when it sent the signal, which may be long
-	 * before the process ran again. A poll that is interrupted by a signal
-	 * reports it only at the next one.
+	 * before the process ran again.
 	 */
-	en->stop_ms = en->former_poll_ms;
+	en->stop_ms = poll_of_signal_ms;
 	jlog_begin(en->log, JLOG_INFO, "stopping");
 	put_counts(en);
 	jlog_int(en->log, "signal_age_ms", now - en->stop_ms);
@@ -75,16 +88,21 @@
 
 static void watch_signal(struct edge *en, ev_signal *w, int number)
 {
+	const struct sigaction on_signal = { .sa_handler = on_delivery,
+					     .sa_flags = SA_RESTART };
+
 	ev_signal_init(w, on_stop_signal, number);
 	w->data = en;
 	ev_signal_start(en->loop, w);
+	/* In place of the handler that libev has set, which it calls. */
+	sigaction(number, &on_signal, NULL);
 }
 
 void edge_stop_open(struct edge *en)
 {
+	poll_ms = edge_now(en);
 	watch_signal(en, &en->on_term, SIGTERM);
 	watch_signal(en, &en->on_int, SIGINT);
-	en->poll_ms = en->former_poll_ms = edge_now(en);
 	ev_prepare_init(&en->turn, on_turn);
 	en->turn.data = en;
 	ev_prepare_start(en->loop, &en->turn);
--- a/scripts/grace_test.sh
+++ b/scripts/grace_test.sh
@@ -58,17 +58,30 @@
 	echo "$id $sent ${status:-none} $whole" >>"$DIR/told-$n"
 }
 
+# crowd N: opens connections to entry N that get a byte while it is suspended, more
+# than the event loop reports in one turn.
+crowd() {
+	local address fd
+	address=$(address "$1" callers)
+	CROWD=()
+	for _ in $(seq 1 100); do
+		exec {fd}<>"/dev/tcp/${address%:*}/${address#*:}" && CROWD+=("$fd")
+	done
+	sleep 0.2
+}
+
 # stop_entry N FROM TO: SIGTERM, and SIGKILL at the end of the grace period. The
 # process is suspended between these times after the signal; FROM below 0: before it.
 stop_entry() {
-	local n=$1 pid
+	local n=$1 pid fd CROWD=()
 	pid=$(pid_of "edge-$n")
-	[ "$2" -lt 0 ] && kill -STOP "$pid" && sleep 0.1
+	[ "$2" -lt 0 ] && crowd "$n" && kill -STOP "$pid" && sleep 0.1
 	read_clock
 	SIGNAL_MS=$NOW_MS
 	kill -TERM "$pid"
 	echo "$SIGNAL_MS" >"$DIR/signal.new-$n"
 	mv "$DIR/signal.new-$n" "$DIR/signal-$n"
+	for fd in "${CROWD[@]}"; do printf G >&"$fd"; done
 	if [ "$3" -gt 0 ]; then
 		sleep_until "$2"
 		kill -STOP "$pid"
@@ -95,6 +108,8 @@
 	wait
 }
 
+at_least() { [ "$1" -ge "$2" ]; }
+
 # ran ID: true if an endpoint ran the request.
 ran() { grep -q "^$1 " "$DIR/runs"; }
 
@@ -143,6 +158,9 @@
 judge 1
 expect "running: requests that end in time are served" [ $SERVED -ge 6 ]
 judge 2
+# However many connections were ready before the event loop reported the signal.
+expect "stalled: the grace period includes the suspension" at_least \
+	"$(sed -n 's/.*"stopping".*"signal_age_ms":\([0-9]*\).*/\1/p' "$DIR/edge-2.out")" 1000
 judge 3
 expect "ending: what endpoints completed is passed on" [ $SERVED -ge 1 ]
 
