ack: silence counts from when the segment was sent

A request that may be repeated, sent to an endpoint that was silent for 1.3 s, got a 502 at its deadline of 1.5 s instead of a second try: silence_test failed in one of two runs, two requests of 398, each given up after 1,510 ms.

Cause: the checks of acknowledgements counted from the first check that saw a retransmission, and so came to their verdict the retransmission time-out and two intervals after the time-out, 1,000 ms here.

Now a segment in flight counts from the check before it was sent, as TCP_USER_TIMEOUT did; the verdict still needs a retransmission, so that a segment on a slow path is not taken for a lost one. Window probes count as they did.

--- a/lib/io/ack.c
+++ b/lib/io/ack.c
@@ -21,17 +21,17 @@
 }
 
 /*
- * True if a segment was sent again, or the window was probed, without an
- * answer. Other segments from the peer don't answer a retransmission: its
- * direction may be the only one that works. A peer that does not read answers
- * probes, though at most one in 500 ms (tcp_invalid_ratelimit of Linux).
+ * True if a segment is in flight, or the window was probed without an answer.
+ * Other segments from the peer don't answer one in flight: its direction may be
+ * the only one that works. A peer that does not read answers probes, though at
+ * most one in 500 ms (tcp_invalid_ratelimit of Linux).
  */
 static bool is_unanswered(const struct ack_watch *w, const struct ack_facts *f,
 			  int64_t elapsed_ms)
 {
 	if (f->acked != w->acked)
 		return false;
-	return f->retransmits || (f->probes && f->silence_ms >= elapsed_ms);
+	return f->in_flight || (f->probes && f->silence_ms >= elapsed_ms);
 }
 
 enum ack_verdict ack_check(struct ack_watch *w, const struct ack_facts *f,
@@ -45,10 +45,13 @@
 	w->acked = f->acked;
 	if (!f->unacked)
 		return ACK_DONE;
-	if (!unanswered || !w->waiting)
+	if (!unanswered || !(w->waiting || f->in_flight))
 		w->silent_ms = 0;
 	else
 		w->silent_ms += elapsed < interval ? elapsed : interval;
 	w->waiting = unanswered;
+	/* A segment that was not sent again may still be on its way. */
+	if (!f->retransmits && !f->probes)
+		return ACK_WAIT;
 	return w->silent_ms >= timeout_ms ? ACK_SILENT : ACK_WAIT;
 }
--- a/lib/io/ack.h
+++ b/lib/io/ack.h
@@ -21,6 +21,7 @@
 	unsigned retransmits; /* of the first unacknowledged segment */
 	unsigned probes;    /* window probes since the last segment received */
 	int64_t silence_ms; /* since the last segment received */
+	unsigned in_flight; /* segments sent and not acknowledged */
 };
 
 struct ack_watch {
--- a/lib/io/ioc.c
+++ b/lib/io/ioc.c
@@ -154,6 +154,7 @@
 		.retransmits = info.tcpi_retransmits,
 		.probes = info.tcpi_probes,
 		.silence_ms = info.tcpi_last_ack_recv,
+		.in_flight = info.tcpi_unacked,
 	};
 }
 
