--- a/scripts/shutdown_soak.sh
+++ b/scripts/shutdown_soak.sh
@@ -27,7 +27,7 @@
 NO_FREEZE=${NO_FREEZE:-}
 NO_LEAVING=${NO_LEAVING:-}
 GRACE_MS=8000
-# Callers still open connections to an entry for so long after its SIGTERM.
+# Time after the SIGTERM of an entry in which callers still open connections to it.
 OFF_LIST_MS=5000
 DEADLINE_MS=${DEADLINE_MS:-11000}
 BASE=$DIR
--- a/scripts/whole_test.sh
+++ b/scripts/whole_test.sh
@@ -113,7 +113,7 @@
 	for i in 1 3 5 7 9 11; do platform_test "silent?id=i-$i&ms=1500" >/dev/null; done
 }
 
-# away: nobody reaches the store until long after the last event.
+# away: the store is unreachable until long after the last event.
 away() {
 	silence
 	platform_test "down?ms=6000" >/dev/null
