--- a/tests/standin/platform.c
+++ b/tests/standin/platform.c
@@ -1578,7 +1578,29 @@
 	return true;
 }
 
-/* How endpoints crash, answer and come back. False: no such call. */
+/* The form of all answers. False: no such call. */
+static bool change_answers(const char *url)
+{
+	char number[32] = "0";
+
+	if (!strncmp(url, "/test/unframed", 14)) {
+		hmsg_query(url, "n", number, sizeof(number));
+		w.unframed = atoi(number);
+	} else if (!strncmp(url, "/test/gap", 9)) {
+		hmsg_query(url, "ms", number, sizeof(number));
+		w.gap_ms = atoi(number);
+	} else if (!strncmp(url, "/test/pad", 9)) {
+		hmsg_query(url, "answer", number, sizeof(number));
+		w.answer_pad = atoi(number);
+		hmsg_query(url, "event", number, sizeof(number));
+		w.event_pad = atoi(number);
+	} else {
+		return false;
+	}
+	return true;
+}
+
+/* How endpoints crash and come back, and copy runs. False: no such call. */
 static bool change_crashes(const char *url)
 {
 	char number[32] = "0";
@@ -1587,9 +1609,6 @@
 		psn_add(&w.poison, url);
 	} else if (!strncmp(url, "/test/antidote", 14)) {
 		psn_clear(&w.poison);
-	} else if (!strncmp(url, "/test/unframed", 14)) {
-		hmsg_query(url, "n", number, sizeof(number));
-		w.unframed = atoi(number);
 	} else if (!strncmp(url, "/test/copies", 12)) {
 		hmsg_query(url, "mode", number, sizeof(number));
 		w.copy_mode = atoi(number);
@@ -1621,7 +1640,7 @@
 		list_runs(c, url);
 		return;
 	}
-	if (change_crashes(url)) {
+	if (change_answers(url) || change_crashes(url)) {
 		reply(c, 200, "{}");
 		return;
 	}
@@ -1644,14 +1663,6 @@
 	} else if (!strncmp(url, "/test/down", 10)) {
 		hmsg_query(url, "ms", number, sizeof(number));
 		w.down_until_ms = now_ms() + atoll(number);
-	} else if (!strncmp(url, "/test/gap", 9)) {
-		hmsg_query(url, "ms", number, sizeof(number));
-		w.gap_ms = atoi(number);
-	} else if (!strncmp(url, "/test/pad", 9)) {
-		hmsg_query(url, "answer", number, sizeof(number));
-		w.answer_pad = atoi(number);
-		hmsg_query(url, "event", number, sizeof(number));
-		w.event_pad = atoi(number);
 	} else if (!strncmp(url, "/test/link", 10)) {
 		hmsg_query(url, "bytes", number, sizeof(number));
 		w.link.bytes_per_s = atoi(number);
