rq: one place for what may be repeated

The wait for a newer registration had a copy of the rule by which rq sends a request again, and edge_answer.c another one for silent endpoints. Both now ask rq_is_repeatable(), which rq used under another name. Nothing else changes.

--- a/lib/edge/edge_answer.c
+++ b/lib/edge/edge_answer.c
@@ -720,8 +720,7 @@
 static bool is_silent(const struct edge_req *r, int64_t now)
 {
 	return r->call && !r->relay[0] && !r->move &&
-	       now - r->sent_ms >= REACH_SILENCE_MS &&
-	       (r->rq.kind == CFG_IDEMPOTENT || r->rq.resumable);
+	       now - r->sent_ms >= REACH_SILENCE_MS && rq_is_repeatable(&r->rq);
 }
 
 static struct edge_req *find_silent(struct edge *en, int64_t now)
--- a/lib/edge/edge_verify.c
+++ b/lib/edge/edge_verify.c
@@ -235,11 +235,6 @@
 	sto_call(v->en->store, &c, on_registration, v);
 }
 
-static bool may_send_again(const struct edge_req *r)
-{
-	return r->rq.kind == CFG_IDEMPOTENT || r->rq.resumable;
-}
-
 /* A verification that can be finished now; NULL: none. */
 static struct edge_verify *find_due(struct edge *en, int64_t now,
 				    enum whole_process *process)
@@ -252,7 +247,7 @@
 		*process = is_newer(v, listed) ? WHOLE_PROCESS_SAME
 					       : WHOLE_PROCESS_OTHER;
 		if (*process == WHOLE_PROCESS_SAME ||
-		    (may_send_again(v->r) &&
+		    (rq_is_repeatable(&v->r->rq) &&
 		     now > v->connected_ms + MAX_LIST_WAIT_MS))
 			return v;
 	}
--- a/lib/request/rq.c
+++ b/lib/request/rq.c
@@ -27,7 +27,7 @@
 	r->bound = true;
 }
 
-static bool repeatable(const struct rq *r)
+bool rq_is_repeatable(const struct rq *r)
 {
 	return r->kind == CFG_IDEMPOTENT || r->resumable;
 }
@@ -60,7 +60,7 @@
 {
 	r->at_copy = false;
 	r->runs++;
-	if (again && repeatable(r) && below_max_endpoints(r))
+	if (again && rq_is_repeatable(r) && below_max_endpoints(r))
 		return send_again(r);
 	return give_up(r);
 }
@@ -118,7 +118,7 @@
 	if (!good && r->started)
 		return on_run_lost(r, again);
 	r->runs++;
-	if (!good && again && repeatable(r) && below_max_endpoints(r))
+	if (!good && again && rq_is_repeatable(r) && below_max_endpoints(r))
 		return RQ_SEND;
 	return end(r, RQ_PASS);
 }
--- a/lib/request/rq.h
+++ b/lib/request/rq.h
@@ -60,6 +60,9 @@
 /* Begins an attempt. Copies what it needs of `route`. */
 void rq_init(struct rq *r, const struct cfg_route *route);
 
+/* True if the request may run more than once, or be resumed elsewhere. */
+bool rq_is_repeatable(const struct rq *r);
+
 /*
  * The functions below report events; most return the next step. `again`: there
  * is time, retry budget and an endpoint for another send.
