build: ask pkg-config only for the modules of what is built

What users saw: on machines that hold the packages of the deploy file and nothing else, the build failed with "rpc/rpc.h: No such file or directory".

Cause: the flags of every object came from one pkg-config call over the modules of all programs and tests. pkg-config prints no flags at all if one module is missing, $(shell) drops its exit status, and the include path of libtirpc, which was listed and installed, was lost with the others.

Evidence: a new machine with the listed packages, without recommended ones, gives the same error after pkg-config named libcurl, log4c and cunit.

--- a/Makefile
+++ b/Makefile
@@ -6,10 +6,21 @@
 CSTD = -std=gnu11 -D_GNU_SOURCE
 WARN = -Wall -Wextra -Wshadow -Wstrict-prototypes -Wmissing-prototypes
 OPT = -O2 -g
-PKGS = json-c libtirpc libcurl log4c libcrypto liburcu-bp cunit
-CFLAGS = $(CSTD) $(WARN) $(OPT) -Ilib -Iplatform -Itests -Ibench $(shell pkg-config --cflags $(PKGS))
-LDLIBS = $(shell pkg-config --libs $(PKGS)) -lcivetweb -lev -lhttp_parser \
-	-lxxhash -lz -lpthread -lm
+INCLUDES = -Ilib -Iplatform
+CFLAGS = $(CSTD) $(WARN) $(OPT) $(INCLUDES) $(shell pkg-config --cflags $(PKGS))
+LDLIBS = $(shell pkg-config --libs $(PKGS)) $(LIBS) -lpthread -lm
+
+# Modules of pkg-config, headers without one, and their libraries. A call of
+# pkg-config prints no flags at all if one of its modules is missing: each
+# object asks only for the modules that its part of the product uses.
+EDGE_PKGS = json-c libtirpc libcrypto liburcu-bp
+EDGE_HEADERS = ev.h http_parser.h uthash.h xxhash.h zlib.h
+EDGE_LIBS = -lev -lhttp_parser -lxxhash -lz
+PROGRAM_PKGS = $(EDGE_PKGS) libcurl log4c
+PROGRAM_HEADERS = $(EDGE_HEADERS) civetweb.h
+TEST_PKGS = $(PROGRAM_PKGS) cunit
+PKGS = $(PROGRAM_PKGS)
+LIBS = $(EDGE_LIBS) -lcivetweb
 
 ifneq ($(SAN),)
 BUILD = build-$(SAN)
@@ -28,8 +39,6 @@
 	lib/request/fatal_told.c lib/request/leave.c lib/request/rq.c lib/route/parts.c \
 	lib/route/pick.c lib/route/ramp.c lib/route/reach.c
 EDGE_OBJ = $(EDGE_SRC:%.c=$(BUILD)/%.o)
-EDGE_PKGS = json-c libtirpc libcrypto liburcu-bp
-EDGE_LIBS = $(shell pkg-config --libs $(EDGE_PKGS)) -lev -lhttp_parser -lxxhash -lz -lm
 
 LIB_SRC = $(wildcard lib/*/*.c) $(wildcard platform/*.c)
 LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o)
@@ -45,6 +54,8 @@
 FUZZERS = $(patsubst tests/fuzz/fuzz_%.c,$(BUILD)/tests/fuzz_%,$(wildcard tests/fuzz/fuzz_*.c))
 TEST_LIB_SRC = $(wildcard tests/support/*.c)
 TEST_LIB_OBJ = $(TEST_LIB_SRC:%.c=$(BUILD)/%.o)
+PROGRAM_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(filter-out $(EDGE_SRC),$(wildcard programs/*.c)))
+TEST_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/*.c tests/*/*.c bench/*.c))
 
 .PHONY: all help install-deps demo check soak bench capacity format \
 	format-check lint clean
@@ -55,9 +66,11 @@
 .PHONY: edge
 edge: $(BUILD)/bin/marldock-edge
 
+$(BUILD)/bin/marldock-edge: LIBS = $(EDGE_LIBS)
+$(BUILD)/bin/marldock-edge $(EDGE_OBJ): PKGS = $(EDGE_PKGS)
 $(BUILD)/bin/marldock-edge: $(EDGE_OBJ)
 	@mkdir -p $(@D)
-	$(CC) -o $@ $^ $(EDGE_LIBS) $(filter -fsanitize%,$(LDLIBS))
+	$(CC) -o $@ $^ $(LDLIBS)
 
 help:
 	@echo "make                build programs and stand-ins"
@@ -66,8 +79,24 @@
 	@echo "make soak SEEDS=N   more seeded schedules of the safety rules"
 	@echo "make bench          measurements, naive and current side by side"
 	@echo "make capacity       slopes, and the tables of docs/CAPACITY.md"
+	@echo "make packages-check the build uses only packages of deploy/system.toml"
 	@echo "make format-check   clang-format; make lint: clang-tidy"
 
+# Stop before the first compiler error where a library is missing.
+.PHONY: require-edge require-programs require-tests
+require-edge:
+	@CC="$(CC)" scripts/require.sh $(EDGE_PKGS) $(EDGE_HEADERS)
+require-programs: require-edge
+	@CC="$(CC)" scripts/require.sh $(PROGRAM_PKGS) $(PROGRAM_HEADERS)
+require-tests: require-programs
+	@CC="$(CC)" scripts/require.sh $(TEST_PKGS)
+
+$(EDGE_OBJ): | require-edge
+$(filter-out $(EDGE_OBJ),$(LIB_OBJ)) $(PROGRAM_OBJ): | require-programs
+$(TEST_OBJ): | require-tests
+$(TEST_OBJ): PKGS = $(TEST_PKGS)
+$(TEST_OBJ): INCLUDES += -Itests -Ibench
+
 $(BUILD)/%.o: %.c
 	@mkdir -p $(@D)
 	$(CC) $(CFLAGS) -MMD -MP -c -o $@ $<
@@ -103,6 +132,7 @@
 	$(BUILD)/tests/support/run_log.o
 $(BUILD)/bin/standin-caller: $(BUILD)/programs/load_request.o
 
+$(TESTS) $(FUZZERS): PKGS = $(TEST_PKGS)
 $(BUILD)/tests/test_%: $(BUILD)/tests/test_%.o $(TEST_LIB_OBJ) $(LIB)
 	@mkdir -p $(@D)
 	$(CC) -o $@ $(filter %.o,$^) $(LIB) $(LDLIBS)
@@ -167,6 +197,12 @@
 format-check:
 	clang-format --dry-run -Werror $(SOURCES)
 
+.PHONY: packages-check
+packages-check:
+	scripts/check_packages.py
+
+lint: PKGS = $(TEST_PKGS)
+lint: INCLUDES += -Itests -Ibench
 lint:
 	scripts/lint.sh "$(CFLAGS)" $(filter %.c,$(SOURCES))
 
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -73,6 +73,8 @@
 	done
 fi
 if [ "$WHAT" != unit ]; then
+	scripts/packages_test.sh >"$OUT" 2>&1
+	add packages_test $?
 	BIN=$BUILD/bin scripts/process_test.sh >"$OUT" 2>&1
 	add process_test $?
 	# The other returns of the caller take longer: run by hand.
