install-deps: read the packages of the build from the deploy file

Change: install-deps takes the deploy file's list and adds what the other programs, the tests and the linter need: these two, and strace for the check of the packages.

--- a/scripts/install-deps.sh
+++ b/scripts/install-deps.sh
@@ -1,11 +1,13 @@
 #!/bin/sh
-# Installs what is missing of the libraries and tools (Debian).
+# Installs what is missing of the libraries and tools (Debian): what the build
+# of the deploy file needs is listed there.
 set -e
-PKGS="gcc make pkg-config liburcu-dev libcivetweb-dev liblog4c-dev
-libcunit1-dev libtirpc-dev libjson-c-dev libxxhash-dev libssl-dev
-libcurl4-openssl-dev libev-dev libhttp-parser-dev uthash-dev zlib1g-dev clang-format clang-tidy curl"
+cd "$(dirname "$0")/.."
+EDGE=$(sed -n 's/^packages = \[\(.*\)\]$/\1/p' deploy/system.toml | tr -d '",')
+PROGRAMS="libcivetweb-dev liblog4c-dev libcurl4-openssl-dev"
+TESTS="libcunit1-dev clang-format clang-tidy curl git python3 strace"
 missing=
-for p in $PKGS; do
+for p in $EDGE $PROGRAMS $TESTS; do
 	dpkg-query -W -f='${Status}' "$p" 2>/dev/null |
 		grep -q 'install ok installed' || missing="$missing $p"
 done
