check: run the tests in lanes, and keep their exit codes

They need no port or folder in common.

Change: check.sh runs LANES of them (4) side by side, each with an output file of its own; results are added up in the order of the list, with the same verdict and the same entries of KNOWN-RED.txt. It also prints the longest.

--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -1,10 +1,12 @@
 #!/bin/bash
-# Runs every test program and the process tests; adds up their results.
-# Usage: check.sh BUILD [unit|process]
+# Runs every test program and the process tests, LANES of them side by side; adds
+# up their results. Usage: [LANES=N] check.sh BUILD [unit|process]
 cd "$(dirname "$0")/.." || exit 1
 BUILD=${1:-build}
 WHAT=${2:-all}
-OUT=$(mktemp)
+LANES=${LANES:-4}
+RESULTS=$(mktemp -d)
+export BIN=$BUILD/bin
 export TSAN_OPTIONS="suppressions=$PWD/tests/tsan.supp"
 passed=0 failed=0
 
@@ -40,10 +42,11 @@
 		-e 's/^ *FAILED "\(.*\)" .*/\1/p' "$OUT" | sort -u)
 }
 
-# add: takes the program's line "NAME: N passed, N failed"; a program that
-# ended without one has failed.
+# add NAME CODE: takes the program's line "NAME: N passed, N failed" from its
+# output; a program that ended without one has failed.
 add() {
 	local name=$1 code=$2 line
+	OUT=$RESULTS/$name
 	line=$(grep -E ': [0-9]+ passed, [0-9]+ failed$' "$OUT" | tail -1)
 	grep -vE ': [0-9]+ passed, [0-9]+ failed$' "$OUT"
 	if known_red "$name" >/dev/null; then
@@ -65,82 +68,88 @@
 	fi
 }
 
+# run_lanes LINE...: each line is a test's name and its command. Leaves the output
+# in RESULTS/NAME, and the exit code and the seconds it took in RESULTS/NAME.end.
+run_lanes() {
+	printf '%s\0' "$@" | RESULTS=$RESULTS xargs -0 -n 1 -P "$LANES" bash -c '
+		read -r name command <<<"$0"
+		eval "$command" >"$RESULTS/$name" 2>/dev/null
+		code=$?
+		echo "$code $SECONDS" >"$RESULTS/running-$name"
+		mv "$RESULTS/running-$name" "$RESULTS/$name.end"'
+}
+
+# add_all LINE...: runs the tests and adds each up, in the order of the lines.
+add_all() {
+	local line name code lanes
+	run_lanes "$@" </dev/null &
+	lanes=$!
+	for line in "$@"; do
+		name=${line%% *}
+		while [ ! -e "$RESULTS/$name.end" ] && kill -0 $lanes 2>/dev/null; do
+			sleep 0.2
+		done
+		code="no exit code"
+		[ ! -e "$RESULTS/$name.end" ] || read -r code _ <"$RESULTS/$name.end"
+		touch "$RESULTS/$name"
+		add "$name" "$code"
+	done
+	wait $lanes
+}
+
+# A short run of each soak; seeds that ever failed are to be added here. Of the takeovers the other returns
+# of the caller take longer: run by hand. In edge_test_overlay all three entries
+# are the core of the overlay; in ending_test_16 each of many entries has a small
+# part of the budget of repeats.
+PROCESS_TESTS='
+parts_test scripts/parts_test.sh 3
+takeover_test BACKS="at_another after_second_kill" scripts/takeover_test.sh
+process_test scripts/process_test.sh 2>&1
+edge_test scripts/edge_test.sh 2>&1
+edge_test_overlay MAX_MESH=1 scripts/edge_test.sh 2>&1
+overlay_test scripts/overlay_test.sh
+slow_link_test scripts/slow_link_test.sh 2>&1
+ending_test scripts/ending_test.sh
+ending_test_16 EDGES=16 scripts/ending_test.sh
+limit_test scripts/limit_test.sh
+leaving_test scripts/leaving_test.sh
+wait_test scripts/wait_test.sh
+cut_test scripts/cut_test.sh
+silence_test scripts/silence_test.sh 2
+slow_reader_test scripts/slow_reader_test.sh
+brittle_test scripts/brittle_test.sh 4
+order_test scripts/order_test.sh 3
+whole_test scripts/whole_test.sh
+migration_test scripts/migration_test.sh
+grace_test scripts/grace_test.sh
+endless_test scripts/endless_test.sh 1
+power_test scripts/power_test.sh
+older_copy_test scripts/older_copy_test.sh
+rollout_test scripts/rollout_test.sh
+fault_soak scripts/fault_soak.sh 4 1 2 175523 228304 2>&1
+statement_soak STATEMENTS=1 scripts/fault_soak.sh 8 1 2 2>&1
+cut_soak CUTS=1 scripts/fault_soak.sh 6 1 2 3 2>&1
+version_soak VERSIONS=1 scripts/fault_soak.sh 6 1 2 3 4 2>&1
+poison_soak POISON=1 scripts/fault_soak.sh 6 1 2 3 134 2>&1
+shutdown_soak scripts/shutdown_soak.sh 20 301 312
+packages_test scripts/packages_test.sh 2>&1
+check_test scripts/check_test.sh 2>&1
+'
+lines=()
 if [ "$WHAT" != process ]; then
 	for t in "$BUILD"/tests/test_* "$BUILD"/tests/fuzz_*; do
 		[ -x "$t" ] && [ -f "$t" ] || continue
-		"$t" >"$OUT" 2>&1
-		add "$(basename "$t")" $?
+		lines+=("$(basename "$t") $t 2>&1")
 	done
 fi
 if [ "$WHAT" != unit ]; then
-	scripts/packages_test.sh >"$OUT" 2>&1
-	add packages_test $?
-	BIN=$BUILD/bin scripts/process_test.sh >"$OUT" 2>&1
-	add process_test $?
-	# The other returns of the caller take longer: run by hand.
-	BIN=$BUILD/bin BACKS="at_another after_second_kill" \
-		scripts/takeover_test.sh >"$OUT" 2>/dev/null
-	add takeover_test $?
-	BIN=$BUILD/bin scripts/edge_test.sh >"$OUT" 2>&1
-	add edge_test $?
-	# The same in the overlay of gossip, where all three are the core.
-	BIN=$BUILD/bin MAX_MESH=1 scripts/edge_test.sh >"$OUT" 2>&1
-	add edge_test_overlay $?
-	BIN=$BUILD/bin scripts/overlay_test.sh >"$OUT" 2>/dev/null
-	add overlay_test $?
-	BIN=$BUILD/bin scripts/slow_link_test.sh >"$OUT" 2>&1
-	add slow_link_test $?
-	BIN=$BUILD/bin scripts/ending_test.sh >"$OUT" 2>/dev/null
-	add ending_test $?
-	# Each of many entries has a small part of the budget of repeats.
-	BIN=$BUILD/bin EDGES=16 scripts/ending_test.sh >"$OUT" 2>/dev/null
-	add ending_test_16 $?
-	BIN=$BUILD/bin scripts/parts_test.sh 3 >"$OUT" 2>/dev/null
-	add parts_test $?
-	BIN=$BUILD/bin scripts/limit_test.sh >"$OUT" 2>/dev/null
-	add limit_test $?
-	BIN=$BUILD/bin scripts/leaving_test.sh >"$OUT" 2>/dev/null
-	add leaving_test $?
-	BIN=$BUILD/bin scripts/wait_test.sh >"$OUT" 2>/dev/null
-	add wait_test $?
-	BIN=$BUILD/bin scripts/cut_test.sh >"$OUT" 2>/dev/null
-	add cut_test $?
-	BIN=$BUILD/bin scripts/silence_test.sh 2 >"$OUT" 2>/dev/null
-	add silence_test $?
-	BIN=$BUILD/bin scripts/slow_reader_test.sh >"$OUT" 2>/dev/null
-	add slow_reader_test $?
-	BIN=$BUILD/bin scripts/brittle_test.sh 4 >"$OUT" 2>/dev/null
-	add brittle_test $?
-	BIN=$BUILD/bin scripts/order_test.sh 3 >"$OUT" 2>/dev/null
-	add order_test $?
-	BIN=$BUILD/bin scripts/whole_test.sh >"$OUT" 2>/dev/null
-	add whole_test $?
-	BIN=$BUILD/bin scripts/migration_test.sh >"$OUT" 2>/dev/null
-	add migration_test $?
-	BIN=$BUILD/bin scripts/grace_test.sh >"$OUT" 2>/dev/null
-	add grace_test $?
-	BIN=$BUILD/bin scripts/endless_test.sh 1 >"$OUT" 2>/dev/null
-	add endless_test $?
-	BIN=$BUILD/bin scripts/power_test.sh >"$OUT" 2>/dev/null
-	add power_test $?
-	BIN=$BUILD/bin scripts/older_copy_test.sh >"$OUT" 2>/dev/null
-	add older_copy_test $?
-	BIN=$BUILD/bin scripts/rollout_test.sh >"$OUT" 2>/dev/null
-	add rollout_test $?
-	# A short run; seeds that ever failed are to be added here.
-	BIN=$BUILD/bin scripts/fault_soak.sh 4 1 2 175523 228304 >"$OUT" 2>&1
-	add fault_soak $?
-	BIN=$BUILD/bin STATEMENTS=1 scripts/fault_soak.sh 8 1 2 >"$OUT" 2>&1
-	add statement_soak $?
-	BIN=$BUILD/bin CUTS=1 scripts/fault_soak.sh 6 1 2 3 >"$OUT" 2>&1
-	add cut_soak $?
-	BIN=$BUILD/bin VERSIONS=1 scripts/fault_soak.sh 6 1 2 3 4 >"$OUT" 2>&1
-	add version_soak $?
-	BIN=$BUILD/bin POISON=1 scripts/fault_soak.sh 6 1 2 3 134 >"$OUT" 2>&1
-	add poison_soak $?
-	BIN=$BUILD/bin scripts/shutdown_soak.sh 20 301 312 >"$OUT" 2>/dev/null
-	add shutdown_soak $?
+	while read -r line; do
+		[ -z "$line" ] || lines+=("$line")
+	done <<<"$PROCESS_TESTS"
 fi
-rm -f "$OUT"
+add_all "${lines[@]}"
+echo "the longest: $(cd "$RESULTS" && awk '{ print $2, FILENAME }' ./*.end |
+	sort -rn | head -8 | sed 's|\(.*\) ./\(.*\).end|\2 \1 s|' | paste -sd,)"
+rm -rf "$RESULTS"
 echo "$passed passed, $failed failed"
 [ "$failed" = 0 ]
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -24,6 +24,8 @@
 	fi
 }
 
+is() { [ "$1" = "$2" ]; }
+
 # start NAME COMMAND...: runs it in the background, log in DIR/NAME.log.
 start() {
 	local name=$1
--- a/scripts/edge_cluster.sh
+++ b/scripts/edge_cluster.sh
@@ -118,8 +118,6 @@
 		sort | tail -1 | sed 's/.*"instance":"edge-\([0-9]*\)".*/\1/'
 }
 
-is() { [ "$1" = "$2" ]; }
-
 # count_of NAME: picks a count from what the stand-in saw, on standard input.
 count_of() { head -1 | tr ' ' '\n' | grep -A1 "^$1$" | tail -1; }
 
