build: name the modules of pkg-config as such

PKGS read like Debian packages, which the deploy file has under that word, and the comment on the tests' list in check.sh ran past its line.

Behaviour is unchanged: packages-check passes with the same 371 files, and all programs and tests build.

--- a/Makefile
+++ b/Makefile
@@ -7,19 +7,20 @@
 WARN = -Wall -Wextra -Wshadow -Wstrict-prototypes -Wmissing-prototypes
 OPT = -O2 -g
 INCLUDES = -Ilib -Iplatform
-CFLAGS = $(CSTD) $(WARN) $(OPT) $(INCLUDES) $(shell pkg-config --cflags $(PKGS))
-LDLIBS = $(shell pkg-config --libs $(PKGS)) $(LIBS) -lpthread -lm
+CFLAGS = $(CSTD) $(WARN) $(OPT) $(INCLUDES) $(shell pkg-config --cflags $(MODULES))
+LDLIBS = $(shell pkg-config --libs $(MODULES)) $(LIBS) -lpthread -lm
 
-# Modules of pkg-config, headers without one, and their libraries. A call of
-# pkg-config prints no flags at all if one of its modules is missing: each
-# object asks only for the modules that its part of the product uses.
-EDGE_PKGS = json-c libtirpc libcrypto liburcu-bp
+# Modules of pkg-config, and headers and libraries without one. pkg-config
+# prints no flags at all if one module of a call is missing: each object asks
+# only for the modules of its part of the product.
+EDGE_MODULES = json-c libtirpc libcrypto liburcu-bp
 EDGE_HEADERS = ev.h http_parser.h uthash.h xxhash.h zlib.h
 EDGE_LIBS = -lev -lhttp_parser -lxxhash -lz
-PROGRAM_PKGS = $(EDGE_PKGS) libcurl log4c
+PROGRAM_MODULES = $(EDGE_MODULES) libcurl log4c
 PROGRAM_HEADERS = $(EDGE_HEADERS) civetweb.h
-TEST_PKGS = $(PROGRAM_PKGS) cunit
-PKGS = $(PROGRAM_PKGS)
+TEST_MODULES = $(PROGRAM_MODULES) cunit
+# Of what is built, unless its target says otherwise.
+MODULES = $(PROGRAM_MODULES)
 LIBS = $(EDGE_LIBS) -lcivetweb
 
 ifneq ($(SAN),)
@@ -67,7 +68,7 @@
 edge: $(BUILD)/bin/marldock-edge
 
 $(BUILD)/bin/marldock-edge: LIBS = $(EDGE_LIBS)
-$(BUILD)/bin/marldock-edge $(EDGE_OBJ): PKGS = $(EDGE_PKGS)
+$(BUILD)/bin/marldock-edge $(EDGE_OBJ): MODULES = $(EDGE_MODULES)
 $(BUILD)/bin/marldock-edge: $(EDGE_OBJ)
 	@mkdir -p $(@D)
 	$(CC) -o $@ $^ $(LDLIBS)
@@ -85,16 +86,16 @@
 # Stop before the first compiler error where a library is missing.
 .PHONY: require-edge require-programs require-tests
 require-edge:
-	@CC="$(CC)" scripts/require.sh $(EDGE_PKGS) $(EDGE_HEADERS)
+	@CC="$(CC)" scripts/require.sh $(EDGE_MODULES) $(EDGE_HEADERS)
 require-programs: require-edge
-	@CC="$(CC)" scripts/require.sh $(PROGRAM_PKGS) $(PROGRAM_HEADERS)
+	@CC="$(CC)" scripts/require.sh $(PROGRAM_MODULES) $(PROGRAM_HEADERS)
 require-tests: require-programs
-	@CC="$(CC)" scripts/require.sh $(TEST_PKGS)
+	@CC="$(CC)" scripts/require.sh $(TEST_MODULES)
 
 $(EDGE_OBJ): | require-edge
 $(filter-out $(EDGE_OBJ),$(LIB_OBJ)) $(PROGRAM_OBJ): | require-programs
 $(TEST_OBJ): | require-tests
-$(TEST_OBJ): PKGS = $(TEST_PKGS)
+$(TEST_OBJ): MODULES = $(TEST_MODULES)
 $(TEST_OBJ): INCLUDES += -Itests -Ibench
 
 $(BUILD)/%.o: %.c
@@ -132,7 +133,7 @@
 	$(BUILD)/tests/support/run_log.o
 $(BUILD)/bin/standin-caller: $(BUILD)/programs/load_request.o
 
-$(TESTS) $(FUZZERS): PKGS = $(TEST_PKGS)
+$(TESTS) $(FUZZERS): MODULES = $(TEST_MODULES)
 $(BUILD)/tests/test_%: $(BUILD)/tests/test_%.o $(TEST_LIB_OBJ) $(LIB)
 	@mkdir -p $(@D)
 	$(CC) -o $@ $(filter %.o,$^) $(LIB) $(LDLIBS)
@@ -201,7 +202,7 @@
 packages-check:
 	scripts/check_packages.py
 
-lint: PKGS = $(TEST_PKGS)
+lint: MODULES = $(TEST_MODULES)
 lint: INCLUDES += -Itests -Ibench
 lint:
 	scripts/lint.sh "$(CFLAGS)" $(filter %.c,$(SOURCES))
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -97,10 +97,11 @@
 	wait $lanes
 }
 
-# A short run of each soak; seeds that ever failed are to be added here. Of the takeovers the other returns
-# of the caller take longer: run by hand. In edge_test_overlay all three entries
-# are the core of the overlay; in ending_test_16 each of many entries has a small
-# part of the budget of repeats.
+# Name and command of each process test, the longest first. A short run of each
+# soak; seeds that ever failed are to be added here. Of the takeovers, the other
+# returns of the caller take longer: run by hand. In edge_test_overlay all three
+# entries are the core of the overlay; in ending_test_16 each of many entries has
+# a small part of the budget of repeats.
 PROCESS_TESTS='
 parts_test scripts/parts_test.sh 3
 takeover_test BACKS="at_another after_second_kill" scripts/takeover_test.sh
--- a/scripts/packages_test.sh
+++ b/scripts/packages_test.sh
@@ -69,7 +69,7 @@
 expect "a package off the list: its header is in the default path" \
 	check 1 '^libxxhash-dev: not listed, and /usr/include/xxhash.h '
 fresh_tree
-sed -i 's/^EDGE_PKGS = /&cunit libcurl log4c /' "$TREE/Makefile"
+sed -i 's/^EDGE_MODULES = /&cunit libcurl log4c /' "$TREE/Makefile"
 expect "pkg-config is asked for the modules of the tests" \
 	check 1 '^libcunit1-dev: .*/cunit.pc ' '^libcurl4-openssl-dev: .*/libcurl.pc ' \
 	'^liblog4c-dev: .*/log4c.pc '
