check_packages: one function for each of the two builds

check() read the deploy file, built twice and reported, in one function; a reader had to follow both builds at once. Each has a function of its own now. The sentence in whole.h on suspected stops says what it means.

--- a/lib/stream/whole.h
+++ b/lib/stream/whole.h
@@ -4,8 +4,8 @@
  * A length or a last chunk proves that an answer is whole. An answer with neither
  * ends with its connection, and so does one that was cut off. It counts as whole
  * only if nothing made the run stop and the process that made it still runs.
- * If a stop is only suspected, an answer that can go on elsewhere does: one send
- * too many costs its caller less than a rest that is lost unnoticed.
+ * If a stop is only suspected, an answer counts as cut off where it can be resumed:
+ * one needless resumption costs less than an end that the caller never gets.
  *
  * Pure functions.
  */
--- a/scripts/check_packages.py
+++ b/scripts/check_packages.py
@@ -113,7 +113,8 @@
         owners = {path: set() for path in paths}
         names = sorted(asked)
         for i in range(0, len(names), 500):
-            for line in run(["dpkg", "-S"] + names[i:i + 500]).stdout.splitlines():
+            shown = run(["dpkg", "-S"] + names[i:i + 500])
+            for line in shown.stdout.splitlines():
                 packages, _, path = line.partition(": ")
                 if path in asked and not packages.startswith("diversion by"):
                     owners[asked[path]].update(
@@ -271,16 +272,8 @@
     return modules
 
 
-def check(tree, scratch, show):
-    with open(os.path.join(tree, DEPLOY), "rb") as settings:
-        deploy = tomllib.load(settings)
-    listed, command = deploy["packages"], deploy["build"]
-    packages = Packages()
-    absent = [p for p in listed if p not in packages.depends]
-    if absent:
-        return [f"{p}: listed, but not installed here" for p in absent]
-    included = packages.closure(listed)
-
+def build_traced(tree, scratch, command, packages, included):
+    """Builds a fresh copy under strace. Returns as judge() does."""
     fresh, logs = os.path.join(scratch, "traced"), os.path.join(scratch, "log")
     temporary = os.path.join(scratch, "tmp")
     for folder in (fresh, logs, temporary):
@@ -296,28 +289,49 @@
                            included)
     if built.returncode != 0:
         failures.append(f"the build failed:\n{built.stdout.rstrip()}")
-    if show:
-        for path, names in sorted(used.items()):
-            print(" ".join(sorted(names)) or "-", path)
-    if failures:
-        return failures
+    return failures, used
 
+
+def build_alone(tree, scratch, command, packages, included):
+    """Builds a copy without the tests, with the programs and modules of the
+    packages INCLUDED alone. Returns the failures."""
     alone = os.path.join(scratch, "alone")
     copy_tree(tree, alone)
     for folder in TEST_FOLDERS:
         shutil.rmtree(os.path.join(alone, folder), ignore_errors=True)
     programs = os.path.join(scratch, "bin")
     modules = link_programs(programs, packages, included)
+    temporary = os.path.join(scratch, "tmp")
     built = run(["/bin/sh", "-c", command], cwd=alone,
                 stdin=subprocess.DEVNULL,
                 env=environment(temporary, programs, modules))
-    if built.returncode != 0:
-        return ["the build failed with the listed packages alone, without"
-                f" the tests:\n{built.stdout.rstrip()}"]
-    names = {n for owner in used.values() for n in owner & included}
-    print(f"{len(used)} files of {len(names)} packages are used by the build,"
-          " all of packages listed or of their dependencies")
-    return []
+    if built.returncode == 0:
+        return []
+    return ["the build failed with the listed packages alone, without the"
+            f" tests:\n{built.stdout.rstrip()}"]
+
+
+def check(tree, scratch, show):
+    """Returns the failures of both builds."""
+    with open(os.path.join(tree, DEPLOY), "rb") as settings:
+        deploy = tomllib.load(settings)
+    listed, command = deploy["packages"], deploy["build"]
+    packages = Packages()
+    absent = [p for p in listed if p not in packages.depends]
+    if absent:
+        return [f"{p}: listed, but not installed here" for p in absent]
+    included = packages.closure(listed)
+    failures, used = build_traced(tree, scratch, command, packages, included)
+    if show:
+        for path, names in sorted(used.items()):
+            print(" ".join(sorted(names)) or "-", path)
+    failures = failures or build_alone(tree, scratch, command, packages,
+                                       included)
+    if not failures:
+        names = {n for owner in used.values() for n in owner & included}
+        print(f"{len(used)} files of {len(names)} packages are used by the"
+              " build, all of packages listed or of their dependencies")
+    return failures
 
 
 def main():
