bind: log what the version of a continued stream rests on

A line "continued" with the source "only version" did not tell whether the entry could have known of a second version. The hypotheses of the incident differ in just that: an entry that has started a moment ago, one whose list is old or that stood still, or a join within one version.

The line now has the entries that answered, the versions counted here, the age of the list, and the time since the start and since the last stall. No decision changes.

--- a/lib/edge/edge_bind.c
+++ b/lib/edge/edge_bind.c
@@ -298,10 +298,21 @@
 	return "";
 }
 
+static unsigned count_answers(const struct edge_req *r)
+{
+	unsigned i, n = 0;
+
+	for (i = 0; i < r->query.nr_asked; i++)
+		n += r->query.answered[i];
+	return n;
+}
+
 static void log_continued(const struct edge_req *r, const char *source,
 			  int64_t age_ms)
 {
 	struct edge *en = r->en;
+	const int64_t now = edge_now(en);
+	uint64_t version;
 
 	jlog_begin(en->log, JLOG_INFO, "continued");
 	jlog_str(en->log, "id", r->attempt.id);
@@ -312,19 +323,19 @@
 	jlog_str(en->log, "source", source);
 	jlog_int(en->log, "binding_age_ms", age_ms);
 	jlog_int(en->log, "asked", r->query.nr_asked);
-	jlog_int(en->log, "took_ms", edge_now(en) - r->arrived_ms);
+	jlog_int(en->log, "answered", count_answers(r));
+	/* What the decision rests on: how much this entry can know. */
+	jlog_int(en->log, "versions",
+		 bnd_count_versions(&en->bindings, service_of(r), now,
+				    &version));
+	jlog_int(en->log, "list_age_ms", edge_list_age(en, now));
+	jlog_int(en->log, "since_start_ms", now - en->start_ms);
+	jlog_int(en->log, "since_stall_ms",
+		 en->stalled_ms ? now - en->stalled_ms : -1);
+	jlog_int(en->log, "took_ms", now - r->arrived_ms);
 	jlog_end(en->log);
 }
 
-static unsigned count_answers(const struct edge_req *r)
-{
-	unsigned i, n = 0;
-
-	for (i = 0; i < r->query.nr_asked; i++)
-		n += r->query.answered[i];
-	return n;
-}
-
 static void refuse_unknown(struct edge_req *r)
 {
 	const bool all_answered = count_answers(r) == r->query.nr_asked;
