pf_store: an item that cannot be decoded does not hide the others

What callers see: with one item of another writer below the prefix of the endpoints, an entry stops following the list: endpoints that drain still get requests, new ones get none, and an entry that starts never serves.

Cause: decode_items() made the whole answer STO_MALFORMED if one item had no string as its value, or no valid base64, or no key. The next call returns the same item again: the watch repeats from the same revision, a listing from its first page. STO_MALFORMED also counts as a failed call, so that the store counts as away although it answers.

Fix: an item with a key and an undecodable value has an empty value. No reader takes an empty value for a valid one, and all replace the former value then, as they do for any unreadable value (for an endpoint: it is removed, counted and logged). Followers decode the same bytes by the same function. Items without a valid key, or with a NUL inside it, are left out, counted and logged; if a page has no key at all and further ones follow, the page stays malformed, because the next page begins after the last key.

--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -284,6 +284,9 @@
 	x->entries_unreadable =
 		met_counter(m, "endpoint_entries_unreadable_total",
 			    "endpoints' entries in the store without sense");
+	x->items_skipped =
+		met_counter(m, "store_items_skipped_total",
+			    "items in the store's answers without a valid key");
 	x->store_failures = met_counter(m, "store_failures_total",
 					"calls to the store that failed");
 	x->store_returns = met_counter(
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -110,6 +110,7 @@
 	met_value *usage_reports, *scale_orders;
 	met_value *rollouts_completed, *rollouts_rolled_back, *sends_on_trial;
 	met_value *entries_unreadable; /* endpoint_entries_unreadable_total */
+	met_value *items_skipped;      /* store_items_skipped_total */
 	met_value *lines_dropped, *config_version, *endpoints, *entries;
 	met_value *list_age_ms;
 	met_value *gossip_sent, *gossip_received, *gossip_bytes_sent,
--- a/lib/edge/edge_store.c
+++ b/lib/edge/edge_store.c
@@ -245,12 +245,24 @@
 	jlog_end(en->log);
 }
 
+static void log_skipped(struct edge *en, const struct sto_trace *t)
+{
+	met_add(en->m.items_skipped, (int64_t)t->skipped);
+	jlog_begin(en->log, JLOG_ERROR, "store_items_skipped");
+	jlog_str(en->log, "call", sto_kind_name(t->kind));
+	jlog_int(en->log, "items", (int64_t)t->skipped);
+	jlog_str(en->log, "why", "no valid key");
+	jlog_end(en->log);
+}
+
 static void on_traced(void *arg, const struct sto_trace *t)
 {
 	struct edge *en = arg;
 
 	met_inc(t->following ? en->m.store_followed
 			     : en->m.store_calls[t->kind]);
+	if (t->skipped)
+		log_skipped(en, t);
 	if (t->late_ms < SLOW_ANSWER_MS && t->bytes < LARGE_ANSWER_BYTES)
 		return;
 	jlog_begin(en->log, JLOG_INFO, "store_answer");
--- a/lib/store/sto.c
+++ b/lib/store/sto.c
@@ -397,18 +397,19 @@
 		a->items[i].revision = ver_of(p->era, a->items[i].revision);
 }
 
-static void trace(const struct pending *p, enum sto_outcome o)
+static void trace(const struct pending *p, const struct sto_answer *a)
 {
 	const struct sto *s = p->s;
 	const int64_t took = clk_boot_ms(s->clk) - p->asked_ms;
 	const struct sto_trace t = {
 		.kind = p->kind,
-		.outcome = o,
+		.outcome = a->outcome,
 		.direct = p->direct,
 		.following = p->following,
 		.took_ms = took,
 		.late_ms = took - p->wait_ms,
 		.bytes = p->body.len,
+		.skipped = a->nr_skipped,
 	};
 
 	if (s->on_trace)
@@ -428,7 +429,7 @@
 {
 	end_relayed_read(p);
 	check_era(p, a);
-	trace(p, a->outcome);
+	trace(p, a);
 	a->asked_ms = p->asked_ms;
 	a->raw = buf_cstr(&p->body);
 	a->raw_len = p->body.len;
@@ -483,6 +484,7 @@
 		}
 		if (page.outcome != STO_OK)
 			a->outcome = page.outcome;
+		a->nr_skipped += page.nr_skipped;
 		max += page.nr_items + 1;
 		a->items = realloc(a->items, max * sizeof(a->items[0]));
 		assert(a->items);
--- a/lib/store/sto.h
+++ b/lib/store/sto.h
@@ -84,7 +84,8 @@
 
 struct sto_item {
 	char *key;
-	char *value; /* NULL: the key was deleted (WATCH) */
+	/* NULL: the key was deleted (WATCH). Empty if it cannot be decoded. */
+	char *value;
 	size_t len;
 	int64_t revision; /* version of the key */
 };
@@ -99,7 +100,8 @@
 	bool more;	  /* LIST: further pages follow */
 	struct sto_item *items;
 	size_t nr_items;
-	const char *raw; /* WATCH: the body as received, maybe compressed */
+	size_t nr_skipped; /* further items, without a valid key */
+	const char *raw;   /* WATCH: the body as received, maybe compressed */
 	size_t raw_len;
 };
 
@@ -226,6 +228,7 @@
 	int64_t took_ms;
 	int64_t late_ms; /* took_ms without the wait of a watch */
 	size_t bytes;	 /* of the body, as far as it was received */
+	size_t skipped;	 /* items without a valid key */
 };
 
 typedef void (*sto_on_trace)(void *arg, const struct sto_trace *t);
