--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -179,6 +179,130 @@
 	CU_ASSERT_EQUAL(info.started_ms, 1790000000123);
 }
 
+static int decode_named(const char *id, const char *text, struct flt_info *out)
+{
+	char key[400];
+	struct err e = ERR_INIT;
+
+	snprintf(key, sizeof(key), "servers/%s", id);
+	return pf_wire()->decode_endpoint(key, text, strlen(text), out, &e);
+}
+
+/* An entry with one more member; of two with one name, the last one counts. */
+static int decode_with(const char *member, struct flt_info *out)
+{
+	BUF_AUTO text = BUF_INIT;
+
+	buf_fmt(&text,
+		"{" SERVICE ADDRESS ZONE STATE SLOTS
+		"\"born\":1790000000123," REST ",%s}",
+		member);
+	return decode_named("i-1", text.data, out);
+}
+
+#define NAME_OF_63 \
+	"aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
+#define TENFOLD(x) x x x x x x x x x x
+
+/*
+ * Guards against numbers that are cut to fewer bits or overflow where they are
+ * added, and against names that are cut to the name of something else.
+ */
+static void entries_out_of_range_name_no_endpoint(void)
+{
+	static const char *const bad[] = {
+		"\"slots\":0",
+		"\"slots\":2147483648",
+		"\"slots\":4294967296",
+		"\"slots\":4294967302",
+		"\"slots\":100001",
+		"\"slots\":1000000000000000000000000000000",
+		"\"slots\":-9223372036854775808",
+		"\"slots\":6.5",
+		"\"slots\":1e400",
+		"\"slots\":NaN",
+		"\"born\":0",
+		"\"born\":-9223372036854775808",
+		"\"born\":9223372036854775807",
+		"\"born\":253402300800000",
+		"\"address\":\"10.0.0.1:0\"",
+		"\"address\":\"10.0.0.1:65536\"",
+		"\"address\":\"10.0.0.1:-80\"",
+		"\"address\":\"10.0.0.1:99999999999999999999\"",
+		"\"address\":\"10.0.0.1: 80\"",
+		"\"address\":\"10.0.0.1:+80\"",
+		"\"address\":\"10.0.0.1:80x\"",
+		"\"address\":\"10.0.0.1:\"",
+		"\"address\":\"10.0.0.1:00000000000000000000000080\"",
+		"\"address\":\"10.0.0.1:80\\u0000x\"",
+		"\"address\":\"10.0.0.256:80\"",
+		"\"address\":\"0.0.0.0:80\"",
+		"\"address\":\"224.0.0.1:80\"",
+		"\"address\":\"255.255.255.255:80\"",
+		"\"address\":\"[::1]:80\"",
+		("\"service\":\"" NAME_OF_63 "a\""),
+		"\"service\":\"s1\\u0000x\"",
+		("\"zone\":\"" NAME_OF_63 "a\""),
+		"\"zone\":\"z1\\u0000x\"",
+		("\"service\":\"" TENFOLD(TENFOLD(NAME_OF_63)) "\""),
+		/* Deeper than the limit. */
+		("\"more\":" TENFOLD("[[[") "1" TENFOLD("]]]")),
+		("\"more\":" TENFOLD(TENFOLD("{\"a\":["))),
+	};
+	static const char *const fine[] = {
+		"\"slots\":1",
+		"\"slots\":100000",
+		"\"born\":1",
+		"\"born\":253402300799999",
+		"\"address\":\"10.0.0.1:65535\"",
+		"\"address\":\"127.0.0.1:1\"",
+		("\"service\":\"" NAME_OF_63 "\""),
+		("\"zone\":\"" NAME_OF_63 "\""),
+		"\"zone\":\"\"",
+		"\"seqNo\":9223372036854775807",
+		("\"version\":\"" TENFOLD(NAME_OF_63) "\""),
+		("\"more\":" TENFOLD("[[") "1" TENFOLD("]]")),
+	};
+	struct flt_info info;
+	size_t i;
+
+	for (i = 0; i < sizeof(bad) / sizeof(bad[0]); i++) {
+		if (decode_with(bad[i], &info) == -1)
+			continue;
+		fprintf(stderr, "accepted: %.60s\n", bad[i]);
+		CU_FAIL("an odd entry names an endpoint");
+	}
+	for (i = 0; i < sizeof(fine) / sizeof(fine[0]); i++) {
+		if (decode_with(fine[i], &info) == 0)
+			continue;
+		fprintf(stderr, "rejected: %.60s\n", fine[i]);
+		CU_FAIL("an entry within the range is rejected");
+	}
+}
+
+/* Times that choose no endpoint are bounded: the endpoint may be in service. */
+static void times_out_of_range_are_bounded(void)
+{
+	struct flt_info info;
+
+	CU_ASSERT_EQUAL(decode_with("\"leaves_ms\":9223372036854775807", &info),
+			0);
+	CU_ASSERT_EQUAL(info.time_left_ms, 86400000);
+	CU_ASSERT_EQUAL(
+		decode_with("\"leaves_ms\":-9223372036854775808", &info), 0);
+	CU_ASSERT_EQUAL(info.time_left_ms, 0);
+	CU_ASSERT_EQUAL(decode_with("\"leaves_ms\":\"soon\"", &info), 0);
+	CU_ASSERT_EQUAL(info.time_left_ms, -1);
+	CU_ASSERT_EQUAL(decode_with("\"leaves_ms\":NaN", &info), 0);
+	CU_ASSERT_EQUAL(info.time_left_ms, -1);
+	CU_ASSERT_EQUAL(decode_with("\"coldLeftMs\":1000000000000000000000000",
+				    &info),
+			0);
+	CU_ASSERT_EQUAL(info.warmup_ms, 86400000);
+	CU_ASSERT_EQUAL(decode_with("\"coldLeftMs\":-5", &info), 0);
+	CU_ASSERT_EQUAL(info.warmup_ms, 0);
+}
+
 /* ---- Requests ---- */
 
 static int no_op_head(struct hparse *p)
@@ -838,6 +962,9 @@
 	{ "endpoints are decoded", endpoints_are_decoded },
 	{ "entries of other writers name no endpoint",
 	  entries_of_other_writers_name_no_endpoint },
+	{ "entries out of range name no endpoint",
+	  entries_out_of_range_name_no_endpoint },
+	{ "times out of range are bounded", times_out_of_range_are_bounded },
 	{ "an attempt is decoded", attempt_is_decoded },
 	{ "shared parts are decoded one by one",
 	  shared_parts_are_decoded_one_by_one },
