--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -280,6 +280,32 @@
 	}
 }
 
+/*
+ * Guards against ids that are cut to the id of another endpoint, and those that
+ * end the line of the header in which they are sent.
+ */
+static void ids_that_no_header_can_hold_name_no_endpoint(void)
+{
+	static const char *const bad[] = {
+		"",	      (NAME_OF_63 "a"),
+		"i 1",	      "i-1\r\nTenant: forged",
+		"i-1\t",      "i-1\x7f",
+		"i-\xc3\xa4",
+	};
+	static const char text[] =
+		ENTRY(SERVICE, ADDRESS ZONE STATE SLOTS REST);
+	struct flt_info info;
+	size_t i;
+
+	for (i = 0; i < sizeof(bad) / sizeof(bad[0]); i++) {
+		CU_ASSERT_EQUAL(decode_named(bad[i], text, &info), -1);
+		CU_ASSERT_EQUAL(info.id[0], '\0');
+	}
+	CU_ASSERT_EQUAL(decode_named(NAME_OF_63, text, &info), 0);
+	CU_ASSERT_STRING_EQUAL(info.id, NAME_OF_63);
+	CU_ASSERT_EQUAL(decode_named("i-7f3a91c2", text, &info), 0);
+}
+
 /* Times that choose no endpoint are bounded: the endpoint may be in service. */
 static void times_out_of_range_are_bounded(void)
 {
@@ -964,6 +990,8 @@
 	  entries_of_other_writers_name_no_endpoint },
 	{ "entries out of range name no endpoint",
 	  entries_out_of_range_name_no_endpoint },
+	{ "ids that no header can hold name no endpoint",
+	  ids_that_no_header_can_hold_name_no_endpoint },
 	{ "times out of range are bounded", times_out_of_range_are_bounded },
 	{ "an attempt is decoded", attempt_is_decoded },
 	{ "shared parts are decoded one by one",
