--- a/Makefile
+++ b/Makefile
@@ -165,11 +165,12 @@
 SEEDS = 20000
 SOAKED = cfg duties mir acct vfy fatal era
 soak: $(BUILD)/tests/test_soak $(SOAKED:%=$(BUILD)/tests/test_%) \
-	$(BUILD)/tests/fuzz_edge
+	$(BUILD)/tests/fuzz_edge $(BUILD)/tests/fuzz_store
 	$(BUILD)/tests/test_soak $(SEEDS)
 	for t in $(SOAKED); do \
 		UNIT_SEEDS=$(SEEDS) $(BUILD)/tests/test_$$t || exit 1; done
 	$(BUILD)/tests/fuzz_edge $$(($(SEEDS) * 10))
+	$(BUILD)/tests/fuzz_store $$(($(SEEDS) * 10)) $$(shuf -i 1-999999 -n 1)
 
 SOAK_SECONDS = 10
 SOAK_SEEDS = $(shell shuf -i 1000-999999 -n 10)
