sto: list the keys again when a watch's answer exceeds the bound

What callers see: an entry stops following the list, and counts the store as away, after another writer has changed values of 1 MB a dozen times within a pause of the watch: endpoints that drain still get requests.

Cause: an answer of more than MAX_CHANGES_BYTES was STO_MALFORMED. The watch is then repeated from the same revision; its answer has the same changes and all that follow, until the store discards its history.

Fix: such an answer is STO_HISTORY_LOST, after which the keys are listed again, in pages of a bounded size. The store counts as reachable, since it answers. A follower still gets STO_MALFORMED from its leader and watches the store itself.

--- a/lib/store/sto.c
+++ b/lib/store/sto.c
@@ -536,15 +536,28 @@
 	finish(p, &a);
 }
 
+static enum sto_outcome outcome_of(const struct pending *p,
+				   enum htc_failure why)
+{
+	if (why == HTC_NOT_SENT)
+		return STO_UNREACHABLE;
+	if (why != HTC_TOO_LARGE)
+		return STO_UNKNOWN;
+	/*
+	 * Repeated, the watch would return the same changes and more. A listing
+	 * has them in pages of a bounded size.
+	 */
+	return p->kind == STO_WATCH && !p->following ? STO_HISTORY_LOST
+						     : STO_MALFORMED;
+}
+
 static void on_failed(struct htc_call *call, enum htc_failure why)
 {
 	struct pending *p = htc_owner(call);
 	struct sto_answer a;
 
 	memset(&a, 0, sizeof(a));
-	a.outcome = why == HTC_NOT_SENT	   ? STO_UNREACHABLE
-		    : why == HTC_TOO_LARGE ? STO_MALFORMED
-					   : STO_UNKNOWN;
+	a.outcome = outcome_of(p, why);
 	finish(p, &a);
 }
 
--- a/lib/store/sto.h
+++ b/lib/store/sto.h
@@ -72,7 +72,7 @@
 	STO_OK,
 	STO_ABSENT,	  /* no such key, or no such lease */
 	STO_CONFLICT,	  /* a condition does not hold: not applied */
-	STO_HISTORY_LOST, /* the store lacks changes of the watch */
+	STO_HISTORY_LOST, /* the changes of the watch cannot be read */
 	STO_BUSY,	  /* overloaded or down: not applied */
 	STO_UNREACHABLE,  /* not sent */
 	STO_UNKNOWN,	  /* sent, no answer */
--- a/tests/test_sto.c
+++ b/tests/test_sto.c
@@ -19,20 +19,26 @@
 	struct hsc_server http;
 	struct sockaddr_in addr;
 	bool silent;
+	size_t pad; /* spaces after the answer, a multiple of 16 */
 	unsigned requests;
 };
 
 static void on_request(struct hsc *c)
 {
 	struct server *s = c->server->owner;
-	static const char answer[] =
-		"HTTP/1.1 200 OK\r\nContent-Length: 28\r\n\r\n"
-		"{\"events\":[],\"currentRev\":7}";
+	static const char answer[] = "{\"events\":[],\"currentRev\":7}";
+	static const char spaces[] = "                ";
+	BUF_AUTO out = BUF_INIT;
+	size_t pad;
 
 	s->requests++;
 	if (s->silent)
 		return;
-	hsc_write(c, answer, strlen(answer));
+	buf_fmt(&out, "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s",
+		strlen(answer) + s->pad, answer);
+	for (pad = s->pad; pad; pad -= strlen(spaces))
+		buf_str(&out, spaces);
+	hsc_write(c, out.data, out.len);
 	hsc_done(c, false);
 }
 
@@ -201,10 +207,34 @@
 	close_fixture(&f);
 }
 
+/*
+ * Guards against a watch that is repeated from the same revision for ever: its
+ * answer, with values that another writer changes, exceeds the bound each time.
+ * A listing has bounded pages.
+ */
+static void changes_that_are_too_large_are_listed(void)
+{
+	const struct sto_call watch = {
+		.kind = STO_WATCH, .key = "x/", .revision = 3, .wait_ms = 2000
+	};
+	struct result r = { 0 };
+	struct fixture f;
+
+	open_fixture(&f);
+	f.store.pad = 17u << 20;
+	sto_call(f.sto, &watch, on_done, &r);
+	await(&r);
+	CU_ASSERT_EQUAL(r.outcome, STO_HISTORY_LOST);
+	CU_ASSERT(sto_direct_ok(f.sto));
+	close_fixture(&f);
+}
+
 static const struct unit_test tests[] = {
 	{ "a failed relay ends the backoff", failed_relay_ends_the_backoff },
 	{ "relayed reads are sent again directly",
 	  relayed_reads_are_sent_again_directly },
+	{ "changes that are too large are listed",
+	  changes_that_are_too_large_are_listed },
 };
 
 int main(void)
