--- a/tests/standin/platform.c
+++ b/tests/standin/platform.c
@@ -57,6 +57,7 @@
 struct item {
 	char key[200];
 	char *value; /* base64, as it came; NULL: not there */
+	bool odd;    /* `value` has members in JSON instead */
 	int64_t revision, lease;
 	char *newest;  /* to be written again; NULL: nothing */
 	bool was_gone; /* before the store came back */
@@ -248,7 +249,9 @@
 			(long long)revision);
 	else
 		buf_fmt(out,
-			",\"value\":\"%s\",\"revision\":%lld,\"lease\":%lld}",
+			it->odd ? ",%s,\"revision\":%lld,\"lease\":%lld}"
+				: ",\"value\":\"%s\",\"revision\":%lld,"
+				  "\"lease\":%lld}",
 			it->value, (long long)it->revision,
 			(long long)it->lease);
 }
@@ -266,8 +269,8 @@
 		if (rev <= v->after ||
 		    strncmp(it->key, v->prefix, strlen(v->prefix)))
 			continue;
-		/* A write that was overwritten since is not told. */
-		if (!w.history[i].gone && it->revision != rev)
+		/* A write that was overwritten or deleted since is not told. */
+		if (!w.history[i].gone && (it->revision != rev || !it->value))
 			continue;
 		if (n++)
 			buf_str(&out, ",");
@@ -297,12 +300,12 @@
 	}
 }
 
-static void write_item(const char *key, const char *base64, int64_t lease)
+static void write_members(struct item *it, const char *value, bool odd,
+			  int64_t lease)
 {
-	struct item *it = find_item(key, true);
-
 	free(it->value);
-	it->value = mem_dup(base64);
+	it->value = mem_dup(value);
+	it->odd = odd;
 	/* Newer than what was to be written again after a return. */
 	free(it->newest);
 	it->newest = NULL;
@@ -312,6 +315,11 @@
 	changed(it, false);
 }
 
+static void write_item(const char *key, const char *base64, int64_t lease)
+{
+	write_members(find_item(key, true), base64, false, lease);
+}
+
 static void delete_item(struct item *it)
 {
 	if (!it || !it->value)
@@ -1659,6 +1667,10 @@
 	if (!strncmp(url, "/test/put", 9)) {
 		hmsg_query(url, "key", key, sizeof(key));
 		write_text(key, buf_cstr(&c->body));
+	} else if (!strncmp(url, "/test/odd", 9)) {
+		hmsg_query(url, "key", key, sizeof(key));
+		write_members(find_item(key, true), buf_cstr(&c->body), true,
+			      0);
 	} else if (!strncmp(url, "/test/delete", 12)) {
 		hmsg_query(url, "key", key, sizeof(key));
 		delete_item(find_item(key, false));
