xdr, rows, rank: no undefined behaviour on ordinary datagrams

xdr_flag() read the flag before it was decoded: memory of any content, which a _Bool must not have. rows_encode(), the rankings, the list of live sources and the sync of names passed the null pointer of an empty array to memcpy(), qsort() and bsearch(), which forbid it; a compiler may then assume that the array is not empty. Callers see nothing of it with today's compiler.

An empty array is not passed on, and xdr_flag() reads only what it encodes.

Evidence, with SAN=undefined: test_prs printed "xdr.h:15: load of value 238, which is not a valid value for type '_Bool'" and "rows.c:94: null pointer passed as argument 2", test_rank three of the latter kind (rank.c:68, 119, 126); both print none now (19 and 9 passed).

--- a/lib/base/xdr.h
+++ b/lib/base/xdr.h
@@ -12,7 +12,8 @@
 
 static inline bool_t xdr_flag(XDR *x, bool *v)
 {
-	bool_t b = *v;
+	/* The memory that is decoded into may have any content. */
+	bool_t b = x->x_op == XDR_ENCODE && *v;
 
 	if (!xdr_bool(x, &b))
 		return FALSE;
--- a/lib/edge/edge_gossip.c
+++ b/lib/edge/edge_gossip.c
@@ -93,8 +93,9 @@
 			en->live_sources[en->nr_live_sources++] =
 				edge_source(p->info.name, p->boot);
 	}
-	qsort(en->live_sources, en->nr_live_sources, sizeof(uint64_t),
-	      by_source);
+	if (en->nr_live_sources)
+		qsort(en->live_sources, en->nr_live_sources, sizeof(uint64_t),
+		      by_source);
 }
 
 /*
--- a/lib/entry/ent_rpc.c
+++ b/lib/entry/ent_rpc.c
@@ -339,6 +339,8 @@
 {
 	const peer_name want = { .name = (char *)name };
 
+	if (!a->names.names_len)
+		return NULL;
 	return bsearch(&want, a->names.names_val, a->names.names_len,
 		       sizeof(want), compare_item_names);
 }
--- a/lib/member/rank.c
+++ b/lib/member/rank.c
@@ -65,7 +65,8 @@
 
 void rank_sort(struct rank *r)
 {
-	qsort(r->rows, r->n, sizeof(r->rows[0]), by_weight);
+	if (r->n)
+		qsort(r->rows, r->n, sizeof(r->rows[0]), by_weight);
 }
 
 /*
@@ -116,6 +117,8 @@
 {
 	size_t i;
 
+	if (!r->n)
+		return;
 	qsort(r->rows, r->n, sizeof(r->rows[0]), by_zone);
 	for (i = 0; i < r->n; i++) {
 		const bool same = i &&
--- a/lib/member/rows.c
+++ b/lib/member/rows.c
@@ -91,10 +91,12 @@
 static void copy_rows(const struct rows *r, const struct rows_cursor *c,
 		      struct gsp_record *record)
 {
-	memcpy(record->demands, r->demands + c->demand,
-	       record->nr_demands * sizeof(record->demands[0]));
-	memcpy(record->counts, r->counts + c->count,
-	       record->nr_counts * sizeof(record->counts[0]));
+	if (record->nr_demands)
+		memcpy(record->demands, r->demands + c->demand,
+		       record->nr_demands * sizeof(record->demands[0]));
+	if (record->nr_counts)
+		memcpy(record->counts, r->counts + c->count,
+		       record->nr_counts * sizeof(record->counts[0]));
 }
 
 size_t rows_encode(const struct rows *r, const struct rows_filter *filter,
@@ -111,8 +113,7 @@
 			: 0;
 	record->nr_counts =
 		at_most(counts_to_send(r, filter) - c->count, GSP_MAX_COUNTS);
-	if (record->nr_demands || record->nr_counts)
-		copy_rows(r, c, record);
+	copy_rows(r, c, record);
 	record->part = c->part;
 	for (;;) {
 		left = rows_left(r, filter, c) - record->nr_demands -
--- a/tests/test_prs.c
+++ b/tests/test_prs.c
@@ -140,6 +140,23 @@
 	CU_ASSERT(incoming.statements[0].leaving);
 }
 
+/* Guards against flags that are read before they are decoded (SAN=undefined). */
+static void record_is_decoded_over_any_content(void)
+{
+	char bytes[GSP_MAX_BYTES];
+	size_t n;
+
+	fill(&outgoing, "edge-1", 4);
+	n = gsp_encode(&outgoing, bytes, sizeof(bytes));
+	memset(&incoming, 0xee, sizeof(incoming));
+	CU_ASSERT(gsp_decode(&incoming, bytes, n));
+	CU_ASSERT(incoming.last_part && incoming.wants_members);
+	CU_ASSERT(incoming.members[0].accepting);
+	CU_ASSERT_FALSE(incoming.members[0].store_ok);
+	CU_ASSERT(incoming.statements[0].leaving);
+	CU_ASSERT_FALSE(incoming.relays || incoming.cut_off);
+}
+
 /* Guards against a cut entry that is taken for a relay after an upgrade. */
 static void relays_and_cuts_round_trip(void)
 {
@@ -701,6 +718,8 @@
 	{ "a record round-trips", record_round_trips },
 	{ "role, members and statements round-trip",
 	  role_members_and_statements_round_trip },
+	{ "a record is decoded over any content",
+	  record_is_decoded_over_any_content },
 	{ "relays and cuts round-trip", relays_and_cuts_round_trip },
 	{ "offered loads and speeds round-trip",
 	  offered_loads_and_speeds_round_trip },
--- a/tests/test_rank.c
+++ b/tests/test_rank.c
@@ -213,6 +213,18 @@
 	CU_ASSERT(had > KEYS / WATCHERS / 2 && had < KEYS * 2 / WATCHERS);
 }
 
+/* Guards against a null pointer that is passed to qsort() (SAN=undefined). */
+static void empty_ranking_is_sorted(void)
+{
+	struct rank r = { 0 };
+
+	rank_init(&r, RANK_WATCH);
+	rank_sort(&r);
+	rank_interleave_zones(&r);
+	CU_ASSERT_EQUAL(r.n, 0);
+	rank_free(&r);
+}
+
 /* A small fleet, a large one at low load, and the targeted peak load. */
 static void advertised_entries_follow_the_load(void)
 {
@@ -236,6 +248,7 @@
 	{ "a ranking holds a fleet of any size",
 	  a_ranking_holds_a_fleet_of_any_size },
 	{ "a removal moves only its keys", removal_moves_only_its_keys },
+	{ "an empty ranking is sorted", empty_ranking_is_sorted },
 	{ "advertised entries follow the load",
 	  advertised_entries_follow_the_load },
 };
