prs: reject registrations of entries with names or addresses out of range

What callers see: the look-up gives them an address at which nobody can be, such as port 0, or any text; an entry with a name of 64 characters or more, which is cut, replaces another one's addresses, so that gossip and look-ups go there.

Cause: of a registration only the peers' address was parsed; names and the callers' address were copied as they came, and cut.

Fix: prs_decode() accepts a registration only if its name and zone fit and both addresses are IP:PORT of a single machine. Real entries write these forms.

--- a/lib/edge/edge_store.c
+++ b/lib/edge/edge_store.c
@@ -105,23 +105,18 @@
 static void apply_entry(struct edge *en, const char *key, const char *value,
 			size_t len)
 {
-	JSN_AUTO *o = jsn_parse(value, len);
+	const char *name = key + strlen(EDGE_ENTRY_PREFIX);
 	struct prs_info info;
 	struct prs_peer *p;
 
-	memset(&info, 0, sizeof(info));
-	str_copy(info.name, key + strlen(EDGE_ENTRY_PREFIX), sizeof(info.name));
-	if (!strcmp(info.name, en->conf->name))
+	if (!strcmp(name, en->conf->name))
 		return;
-	str_copy(info.zone, jsn_str(o, "zone", ""), sizeof(info.zone));
-	str_copy(info.client_address, jsn_str(o, "callers", ""),
-		 sizeof(info.client_address));
-	str_copy(info.peer_address, jsn_str(o, "peers", ""),
-		 sizeof(info.peer_address));
-	p = prs_register(&en->prs, &info, edge_now(en));
+	p = prs_decode(name, value, len, &info)
+		    ? prs_register(&en->prs, &info, edge_now(en))
+		    : NULL;
 	if (!p) {
 		edge_log_unreadable(en, key,
-				    "not an entry with a valid address");
+				    "not an entry with valid addresses");
 		return;
 	}
 	/* In a large fleet, the next round of gossip finds out its role. */
--- a/lib/io/ioc.c
+++ b/lib/io/ioc.c
@@ -5,6 +5,7 @@
 #include <errno.h>
 #include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/ioctl.h>
@@ -54,6 +55,23 @@
 	return 0;
 }
 
+int ioc_remote_address(const char *text, struct sockaddr_in *out, struct err *e)
+{
+	char host[INET_ADDRSTRLEN], usual[32];
+	uint32_t ip;
+
+	if (ioc_address(text, out, e))
+		return -1;
+	inet_ntop(AF_INET, &out->sin_addr, host, sizeof(host));
+	snprintf(usual, sizeof(usual), "%s:%u", host, ntohs(out->sin_port));
+	ip = ntohl(out->sin_addr.s_addr);
+	if (strcmp(text, usual) != 0 || !out->sin_port || !(ip >> 24) ||
+	    IN_MULTICAST(ip) || IN_BADCLASS(ip))
+		return err_set(e, ERR_INVALID,
+			       "'%s' is not the address of a machine", text);
+	return 0;
+}
+
 static void release(struct ioc *c)
 {
 	buf_free(&c->out);
--- a/lib/io/ioc.h
+++ b/lib/io/ioc.h
@@ -73,6 +73,13 @@
 /* Parses "IP:PORT" (IPv4). Returns 0, or -1 with ERR_INVALID. */
 int ioc_address(const char *text, struct sockaddr_in *out, struct err *e);
 
+/*
+ * The same for an address to connect to, which another program has written: in
+ * the usual form, with a port, and of a single machine other than 0.0.0.0/8.
+ */
+int ioc_remote_address(const char *text, struct sockaddr_in *out,
+		       struct err *e);
+
 /*
  * Starts to connect. `connected` or `ended` is called later, never from within
  * this call. `t` may be NULL. Returns NULL with ERR_REFUSED if no socket can be
--- a/lib/member/prs.c
+++ b/lib/member/prs.c
@@ -6,6 +6,7 @@
 
 #include "base/buf.h"
 #include "base/hsh.h"
+#include "base/jsn.h"
 #include "io/ioc.h"
 
 void prs_init(struct prs *p)
@@ -85,6 +86,34 @@
 	return peer;
 }
 
+/* Copies a name; false if it does not fit. */
+static bool copy_name(char *out, const char *name)
+{
+	str_copy(out, name, GSP_NAME_SIZE);
+	return strlen(name) < GSP_NAME_SIZE;
+}
+
+static bool copy_address(char *out, const char *text, size_t size)
+{
+	struct sockaddr_in addr;
+
+	str_copy(out, text, size);
+	return strlen(text) < size && !ioc_remote_address(text, &addr, NULL);
+}
+
+bool prs_decode(const char *name, const char *text, size_t len,
+		struct prs_info *out)
+{
+	JSN_AUTO *o = jsn_parse(text, len);
+
+	return *name && copy_name(out->name, name) &&
+	       copy_name(out->zone, jsn_str(o, "zone", "")) &&
+	       copy_address(out->client_address, jsn_str(o, "callers", ""),
+			    sizeof(out->client_address)) &&
+	       copy_address(out->peer_address, jsn_str(o, "peers", ""),
+			    sizeof(out->peer_address));
+}
+
 struct prs_peer *prs_register(struct prs *p, const struct prs_info *info,
 			      int64_t now)
 {
--- a/lib/member/prs.h
+++ b/lib/member/prs.h
@@ -119,6 +119,14 @@
 /* Frees all peers, but not `p` itself. */
 void prs_free(struct prs *p);
 
+/*
+ * Decodes a registration: a JSON object with `zone`, and the addresses `callers`
+ * and `peers`. Returns false, with `out` undefined, if `name`, the zone or an
+ * address is not valid or does not fit.
+ */
+bool prs_decode(const char *name, const char *text, size_t len,
+		struct prs_info *out);
+
 /*
  * Adds or updates a peer that is registered in the store. Returns the peer,
  * owned by `p`; NULL if its peer_address is not valid.
--- a/tests/test_prs.c
+++ b/tests/test_prs.c
@@ -402,6 +402,50 @@
 	return prs_register(p, &info, 0);
 }
 
+#define LONG_NAME \
+	"aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
+
+/*
+ * Guards against an entry that replaces another one because its name is cut, and
+ * against addresses at which nobody can be, which clients would be given.
+ */
+static void odd_registrations_name_no_entry(void)
+{
+	static const char good[] =
+		"{\"zone\":\"z\",\"callers\":\"10.0.0.1:80\","
+		"\"peers\":\"10.0.0.1:81\"}";
+	static const char *const bad[] = {
+		"",
+		"[]",
+		"null",
+		"{}",
+		"{\"zone\":\"z\",\"callers\":\"10.0.0.1:80\"}",
+		"{\"zone\":\"z\",\"peers\":\"10.0.0.1:81\"}",
+		"{\"zone\":\"z\",\"callers\":7,\"peers\":\"10.0.0.1:81\"}",
+		"{\"zone\":\"z\",\"callers\":\"10.0.0.1:0\","
+		"\"peers\":\"10.0.0.1:81\"}",
+		"{\"zone\":\"z\",\"callers\":\"10.0.0.1:80\","
+		"\"peers\":\"10.0.0.1:65536\"}",
+		"{\"zone\":\"z\",\"callers\":\"10.0.0.1:80\","
+		"\"peers\":\"0.0.0.0:81\"}",
+		"{\"zone\":\"" LONG_NAME "\",\"callers\":\"10.0.0.1:80\","
+		"\"peers\":\"10.0.0.1:81\"}",
+	};
+	struct prs_info info;
+	size_t i;
+
+	CU_ASSERT(prs_decode("edge-2", good, strlen(good), &info));
+	CU_ASSERT_STRING_EQUAL(info.name, "edge-2");
+	CU_ASSERT_STRING_EQUAL(info.zone, "z");
+	CU_ASSERT_STRING_EQUAL(info.client_address, "10.0.0.1:80");
+	CU_ASSERT_STRING_EQUAL(info.peer_address, "10.0.0.1:81");
+	CU_ASSERT_FALSE(prs_decode("", good, strlen(good), &info));
+	CU_ASSERT_FALSE(prs_decode(LONG_NAME, good, strlen(good), &info));
+	for (i = 0; i < sizeof(bad) / sizeof(bad[0]); i++)
+		CU_ASSERT_FALSE(
+			prs_decode("edge-2", bad[i], strlen(bad[i]), &info));
+}
+
 static void only_newer_datagrams_of_known_entries_count(void)
 {
 	struct prs p;
@@ -715,6 +759,7 @@
 	  a_group_without_a_part_is_not_complete },
 	{ "datagrams of earlier releases decode",
 	  datagrams_of_earlier_releases_decode },
+	{ "odd registrations name no entry", odd_registrations_name_no_entry },
 	{ "a record round-trips", record_round_trips },
 	{ "role, members and statements round-trip",
 	  role_members_and_statements_round_trip },
