edge_era: write the record of the store's era again if it is odd

What callers see: entries that start refuse all requests with keys, for good, after the record of the era has got a begin far in the future; at the ends of 64 bits the sum overflows. After one that is no JSON, the entry of rank 0 writes every second, in vain.

Cause: the begin was taken as it came, and no configuration is in force before the era has settled, 2.5 s later. An unreadable record returned before its version was noted, so that the write that replaces it had an outdated condition.

Fix: the version is noted of any record. One without a begin, or with one more than a minute ahead of the clock, counts as a record of no era: it is written again, and an entry that starts takes the era to begin now, as without a record.

--- a/lib/edge/edge_era.c
+++ b/lib/edge/edge_era.c
@@ -30,6 +30,9 @@
  */
 #define RECORD_RETRY_MS 1000
 
+/* The clocks of two entries differ by less. */
+#define MAX_AHEAD_MS 60000
+
 /*
  * Random delay before this entry registers again, so that all entries together
  * stay within their share of the store's writes.
@@ -103,16 +106,20 @@
 			  int64_t version)
 {
 	JSN_AUTO *o = jsn_parse(value, len);
+	const int64_t at_ms = jsn_int(o, "at_ms", -1);
 
-	if (!o) {
+	en->era.record_version = version;
+	en->era.recorded_era = 0;
+	/* Without its begin, the era is recorded again. */
+	if (at_ms < 0 ||
+	    at_ms > walltime_now(&en->walltime, edge_now(en)) + MAX_AHEAD_MS) {
 		edge_log_unreadable(en, EDGE_ERA_KEY, "not a record of an era");
 		return;
 	}
-	en->era.record_version = version;
 	en->era.recorded_era = jsn_int(o, "era", 0);
 	/* The entry that wrote it detected the restore earlier. */
 	if (en->era.recorded_era == sto_era(en->store))
-		en->era.began_true_ms = jsn_int(o, "at_ms", 0);
+		en->era.began_true_ms = at_ms;
 }
 
 void edge_era_record_deleted(struct edge *en)
--- a/scripts/odd_entries_test.sh
+++ b/scripts/odd_entries_test.sh
@@ -10,6 +10,7 @@
 cd "$(dirname "$0")/.." || exit 1
 EDGES=${EDGES:-4}
 EDGE_SERVICES_EACH=4
+PLATFORM_ARGS="--era 1"
 . scripts/cluster.sh
 . scripts/edge_cluster.sh
 . scripts/edge_load.sh
@@ -146,7 +147,23 @@
 	follows i-9 i-2 i-4 i-6 i-8
 }
 
+record_names_era() { stored_value md/era | grep -q '"era":1,'; }
+
+# odd_era VALUE: in the place of the record of the store's era.
+odd_era() {
+	printf '%s' "$1" | put md/era
+	expect "the record of the era is written again" wait_for record_names_era
+}
+
+odd_eras() {
+	odd_era 'no JSON'
+	odd_era '{"era":[],"at_ms":1e400}'
+	# Begins after any time that is reached.
+	printf '{"era":1,"at_ms":99999999999999}' | put md/era
+}
+
 entries_start_among_them() {
+	odd_eras
 	end_child "$(pid_of edge-1)"
 	start_edge 1 false
 	EDGES=$((EDGES + 1))
