versions: only a record in the store proves that there was one version

Callers saw streams that were taken up again, answered 200 and ended as complete, with the first part from one version and the rest from another one.

Cause: an entry that did not know which version began a stream took the only version that it listed, if the homes that it asked knew of no other one, did not answer, or did not exist. After all entries were killed each of them had just started, and the ignorance of one confirmed that of the others. An entry that was cut off from store and peers, or stood still, asked nobody. What nobody knows was read as what does not exist.

Change: the versions that may have begun streams are recorded in the store before an endpoint gets new streams (vrs.h), and an entry that does not know a stream reads that record by a call that begins after the request came. One version there is the one; otherwise the stream goes on only if its binding is found. No clock, no age of a list and no answer of another entry is involved: an entry that is out of step fails to read, or reads what it missed. The decision table of test_bnd expected "nobody knows of several" to permit any version; it now expects a refusal there.

--- a/lib/base/met.h
+++ b/lib/base/met.h
@@ -16,7 +16,7 @@
 #include "base/buf.h"
 
 /* Counters and gauges of one program; raise it if more are needed. */
-#define MET_MAX_METRICS 96
+#define MET_MAX_METRICS 128
 
 typedef atomic_llong met_value;
 
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -179,6 +179,14 @@
 	x->binding_datagrams =
 		met_counter(m, "binding_datagrams_total",
 			    "datagrams about the versions of streams");
+	x->version_writes = met_counter(m, "version_writes_total",
+					"writes of the record of versions");
+	x->versions_read = met_counter(
+		m, "versions_read_total",
+		"reads of that record for streams that callers continue");
+	x->endpoints_unrecorded = met_gauge(
+		m, "endpoints_unrecorded",
+		"endpoints without new streams until their version is recorded");
 }
 
 static void register_suspect_metrics(struct met *m, struct edge_metrics *x)
--- a/lib/edge/edge_admit.c
+++ b/lib/edge/edge_admit.c
@@ -181,9 +181,10 @@
 	const struct svc *model;
 
 	cds_list_for_each_entry(e, &r->en->fleet.endpoints, node) {
-		if (e->use != p->endpoint->use || !flt_usable(e, now) ||
-		    strcmp(e->info.service, r->service->name) ||
-		    e->suspect_runs || !has_slot_for(r, e, hash) ||
+		if (!flt_begins(e, r->service->name, p->endpoint->use,
+				r->route->kind == CFG_STREAM) ||
+		    !flt_usable(e, now) || e->suspect_runs ||
+		    !has_slot_for(r, e, hash) ||
 		    flt_fail_rate(e, now) > MAX_FAIL_RATE)
 			continue;
 		if (!best || hsh_rendezvous(hash, e->hash) >
--- a/lib/edge/edge_bind.c
+++ b/lib/edge/edge_bind.c
@@ -17,16 +17,13 @@
 #define QUERY_REPEAT_MS 40
 #define QUERY_TIMEOUT_MS 100
 
-/* Retry-After if homes did not answer, or did not know the stream. */
+/* Time for the store's answers; the store may be slow. */
+#define RECALL_TIMEOUT_MS 1000
+
+/* Retry-After if homes or store did not answer, or did not know the stream. */
 #define UNANSWERED_RETRY_MS 300
 #define UNKNOWN_RETRY_MS 1000
 
-/* Interval at which the versions of all listed endpoints are noted. */
-#define VERSIONS_INTERVAL_MS 1000
-
-/* A list of endpoints that is older may lack a version. */
-#define MAX_LIST_AGE_MS 1000
-
 static uint64_t service_of(const struct edge_req *r)
 {
 	return hsh_str(r->service->name, 0);
@@ -40,6 +37,12 @@
 	return bnd_count_versions(&en->bindings, service, now, &version) > 1;
 }
 
+bool edge_bind_is_mixed(const struct edge_req *r)
+{
+	return r->query.mixed ||
+	       is_mixed(r->en, service_of(r), edge_now(r->en));
+}
+
 bool edge_bind_comes_first(const struct edge_req *r)
 {
 	return r->bound && is_mixed(r->en, service_of(r), edge_now(r->en));
@@ -338,12 +341,14 @@
 
 static void refuse_unknown(struct edge_req *r)
 {
-	const bool all_answered = count_answers(r) == r->query.nr_asked;
+	/* What was read from the store was complete; asking again is no use. */
+	const bool all_read = r->query.store_over && r->query.mixed &&
+			      count_answers(r) == r->query.nr_asked;
 
 	met_inc(r->en->m.bindings_unknown);
 	log_continued(r, "none", -1);
 	edge_req_answer(r, 503, EDGE_WHY_UNBOUND,
-			all_answered ? UNKNOWN_RETRY_MS : UNANSWERED_RETRY_MS);
+			all_read ? UNKNOWN_RETRY_MS : UNANSWERED_RETRY_MS);
 }
 
 /* The service that began the stream, if the route still leads there. */
@@ -380,26 +385,13 @@
 	return true;
 }
 
-/* There is one version, which therefore began the stream. */
 static void bind_to_only_version(struct edge_req *r)
 {
-	uint64_t version;
-
-	if (bnd_count_versions(&r->en->bindings, service_of(r), edge_now(r->en),
-			       &version) == 1)
-		bind_request(r, version, version_name(r->en, version));
+	bind_request(r, r->query.only_version,
+		     version_name(r->en, r->query.only_version));
 	log_continued(r, "only version", -1);
 }
 
-/* True if all versions of the last BND_KEEP_MS were listed here. */
-static bool knows_versions(const struct edge *en, int64_t now)
-{
-	const int64_t age = edge_list_age(en, now);
-
-	return now - en->start_ms > BND_KEEP_MS && age >= 0 &&
-	       age <= MAX_LIST_AGE_MS;
-}
-
 static void send_query(const struct edge_req *r)
 {
 	struct bnd_msg m = { .kind = BND_QUERY, .nr_rows = 1 };
@@ -429,23 +421,38 @@
 		edge_send(r);
 }
 
+/* True if more answers would not change the decision. */
+static bool is_decided(const struct edge_req *r)
+{
+	return (r->query.homes_over && r->query.store_over) ||
+	       (r->query.proved && !edge_bind_is_mixed(r)) ||
+	       bnd_find(&r->en->bindings, r->stream, edge_now(r->en));
+}
+
 static void on_query_timer(struct ev_loop *loop, ev_timer *t, int revents)
 {
 	struct edge_req *r = t->data;
 
 	(void)revents;
 	ev_timer_stop(loop, t);
-	if (r->query.repeated) {
+	if (edge_now(r->en) - r->query.began_ms >= RECALL_TIMEOUT_MS) {
 		end_query(r);
 		return;
 	}
-	r->query.repeated = true;
-	send_query(r);
-	arm(r, QUERY_TIMEOUT_MS - QUERY_REPEAT_MS);
+	if (!r->query.homes_over && !r->query.repeated) {
+		r->query.repeated = true;
+		send_query(r);
+		arm(r, QUERY_TIMEOUT_MS - QUERY_REPEAT_MS);
+		return;
+	}
+	r->query.homes_over = true;
+	if (is_decided(r))
+		end_query(r);
+	else
+		arm(r, RECALL_TIMEOUT_MS);
 }
 
-/* False: there is no entry to ask. */
-static bool begin_query(struct edge_req *r)
+static void select_asked(struct edge_req *r)
 {
 	struct home homes[BND_MAX_ASKED];
 	const unsigned n =
@@ -457,15 +464,29 @@
 			r->query.asked[r->query.nr_asked++] =
 				homes[i].peer->addr;
 	}
-	if (!r->query.nr_asked)
-		return false;
+}
+
+static void begin_query(struct edge_req *r)
+{
 	met_inc(r->en->m.bindings_asked);
 	r->query.active = true;
+	r->query.began_ms = edge_now(r->en);
 	ev_timer_init(&r->query.timer, on_query_timer, 0, 0);
 	r->query.timer.data = r;
-	send_query(r);
+	/* Without the first attempt's id there is no binding to ask for. */
+	if (*r->attempt.resumes)
+		select_asked(r);
+	r->query.homes_over = !r->query.nr_asked;
+	if (!r->query.homes_over)
+		send_query(r);
 	arm(r, QUERY_REPEAT_MS);
-	return true;
+	edge_recall_request(r);
+}
+
+void edge_bind_recalled(struct edge_req *r)
+{
+	if (is_decided(r))
+		end_query(r);
 }
 
 bool edge_bind_ready(struct edge_req *r)
@@ -473,7 +494,8 @@
 	struct edge *en = r->en;
 	const int64_t now = edge_now(en);
 	const struct bnd_row *row;
-	struct bnd_state s = { .sure = knows_versions(en, now) };
+	struct bnd_state s = { .asked = r->query.over,
+			       .proved = r->query.proved };
 
 	if (r->route->kind != CFG_STREAM)
 		return true;
@@ -485,23 +507,21 @@
 		return true;
 	row = bnd_find(&en->bindings, r->stream, now);
 	s.known = row != NULL;
-	s.mixed = r->query.mixed || is_mixed(en, service_of(r), now);
-	/* Without the first attempt's id there is nothing to ask for. */
-	s.asked = r->query.over || !*r->attempt.resumes;
+	s.mixed = edge_bind_is_mixed(r);
 	switch (bnd_next(&s)) {
 	case BND_BOUND:
 		assert(row);
 		return bind_to(r, row);
 	case BND_ASK:
-		if (begin_query(r))
-			return false;
-		r->query.over = true;
-		return edge_bind_ready(r);
+		begin_query(r);
+		return false;
 	case BND_REFUSE:
 		refuse_unknown(r);
 		return false;
-	case BND_ANY:
+	case BND_ONLY:
 		bind_to_only_version(r);
+		return true;
+	case BND_ANY:
 		break;
 	}
 	return true;
@@ -555,13 +575,13 @@
 	return NULL;
 }
 
-/* A request whose query all homes have answered. */
-static struct edge_req *find_answered(struct edge *en)
+/* A request on which nothing more is to be awaited. */
+static struct edge_req *find_decided(struct edge *en)
 {
 	struct edge_req *r;
 
 	cds_list_for_each_entry(r, &en->requests, node) {
-		if (r->query.active && count_answers(r) == r->query.nr_asked)
+		if (r->query.active && is_decided(r))
 			return r;
 	}
 	return NULL;
@@ -580,6 +600,7 @@
 		    r->query.asked[i].sin_port == from->sin_port)
 			r->query.answered[i] = true;
 	}
+	r->query.homes_over |= count_answers(r) == r->query.nr_asked;
 }
 
 static void on_answer(struct edge *en, const struct bnd_msg_row *row,
@@ -598,7 +619,7 @@
 		if (r->query.active && hsh128_equal(r->stream, row->stream))
 			note_unknown(r, row, from);
 	}
-	while ((r = find_answered(en)))
+	while ((r = find_decided(en)))
 		end_query(r);
 }
 
@@ -628,27 +649,11 @@
 
 /* ---- Periodic work ---- */
 
-void edge_bind_endpoint_listed(struct edge *en, const struct flt_endpoint *e)
-{
-	bnd_listed(&en->bindings, origin_of(e), edge_now(en));
-}
-
-static void note_versions(struct edge *en, int64_t now)
-{
-	const struct flt_endpoint *e;
-
-	en->versions_noted_ms = now;
-	cds_list_for_each_entry(e, &en->fleet.endpoints, node)
-		bnd_listed(&en->bindings, origin_of(e), now);
-}
-
 void edge_bind_tick(struct edge *en, int64_t now)
 {
 	const uint64_t members = hash_of_members(en, now);
 	const struct edge_req *r;
 
-	if (now - en->versions_noted_ms >= VERSIONS_INTERVAL_MS)
-		note_versions(en, now);
 	cds_list_for_each_entry(r, &en->requests, node) {
 		if (r->rq.started)
 			bnd_find(&en->bindings, r->stream, now);
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -60,6 +60,7 @@
 #include "stream/bnd.h"
 #include "stream/evs.h"
 #include "stream/hand.h"
+#include "stream/vrs.h"
 #include "stream/whole.h"
 
 /* Services with a retry budget of their own; further ones share the first. */
@@ -87,6 +88,7 @@
 	met_value *answers_oversized, *streams_paused;
 	met_value *bindings, *bindings_asked, *bindings_unknown,
 		*binding_datagrams, *place_waits;
+	met_value *version_writes, *versions_read, *endpoints_unrecorded;
 	met_value *probes, *endpoints_ended, *answers_verified;
 	met_value *limits_stated, *statements_malformed, *sends_to_limited,
 		*endpoints_limited, *answers_withheld;
@@ -192,6 +194,25 @@
 	bool record_read;	/* if present, the record was read */
 };
 
+/* The record of versions in the store (edge_versions.c). */
+struct edge_version_record {
+	int64_t version;       /* of the key; 0: there is none */
+	int64_t next_plan_ms;  /* compared with the list of endpoints then */
+	int64_t differs_ms;    /* from it since; 0: it does not */
+	int64_t next_write_ms; /* no write before */
+	bool in_flight;	       /* a write of `next` */
+	struct vrs next;
+	int64_t stall_ms, era; /* when the times of en->versions began */
+};
+
+/* Reads of the record of versions (edge_recall.c). */
+struct edge_recall {
+	uint64_t read; /* number of the latest one */
+	bool in_flight;
+	bool wanted; /* a request waits for the next one */
+	int64_t began_ms;
+};
+
 /* The entry. */
 struct edge {
 	struct ev_loop *loop;
@@ -250,9 +271,11 @@
 	int64_t rollout_reported_ms;   /* last report of bad answers */
 
 	struct bnd bindings; /* of streams to the versions that began them */
-	uint64_t binding_members;  /* entries of the core, to see changes */
-	int64_t versions_noted_ms; /* of all listed endpoints */
-	unsigned nr_place_waits;   /* requests with place.waiting */
+	uint64_t binding_members; /* entries of the core, to see changes */
+	struct vrs versions;	  /* that may have begun streams */
+	struct edge_version_record record; /* of the above */
+	struct edge_recall recall;
+	unsigned nr_place_waits; /* requests with place.waiting */
 
 	struct fatal fatal;	     /* suspected poison requests */
 	struct cds_list_head parked; /* of edge_req.wait_node */
@@ -376,12 +399,18 @@
 	bool announced_close; /* the head has "Connection: close" */
 	bool usage_counted;   /* in the account's usage */
 	struct hsh128 stream; /* bnd_stream() of a stream */
-	/* Query for the binding of a stream that the caller continues. */
+	/* Query of homes and store for a stream that the caller continues. */
 	struct {
 		bool active;
 		bool repeated;
-		bool over;  /* it ended, or there was no entry to ask */
-		bool mixed; /* a home knows of several versions */
+		bool over; /* it ended */
+		int64_t began_ms;
+		bool homes_over; /* they answered, or did not in time */
+		bool store_over; /* the read ended */
+		uint64_t read;	 /* the one it waits for (edge_recall) */
+		bool mixed;	 /* a home or the record has several versions */
+		bool proved;	 /* the record has only this one: */
+		uint64_t only_version;
 		unsigned nr_asked;
 		struct sockaddr_in asked[BND_MAX_ASKED];
 		bool answered[BND_MAX_ASKED]; /* that it does not know it */
@@ -522,8 +551,8 @@
 
 /*
  * True if the request may be sent: it is a new one, or the version that began
- * its stream is known (r->bound) or the only one. False: a query for it was
- * begun, after which the request is sent, or the request was refused and freed.
+ * its stream is known (r->bound). False: a query for it was begun, after which the
+ * request is sent, or the request was refused and freed.
  */
 bool edge_bind_ready(struct edge_req *r);
 
@@ -533,7 +562,11 @@
 /* The stream's first event is passed on: binds it to the endpoint's version. */
 void edge_bind_started(struct edge_req *r);
 
-void edge_bind_endpoint_listed(struct edge *en, const struct flt_endpoint *e);
+/* True if streams of the request's service may have begun at several versions. */
+bool edge_bind_is_mixed(const struct edge_req *r);
+
+/* The store's record was read, or could not be. */
+void edge_bind_recalled(struct edge_req *r);
 
 /* Handles a datagram of another entry; false: it is none about bindings. */
 bool edge_bind_datagram(struct edge *en, const char *bytes, size_t n,
@@ -548,6 +581,32 @@
  */
 bool edge_bind_comes_first(const struct edge_req *r);
 
+/* ---- edge_recall.c: reads of the record of versions ---- */
+
+/* Begins a read, or joins the next one, whose end calls edge_bind_recalled(). */
+void edge_recall_request(struct edge_req *r);
+
+void edge_recall_tick(struct edge *en, int64_t now);
+
+/* ---- edge_versions.c: the record of versions ---- */
+
+/* The key of the record. */
+#define EDGE_VERSIONS_KEY "md/versions"
+
+/* The record was written, as this version of the key, or was deleted. */
+void edge_versions_record_seen(struct edge *en, const char *value, size_t len,
+			       int64_t version);
+void edge_versions_record_deleted(struct edge *en);
+
+void edge_versions_endpoint_listed(struct edge *en, struct flt_endpoint *e);
+void edge_versions_tick(struct edge *en, int64_t now);
+
+/* The number of endpoints that get no new streams until they are recorded. */
+unsigned edge_versions_count_withheld(const struct edge *en);
+
+/* True if an endpoint of the service is among them. */
+bool edge_versions_withhold(const struct edge *en, const char *service);
+
 /* ---- edge_place.c: places for streams at their version ---- */
 
 /*
--- a/lib/edge/edge_peer_http.c
+++ b/lib/edge/edge_peer_http.c
@@ -242,6 +242,7 @@
 	met_set(en->m.endpoints_brittle, edge_statement_count_brittle(en));
 	met_set(en->m.endpoints_slow, edge_speed_count_slow(en));
 	met_set(en->m.bindings, HASH_COUNT(en->bindings.rows));
+	met_set(en->m.endpoints_unrecorded, edge_versions_count_withheld(en));
 	met_set(en->m.endpoints_limited, edge_statement_count_limited(en));
 	met_set(en->m.cut_off, en->reach.cut_off);
 	met_set(en->m.tunnels, en->nr_tunnels);
--- a/lib/edge/edge_send.c
+++ b/lib/edge/edge_send.c
@@ -25,6 +25,9 @@
 /* Retry-After when no endpoint is known. */
 #define NO_ENDPOINT_RETRY_MS 1000
 
+/* Retry-After while the store has not recorded the only versions left. */
+#define UNRECORDED_RETRY_MS 300
+
 /* ---- Sending ---- */
 
 /*
@@ -271,6 +274,10 @@
 		why = EDGE_WHY_WITHHELD;
 		if (p->waiting == p->withheld || p->open_ms - now < retry_ms)
 			retry_ms = p->open_ms - now;
+	} else if (r->route->kind == CFG_STREAM && !r->bound &&
+		   edge_versions_withhold(r->en, r->service->name)) {
+		why = "version not recorded yet";
+		retry_ms = UNRECORDED_RETRY_MS;
 	} else if (r->rq.refusals) {
 		why = "endpoints are full";
 		retry_ms = EDGE_FULL_RETRY_MS;
--- a/lib/edge/edge_store.c
+++ b/lib/edge/edge_store.c
@@ -97,7 +97,7 @@
 		return;
 	ep = flt_upsert(&en->fleet, &info, edge_now(en), &change);
 	edge_rollout_endpoint_listed(en, ep);
-	edge_bind_endpoint_listed(en, ep);
+	edge_versions_endpoint_listed(en, ep);
 	if (change_names[change] && is_logged(en, change))
 		log_endpoint(en, ep, change_names[change]);
 }
@@ -150,6 +150,8 @@
 		edge_lease_duty_seen(en, value, len, revision);
 	else if (!strcmp(key, EDGE_ERA_KEY))
 		edge_era_record_seen(en, value, len, revision);
+	else if (!strcmp(key, EDGE_VERSIONS_KEY))
+		edge_versions_record_seen(en, value, len, revision);
 	else if (has_prefix(key, EDGE_FATAL_PREFIX))
 		edge_fatal_record_seen(en, key, value, len);
 	else if (has_prefix(key, EDGE_ROLLOUT_PREFIX))
@@ -190,6 +192,8 @@
 		prs_unregister(&en->prs, key + strlen(EDGE_ENTRY_PREFIX), now);
 	} else if (!strcmp(key, EDGE_ERA_KEY)) {
 		edge_era_record_deleted(en);
+	} else if (!strcmp(key, EDGE_VERSIONS_KEY)) {
+		edge_versions_record_deleted(en);
 	} else if (has_prefix(key, EDGE_FATAL_PREFIX)) {
 		/* A record lost in a restore does not end the quarantine. */
 		if (en->watches[EDGE_WATCH_SYSTEM].resyncing)
@@ -306,5 +310,7 @@
 	edge_era_tick(en, now);
 	edge_config_tick(en, now);
 	edge_lease_tick(en, now);
+	edge_versions_tick(en, now);
+	edge_recall_tick(en, now);
 	flt_expire(&en->fleet, now, on_endpoint_removed, en);
 }
--- a/lib/fleet/flt.c
+++ b/lib/fleet/flt.c
@@ -353,6 +353,13 @@
 	return !e->missing_since_ms || now < e->grace_until_ms;
 }
 
+bool flt_begins(const struct flt_endpoint *e, const char *service,
+		enum flt_use use, bool stream)
+{
+	return e->use == use && !(stream && e->no_new_streams) &&
+	       !strcmp(e->info.service, service);
+}
+
 bool flt_continues(const struct flt_endpoint *e, const char *service,
 		   uint64_t version)
 {
--- a/lib/fleet/flt.h
+++ b/lib/fleet/flt.h
@@ -81,6 +81,7 @@
 	unsigned refs;		   /* of requests, and one of the table */
 	bool removed;		   /* no longer in the table */
 	enum flt_use use;
+	bool no_new_streams; /* its version is not recorded as serving (vrs.h) */
 
 	/* From this entry's own requests. */
 	int running;		    /* in flight */
@@ -260,6 +261,14 @@
  */
 bool flt_in_service(const struct flt_endpoint *e, int64_t now_ms);
 
+/*
+ * True if the endpoint may get a new request of the service: one that is sent to
+ * endpoints of this use, and that may have to be continued if it is a `stream`. Does
+ * not consider whether it takes requests now.
+ */
+bool flt_begins(const struct flt_endpoint *e, const char *service,
+		enum flt_use use, bool stream);
+
 /*
  * True if the endpoint may get the rest of a stream of this service that began at
  * `version`, whichever version is rolled out. Does not consider whether it takes
--- a/lib/route/pick.c
+++ b/lib/route/pick.c
@@ -65,7 +65,7 @@
 {
 	if (q->bound)
 		return flt_continues(e, q->service, q->version);
-	return e->use == q->use && !strcmp(e->info.service, q->service);
+	return flt_begins(e, q->service, q->use, q->stream);
 }
 
 static bool is_candidate(const struct pick_query *q,
--- a/lib/stream/bnd.c
+++ b/lib/stream/bnd.c
@@ -161,7 +161,7 @@
 		return BND_ANY;
 	if (s->known)
 		return BND_BOUND;
-	if (!s->mixed && (s->sure || s->asked))
-		return BND_ANY;
+	if (!s->mixed && s->proved)
+		return BND_ONLY;
 	return s->asked ? BND_REFUSE : BND_ASK;
 }
--- a/lib/stream/bnd.h
+++ b/lib/stream/bnd.h
@@ -13,6 +13,9 @@
  * entry that does not know the binding asks them. Nothing is sent while there is
  * one version.
  *
+ * What homes do not know proves nothing: they may have started a moment ago. Only the
+ * record of versions in the store (vrs.h) proves that a service had a single version.
+ *
  * Pure: no I/O, the clock is passed in. Times are monotonic, in ms.
  */
 #ifndef BND_H
@@ -56,7 +59,7 @@
 	struct bnd_origin origin;
 	int64_t bound_ms; /* or reported by another entry */
 	int64_t used_ms;
-	bool own; /* this entry passed on events of it, and reports it */
+	bool own;      /* this entry passed on events of it, and reports it */
 
 	/* Reports to the homes, of own rows. */
 	int64_t reported_ms;	   /* 0: not yet */
@@ -115,19 +118,20 @@
 /* ---- Decision ---- */
 
 enum bnd_step {
-	BND_ANY,    /* any version: it is a new stream, or there is but one */
+	BND_ANY,    /* any version: it is a new stream */
+	BND_ONLY,   /* there was but one version */
 	BND_BOUND,  /* only the version that began it */
-	BND_ASK,    /* ask its homes for that */
-	BND_REFUSE, /* nobody knows it, and a wrong one must not be tried */
+	BND_ASK,    /* ask its homes and the store for that */
+	BND_REFUSE, /* it was not found, and a wrong one must not be tried */
 };
 
 /* What is known of a stream for which a request is to be sent. */
 struct bnd_state {
 	bool continues; /* the client has events of it */
 	bool known;	/* its binding is */
-	bool mixed; /* the service has several versions, here or at a home */
-	bool sure;  /* all versions of the last BND_KEEP_MS were listed here */
-	bool asked; /* the homes answered, or did not in time */
+	bool mixed;  /* the service has several versions, here or at a home */
+	bool proved; /* the record proves that it had one (vrs.h) */
+	bool asked;  /* homes and store answered, or did not in time */
 };
 
 /*
--- a/tests/test_bnd.c
+++ b/tests/test_bnd.c
@@ -26,19 +26,23 @@
 		{ { .continues = true, .known = true }, BND_BOUND },
 		{ { .continues = true, .known = true, .mixed = true },
 		  BND_BOUND },
-		/* There is one version, as far as this entry can tell. */
-		{ { .continues = true, .sure = true }, BND_ANY },
+		/* Nothing tells that there were several versions: no proof. */
 		{ { .continues = true }, BND_ASK },
-		{ { .continues = true, .asked = true }, BND_ANY },
+		{ { .continues = true, .asked = true }, BND_REFUSE },
+		/* The record proves that there was one. */
+		{ { .continues = true, .proved = true }, BND_ONLY },
+		{ { .continues = true, .proved = true, .asked = true },
+		  BND_ONLY },
 		/* Several. */
 		{ { .continues = true, .mixed = true }, BND_ASK },
-		{ { .continues = true, .mixed = true, .sure = true }, BND_ASK },
+		{ { .continues = true, .mixed = true, .proved = true },
+		  BND_ASK },
 		{ { .continues = true, .mixed = true, .asked = true },
 		  BND_REFUSE },
 		{ { .continues = true,
 		    .mixed = true,
 		    .asked = true,
-		    .sure = true },
+		    .proved = true },
 		  BND_REFUSE },
 	};
 	size_t i;
