bind: keep the bindings of streams in the store while a service has two versions

Callers saw all streams that were open when all entries were killed refused for as long as they came back, with "version of the stream not known", although endpoints of their version served.

Cause: bindings of streams to versions were kept in the memory of three entries, the stream's homes, and nothing else survives the loss of all entries.

Change: while the record has several versions of a service, each entry writes the bindings of the streams that it began to the store (bnd_log.h), under a lease that outlives it. A write begins with the stream's first event, and what comes while it is in flight goes with the next one. An entry that does not know a stream reads them after the record; a read that fails is repeated until the request's time is over. Writes and reads are bounded to a share of what the store takes.

Why it works: a binding is in the store one round trip after the first event was passed on, and is read by a call that begins after the caller came back.

--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -179,6 +179,11 @@
 	x->binding_datagrams =
 		met_counter(m, "binding_datagrams_total",
 			    "datagrams about the versions of streams");
+	x->binding_writes = met_counter(m, "binding_writes_total",
+					"writes of bindings to the store");
+	x->bindings_recalled = met_counter(
+		m, "bindings_recalled_total",
+		"bindings of continued streams that were read from the store");
 	x->version_writes = met_counter(m, "version_writes_total",
 					"writes of the record of versions");
 	x->versions_read = met_counter(
@@ -527,6 +532,7 @@
 					       (size_t)c->policy.max_mesh });
 	en->nr_running = 1;
 	edge_fatal_open(en);
+	edge_bind_log_open(en);
 	edge_rollout_open(en);
 	en->accounts.first_start = c->first_start;
 	/* At the first start of the system no former holder can be active. */
--- a/lib/edge/edge_bind.c
+++ b/lib/edge/edge_bind.c
@@ -243,6 +243,7 @@
 	{
 		if (!row->own || !is_mixed(en, row->origin.service, now))
 			continue;
+		edge_bind_log_add(en, row, now);
 		all = row->repeat || !row->reported_ms ||
 		      is_due_again(row, now);
 		if (!all && !members_changed)
@@ -282,6 +283,7 @@
 	row = bnd_put(&en->bindings, r->stream, origin, true, now);
 	if (row->reported_ms || !is_mixed(en, origin.service, now))
 		return;
+	edge_bind_log_add(en, row, now);
 	/* At once: the caller may be back before the next round of gossip. */
 	report(en, &b, row, true, now);
 	row->repeat = true;
@@ -379,6 +381,7 @@
 		     version_name(r->en, row->origin.version));
 	log_continued(r,
 		      row->own		  ? "own"
+		      : row->recalled	  ? "store"
 		      : r->query.nr_asked ? "asked"
 					  : "home",
 		      edge_now(r->en) - row->bound_ms);
--- a/lib/edge/edge_era.c
+++ b/lib/edge/edge_era.c
@@ -69,6 +69,7 @@
 	lead_on_store_restored(&en->lead, (int64_t)en->conf->bounds.lease_ms,
 			       now);
 	edge_lease_invalidate(en, now + random_delay_ms(en, now));
+	edge_bind_log_restored(en);
 }
 
 void edge_era_open(struct edge *en)
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -58,6 +58,7 @@
 #include "store/snap.h"
 #include "store/sto.h"
 #include "stream/bnd.h"
+#include "stream/bnd_log.h"
 #include "stream/evs.h"
 #include "stream/hand.h"
 #include "stream/vrs.h"
@@ -88,7 +89,8 @@
 	met_value *answers_oversized, *streams_paused;
 	met_value *bindings, *bindings_asked, *bindings_unknown,
 		*binding_datagrams, *place_waits;
-	met_value *version_writes, *versions_read, *endpoints_unrecorded;
+	met_value *binding_writes, *bindings_recalled, *version_writes,
+		*versions_read, *endpoints_unrecorded;
 	met_value *probes, *endpoints_ended, *answers_verified;
 	met_value *limits_stated, *statements_malformed, *sends_to_limited,
 		*endpoints_limited, *answers_withheld;
@@ -205,12 +207,26 @@
 	int64_t stall_ms, era; /* when the times of en->versions began */
 };
 
-/* Reads of the record of versions (edge_recall.c). */
+/* The bindings that this entry keeps in the store (edge_bind_log.c). */
+struct edge_binding_log {
+	struct bnd_log log;
+	int64_t lease;	  /* of the keys; 0: none */
+	int64_t renew_ms; /* the lease is renewed then */
+	double next_ms;	  /* no call before */
+	bool in_flight;	  /* a call; of a segment, the following */
+	unsigned number, nr_rows;
+	bool deleting;
+	int64_t written_under; /* the lease */
+};
+
+/* Reads of versions and bindings from the store (edge_recall.c). */
 struct edge_recall {
 	uint64_t read; /* number of the latest one */
 	bool in_flight;
 	bool wanted; /* a request waits for the next one */
 	int64_t began_ms;
+	unsigned pages;	 /* of bindings, that were read */
+	char after[256]; /* last key of the page before */
 };
 
 /* The entry. */
@@ -272,7 +288,8 @@
 
 	struct bnd bindings; /* of streams to the versions that began them */
 	uint64_t binding_members; /* entries of the core, to see changes */
-	struct vrs versions;	  /* that may have begun streams */
+	struct edge_binding_log binding_log;
+	struct vrs versions;		   /* that may have begun streams */
 	struct edge_version_record record; /* of the above */
 	struct edge_recall recall;
 	unsigned nr_place_waits; /* requests with place.waiting */
@@ -565,7 +582,7 @@
 /* True if streams of the request's service may have begun at several versions. */
 bool edge_bind_is_mixed(const struct edge_req *r);
 
-/* The store's record was read, or could not be. */
+/* The store's record, and bindings if it has several versions, were read. */
 void edge_bind_recalled(struct edge_req *r);
 
 /* Handles a datagram of another entry; false: it is none about bindings. */
@@ -581,7 +598,21 @@
  */
 bool edge_bind_comes_first(const struct edge_req *r);
 
-/* ---- edge_recall.c: reads of the record of versions ---- */
+/* ---- edge_bind_log.c: bindings in the store ---- */
+
+/* Key prefix of the segments of all entries; not in the mirrored keys. */
+#define EDGE_BINDING_PREFIX "mb/"
+
+/* Adds a binding of this entry's own streams, unless that was done before. */
+void edge_bind_log_add(struct edge *en, struct bnd_row *row, int64_t now);
+
+void edge_bind_log_open(struct edge *en);
+void edge_bind_log_tick(struct edge *en, int64_t now);
+
+/* The store was restored from an older copy: writes the bindings again. */
+void edge_bind_log_restored(struct edge *en);
+
+/* ---- edge_recall.c: reads of versions and bindings from the store ---- */
 
 /* Begins a read, or joins the next one, whose end calls edge_bind_recalled(). */
 void edge_recall_request(struct edge_req *r);
--- a/lib/edge/edge_recall.c
+++ b/lib/edge/edge_recall.c
@@ -1,8 +1,11 @@
 /*
  * Reads from the store what proves the version of a stream that no entry knows: the
- * record of versions (vrs.h). Requests that wait at the same time share a read; it
- * must begin after they arrived.
+ * record of versions (vrs.h) and, if it has several of the stream's service, the
+ * bindings that entries keep there (bnd_log.h). Requests that wait at the same time
+ * share a read; it must begin after they arrived.
  */
+#include <stdio.h>
+#include <string.h>
 
 #include "edge/edge_internal.h"
 
@@ -12,6 +15,9 @@
 /* Share of the store's reads per second that all entries together may use. */
 #define READ_SHARE 0.1
 
+/* Pages of bindings that are read at most. */
+#define MAX_PAGES 32
+
 /* ---- Waiting requests ---- */
 
 static bool waits_for(const struct edge_req *r, uint64_t read)
@@ -43,20 +49,6 @@
 	edge_recall_tick(en, edge_now(en));
 }
 
-/* ---- Versions ---- */
-
-static void prove_versions(struct edge_req *r, const struct vrs *read)
-{
-	const struct vrs_row *row;
-	const unsigned n = vrs_count(read, hsh_str(r->service->name, 0), &row);
-
-	r->query.mixed |= n > 1;
-	if (n != 1)
-		return;
-	r->query.proved = true;
-	r->query.only_version = row->origin.version;
-}
-
 /* The requests wait for another read, until their time is over. */
 static void try_again(struct edge *en)
 {
@@ -75,6 +67,84 @@
 	en->recall.in_flight = false;
 }
 
+/* ---- Bindings ---- */
+
+static void read_page(struct edge *en);
+
+static bool is_asked_for(const struct edge *en, struct hsh128 stream)
+{
+	const struct edge_req *r;
+
+	cds_list_for_each_entry(r, &en->requests, node) {
+		if (waits_for(r, en->recall.read) &&
+		    hsh128_equal(r->stream, stream))
+			return true;
+	}
+	return false;
+}
+
+/* Takes only what is asked for: all of it could push out other bindings. */
+static void take_segment(struct edge *en, const struct sto_item *it,
+			 int64_t now)
+{
+	struct bnd_log_row row;
+	unsigned i;
+
+	for (i = 0; bnd_log_decode(it->value, it->len, i, &row); i++) {
+		if (!is_asked_for(en, row.stream))
+			continue;
+		bnd_put(&en->bindings, row.stream, row.origin, false, now)
+			->recalled = true;
+		met_inc(en->m.bindings_recalled);
+	}
+}
+
+static void on_page(void *arg, struct sto_answer *a)
+{
+	struct edge *en = arg;
+	const int64_t now = edge_now(en);
+	size_t i;
+
+	for (i = 0; a->outcome == STO_OK && i < a->nr_items; i++) {
+		if (a->items[i].value)
+			take_segment(en, &a->items[i], now);
+	}
+	if (a->outcome != STO_OK) {
+		try_again(en);
+		return;
+	}
+	if (!a->more || !a->nr_items || ++en->recall.pages == MAX_PAGES) {
+		end(en);
+		return;
+	}
+	str_copy(en->recall.after, a->items[a->nr_items - 1].key,
+		 sizeof(en->recall.after));
+	read_page(en);
+}
+
+static void read_page(struct edge *en)
+{
+	const struct sto_call c = { .kind = STO_LIST,
+				    .key = EDGE_BINDING_PREFIX,
+				    .after = en->recall.after };
+
+	sto_call(en->store, &c, on_page, en);
+}
+
+/* ---- Versions ---- */
+
+static void prove_versions(struct edge_req *r, const struct vrs *read)
+{
+	const struct vrs_row *row;
+	const unsigned n = vrs_count(read, hsh_str(r->service->name, 0), &row);
+
+	r->query.mixed |= n > 1;
+	if (n != 1)
+		return;
+	r->query.proved = true;
+	r->query.only_version = row->origin.version;
+}
+
 /* Returns false if the answer proves nothing. */
 static bool read_record(const struct edge *en, const struct sto_answer *a,
 			struct vrs *out)
@@ -90,6 +160,7 @@
 {
 	struct edge *en = arg;
 	const int64_t now = edge_now(en);
+	bool mixed = false;
 	struct vrs read;
 	struct edge_req *r;
 	unsigned i;
@@ -101,10 +172,18 @@
 	for (i = 0; i < read.nr_rows; i++)
 		bnd_listed(&en->bindings, read.rows[i].origin, now);
 	cds_list_for_each_entry(r, &en->requests, node) {
-		if (waits_for(r, en->recall.read))
-			prove_versions(r, &read);
+		if (!waits_for(r, en->recall.read))
+			continue;
+		prove_versions(r, &read);
+		mixed |= edge_bind_is_mixed(r);
+	}
+	if (!mixed) {
+		end(en);
+		return;
 	}
-	end(en);
+	en->recall.pages = 0;
+	en->recall.after[0] = '\0';
+	read_page(en);
 }
 
 /* ---- Begin ---- */
--- a/lib/edge/edge_store.c
+++ b/lib/edge/edge_store.c
@@ -311,6 +311,7 @@
 	edge_config_tick(en, now);
 	edge_lease_tick(en, now);
 	edge_versions_tick(en, now);
+	edge_bind_log_tick(en, now);
 	edge_recall_tick(en, now);
 	flt_expire(&en->fleet, now, on_endpoint_removed, en);
 }
--- a/lib/stream/bnd.h
+++ b/lib/stream/bnd.h
@@ -13,8 +13,9 @@
  * entry that does not know the binding asks them. Nothing is sent while there is
  * one version.
  *
- * What homes do not know proves nothing: they may have started a moment ago. Only the
- * record of versions in the store (vrs.h) proves that a service had a single version.
+ * The homes may be gone with the entry, and what they do not know proves nothing.
+ * Bindings are therefore kept in the store as well (bnd_log.h), and only the record
+ * of versions there (vrs.h) proves that a service had a single version.
  *
  * Pure: no I/O, the clock is passed in. Times are monotonic, in ms.
  */
@@ -60,6 +61,8 @@
 	int64_t bound_ms; /* or reported by another entry */
 	int64_t used_ms;
 	bool own;      /* this entry passed on events of it, and reports it */
+	bool logged;   /* own, and added to the bindings in the store */
+	bool recalled; /* read from the store */
 
 	/* Reports to the homes, of own rows. */
 	int64_t reported_ms;	   /* 0: not yet */
