rejoin_soak: streams continued while versions change and all entries are killed

The soak plays it with real processes: kills of all entries (again, and during their start), single kills, SIGTERM, SIGSTOP, cuts, roll-outs forward and back within seconds, the store away or set back. Callers (standin-rejoiners) keep connections to the entries, leave streams, continue them anywhere, and check every event of every try.

What held_callers has of connections and answers moved to tests/support/kept.c, with one change: of an answer that was cut, the part of the last chunk that came counts as read. An entry's standard error of earlier starts is kept, so that a check of it sees all starts.

--- a/Makefile
+++ b/Makefile
@@ -132,6 +132,8 @@
 	$(BUILD)/tests/support/statements.o $(BUILD)/tests/support/poison.o \
 	$(BUILD)/tests/support/run_log.o
 $(BUILD)/bin/standin-caller: $(BUILD)/programs/load_request.o
+$(BUILD)/bin/standin-held_callers $(BUILD)/bin/standin-rejoiners: \
+	$(BUILD)/tests/support/kept.o
 
 $(TESTS) $(FUZZERS): MODULES = $(TEST_MODULES)
 $(BUILD)/tests/test_%: $(BUILD)/tests/test_%.o $(TEST_LIB_OBJ) $(LIB)
@@ -183,6 +185,11 @@
 shutdown-soak: all
 	BIN=$(BUILD)/bin scripts/shutdown_soak.sh $(SHUTDOWN_SECONDS) $(SOAK_SEEDS)
 
+REJOIN_SECONDS = 8
+.PHONY: rejoin-soak
+rejoin-soak: all
+	BIN=$(BUILD)/bin scripts/rejoin_soak.sh $(REJOIN_SECONDS) $(SOAK_SEEDS)
+
 bench: all $(BENCHES)
 	scripts/bench.sh $(BUILD)
 
--- a/scripts/edge_cluster.sh
+++ b/scripts/edge_cluster.sh
@@ -30,12 +30,14 @@
 	END
 }
 
-# start_edge N [FIRST_START]
-start_edge() {
+# launch_edge N [FIRST_START]: does not wait until it has started.
+launch_edge() {
 	edge_settings "$1" "$2" >"$DIR/edge-$1.json"
 	# The lines of the process before are kept.
 	[ -s "$DIR/edge-$1.out" ] &&
 		mv "$DIR/edge-$1.out" "$DIR/edge-$1-before-$(date +%s%N).out"
+	[ -s "$DIR/edge-$1.log" ] &&
+		mv "$DIR/edge-$1.log" "$DIR/edge-$1-before-$(date +%s%N).log"
 	: >"$DIR/edge-$1.out"
 	if [ -n "${CUTTABLE:-}" ]; then
 		[ -e "$DIR/cut-$1" ] || echo pass >"$DIR/cut-$1"
@@ -44,7 +46,14 @@
 	else
 		start "edge-$1" "$BIN/marldock-edge" -s "$DIR/edge-$1.json"
 	fi
-	wait_for grep -q '"event":"start"' "$DIR/edge-$1.out"
+}
+
+has_started() { grep -q '"event":"start"' "$DIR/edge-$1.out"; }
+
+# start_edge N [FIRST_START]
+start_edge() {
+	launch_edge "$@"
+	wait_for has_started "$1"
 }
 
 start_edges() {
--- a/tests/standin/held_callers.c
+++ b/tests/standin/held_callers.c
@@ -16,25 +16,20 @@
  * read slowly), --seed N, --deadline MS, --paths a,b,... (as /s/x), --pause MS
  * (at most, between requests).
  */
-#include <arpa/inet.h>
-#include <errno.h>
-#include <poll.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <strings.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 #include "base/rnd.h"
 #include "common.h"
+#include "support/kept.h"
 
 #define MAX_CALLERS 1000
-#define MAX_ENTRIES 200
 #define MAX_PATHS 8
 #define EVENTS 20
-#define CONNECT_MS 1000
+#define READ 16384 /* bytes at a time */
 /* A caller that leaves at its deadline gives the entry's 504 this long. */
 #define LEAVE_AFTER_MS 500
 /* A slow caller's socket buffer, each of its reads, and its longest pause. */
@@ -55,14 +50,6 @@
 	int nr_requests;
 };
 
-/* An answer as far as it came. */
-struct answer {
-	struct buf raw, body;
-	int status;
-	bool complete, closes;
-	int64_t retry_after_ms;
-};
-
 static struct {
 	const char *entries, *stop;
 	long seed, deadline_ms, pause_ms;
@@ -87,64 +74,19 @@
 	k->fd = -1;
 }
 
-/* Picks an entry at random. False: there is none. */
-static bool pick_entry(struct caller *k, struct sockaddr_in *addr)
-{
-	struct {
-		int number;
-		char ip[32];
-		int port;
-	} list[MAX_ENTRIES];
-	uint32_t n = 0;
-	FILE *f = fopen(opt.entries, "r");
-
-	while (f && n < MAX_ENTRIES &&
-	       fscanf(f, "%d %31[0-9.]:%d", &list[n].number, list[n].ip,
-		      &list[n].port) == 3)
-		n++;
-	if (f)
-		fclose(f);
-	if (!n)
-		return false;
-	n = rnd_below(&k->rnd, n);
-	k->entry = list[n].number;
-	memset(addr, 0, sizeof(*addr));
-	addr->sin_family = AF_INET;
-	addr->sin_port = htons((uint16_t)list[n].port);
-	return inet_pton(AF_INET, list[n].ip, &addr->sin_addr) == 1;
-}
-
-static bool wait_fd(int fd, short events, int64_t until_ms)
-{
-	struct pollfd p = { .fd = fd, .events = events };
-	const int64_t left = until_ms - standin_now();
-
-	return left > 0 && poll(&p, 1, (int)left) == 1;
-}
-
+/* Connects to an entry picked at random. */
 static bool connect_to_entry(struct caller *k)
 {
-	const int small = SLOW_RCVBUF;
-	struct sockaddr_in addr;
-	int error = 0;
-	socklen_t len = sizeof(error);
+	struct kept_entry list[KEPT_MAX_ENTRIES], *e;
+	const uint32_t n = kept_list(opt.entries, list);
 
-	if (!pick_entry(k, &addr))
-		return false;
-	k->fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-	if (k->fd < 0)
+	if (!n)
 		return false;
-	if (k->slow)
-		setsockopt(k->fd, SOL_SOCKET, SO_RCVBUF, &small, sizeof(small));
+	e = &list[rnd_below(&k->rnd, n)];
+	k->entry = e->number;
 	k->nr_sent = 0;
-	if (connect(k->fd, (struct sockaddr *)&addr, sizeof(addr)) &&
-	    (errno != EINPROGRESS ||
-	     !wait_fd(k->fd, POLLOUT, standin_now() + CONNECT_MS) ||
-	     getsockopt(k->fd, SOL_SOCKET, SO_ERROR, &error, &len) || error)) {
-		disconnect(k);
-		return false;
-	}
-	return true;
+	k->fd = kept_connect(e, k->slow ? SLOW_RCVBUF : 0);
+	return k->fd >= 0;
 }
 
 /* ---- Answers ---- */
@@ -154,69 +96,8 @@
 	return path[1] == 's' || path[1] == 'o';
 }
 
-/* The header's value in the head; NULL: not there. */
-static const char *header(const char *head, const char *end, const char *name)
-{
-	const size_t len = strlen(name);
-	const char *line = head;
-
-	while ((line = memchr(line, '\n', (size_t)(end - line))) &&
-	       ++line < end) {
-		if (!strncasecmp(line, name, len) && line[len] == ':')
-			return line + len + 1 + strspn(line + len + 1, " ");
-	}
-	return NULL;
-}
-
-/* Collects the body from chunks. True once the last one is there. */
-static bool read_chunks(struct answer *a, const char *at, const char *end)
-{
-	buf_reset(&a->body);
-	for (;;) {
-		const char *eol = memchr(at, '\n', (size_t)(end - at));
-		unsigned long size;
-
-		if (!eol)
-			return false;
-		size = strtoul(at, NULL, 16);
-		at = eol + 1;
-		if ((unsigned long)(end - at) < size + 2)
-			return false;
-		if (!size)
-			return true;
-		buf_add(&a->body, at, size);
-		at += size + 2;
-	}
-}
-
-/* Reads again all that came; `ended`: nothing more comes. */
-static void parse_answer(struct answer *a, bool ended)
-{
-	const char *raw = buf_cstr(&a->raw);
-	const char *end = raw + a->raw.len, *head_end = strstr(raw, "\r\n\r\n");
-	const char *value;
-
-	if (!head_end || sscanf(raw, "HTTP/1.%*c %d", &a->status) != 1)
-		return;
-	head_end += 4;
-	value = header(raw, head_end, "Connection");
-	a->closes = value && !strncasecmp(value, "close", 5);
-	value = header(raw, head_end, "Retry-After");
-	a->retry_after_ms = value ? (int64_t)(strtod(value, NULL) * 1000) : 0;
-	value = header(raw, head_end, "Transfer-Encoding");
-	if (value && !strncasecmp(value, "chunked", 7)) {
-		a->complete = read_chunks(a, head_end, end);
-		return;
-	}
-	buf_reset(&a->body);
-	buf_add(&a->body, head_end, (size_t)(end - head_end));
-	value = header(raw, head_end, "Content-Length");
-	a->complete = value ? a->body.len >= strtoul(value, NULL, 10) : ended;
-	a->closes |= !value;
-}
-
 /* The events that came whole and in order. */
-static int count_events(const struct answer *a)
+static int count_events(const struct kept_answer *a)
 {
 	const char *at = buf_cstr(&a->body);
 	int n = 0, id, piece;
@@ -229,7 +110,7 @@
 	return n;
 }
 
-static bool body_is_right(const struct answer *a, const char *path,
+static bool body_is_right(const struct kept_answer *a, const char *path,
 			  const char *id)
 {
 	char text[120];
@@ -240,42 +121,15 @@
 	return strstr(buf_cstr(&a->body), text);
 }
 
-/* False: the connection ended, or it is `until_ms`. */
-static bool read_more(struct caller *k, struct answer *a, int64_t until_ms)
+static bool read_more(struct caller *k, struct kept_answer *a, int64_t until_ms)
 {
-	char data[16384];
-	ssize_t n;
-
 	if (k->slow && a->raw.len && !rnd_below(&k->rnd, 8))
 		clk_sleep_ms(rnd_below(&k->rnd, SLOW_PAUSE_MS));
-	if (!wait_fd(k->fd, POLLIN, until_ms))
-		return false;
-	n = read(k->fd, data, k->slow ? SLOW_READ : sizeof(data));
-	if (n <= 0)
-		return n < 0 && errno == EAGAIN;
-	buf_add(&a->raw, data, (size_t)n);
-	parse_answer(a, false);
-	return true;
+	return kept_read(k->fd, a, k->slow ? SLOW_READ : READ, until_ms);
 }
 
 /* ---- Requests ---- */
 
-static bool send_all(struct caller *k, const struct buf *out, int64_t until_ms)
-{
-	size_t sent = 0;
-
-	while (sent < out->len) {
-		const ssize_t n = send(k->fd, out->data + sent, out->len - sent,
-				       MSG_NOSIGNAL);
-
-		if (n > 0)
-			sent += (size_t)n;
-		else if (errno != EAGAIN || !wait_fd(k->fd, POLLOUT, until_ms))
-			return false;
-	}
-	return true;
-}
-
 static void put_request(struct caller *k, struct buf *out, const char *path,
 			const char *id)
 {
@@ -298,11 +152,11 @@
 	       result, events, k->nr_sent > 1 ? "kept" : "fresh");
 }
 
-static const char *result_of(struct answer *a, const char *path, const char *id,
-			     bool timed_out, char status[16])
+static const char *result_of(struct kept_answer *a, const char *path,
+			     const char *id, bool timed_out, char status[16])
 {
 	if (!a->complete && !timed_out)
-		parse_answer(a, true);
+		kept_parse(a, true);
 	if (a->complete && a->status == 200)
 		return body_is_right(a, path, id) ? "whole" : "torn";
 	if (a->complete) {
@@ -318,7 +172,7 @@
 {
 	const char *path = opt.paths[rnd_below(&k->rnd, opt.nr_paths)];
 	const int64_t until = standin_now() + opt.deadline_ms + LEAVE_AFTER_MS;
-	struct answer a = { .status = 0 };
+	struct kept_answer a = { .status = 0 };
 	int64_t times[3] = { wall_ms(), 0, 0 };
 	BUF_AUTO out = BUF_INIT;
 	char id[80], status[16];
@@ -329,7 +183,7 @@
 		 k->number, ++k->nr_requests);
 	k->nr_sent++;
 	put_request(k, &out, path, id);
-	if (send_all(k, &out, until)) {
+	if (kept_send(k->fd, &out, until)) {
 		times[1] = wall_ms();
 		while (!a.complete && read_more(k, &a, until))
 			;
@@ -345,16 +199,7 @@
 		clk_sleep_ms(a.retry_after_ms < opt.deadline_ms / 3
 				     ? a.retry_after_ms
 				     : opt.deadline_ms / 3);
-	buf_free(&a.raw);
-	buf_free(&a.body);
-}
-
-/* True if the entry has closed the connection while it was idle. */
-static bool is_closed(const struct caller *k)
-{
-	char byte;
-
-	return recv(k->fd, &byte, 1, MSG_PEEK) == 0;
+	kept_free(&a);
 }
 
 static void *run_caller(void *arg)
@@ -362,7 +207,7 @@
 	struct caller *k = arg;
 
 	while (!stopped()) {
-		if (k->fd >= 0 && is_closed(k))
+		if (k->fd >= 0 && kept_is_closed(k->fd))
 			disconnect(k);
 		if (k->fd < 0 && !connect_to_entry(k)) {
 			clk_sleep_ms(50);
