out_of_step_test: one entry out of step while a version joins

Callers saw streams of the new version that broke, were continued at an entry that was out of step for seconds, and went on at a replica of the former version.

Cause of the failures of "alone" that were read in the log: the entry lists one version, nobody is asked or nobody answers, and it takes that for proof that there is one version ("continued" with the source "only version", a list 1.8 to 2.1 s old, no peer asked).

--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -121,6 +121,7 @@
 slow_reader_test scripts/slow_reader_test.sh
 brittle_test scripts/brittle_test.sh 4
 order_test scripts/order_test.sh 3
+out_of_step_test scripts/out_of_step_test.sh
 whole_test scripts/whole_test.sh
 whole_test_copies CASES="no_room silent_first busy unknown_stop" scripts/whole_test.sh
 whole_test_framed FRAMED=1 EDGE_SERVICES_EACH=11 CASES="refused silent unknown early no_room silent_first busy unknown_stop" scripts/whole_test.sh
--- a/scripts/edge_cluster.sh
+++ b/scripts/edge_cluster.sh
@@ -88,11 +88,12 @@
 	return 1
 }
 
-# put_document VERSION KEYS [MORE_ROUTES]
+# put_document VERSION KEYS [MORE_ROUTES [MORE_SERVICES]]
 put_document() {
 	# As a script file: many routes are too long for an argument.
 	printf 's|%%VERSION%%|%s|; s|%%KEYS%%|%s|; s|%%ROUTES%%|%s|\n' \
 		"$1" "$2" "$3" >"$DIR/document.sed"
+	printf 's|"services":\[|&%s|\n' "$4" >>"$DIR/document.sed"
 	sed -f "$DIR/document.sed" tests/standin/document.json \
 		>"$DIR/document.json"
 	curl -s -o /dev/null --data-binary @"$DIR/document.json" \
@@ -185,7 +186,7 @@
 # stream ID TRIES LEAVE_S PICK: reads a stream; PICK prints the entry for each try.
 # Leaves a try after LEAVE_S, as a client does that goes elsewhere; the last one is
 # read to its end. A stream that breaks off is continued where it ended. Notes its
-# events in $DIR/events-ID, and for each try in $DIR/tries-ID:
+# events in $DIR/events-ID, and for each try in $DIR/tries-ID (of STREAM_PATH):
 # KIND ENTRY STATUS:EXIT_CODE EVENTS TRY_ID; KIND: new, again (without an event
 # before) or continued.
 stream() {
@@ -204,7 +205,7 @@
 			-w '%{http_code}' -H 'Host: t.example' \
 			-H "Attempt-Id: e$n-$id-$try" -H 'Deadline-Ms: 8000' \
 			-H 'Authorization: Bearer k1' "${args[@]}" -d "$id" \
-			"http://$(<"$DIR/front-$n")/s/x")
+			"http://$(<"$DIR/front-$n")${STREAM_PATH:-/s/x}")
 		status=$status:$?
 		whole_events "$DIR/part-$id" >"$DIR/got-$id"
 		rm -f "$DIR/part-$id"
