edge_rollout: write a roll-out's record again if it is odd

What operators see: a roll-out does not begin, or stays where it is, once something else is in the place of its record; the holder of the duties writes every time in vain.

Cause: an unreadable record returned before its version was noted, so that the write that replaces it had an outdated condition. A service's name that is too long was cut, not found again, and stored anew at each change of its key.

Fix: the version of any record is noted. What is in effect is written in the place of an unreadable one. A key that names no possible service is logged, no more.

Evidence: odd_entries_test, with a record that is no JSON before the order and one without a stage after it: before, "a roll-out begins" and "its record is written again" failed (22 passed, 2 failed); now 24 passed, 0 failed. rollout_test: 22 passed, 0 failed.

--- a/lib/edge/edge_rollout.c
+++ b/lib/edge/edge_rollout.c
@@ -231,18 +231,28 @@
 void edge_rollout_record_seen(struct edge *en, const char *key,
 			      const char *value, size_t len, int64_t version)
 {
-	struct edge_rollout *ro =
-		edge_rollout_of(en, key + strlen(EDGE_ROLLOUT_PREFIX));
+	const char *service = key + strlen(EDGE_ROLLOUT_PREFIX);
+	struct edge_rollout *ro;
 	struct rol_record r;
+	bool readable;
 
-	if (!rol_decode(value, len, &r) || strcmp(r.service, ro->service)) {
-		edge_log_unreadable(en, key, "not a roll-out record");
+	if (strlen(service) >= FLT_NAME) {
+		edge_log_unreadable(en, key, "not a service");
 		return;
 	}
+	ro = edge_rollout_of(en, service);
+	readable = rol_decode(value, len, &r) && !strcmp(r.service, service);
+	if (!readable)
+		edge_log_unreadable(en, key, "not a roll-out record");
 	/* Ignores versions older than this entry's last write. */
 	if (ro->recorded && version <= ro->record_version)
 		return;
 	ro->record_version = version;
+	/* The duty holder writes the record that is in effect in its place. */
+	if (!readable) {
+		ro->unwritten = ro->recorded;
+		return;
+	}
 	/* A roll-back received by gossip may be missing from the store. */
 	ro->unwritten = is_outdated(ro, &r);
 	if (!ro->unwritten)
--- a/scripts/odd_entries_test.sh
+++ b/scripts/odd_entries_test.sh
@@ -173,6 +173,21 @@
 	expect "callers are served by them too" is "$(others_than 200)" 0
 }
 
+record_names_target() {
+	stored_value md/rollout/app | grep -q '"target":"v2"'
+}
+
+# An odd record is there when a roll-out begins, and in its place afterwards.
+rollout_among_them() {
+	printf 'no JSON' | put md/rollout/app
+	platform_test 'start?service=app&version=v2&n=2' >/dev/null
+	curl -s -o /dev/null -d '{"service":"app","target":"v2","withinS":20}' \
+		"http://$PLATFORM/test/put?key=op/rollout/app"
+	expect "a roll-out begins" wait_for record_names_target
+	printf '{"service":"app","target":"v3"}' | put md/rollout/app
+	expect "its record is written again" wait_for record_names_target
+}
+
 start_edges || exit 1
 put_document 2 '"k1"'
 expect "all entries serve" wait_for everywhere serves
@@ -180,6 +195,7 @@
 expect "callers are served" is "$(others_than 200)" 0
 expect "no entry has ended" everywhere runs
 entries_start_among_them
+rollout_among_them
 expect "no entry has ended" everywhere runs
 expect "the store counted as reachable" \
 	[ -z "$(grep -l '"event":"store_away"' "$DIR"/edge-*.out)" ]
