rollout: refuse records with times out of range

A record's times at the ends of 64 bits overflow where durations are added to them: its end, the time in a stage, the late start of an endpoint. An overflow is undefined; with today's compiler a roll-out then ends at once or never.

--- a/lib/rollout/rollout.c
+++ b/lib/rollout/rollout.c
@@ -585,6 +585,17 @@
 	return false;
 }
 
+/* Times of records, Unix time in ms: up to the end of the year 9999. */
+#define MAX_TIME_MS 253402300799999
+#define MAX_WITHIN_MS 86400000
+
+static bool times_are_valid(const struct rol_record *r)
+{
+	return r->began_ms >= 0 && r->began_ms <= MAX_TIME_MS &&
+	       r->changed_ms >= 0 && r->changed_ms <= MAX_TIME_MS &&
+	       r->within_ms >= 0 && r->within_ms <= MAX_WITHIN_MS;
+}
+
 bool rol_decode(const char *text, size_t len, struct rol_record *out)
 {
 	JSN_AUTO *o = jsn_parse(text, len);
@@ -602,6 +613,6 @@
 	out->changed_ms = jsn_int(o, "changed_ms", 0);
 	out->share = jsn_dbl(o, "share", 0);
 	return parse_stage(jsn_str(o, "stage", ""), &out->stage) &&
-	       out->service[0] && out->target[0] && out->within_ms >= 0 &&
+	       out->service[0] && out->target[0] && times_are_valid(out) &&
 	       out->share >= 0 && out->share <= 1;
 }
--- a/tests/test_rollout.c
+++ b/tests/test_rollout.c
@@ -1091,6 +1091,35 @@
 	CU_ASSERT(!rol_decode(text.data, text.len - 2, &out));
 }
 
+#define RECORD(times)                                                          \
+	"{\"service\":\"chat\",\"target\":\"v2\",\"from\":\"v1\",\"order\":3," \
+	"\"stage\":\"trial\",\"share\":0.1," times "}"
+
+/* Guards against times that overflow where durations are added to them. */
+static void records_out_of_range_are_refused(void)
+{
+	static const char good[] =
+		RECORD("\"began_ms\":1790000000123,\"within_ms\":86400000,"
+		       "\"changed_ms\":1790000000123");
+	static const char *const bad[] = {
+		RECORD("\"began_ms\":9223372036854775807"),
+		RECORD("\"began_ms\":-9223372036854775808"),
+		RECORD("\"changed_ms\":9223372036854775807"),
+		RECORD("\"changed_ms\":-1"),
+		RECORD("\"within_ms\":9223372036854775807"),
+		RECORD("\"within_ms\":86400001"),
+		RECORD("\"within_ms\":-1"),
+		RECORD("\"share\":1.5"),
+		RECORD("\"share\":NaN"),
+	};
+	struct rol_record out;
+	size_t i;
+
+	CU_ASSERT(rol_decode(good, strlen(good), &out));
+	for (i = 0; i < sizeof(bad) / sizeof(bad[0]); i++)
+		CU_ASSERT_FALSE(rol_decode(bad[i], strlen(bad[i]), &out));
+}
+
 static int decode_order(const char *text, struct rol_order *out)
 {
 	struct err e = ERR_INIT;
@@ -1190,6 +1219,8 @@
 	  all_versions_serve_without_an_order },
 	{ "a key stays with one version", a_key_stays_with_one_version },
 	{ "records are decoded as encoded", records_are_decoded_as_encoded },
+	{ "records out of range are refused",
+	  records_out_of_range_are_refused },
 	{ "invalid orders are refused", invalid_orders_are_refused },
 	{ "the status shows the state to operators",
 	  the_status_shows_the_state_to_operators },
