gsp: refuse datagrams with numbers out of range

What callers see: after one odd datagram in the form of a known entry's, with the era of no store, an entry counts all answers of the store as outdated, for good: it follows the list no longer, and its keys are no longer confirmed. Times at the ends of 64 bits overflow in differences, also of the clock's estimate and of the age of the configuration.

Cause: rates were checked, integers were not. An era of 2^23 or more does not fit into a version; one above the store's never lets an answer count again.

Fix: a datagram whose times, ages, counts or era are out of range is refused, as one with a rate that is not finite. An era below the bound that is too high is still believed: peers are trusted to pass on what the store has said.

--- a/lib/member/gsp.c
+++ b/lib/member/gsp.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "base/xdr.h"
+#include "store/ver.h"
 
 /*
  * First word of a datagram: identifies the protocol and its layout, so that
@@ -419,6 +420,35 @@
 	return is_rate(r->requests_per_s) && is_rate(r->core_requests_per_s);
 }
 
+/*
+ * Ranges of times in which sums and differences cannot overflow: Unix time up to
+ * the year 9999, and durations in ms of a hundred years.
+ */
+#define MAX_TRUE_MS 253402300799999
+#define MAX_DURATION_MS 3155760000000
+
+static bool is_in_range(int64_t v, int64_t min, int64_t max)
+{
+	return v >= min && v <= max;
+}
+
+static bool numbers_valid(const struct gsp_record *r)
+{
+	unsigned i;
+
+	for (i = 0; i < r->nr_counts; i++) {
+		if (!is_in_range(r->counts[i].runs, 0, UINT32_MAX) ||
+		    !is_in_range(r->counts[i].window, 0, MAX_TRUE_MS))
+			return false;
+	}
+	return is_in_range(r->true_ms, 0, MAX_TRUE_MS) &&
+	       is_in_range(r->stamp_ms, 0, MAX_DURATION_MS) &&
+	       is_in_range(r->echo_stamp_ms, 0, MAX_DURATION_MS) &&
+	       is_in_range(r->echo_hold_ms, 0, MAX_DURATION_MS) &&
+	       is_in_range(r->cfg_confirmed_age_ms, -1, MAX_DURATION_MS) &&
+	       is_in_range(r->store_era, 0, VER_MAX_ERA);
+}
+
 bool gsp_decode(struct gsp_record *r, const char *in, size_t len)
 {
 	XDR x;
@@ -440,5 +470,5 @@
 	if (ok && xdr_getpos(&x) < len)
 		ok = xdr_capacity(&x, r);
 	xdr_destroy(&x);
-	return ok && r->name[0] && rates_valid(r);
+	return ok && r->name[0] && numbers_valid(r) && rates_valid(r);
 }
--- a/lib/store/ver.h
+++ b/lib/store/ver.h
@@ -19,6 +19,9 @@
  */
 #define VER_ERA_SHIFT 40
 
+/* The highest era that a version can have. */
+#define VER_MAX_ERA (((int64_t)1 << (63 - VER_ERA_SHIFT)) - 1)
+
 /* Returns the version of a revision in an era; 0 ("none") for revision 0. */
 static inline int64_t ver_of(int64_t era, int64_t revision)
 {
--- a/tests/test_prs.c
+++ b/tests/test_prs.c
@@ -7,6 +7,7 @@
 #include "base/rnd.h"
 #include "member/prs.h"
 #include "member/rows.h"
+#include "store/ver.h"
 #include "support/unit.h"
 
 static struct gsp_record outgoing, incoming;
@@ -157,6 +158,48 @@
 	CU_ASSERT_FALSE(incoming.relays || incoming.cut_off);
 }
 
+static bool decodes_again(void)
+{
+	char bytes[GSP_MAX_BYTES];
+	const size_t n = gsp_encode(&outgoing, bytes, sizeof(bytes));
+
+	return gsp_decode(&incoming, bytes, n);
+}
+
+/*
+ * Guards against a datagram that sets an era which no store reaches, so that all
+ * answers of the store count as outdated, and against times that overflow.
+ */
+static void records_out_of_range_are_refused(void)
+{
+	static const int64_t odd[] = { INT64_MIN, -2, (int64_t)1 << 62,
+				       INT64_MAX };
+	size_t i;
+
+	for (i = 0; i < sizeof(odd) / sizeof(odd[0]); i++) {
+		fill(&outgoing, "edge-1", 4);
+		CU_ASSERT(decodes_again());
+		outgoing.store_era = odd[i];
+		CU_ASSERT_FALSE(decodes_again());
+		fill(&outgoing, "edge-1", 4);
+		outgoing.true_ms = odd[i];
+		CU_ASSERT_FALSE(decodes_again());
+		fill(&outgoing, "edge-1", 4);
+		outgoing.cfg_confirmed_age_ms = odd[i];
+		CU_ASSERT_FALSE(decodes_again());
+		fill(&outgoing, "edge-1", 4);
+		outgoing.counts[0].runs = odd[i];
+		CU_ASSERT_FALSE(decodes_again());
+		fill(&outgoing, "edge-1", 4);
+		outgoing.echo_hold_ms = odd[i];
+		CU_ASSERT_FALSE(decodes_again());
+	}
+	fill(&outgoing, "edge-1", 4);
+	outgoing.store_era = VER_MAX_ERA;
+	outgoing.cfg_confirmed_age_ms = -1;
+	CU_ASSERT(decodes_again());
+}
+
 /* Guards against a cut entry that is taken for a relay after an upgrade. */
 static void relays_and_cuts_round_trip(void)
 {
@@ -763,6 +806,8 @@
 	{ "a record round-trips", record_round_trips },
 	{ "role, members and statements round-trip",
 	  role_members_and_statements_round_trip },
+	{ "records out of range are refused",
+	  records_out_of_range_are_refused },
 	{ "a record is decoded over any content",
 	  record_is_decoded_over_any_content },
 	{ "relays and cuts round-trip", relays_and_cuts_round_trip },
