pf_config: bound the numbers of a configuration

A document with a number beyond 32 bits lost its upper bits: maxAttempts of 2^63 became -1, slots and maxConns of 2^32 became 0, which means no limit. A time beyond an int, or NaN, was converted to int, which is undefined.

Whole numbers are bounded to 10^9 in either direction, so that the sum of two of them fits into an int; NaN is 0.

--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -62,6 +62,36 @@
 	cfg_put(c);
 }
 
+/* Guards against numbers that are cut to fewer bits, or overflow in an int. */
+static void numbers_of_the_configuration_are_bounded(void)
+{
+	static const char text[] =
+		"{\"version\":7,\"routes\":[{\"name\":\"r1\",\"host\":\"a\","
+		"\"prefix\":\"/x/\",\"routeKind\":\"streaming\","
+		"\"timeoutMs\":1e300,\"goalMs\":-1e300,\"gapTargetMs\":NaN,"
+		"\"priority\":4294967296,\"maxAttempts\":9223372036854775807,"
+		"\"service\":\"s1\",\"resumable\":true}],"
+		"\"services\":[{\"name\":\"s1\",\"maxConns\":4294967297,"
+		"\"engine\":{\"slots\":4294967296}}]}";
+	struct err e = ERR_INIT;
+	struct cfg *c = pf_wire()->decode_config(text, strlen(text), &e);
+	const struct cfg_route *r;
+
+	CU_ASSERT_PTR_NOT_NULL(c);
+	if (!c)
+		return;
+	CU_ASSERT_EQUAL_FATAL(c->nr_routes, 1);
+	r = &c->routes[0];
+	CU_ASSERT_EQUAL(r->timeout_ms, 1000000000);
+	CU_ASSERT_EQUAL(r->objective_ms, -1000000000);
+	CU_ASSERT_EQUAL(r->gap_ms, 0);
+	CU_ASSERT_EQUAL(r->priority, 1000000000);
+	CU_ASSERT_EQUAL(r->max_endpoints, 1000000000);
+	CU_ASSERT_EQUAL(cfg_service(c, "s1")->max_connections, 1000000000);
+	CU_ASSERT_EQUAL(cfg_service(c, "s1")->engine.slots, 1000000000);
+	cfg_put(c);
+}
+
 static void unreadable_configuration_is_refused(void)
 {
 	static const char odd[] =
@@ -1001,6 +1031,8 @@
 static const struct unit_test tests[] = {
 	{ "the era is in the head", era_is_in_the_head },
 	{ "the configuration is decoded once", configuration_is_decoded_once },
+	{ "numbers of the configuration are bounded",
+	  numbers_of_the_configuration_are_bounded },
 	{ "an unreadable configuration is refused",
 	  unreadable_configuration_is_refused },
 	{ "endpoints are decoded", endpoints_are_decoded },
