edge_rollout: log orders for names that no service can have

An order under a key with a name of 64 characters or more was taken as one for the name's first 63, which may be another service; and since that name was not found again, each change of the key added a row that is never freed.

Such a key is logged, no more.

Evidence: odd_entries_test, "no roll-out is ordered for a name that is cut", failed before (24 passed, 1 failed), now 25 passed, 0 failed.

--- a/lib/edge/edge_rollout_duty.c
+++ b/lib/edge/edge_rollout_duty.c
@@ -400,10 +400,15 @@
 void edge_rollout_order_seen(struct edge *en, const char *key,
 			     const char *value, size_t len, int64_t version)
 {
-	struct edge_rollout *ro =
-		edge_rollout_of(en, key + strlen(en->wire->rollout_prefix));
+	const char *service = key + strlen(en->wire->rollout_prefix);
+	struct edge_rollout *ro;
 	struct err e = ERR_INIT;
 
+	if (strlen(service) >= FLT_NAME) {
+		edge_log_unreadable(en, key, "not a service");
+		return;
+	}
+	ro = edge_rollout_of(en, service);
 	ro->ordered = true;
 	ro->order_valid =
 		en->wire->decode_rollout(key, value, len, &ro->order, &e) == 0;
@@ -420,12 +425,14 @@
 
 void edge_rollout_order_deleted(struct edge *en, const char *key)
 {
+	const char *service = key + strlen(en->wire->rollout_prefix);
+
 	/*
 	 * A restored store may have lost the order; its operator then writes it
 	 * again.
 	 */
 	if (en->watches[EDGE_WATCH_ROLLOUTS].resyncing)
 		return;
-	edge_rollout_of(en, key + strlen(en->wire->rollout_prefix))->ordered =
-		false;
+	if (strlen(service) < FLT_NAME)
+		edge_rollout_of(en, service)->ordered = false;
 }
--- a/scripts/odd_entries_test.sh
+++ b/scripts/odd_entries_test.sh
@@ -21,6 +21,8 @@
 # repeat TEXT N
 repeat() { printf "%${2}s" | sed "s/ /$1/g"; }
 
+NO_SERVICE=$(repeat a 150)
+
 # put KEY: writes the value on standard input.
 put() {
 	curl -s -o /dev/null --data-binary @- "http://$PLATFORM/test/put?key=$1"
@@ -107,6 +109,7 @@
 	done
 	put_odd_item op/rollout/odd '"value":"%%%"'
 	printf '{"target":"v9","withinS":1e400}' | put op/rollout/odd
+	printf '{"target":"v9","withinS":20}' | put "op/rollout/$NO_SERVICE"
 }
 
 knows_endpoint() {
@@ -163,6 +166,7 @@
 }
 
 entries_start_among_them() {
+	platform_test "delete?key=op/rollout/$NO_SERVICE" >/dev/null
 	odd_eras
 	end_child "$(pid_of edge-1)"
 	start_edge 1 false
@@ -200,6 +204,8 @@
 expect "the store counted as reachable" \
 	[ -z "$(grep -l '"event":"store_away"' "$DIR"/edge-*.out)" ]
 expect "all entries name the odd entries in their logs" everywhere names_all_odd
+expect "no roll-out is ordered for a name that is cut" \
+	[ -z "$(grep -h '"event":"rollout_ordered","service":"aaa' "$DIR"/edge-*.out)" ]
 expect "no sanitizer or assertion spoke" \
 	[ -z "$(grep -lE 'Sanitizer|runtime error|Assertion' "$DIR"/*.log)" ]
 
