edge: one function for the share of the store's calls

Writes of bindings and reads of the record each worked out the interval that keeps all senders within a share of what the store takes. They now call one function; the intervals are as before. edge_versions_withhold() is edge_versions_withholds(), since it asks and does nothing. rejoin_test, case other, before and after: 12 of 12 streams go on.

--- a/lib/edge/edge_bind_log.c
+++ b/lib/edge/edge_bind_log.c
@@ -11,7 +11,7 @@
 #define LEASE_MS (2 * BND_KEEP_MS)
 #define RENEW_MS (LEASE_MS / 3)
 
-/* Share of the store's writes per second that all entries together may use. */
+/* Share of the store's writes per second that all senders together may use. */
 #define WRITE_SHARE 0.25
 
 /* Writes that may follow each other without a pause. */
@@ -23,9 +23,8 @@
 /* Counts a write against this entry's part of the share. */
 static void charge_write(struct edge *en, int64_t now)
 {
-	const double per_s = (double)en->conf->store.writes_per_s * WRITE_SHARE;
-	const double interval =
-		per_s > 0 ? (1 + en->sending_peers) * 1000 / per_s : 0;
+	const double interval = edge_store_interval_ms(
+		en, en->conf->store.writes_per_s, WRITE_SHARE);
 	struct edge_binding_log *l = &en->binding_log;
 
 	if (l->next_ms < (double)now - BURST * interval)
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -636,7 +636,7 @@
 unsigned edge_versions_count_withheld(const struct edge *en);
 
 /* True if an endpoint of the service is among them. */
-bool edge_versions_withhold(const struct edge *en, const char *service);
+bool edge_versions_withholds(const struct edge *en, const char *service);
 
 /* ---- edge_place.c: places for streams at their version ---- */
 
@@ -969,6 +969,13 @@
 void edge_store_open(struct edge *en, const struct sockaddr_in *addr);
 void edge_store_tick(struct edge *en, int64_t now);
 
+/*
+ * Interval in ms between calls of this entry if all entries that send requests are
+ * to use at most this share of the store's limit; 0: there is no limit.
+ */
+double edge_store_interval_ms(const struct edge *en, int64_t limit_per_s,
+			      double share);
+
 /* Logs that the value of a key cannot be decoded. */
 void edge_log_unreadable(struct edge *en, const char *key, const char *why);
 
--- a/lib/edge/edge_recall.c
+++ b/lib/edge/edge_recall.c
@@ -12,7 +12,7 @@
 /* Interval at which reads begin, if the store's limit allows it, ms. */
 #define READ_INTERVAL_MS 100
 
-/* Share of the store's reads per second that all entries together may use. */
+/* Share of the store's reads per second that all senders together may use. */
 #define READ_SHARE 0.1
 
 /* Pages of bindings that are read at most. */
@@ -211,9 +211,8 @@
 
 static int64_t read_interval_ms(const struct edge *en)
 {
-	const double per_s = (double)en->conf->store.reads_per_s * READ_SHARE;
-	const double ms = per_s > 0 ? (1 + en->sending_peers) * 1000 / per_s
-				    : 0;
+	const double ms = edge_store_interval_ms(
+		en, en->conf->store.reads_per_s, READ_SHARE);
 
 	return ms > READ_INTERVAL_MS ? (int64_t)ms : READ_INTERVAL_MS;
 }
--- a/lib/edge/edge_send.c
+++ b/lib/edge/edge_send.c
@@ -275,7 +275,7 @@
 		if (p->waiting == p->withheld || p->open_ms - now < retry_ms)
 			retry_ms = p->open_ms - now;
 	} else if (r->route->kind == CFG_STREAM && !r->bound &&
-		   edge_versions_withhold(r->en, r->service->name)) {
+		   edge_versions_withholds(r->en, r->service->name)) {
 		why = "version not recorded yet";
 		retry_ms = UNRECORDED_RETRY_MS;
 	} else if (r->rq.refusals) {
--- a/lib/edge/edge_store.c
+++ b/lib/edge/edge_store.c
@@ -18,6 +18,14 @@
 #define SLOW_ANSWER_MS 300
 #define LARGE_ANSWER_BYTES (64u << 10)
 
+double edge_store_interval_ms(const struct edge *en, int64_t limit_per_s,
+			      double share)
+{
+	const double per_s = (double)limit_per_s * share;
+
+	return per_s > 0 ? (1 + en->sending_peers) * 1000 / per_s : 0;
+}
+
 /* ---- Keys ---- */
 
 void edge_log_unreadable(struct edge *en, const char *key, const char *why)
--- a/lib/edge/edge_versions.c
+++ b/lib/edge/edge_versions.c
@@ -99,7 +99,7 @@
 	return n;
 }
 
-bool edge_versions_withhold(const struct edge *en, const char *service)
+bool edge_versions_withholds(const struct edge *en, const char *service)
 {
 	const struct flt_endpoint *e;
 
