rollout: lost counts are not taken for no traffic

What operators would see: a new version that answered badly, or was never judged, is shifted to after all entries were killed during its trial.

Cause: counts of requests and answers are kept in the memory of the entries. A trial without any request passes, since there is nothing to judge by; after all entries were killed, a trial whose counts are lost looks the same until callers are back.

Fix: a trial passes without traffic only if the entry that judges has counted since the order; else there are too few answers to judge by, and the version is rolled back.

--- a/lib/edge/edge_rollout_duty.c
+++ b/lib/edge/edge_rollout_duty.c
@@ -381,6 +381,7 @@
 	if (ro->recorded && rol_in_progress(&ro->record))
 		sum_counts(ro, &counts);
 	s.now_ms = walltime_now(&en->walltime, now);
+	s.counting_since_ms = s.now_ms - (now - en->start_ms);
 	s.counts_complete = now - en->lead.held_since_ms >= COUNTS_SETTLE_MS;
 	s.target_endpoints = sums.in_target;
 	s.required_endpoints =
--- a/lib/rollout/rollout.c
+++ b/lib/rollout/rollout.c
@@ -207,12 +207,24 @@
 		       (double)(deadline_of(r) - s->now_ms);
 }
 
+/*
+ * True if there was no traffic at all. An entry that started since the order may
+ * have lost what it counted, and all others with it.
+ */
+static bool had_no_traffic(const struct rol_record *r,
+			   const struct rol_observation *s)
+{
+	return !total_requests(s->counts) &&
+	       s->counting_since_ms <= r->began_ms;
+}
+
 /* True if there are enough answers to judge by, or no traffic at all. */
-static bool has_enough_answers(const struct rol_observation *s)
+static bool has_enough_answers(const struct rol_record *r,
+			       const struct rol_observation *s)
 {
 	const unsigned answered = tal_total(s->counts, false).answered;
 
-	return answered >= MIN_TRIAL_ANSWERS || !total_requests(s->counts) ||
+	return answered >= MIN_TRIAL_ANSWERS || had_no_traffic(r, s) ||
 	       (answered >= MIN_SPARSE_ANSWERS &&
 		answered >= tal_total(s->counts, true).answered / 100);
 }
@@ -370,7 +382,7 @@
 {
 	if (s->target_endpoints < s->required_endpoints)
 		rol_roll_back(r, "too few endpoints of the target", s->now_ms);
-	else if (!has_enough_answers(s))
+	else if (!has_enough_answers(r, s))
 		rol_roll_back(r, "too few answers to judge by", s->now_ms);
 	else
 		set_stage(r, ROL_SHIFT, 0.5, "trial passed", s->now_ms);
--- a/lib/rollout/rollout.h
+++ b/lib/rollout/rollout.h
@@ -78,11 +78,12 @@
 
 /* Observations of a service by the lease holder. */
 struct rol_observation {
-	int64_t now_ms;		/* time of day */
-	bool counts_complete;	/* counts of the other entries have arrived */
-	int target_endpoints;	/* usable endpoints of the target */
-	int required_endpoints; /* minimum endpoints to shift all traffic */
-	double former_running;	/* requests running on endpoints of `from` */
+	int64_t now_ms;	      /* time of day */
+	bool counts_complete; /* counts of the other entries have arrived */
+	int64_t counting_since_ms; /* this entry counts since then, time of day */
+	int target_endpoints;	   /* usable endpoints of the target */
+	int required_endpoints;	   /* minimum endpoints to shift all traffic */
+	double former_running;	   /* requests running on endpoints of `from` */
 	/*
 	 * Requests in flight at the usable endpoints of `from`, and the slots
 	 * of these; 0 slots: unknown.
--- a/tests/test_rollout.c
+++ b/tests/test_rollout.c
@@ -912,6 +912,30 @@
 	CU_ASSERT(!rol_step(&r, &limits, &s));
 }
 
+/*
+ * Guards against a trial that counts as passed without traffic after all entries
+ * were killed, and the bad answers before with them.
+ */
+static void lost_counts_do_not_pass_a_trial(void)
+{
+	struct rol_record r = begin_rollout("v2", 9000), idle = r;
+	struct tal none = { 0 };
+	struct rol_observation s = { .counts_complete = true,
+				     .counting_since_ms = r.began_ms + 3000,
+				     .target_endpoints = 4,
+				     .required_endpoints = 4,
+				     .counts = &none,
+				     .established = "v1" };
+
+	for (s.now_ms = r.began_ms + 4500; s.now_ms <= 20000; s.now_ms += 50)
+		rol_step(&r, &limits, &s);
+	CU_ASSERT_EQUAL(r.stage, ROL_ROLLED_BACK);
+	s.counting_since_ms = idle.began_ms;
+	for (s.now_ms = idle.began_ms; s.now_ms <= 20000; s.now_ms += 50)
+		rol_step(&idle, &limits, &s);
+	CU_ASSERT_EQUAL(idle.stage, ROL_COMPLETED);
+}
+
 /*
  * Guards against streams that are cut since an entry sent them to the former
  * version after its endpoints were idle, and against an isolated entry that
@@ -1203,6 +1227,7 @@
 	  a_shortage_does_not_hide_a_slow_version },
 	{ "full endpoints count in the rate of errors",
 	  full_endpoints_count_in_the_rate_of_errors },
+	{ "lost counts do not pass a trial", lost_counts_do_not_pass_a_trial },
 	{ "completion waits until the shift is read",
 	  completion_waits_until_the_shift_is_read },
 	{ "only a full shift is one", only_a_full_shift_is_one },
