--- a/scripts/rejoin_test.sh
+++ b/scripts/rejoin_test.sh
@@ -210,12 +210,23 @@
 
 refused() { awk '$1 == "continued" && $3 == "503:0" { print $5 }' "$DIR"/tries-*; }
 
-# ---- Cases: the first kill comes 1.3 s after the callers began, in mid-stream ----
+# ---- Cases ----
+
+# lines_of EVENT [ENTRY]: their number in the logs of the running entries, or this one.
+lines_of() { cat "$DIR"/edge-${2:-?}.out | grep -c "\"event\":\"$1\""; }
+most_are_open() {
+	[ $(($(lines_of send "$1") - $(lines_of send_ended "$1"))) -ge 10 ]
+}
+# in_mid_stream [ENTRY]: the streams of most callers have had some events.
+in_mid_stream() {
+	wait_for most_are_open "$1"
+	sleep 0.4
+}
 
 kill_twice_settled() {
 	local i
 	for i in 1 2; do
-		sleep 0.3
+		in_mid_stream
 		kill_all
 		sleep 0.6
 		start_all
@@ -226,7 +237,7 @@
 # The callers of entry 1 all come to entry 2, once that counts entry 1 as dead.
 kill_one() {
 	rm -f "$DIR/together"
-	sleep 0.3
+	in_mid_stream 1
 	end_child "$(pid_of edge-1)"
 	sleep 1.6
 	: >"$DIR/together"
@@ -236,7 +247,7 @@
 }
 
 kill_as_former_leaves() {
-	sleep 0.3
+	in_mid_stream
 	unlist_former
 	kill_all
 	sleep 0.6
@@ -250,6 +261,7 @@
 }
 
 former_drained() {
+	in_mid_stream
 	at_endpoints "drain?id=ID" "${FORMER_IDS[@]}"
 	sleep 0.3
 	kill_all
@@ -272,7 +284,7 @@
 
 kill_at_start() {
 	local n
-	sleep 0.3
+	in_mid_stream
 	unlist_former
 	kill_all
 	sleep 0.5
