--- a/lib/edge/edge_bind.c
+++ b/lib/edge/edge_bind.c
@@ -1,6 +1,7 @@
 /*
  * Bindings of streams to the versions that began them (bnd.h): reports them to
- * the other entries, and finds those of streams that callers continue here.
+ * the other entries, and finds those of streams that callers continue here, by
+ * asking their homes and reading the store (edge_recall.c) at the same time.
  */
 #include <assert.h>
 #include <string.h>
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -216,7 +216,7 @@
 	bool in_flight;	  /* a call; of a segment, the following */
 	unsigned number, nr_rows;
 	bool deleting;
-	int64_t written_under; /* the lease */
+	int64_t written_under; /* the lease of the keys then */
 };
 
 /* Reads of versions and bindings from the store (edge_recall.c). */
@@ -607,6 +607,8 @@
 void edge_bind_log_add(struct edge *en, struct bnd_row *row, int64_t now);
 
 void edge_bind_log_open(struct edge *en);
+
+/* Writes what is due, unless a call is in flight. */
 void edge_bind_log_tick(struct edge *en, int64_t now);
 
 /* The store was restored from an older copy: writes the bindings again. */
@@ -617,6 +619,7 @@
 /* Begins a read, or joins the next one, whose end calls edge_bind_recalled(). */
 void edge_recall_request(struct edge_req *r);
 
+/* Begins a read if a request waits for one and it is time. */
 void edge_recall_tick(struct edge *en, int64_t now);
 
 /* ---- edge_versions.c: the record of versions ---- */
@@ -629,7 +632,10 @@
 			       int64_t version);
 void edge_versions_record_deleted(struct edge *en);
 
+/* An endpoint was listed: sets flt_endpoint.no_new_streams. */
 void edge_versions_endpoint_listed(struct edge *en, struct flt_endpoint *e);
+
+/* Writes the record if the list of endpoints differs from it. */
 void edge_versions_tick(struct edge *en, int64_t now);
 
 /* The number of endpoints that get no new streams until they are recorded. */
--- a/lib/edge/edge_recall.c
+++ b/lib/edge/edge_recall.c
@@ -36,7 +36,7 @@
 	return NULL;
 }
 
-static void end(struct edge *en)
+static void end_read(struct edge *en)
 {
 	const uint64_t read = en->recall.read;
 	struct edge_req *r;
@@ -55,7 +55,7 @@
 	struct edge_req *r;
 
 	if (!sto_reachable(en->store)) {
-		end(en);
+		end_read(en);
 		return;
 	}
 	cds_list_for_each_entry(r, &en->requests, node) {
@@ -114,7 +114,7 @@
 		return;
 	}
 	if (!a->more || !a->nr_items || ++en->recall.pages == MAX_PAGES) {
-		end(en);
+		end_read(en);
 		return;
 	}
 	str_copy(en->recall.after, a->items[a->nr_items - 1].key,
@@ -178,7 +178,7 @@
 		mixed |= edge_bind_is_mixed(r);
 	}
 	if (!mixed) {
-		end(en);
+		end_read(en);
 		return;
 	}
 	en->recall.pages = 0;
@@ -186,9 +186,9 @@
 	read_page(en);
 }
 
-/* ---- Begin ---- */
+/* ---- Begin of a read ---- */
 
-static void begin(struct edge *en, int64_t now)
+static void begin_read(struct edge *en, int64_t now)
 {
 	const struct sto_call c = { .kind = STO_GET, .key = EDGE_VERSIONS_KEY };
 
@@ -221,5 +221,5 @@
 {
 	if (en->recall.wanted && !en->recall.in_flight &&
 	    now - en->recall.began_ms >= read_interval_ms(en))
-		begin(en, now);
+		begin_read(en, now);
 }
