edge_cluster: proxies and the time of soaks in one place

Three soaks defined mode(), proxy() and now_ms() each for itself. They are functions of edge_cluster.sh now, as they were.

--- a/scripts/edge_cluster.sh
+++ b/scripts/edge_cluster.sh
@@ -11,6 +11,18 @@
 # Not empty: entries can be cut off from all endpoints, see cut_off().
 CUTTABLE=${CUTTABLE:-}
 
+now_ms() { echo $((${EPOCHREALTIME/./} / 1000)); }
+
+# mode NAME MODE: how the proxy treats what passes, see tests/standin/proxy.c.
+mode() { echo "$2" >"$DIR/$1.mode"; }
+
+# proxy NAME TO: starts a proxy; leaves its address in PROXY.
+proxy() {
+	mode "$1" pass
+	start "$1" "$BIN/standin-proxy" --to "$2" --mode "$DIR/$1.mode"
+	PROXY=$(ready "$1")
+}
+
 any_entry() { echo $((RANDOM % EDGES + 1)); }
 
 edge_settings() {
--- a/scripts/fault_soak.sh
+++ b/scripts/fault_soak.sh
@@ -33,15 +33,6 @@
 POISON=${POISON:-}
 BASE=$DIR
 
-# proxy NAME TO: starts a proxy, prints its address.
-proxy() {
-	echo pass >"$DIR/$1.mode"
-	start "$1" "$BIN/standin-proxy" --to "$2" --mode "$DIR/$1.mode"
-	PROXY=$(ready "$1")
-}
-
-mode() { echo "$2" >"$DIR/$1.mode"; }
-
 # Each caller asks entry after entry, by way of the proxies, and notes what
 # it was told: ID PATH STATUS EVENTS LAST. The id names the entry, for the
 # stand-in.
--- a/scripts/rejoin_soak.sh
+++ b/scripts/rejoin_soak.sh
@@ -31,21 +31,11 @@
 TOO_LATE_MS=500
 BASE=$DIR
 
-now_ms() { echo $((${EPOCHREALTIME/./} / 1000)); }
-
 # seconds MS
 seconds() { printf '%d.%03d' $(($1 / 1000)) $(($1 % 1000)); }
 
 note() { echo "$(now_ms) $*" >>"$DIR/faults"; }
 
-mode() { echo "$2" >"$DIR/$1.mode"; }
-
-proxy() {
-	mode "$1" pass
-	start "$1" "$BIN/standin-proxy" --to "$2" --mode "$DIR/$1.mode"
-	PROXY=$(ready "$1")
-}
-
 # later MS COMMAND...: in the background, so that faults overlap.
 later() {
 	local wait
--- a/scripts/shutdown_soak.sh
+++ b/scripts/shutdown_soak.sh
@@ -32,12 +32,8 @@
 DEADLINE_MS=${DEADLINE_MS:-11000}
 BASE=$DIR
 
-now_ms() { echo $((${EPOCHREALTIME/./} / 1000)); }
-
 note() { echo "$(now_ms) $*" >>"$DIR/signals"; }
 
-mode() { echo "$2" >"$DIR/$1.mode"; }
-
 # is_entry N PID: the process is still that of entry N.
 is_entry() { grep -qsz "edge-$1.json" "/proc/$2/cmdline"; }
 
@@ -64,12 +60,6 @@
 	mv "$DIR/entries.new" "$DIR/entries"
 }
 
-proxy() {
-	mode "$1" pass
-	start "$1" "$BIN/standin-proxy" --to "$2" --mode "$DIR/$1.mode"
-	PROXY=$(ready "$1")
-}
-
 # starts_again: entries go off the callers' list, and start again at other ports once
 # their grace period is over.
 starts_again() {
