bnd, vrs: drop what was written twice

The origin of an endpoint's streams was worked out in two files, vrs_plan() worked out origins that its rows have, two functions searched the record by the same loop, and the end of a query had a search of its own though find_decided() finds the same requests. bnd_log_pending() was used by its test only, and is part of that.

--- a/lib/edge/edge_bind.c
+++ b/lib/edge/edge_bind.c
@@ -257,11 +257,6 @@
 
 /* ---- Streams that begin ---- */
 
-static struct bnd_origin origin_of(const struct flt_endpoint *e)
-{
-	return (struct bnd_origin){ hsh_str(e->info.service, 0), e->version };
-}
-
 static void bind_request(struct edge_req *r, uint64_t version, const char *name)
 {
 	r->bound = true;
@@ -273,7 +268,7 @@
 {
 	struct edge *en = r->en;
 	const int64_t now = edge_now(en);
-	const struct bnd_origin origin = origin_of(r->endpoint);
+	const struct bnd_origin origin = vrs_origin_of(r->endpoint);
 	struct batches b;
 	struct bnd_row *row;
 
@@ -568,17 +563,6 @@
 	send_msg(en, from, &answer);
 }
 
-static struct edge_req *find_query(struct edge *en, struct hsh128 stream)
-{
-	struct edge_req *r;
-
-	cds_list_for_each_entry(r, &en->requests, node) {
-		if (r->query.active && hsh128_equal(r->stream, stream))
-			return r;
-	}
-	return NULL;
-}
-
 /* A request on which nothing more is to be awaited. */
 static struct edge_req *find_decided(struct edge *en)
 {
@@ -591,9 +575,9 @@
 	return NULL;
 }
 
-/* Notes that this home does not know the stream. */
-static void note_unknown(struct edge_req *r, const struct bnd_msg_row *row,
-			 const struct sockaddr_in *from)
+/* Notes for the request that this home does not know its stream. */
+static void note_answered(struct edge_req *r, const struct bnd_msg_row *row,
+			  const struct sockaddr_in *from)
 {
 	unsigned i;
 
@@ -607,22 +591,27 @@
 	r->query.homes_over |= count_answers(r) == r->query.nr_asked;
 }
 
-static void on_answer(struct edge *en, const struct bnd_msg_row *row,
-		      const struct sockaddr_in *from, int64_t now)
+static void note_unknown(struct edge *en, const struct bnd_msg_row *row,
+			 const struct sockaddr_in *from)
 {
 	struct edge_req *r;
 
-	if (row->known) {
-		bnd_put(&en->bindings, row->stream, row->origin, false, now);
-		/* What ends one request may end others too. */
-		while ((r = find_query(en, row->stream)))
-			end_query(r);
-		return;
-	}
 	cds_list_for_each_entry(r, &en->requests, node) {
 		if (r->query.active && hsh128_equal(r->stream, row->stream))
-			note_unknown(r, row, from);
+			note_answered(r, row, from);
 	}
+}
+
+static void on_answer(struct edge *en, const struct bnd_msg_row *row,
+		      const struct sockaddr_in *from, int64_t now)
+{
+	struct edge_req *r;
+
+	if (row->known)
+		bnd_put(&en->bindings, row->stream, row->origin, false, now);
+	else
+		note_unknown(en, row, from);
+	/* What ends one request may end others too. */
 	while ((r = find_decided(en)))
 		end_query(r);
 }
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -632,7 +632,7 @@
 			       int64_t version);
 void edge_versions_record_deleted(struct edge *en);
 
-/* An endpoint was listed: sets flt_endpoint.no_new_streams. */
+/* Sets flt_endpoint.no_new_streams: the endpoint was listed, or the record changed. */
 void edge_versions_endpoint_listed(struct edge *en, struct flt_endpoint *e);
 
 /* Writes the record if the list of endpoints differs from it. */
--- a/lib/edge/edge_versions.c
+++ b/lib/edge/edge_versions.c
@@ -24,19 +24,13 @@
  */
 #define MAX_LIST_AGE_MS 4000
 
-static struct bnd_origin origin_of(const struct flt_endpoint *e)
-{
-	return (struct bnd_origin){ hsh_str(e->info.service, 0), e->version };
-}
-
 /* ---- The record as read ---- */
 
-static void apply_to_endpoint(struct edge *en, struct flt_endpoint *e,
-			      int64_t now)
+void edge_versions_endpoint_listed(struct edge *en, struct flt_endpoint *e)
 {
-	e->no_new_streams = !vrs_is_serving(&en->versions, origin_of(e));
+	e->no_new_streams = !vrs_is_serving(&en->versions, vrs_origin_of(e));
 	if (e->no_new_streams)
-		en->record.next_plan_ms = now;
+		en->record.next_plan_ms = edge_now(en);
 }
 
 /* Streams of all recorded versions may come to be continued. */
@@ -58,7 +52,7 @@
 	en->record.version = version;
 	note_recorded(en, now);
 	cds_list_for_each_entry(e, &en->fleet.endpoints, node)
-		apply_to_endpoint(en, e, now);
+		edge_versions_endpoint_listed(en, e);
 }
 
 void edge_versions_record_seen(struct edge *en, const char *value, size_t len,
@@ -84,11 +78,6 @@
 	adopt(en, &none, true, 0);
 }
 
-void edge_versions_endpoint_listed(struct edge *en, struct flt_endpoint *e)
-{
-	apply_to_endpoint(en, e, edge_now(en));
-}
-
 unsigned edge_versions_count_withheld(const struct edge *en)
 {
 	const struct flt_endpoint *e;
@@ -167,13 +156,13 @@
 	cds_list_for_each_entry(e, &en->fleet.endpoints, node) {
 		if (out->nr_rows == VRS_MAX_ROWS)
 			return;
-		if (e->missing_since_ms || vrs_find(out, origin_of(e)))
+		if (e->missing_since_ms || vrs_find(out, vrs_origin_of(e)))
 			continue;
 		row = &out->rows[out->nr_rows++];
 		memset(row, 0, sizeof(*row));
 		str_copy(row->service, e->info.service, sizeof(row->service));
 		str_copy(row->version, e->info.version, sizeof(row->version));
-		row->origin = origin_of(e);
+		row->origin = vrs_origin_of(e);
 	}
 }
 
--- a/lib/stream/bnd_log.c
+++ b/lib/stream/bnd_log.c
@@ -139,18 +139,6 @@
 	}
 }
 
-unsigned bnd_log_pending(const struct bnd_log *l)
-{
-	const struct bnd_log_segment *s;
-	unsigned n = 0;
-
-	cds_list_for_each_entry(s, &l->segments, node) {
-		if (!s->over)
-			n += s->nr_rows - s->nr_stored;
-	}
-	return n;
-}
-
 /* ---- The stored form ---- */
 
 void bnd_log_encode(const struct bnd_log_segment *s, struct buf *out)
--- a/lib/stream/bnd_log.h
+++ b/lib/stream/bnd_log.h
@@ -68,9 +68,6 @@
 /* The store has lost all segments: they are to be written again. */
 void bnd_log_lost(struct bnd_log *l);
 
-/* The number of rows that are not yet stored. */
-unsigned bnd_log_pending(const struct bnd_log *l);
-
 /* Appends the stored form of the segment's rows. */
 void bnd_log_encode(const struct bnd_log_segment *s, struct buf *out);
 
--- a/lib/stream/vrs.c
+++ b/lib/stream/vrs.c
@@ -10,31 +10,40 @@
 	return (struct bnd_origin){ hsh_str(service, 0), flt_version(version) };
 }
 
+struct bnd_origin vrs_origin_of(const struct flt_endpoint *e)
+{
+	return (struct bnd_origin){ hsh_str(e->info.service, 0), e->version };
+}
+
 static bool same_origin(struct bnd_origin a, struct bnd_origin b)
 {
 	return a.service == b.service && a.version == b.version;
 }
 
-struct vrs_row *vrs_find(struct vrs *v, struct bnd_origin origin)
+/* Returns the index of the version's row, or v->nr_rows. */
+static unsigned index_of(const struct vrs *v, struct bnd_origin origin)
 {
 	unsigned i;
 
 	for (i = 0; i < v->nr_rows; i++) {
 		if (same_origin(v->rows[i].origin, origin))
-			return &v->rows[i];
+			break;
 	}
-	return NULL;
+	return i;
+}
+
+struct vrs_row *vrs_find(struct vrs *v, struct bnd_origin origin)
+{
+	const unsigned i = index_of(v, origin);
+
+	return i < v->nr_rows ? &v->rows[i] : NULL;
 }
 
 bool vrs_is_serving(const struct vrs *v, struct bnd_origin origin)
 {
-	unsigned i;
+	const unsigned i = index_of(v, origin);
 
-	for (i = 0; i < v->nr_rows; i++) {
-		if (same_origin(v->rows[i].origin, origin))
-			return !v->rows[i].retired;
-	}
-	return false;
+	return i < v->nr_rows && !v->rows[i].retired;
 }
 
 unsigned vrs_count(const struct vrs *v, uint64_t service,
@@ -170,8 +179,7 @@
 			v->rows[i].unlisted_ms = now;
 	}
 	for (i = 0; i < n; i++) {
-		row = vrs_find(v, vrs_origin(listed[i].service,
-					     listed[i].version));
+		row = vrs_find(v, listed[i].origin);
 		if (!row)
 			continue;
 		row->unlisted_ms = 0;
@@ -213,8 +221,7 @@
 		out->rows[out->nr_rows++] = row;
 	}
 	for (i = 0; i < n; i++) {
-		if (vrs_find(out,
-			     vrs_origin(listed[i].service, listed[i].version)))
+		if (vrs_find(out, listed[i].origin))
 			continue;
 		if (add_row(out, listed[i].service, listed[i].version))
 			differs = true;
--- a/lib/stream/vrs.h
+++ b/lib/stream/vrs.h
@@ -55,6 +55,9 @@
 
 struct bnd_origin vrs_origin(const char *service, const char *version);
 
+/* The service and version of the streams that begin at the endpoint. */
+struct bnd_origin vrs_origin_of(const struct flt_endpoint *e);
+
 /* Returns the row of the version, owned by `v`; NULL: it is not recorded. */
 struct vrs_row *vrs_find(struct vrs *v, struct bnd_origin origin);
 
@@ -87,7 +90,7 @@
 
 /*
  * Works out the record that should replace `v`, given the `n` versions that are
- * listed now, into `out`; only the names of `listed` are used. `sure`: the list is
+ * listed now, into `out`; of `listed`, names and origin are used. `sure`: the list is
  * complete and up to date; else nothing is retired or removed. Returns true if the
  * records differ, so that `out` should be written. Updates the times of `v`.
  */
--- a/tests/test_bnd_log.c
+++ b/tests/test_bnd_log.c
@@ -39,6 +39,19 @@
 	return n;
 }
 
+/* The number of rows that are not yet stored. */
+static unsigned count_pending(const struct bnd_log *l)
+{
+	const struct bnd_log_segment *s;
+	unsigned n = 0;
+
+	cds_list_for_each_entry(s, &l->segments, node) {
+		if (!s->over)
+			n += s->nr_rows - s->nr_stored;
+	}
+	return n;
+}
+
 static void rows_are_decoded_as_encoded(void)
 {
 	BUF_AUTO value = BUF_INIT;
@@ -74,18 +87,18 @@
 
 	bnd_log_init(&l);
 	add(&l, 0, 3, 0);
-	CU_ASSERT_EQUAL(bnd_log_pending(&l), 3);
+	CU_ASSERT_EQUAL(count_pending(&l), 3);
 	s = bnd_log_due(&l, 0);
 	CU_ASSERT_EQUAL(s->nr_rows, 3);
 	/* Two more come while the write is in flight. */
 	add(&l, 3, 2, 1);
 	bnd_log_written(&l, 0, 3);
-	CU_ASSERT_EQUAL(bnd_log_pending(&l), 2);
+	CU_ASSERT_EQUAL(count_pending(&l), 2);
 	CU_ASSERT_EQUAL(bnd_log_due(&l, 1)->nr_rows, 5);
 	add(&l, 5, 2 * BND_LOG_SEGMENT_ROWS, 2);
 	CU_ASSERT_EQUAL(l.nr_in_use, 3);
 	CU_ASSERT_EQUAL(write_all(&l, 3), 3);
-	CU_ASSERT_EQUAL(bnd_log_pending(&l), 0);
+	CU_ASSERT_EQUAL(count_pending(&l), 0);
 	bnd_log_lost(&l);
 	CU_ASSERT_EQUAL(write_all(&l, 4), 3);
 	bnd_log_free(&l);
--- a/tests/test_vrs.c
+++ b/tests/test_vrs.c
@@ -11,6 +11,7 @@
 	struct vrs_row r = { .service = "llm" };
 
 	str_copy(r.version, version, sizeof(r.version));
+	r.origin = vrs_origin(r.service, r.version);
 	return r;
 }
 
