clk: the latest wall-clock time that is accepted, once

It is CLK_MAX_WALL_MS now; the ranges are as before. Two comments say what is done in plainer words. test_prs, test_rollout, test_platform and fuzz_store pass.

--- a/lib/base/clk.h
+++ b/lib/base/clk.h
@@ -12,6 +12,12 @@
 #include <stdint.h>
 #include <time.h>
 
+/*
+ * The latest wall-clock time that is accepted from other programs, ms since 1970: the
+ * end of the year 9999. Sums of such a time and a duration cannot overflow.
+ */
+#define CLK_MAX_WALL_MS 253402300799999
+
 struct clk;
 
 struct clk_vtable {
--- a/lib/member/gsp.c
+++ b/lib/member/gsp.c
@@ -4,6 +4,7 @@
 #include <stddef.h>
 #include <string.h>
 
+#include "base/clk.h"
 #include "base/xdr.h"
 #include "store/ver.h"
 
@@ -421,10 +422,8 @@
 }
 
 /*
- * Ranges of times in which sums and differences cannot overflow: Unix time up to
- * the year 9999, and durations in ms of a hundred years.
+ * The longest duration, a hundred years in ms: sums and differences cannot overflow.
  */
-#define MAX_TRUE_MS 253402300799999
 #define MAX_DURATION_MS 3155760000000
 
 static bool is_in_range(int64_t v, int64_t min, int64_t max)
@@ -438,10 +437,10 @@
 
 	for (i = 0; i < r->nr_counts; i++) {
 		if (!is_in_range(r->counts[i].runs, 0, UINT32_MAX) ||
-		    !is_in_range(r->counts[i].window, 0, MAX_TRUE_MS))
+		    !is_in_range(r->counts[i].window, 0, CLK_MAX_WALL_MS))
 			return false;
 	}
-	return is_in_range(r->true_ms, 0, MAX_TRUE_MS) &&
+	return is_in_range(r->true_ms, 0, CLK_MAX_WALL_MS) &&
 	       is_in_range(r->stamp_ms, 0, MAX_DURATION_MS) &&
 	       is_in_range(r->echo_stamp_ms, 0, MAX_DURATION_MS) &&
 	       is_in_range(r->echo_hold_ms, 0, MAX_DURATION_MS) &&
--- a/lib/rollout/rollout.c
+++ b/lib/rollout/rollout.c
@@ -3,6 +3,7 @@
 #include <math.h>
 #include <string.h>
 
+#include "base/clk.h"
 #include "base/hsh.h"
 #include "base/jsn.h"
 #include "rollout/verdict.h"
@@ -597,14 +598,13 @@
 	return false;
 }
 
-/* Times of records, Unix time in ms: up to the end of the year 9999. */
-#define MAX_TIME_MS 253402300799999
+/* The longest time for a roll-out: a day. */
 #define MAX_WITHIN_MS 86400000
 
 static bool times_are_valid(const struct rol_record *r)
 {
-	return r->began_ms >= 0 && r->began_ms <= MAX_TIME_MS &&
-	       r->changed_ms >= 0 && r->changed_ms <= MAX_TIME_MS &&
+	return r->began_ms >= 0 && r->began_ms <= CLK_MAX_WALL_MS &&
+	       r->changed_ms >= 0 && r->changed_ms <= CLK_MAX_WALL_MS &&
 	       r->within_ms >= 0 && r->within_ms <= MAX_WITHIN_MS;
 }
 
--- a/lib/stream/vrs.h
+++ b/lib/stream/vrs.h
@@ -97,7 +97,7 @@
 bool vrs_plan(struct vrs *v, const struct vrs_row *listed, unsigned n,
 	      bool sure, int64_t now_ms, struct vrs *out);
 
-/* Starts all times anew: this entry may have missed what happened meanwhile. */
+/* Restarts all times: this entry may have missed what happened meanwhile. */
 void vrs_restart_times(struct vrs *v, int64_t now_ms);
 
 #endif
--- a/tests/support/kept.h
+++ b/tests/support/kept.h
@@ -49,7 +49,7 @@
  */
 bool kept_read(int fd, struct kept_answer *a, size_t max, int64_t until_ms);
 
-/* Reads the answer anew; `ended`: nothing more comes. */
+/* Parses all that was received of the answer; `ended`: nothing more comes. */
 void kept_parse(struct kept_answer *a, bool ended);
 
 void kept_free(struct kept_answer *a);
