crowd_test: clients that do not keep to the limits, many at once

Operators report that such clients ended a process, which ran out of memory: many chunked bodies at once, in large or very small chunks, most stopping just short of their end and staying open; bodies far over the limit, announced or just sent.

The test starts two entries on the stand-in of the platform with settings of 64 MB and 300 descriptors, a body limit of 4 MiB and 50 such clients an entry (350 where connections are the matter). Besides the forms of the report: lengths, bodies that endpoints are late to answer or do not read, answers that are not read, connections that return or stay silent, look-ups and peers. It checks that no entry ends, that resident memory and what the kernel holds for the process stay below the settings, descriptors too, and that ordinary requests are answered beside the crowd and after it.

The test runs after all others, alone.

--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -143,6 +143,10 @@
 packages_test scripts/packages_test.sh 2>&1
 check_test scripts/check_test.sh 2>&1
 '
+# Tests that measure a process, one after the other when nothing else runs.
+ALONE='
+crowd_test scripts/crowd_test.sh
+'
 lines=()
 if [ "$WHAT" != process ]; then
 	for t in "$BUILD"/tests/test_* "$BUILD"/tests/fuzz_*; do
@@ -156,6 +160,11 @@
 	done <<<"$PROCESS_TESTS"
 fi
 add_all "${lines[@]}"
+if [ "$WHAT" != unit ]; then
+	while read -r line; do
+		[ -z "$line" ] || LANES=1 add_all "$line"
+	done <<<"$ALONE"
+fi
 echo "the longest: $(cd "$RESULTS" && awk '{ print $2, FILENAME }' ./*.end |
 	sort -rn | head -8 | sed 's|\(.*\) ./\(.*\).end|\2 \1 s|' | paste -sd,)"
 rm -rf "$RESULTS"
--- a/scripts/edge_cluster.sh
+++ b/scripts/edge_cluster.sh
@@ -8,6 +8,10 @@
 # Share of the requests that a new version gets before it is decided about; 0: no
 # version is withheld.
 EXPOSURE=${EXPOSURE:-0.1}
+# More settings of an entry, each with a comma before it.
+EDGE_SETTINGS=${EDGE_SETTINGS:-}
+# A command that runs an entry, such as prlimit.
+EDGE_RUN=${EDGE_RUN:-}
 # Not empty: entries can be cut off from all endpoints, see cut_off().
 CUTTABLE=${CUTTABLE:-}
 
@@ -37,7 +41,7 @@
 		"cloud": { "address": "$PLATFORM", "duties": ["usage"] },
 		"bounds": { "usage_window_s": 1, "usage_late_s": 10,
 			"exposure_share": $EXPOSURE, "exposure_slack": 50 },
-		"policy": { "max_mesh": $MAX_MESH }
+		"policy": { "max_mesh": $MAX_MESH }$EDGE_SETTINGS
 	}
 	END
 }
@@ -56,7 +60,8 @@
 		start "edge-$1" tests/preload/run.sh "$BIN/cut.so" \
 			"$DIR/cut-$1" "$BIN/marldock-edge" -s "$DIR/edge-$1.json"
 	else
-		start "edge-$1" "$BIN/marldock-edge" -s "$DIR/edge-$1.json"
+		start "edge-$1" $EDGE_RUN "$BIN/marldock-edge" \
+			-s "$DIR/edge-$1.json"
 	fi
 }
 
@@ -106,6 +111,9 @@
 	printf 's|%%VERSION%%|%s|; s|%%KEYS%%|%s|; s|%%ROUTES%%|%s|\n' \
 		"$1" "$2" "$3" >"$DIR/document.sed"
 	printf 's|"services":\[|&%s|\n' "$4" >>"$DIR/document.sed"
+	[ -z "${MAX_BODY_BYTES:-}" ] ||
+		echo "s|\(\"maxBodyBytes\":\)[0-9]*|\1$MAX_BODY_BYTES|" \
+			>>"$DIR/document.sed"
 	sed -f "$DIR/document.sed" tests/standin/document.json \
 		>"$DIR/document.json"
 	curl -s -o /dev/null --data-binary @"$DIR/document.json" \
--- a/tests/standin/endless.c
+++ b/tests/standin/endless.c
@@ -1,12 +1,13 @@
 /*
  * A stand-in for endpoints that are in trouble: they answer with bytes that are no
- * answer, without end, until the caller closes the connection. One thread a
- * connection, so that other stand-ins are not slowed down.
+ * answer, without end, until the caller closes the connection, or with nothing. One
+ * thread a connection, so that other stand-ins are not slowed down.
  *
  * Options: --mode FILE, --address IP:PORT. Prints "ready ADDRESS", and a line "closed
  * MODE BYTES ID" for each answer that has ended. The file
  * holds the name of a mode, which is read for each request; see `modes`.
  */
+#include <poll.h>
 #include <pthread.h>
 #include <signal.h>
 #include <stdio.h>
@@ -68,6 +69,9 @@
 	  false, 33554432 / PIECE_BYTES },
 };
 
+/* Nothing is sent; of `mute` the request is read, of `deaf` its body is not. */
+static const struct mode mute = { .name = "mute" }, deaf = { .name = "deaf" };
+
 static const char *mode_file;
 
 static const struct mode *read_mode(void)
@@ -85,6 +89,10 @@
 		if (!strcmp(modes[i].name, name))
 			return &modes[i];
 	}
+	if (!strcmp(name, mute.name))
+		return &mute;
+	if (!strcmp(name, deaf.name))
+		return &deaf;
 	fprintf(stderr, "no mode \"%s\"\n", name);
 	exit(2);
 }
@@ -146,9 +154,24 @@
 		buf_str(out, "\r\n");
 }
 
-static void answer(int fd, const char *request)
+/* Until the caller closes the connection. */
+static void stay_mute(int fd)
+{
+	char piece[PIECE_BYTES];
+
+	while (recv(fd, piece, sizeof(piece), 0) > 0)
+		;
+}
+
+static void stay_deaf(int fd)
+{
+	struct pollfd p = { .fd = fd, .events = POLLRDHUP };
+
+	poll(&p, 1, -1);
+}
+
+static void answer(int fd, const char *request, const struct mode *m)
 {
-	const struct mode *m = read_mode();
 	BUF_AUTO head = BUF_INIT;
 	BUF_AUTO piece = BUF_INIT;
 	const char *mark = strstr(m->head, "%s");
@@ -176,9 +199,16 @@
 {
 	const int fd = (int)(intptr_t)arg;
 	char *head = mem_new(HEAD_BYTES);
+	const struct mode *m = NULL;
 
 	if (read_head(fd, head))
-		answer(fd, head);
+		m = read_mode();
+	if (m == &mute)
+		stay_mute(fd);
+	else if (m == &deaf)
+		stay_deaf(fd);
+	else if (m)
+		answer(fd, head, m);
 	free(head);
 	close(fd);
 	return NULL;
