ioc, hsc, htc: bodies and answers are held once, and given back

Clients saw an entry end when they sent or got large bodies: each byte was held two to four times. A body was copied into the message to the endpoint, and that into the queue of the connection, again for each resend; an answer was copied into the message to the caller and into its queue; buffers grew by doubling. What was freed stayed with the allocator: it maps large blocks each on its own only until the first one is freed.

Bytes of over 16 KiB are now shared by reference (shb.h): the queue of a connection is a list of pieces, which may be shared, and bytes that the socket takes at once are not queued at all. encode_request() writes the head alone. Buffers above 64 KiB grow by an eighth. The size from which blocks are mapped is fixed at 64 KiB.

--- a/Makefile
+++ b/Makefile
@@ -33,7 +33,7 @@
 EDGE_DIRS = io store duty fleet model rollout stream edge
 EDGE_SRC = $(filter-out lib/edge/explain.c lib/edge/losses.c lib/edge/loadtab.c,$(foreach d,$(EDGE_DIRS),$(wildcard lib/$(d)/*.c))) \
 	$(wildcard platform/*.c) programs/edge.c \
-	$(addprefix lib/base/,buf.c clk.c err.c hsh.c jlog.c jsn.c met.c rnd.c zip.c) \
+	$(addprefix lib/base/,buf.c clk.c err.c hsh.c jlog.c jsn.c met.c rnd.c shb.c zip.c) \
 	lib/config/cfg.c lib/config/force.c lib/config/vfy.c lib/limit/acct.c lib/limit/again.c lib/limit/shed.c \
 	lib/member/gsp.c lib/member/named.c lib/member/ovl.c lib/member/prs.c lib/member/rows.c \
 	lib/member/rank.c lib/request/fatal.c lib/request/fatal_evidence.c lib/request/fatal_rows.c \
--- a/lib/base/buf.c
+++ b/lib/base/buf.c
@@ -20,6 +20,12 @@
 		b->data[0] = '\0';
 }
 
+/*
+ * A buffer doubles up to this size and grows by an eighth beyond it: what large
+ * buffers have to spare counts, and the allocator extends them in place.
+ */
+#define DOUBLING_BYTES 65536
+
 static void buf_reserve(struct buf *b, size_t extra)
 {
 	const size_t want = b->len + extra + 1;
@@ -28,7 +34,7 @@
 	if (want <= b->cap)
 		return;
 	while (cap < want)
-		cap *= 2;
+		cap += cap < DOUBLING_BYTES ? cap : cap / 8;
 	b->data = realloc(b->data, cap);
 	if (!b->data)
 		abort();
--- a/lib/edge/edge_answer.c
+++ b/lib/edge/edge_answer.c
@@ -535,6 +535,7 @@
 	const bool no_body = m->method == HTTP_HEAD || r->reply.status == 204 ||
 			     r->reply.status == 304;
 	BUF_AUTO out = BUF_INIT;
+	struct shb *body = NULL;
 
 	buf_add(&out, r->answer_head.data, r->answer_head.len);
 	if (!no_body)
@@ -543,11 +544,16 @@
 	if (last)
 		hmsg_put(&out, "Connection", "close");
 	hmsg_put_end(&out);
-	if (!no_body)
+	if (!no_body && r->answer_body.len <= EDGE_COPY_BYTES)
 		buf_add(&out, r->answer_body.data, r->answer_body.len);
+	else if (!no_body)
+		body = shb_new(&r->answer_body);
 	log_passed(r);
 	edge_send_stop(r);
 	hsc_write(c, out.data, out.len);
+	if (body)
+		hsc_write_shared(c, body);
+	shb_put(body);
 	edge_req_free(r);
 	hsc_done(c, last);
 }
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -486,6 +486,9 @@
 /* Puts back a retry that edge_may_retry() spent and that no send follows. */
 void edge_retry_put_back(struct edge_req *r);
 
+/* Longer bodies are shared on their way instead of copied (shb.h). */
+#define EDGE_COPY_BYTES 16384
+
 /* ---- edge_stop.c: the entry's own shutdown ---- */
 
 /* Why a leaving entry rejects a request, and its Retry-After: others serve. */
--- a/lib/edge/edge_send.c
+++ b/lib/edge/edge_send.c
@@ -194,6 +194,7 @@
 	const struct edge_way way =
 		edge_way_to(en, p->endpoint, r->avoid_direct);
 	struct buf wire = BUF_INIT;
+	struct shb *body = NULL;
 
 	str_copy(r->relay, way.relay ? way.relay : "", sizeof(r->relay));
 	assign_endpoint(r, p);
@@ -223,15 +224,19 @@
 	evs_drop_partial(&r->events);
 	r->events_before_send = r->events.events;
 	log_send(r, p, &f);
-	en->wire->encode_request(&c->parse.msg, &c->body, &r->attempt, &f,
+	en->wire->encode_request(&c->parse.msg, c->body.len, &r->attempt, &f,
 				 &wire);
+	if (c->body.len <= EDGE_COPY_BYTES)
+		buf_add(&wire, c->body.data, c->body.len);
+	else
+		body = hsc_share_body(c);
 	rq_sent(&r->rq);
 	if (edge_fatal_is_quarantined(r))
 		met_inc(en->m.sends_quarantined);
 	edge_fatal_sent(r);
 	if (way.pool)
-		r->call = htc_start(
-			way.pool, &wire,
+		r->call = htc_start_with(
+			way.pool, &wire, body,
 			r->rq.kind == CFG_IDEMPOTENT ? 0 : FRESH_CONN_MS,
 			c->parse.msg.method == HTTP_HEAD, 0,
 			&edge_answer_vtable, r);
--- a/lib/edge/wire.h
+++ b/lib/edge/wire.h
@@ -58,8 +58,8 @@
 	int (*decode_request)(const struct hmsg *m, struct attempt *out,
 			      struct err *e);
 
-	/* The whole request to an endpoint: the caller's `m` and `body`. */
-	void (*encode_request)(const struct hmsg *m, const struct buf *body,
+	/* The head of a request to an endpoint: of the caller's `m`. */
+	void (*encode_request)(const struct hmsg *m, size_t body_bytes,
 			       const struct attempt *a, const struct forward *f,
 			       struct buf *out);
 
--- a/lib/io/hsc.c
+++ b/lib/io/hsc.c
@@ -33,10 +33,20 @@
 	.keepalive_s = 2,
 };
 
+static void free_body(struct hsc *c)
+{
+	if (c->shared)
+		shb_put(c->shared);
+	else
+		buf_free(&c->body);
+	c->shared = NULL;
+	c->body = (struct buf)BUF_INIT;
+}
+
 static void release(struct hsc *c)
 {
 	hparse_free(&c->parse);
-	buf_free(&c->body);
+	free_body(c);
 	buf_free(&c->pipelined);
 	free(c);
 }
@@ -411,6 +421,22 @@
 	ioc_write(c->io, data, len);
 }
 
+void hsc_write_shared(struct hsc *c, struct shb *bytes)
+{
+	if (c->state == HSC_RESPONDING && c->parse.msg.method == HTTP_HEAD)
+		return;
+	ioc_write_shared(c->io, bytes);
+}
+
+struct shb *hsc_share_body(struct hsc *c)
+{
+	if (!c->shared) {
+		c->shared = shb_new(&c->body);
+		c->body = c->shared->bytes;
+	}
+	return c->shared;
+}
+
 size_t hsc_pending(const struct hsc *c)
 {
 	return ioc_pending(c->io);
@@ -419,7 +445,7 @@
 void hsc_done(struct hsc *c, bool close)
 {
 	assert(c->state == HSC_RESPONDING);
-	buf_free(&c->body);
+	free_body(c);
 	c->request = NULL;
 	if (close || hsc_must_close(c)) {
 		linger(c);
--- a/lib/io/hsc.h
+++ b/lib/io/hsc.h
@@ -92,7 +92,8 @@
 	struct hparse parse;
 	struct hsc_limits limits;
 	enum hsc_state state;
-	struct buf body;
+	struct buf body;      /* of the current request */
+	struct shb *shared;   /* what `body` is a view of; NULL: its own */
 	struct buf pipelined; /* bytes received after the current request */
 	ev_timer timer;
 	ev_timer resume; /* parses `pipelined` in the loop's next iteration */
@@ -135,6 +136,15 @@
  */
 void hsc_write(struct hsc *c, const void *data, size_t len);
 
+/* The same without a copy, for bytes after the head; takes a reference. */
+void hsc_write_shared(struct hsc *c, struct shb *bytes);
+
+/*
+ * The body of the current request as a shared buffer, which may outlive the request.
+ * The connection keeps its reference; c->body remains a view.
+ */
+struct shb *hsc_share_body(struct hsc *c);
+
 /*
  * Ends the response. With `close`, or if hsc_must_close is true, the connection
  * is shut down after the last byte, and freed when the peer closes it or one
--- a/lib/io/htc.c
+++ b/lib/io/htc.c
@@ -19,8 +19,9 @@
 	struct htc_call *call;	 /* NULL while idle */
 	htc_probe_cb probe_done; /* NULL unless a probe is in progress */
 	void *probe_arg;
-	struct buf wire; /* request to send once established */
-	ev_timer timer;	 /* of connect, then of the whole call */
+	struct buf wire;  /* request to send once established */
+	struct shb *body; /* that follows on it; NULL: none */
+	ev_timer timer;	  /* of connect, then of the whole call */
 	int64_t idle_since_ms;
 	int64_t keep_alive_ms; /* idle time for which the peer keeps it open */
 	size_t wire_len;       /* bytes of the current request */
@@ -71,6 +72,7 @@
 {
 	hparse_free(&k->parse);
 	buf_free(&k->wire);
+	shb_put(k->body);
 	buf_free(&k->tunnel_answer);
 	free(k);
 }
@@ -282,6 +284,15 @@
 	free(c);
 }
 
+/* Leaves `wire` empty. `body` may be NULL. */
+static void send_request(struct htc_conn *k, struct buf *wire, struct shb *body)
+{
+	ioc_write(k->io, wire->data, wire->len);
+	buf_free(wire);
+	if (body)
+		ioc_write_shared(k->io, body);
+}
+
 /* The connection to the peer is established. */
 static void established(struct htc_conn *k)
 {
@@ -291,8 +302,9 @@
 	}
 	k->sent_before = k->io->sent;
 	set_call_timer(k);
-	ioc_write(k->io, k->wire.data, k->wire.len);
-	buf_free(&k->wire);
+	send_request(k, &k->wire, k->body);
+	shb_put(k->body);
+	k->body = NULL;
 }
 
 static void not_established(struct htc_conn *k, enum htc_unreached why)
@@ -577,6 +589,15 @@
 struct htc_call *htc_start(struct htc_peer *p, struct buf *wire,
 			   int max_idle_ms, bool no_body, int total_ms,
 			   const struct htc_vtable *vt, void *owner)
+{
+	return htc_start_with(p, wire, NULL, max_idle_ms, no_body, total_ms, vt,
+			      owner);
+}
+
+struct htc_call *htc_start_with(struct htc_peer *p, struct buf *wire,
+				struct shb *body, int max_idle_ms, bool no_body,
+				int total_ms, const struct htc_vtable *vt,
+				void *owner)
 {
 	struct htc_conn *k = take_idle(p, max_idle_ms);
 	const bool reused = k != NULL;
@@ -597,16 +618,16 @@
 	c->max_body_bytes = p->limits.max_body_bytes;
 	c->deadline_ms = total_ms ? clk_boot_ms(p->clk) + total_ms : 0;
 	k->call = c;
-	k->wire_len = wire->len;
+	k->wire_len = wire->len + (body ? body->bytes.len : 0);
 	k->sent_before = k->io->sent;
 	if (reused) {
 		p->reused++;
 		set_ack_timeout(k, p->limits.ack_timeout_ms);
 		set_call_timer(k);
-		ioc_write(k->io, wire->data, wire->len);
-		buf_free(wire);
+		send_request(k, wire, body);
 		return c;
 	}
+	k->body = shb_ref(body);
 	k->wire = *wire;
 	*wire = (struct buf)BUF_INIT;
 	set_timer(k, total_ms && total_ms < establish_ms(p) ? total_ms
--- a/lib/io/htc.h
+++ b/lib/io/htc.h
@@ -143,6 +143,12 @@
 			   int max_idle_ms, bool no_body, int total_ms,
 			   const struct htc_vtable *vt, void *owner);
 
+/* The same; `body` follows on `wire` without a copy: takes a reference. NULL: none. */
+struct htc_call *htc_start_with(struct htc_peer *p, struct buf *wire,
+				struct shb *body, int max_idle_ms, bool no_body,
+				int total_ms, const struct htc_vtable *vt,
+				void *owner);
+
 /*
  * Cancels and frees the call. Its connection is reset, so that the peer can
  * stop its work. No callback follows.
--- a/lib/io/ioc.c
+++ b/lib/io/ioc.c
@@ -72,9 +72,53 @@
 	return 0;
 }
 
+/* ---- The queue ---- */
+
+/* Bytes that the kernel has not accepted yet. */
+struct ioc_piece {
+	struct cds_list_head node; /* in ioc.queue */
+	struct shb *bytes;
+	size_t written;
+};
+
+static void piece_free(struct ioc *c, struct ioc_piece *p)
+{
+	if (c->tail == p)
+		c->tail = NULL;
+	cds_list_del(&p->node);
+	shb_put(p->bytes);
+	free(p);
+}
+
+static struct ioc_piece *add_piece(struct ioc *c, struct shb *bytes)
+{
+	struct ioc_piece *p = mem_new(sizeof(*p));
+
+	p->bytes = bytes;
+	cds_list_add_tail(&p->node, &c->queue);
+	return p;
+}
+
+/* Appends a copy. */
+static void queue_bytes(struct ioc *c, const char *data, size_t len)
+{
+	struct buf bytes = BUF_INIT;
+
+	if (c->tail) {
+		buf_add(&c->tail->bytes->bytes, data, len);
+		return;
+	}
+	buf_add(&bytes, data, len);
+	c->tail = add_piece(c, shb_new(&bytes));
+}
+
 static void release(struct ioc *c)
 {
-	buf_free(&c->out);
+	struct ioc_piece *p, *next;
+
+	cds_list_for_each_entry_safe(p, next, &c->queue, node) {
+		piece_free(c, p);
+	}
 	free(c);
 }
 
@@ -217,27 +261,48 @@
 	set_ack_timer(c);
 }
 
-/* Writes queued bytes until the socket is full. False: the connection broke. */
-static bool write_pending(struct ioc *c)
+/*
+ * Sends what the socket accepts of the bytes, which count in `queued`; *done: how many
+ * those are. False: the connection broke.
+ */
+static bool send_bytes(struct ioc *c, const char *data, size_t len,
+		       size_t *done)
 {
 	ssize_t n;
 
-	if (c->out.len)
-		watch_acks(c);
-	while (c->out_written < c->out.len) {
-		n = send(c->fd, c->out.data + c->out_written,
-			 c->out.len - c->out_written, MSG_NOSIGNAL);
+	*done = 0;
+	while (*done < len) {
+		n = send(c->fd, data + *done, len - *done, MSG_NOSIGNAL);
 		if (n < 0 && errno == EINTR)
 			continue;
-		if (n < 0 && errno == EAGAIN)
-			return true;
 		if (n < 0)
-			return false;
+			return errno == EAGAIN;
 		c->sent += (uint64_t)n;
-		c->out_written += (size_t)n;
+		c->queued -= (size_t)n;
+		*done += (size_t)n;
+	}
+	return true;
+}
+
+/* Writes queued bytes until the socket is full. False: the connection broke. */
+static bool write_pending(struct ioc *c)
+{
+	struct ioc_piece *p, *next;
+	size_t done;
+	bool sound;
+
+	if (c->queued)
+		watch_acks(c);
+	cds_list_for_each_entry_safe(p, next, &c->queue, node) {
+		const struct buf *b = &p->bytes->bytes;
+
+		sound = send_bytes(c, b->data + p->written, b->len - p->written,
+				   &done);
+		p->written += done;
+		if (p->written < b->len)
+			return sound;
+		piece_free(c, p);
 	}
-	buf_free(&c->out);
-	c->out_written = 0;
 	return true;
 }
 
@@ -280,7 +345,7 @@
 		ev_io_stop(loop, &c->writer);
 		return;
 	}
-	if (c->out.len)
+	if (c->queued)
 		return;
 	ev_io_stop(loop, &c->writer);
 	if (!c->vt->drained)
@@ -335,6 +400,7 @@
 	c->owner = owner;
 	c->loop = loop;
 	c->fd = fd;
+	CDS_INIT_LIST_HEAD(&c->queue);
 	ev_io_init(&c->reader, on_readable, fd, EV_READ);
 	ev_io_init(&c->writer, on_writable, fd, EV_WRITE);
 	ev_timer_init(&c->ack_timer, on_ack_timer, 0, 0);
@@ -386,12 +452,32 @@
 
 void ioc_write(struct ioc *c, const void *data, size_t len)
 {
+	size_t done = 0;
+
 	if (c->closed || !len)
 		return;
-	buf_add(&c->out, data, len);
+	c->queued += len;
+	if (!c->connecting && cds_list_empty(&c->queue)) {
+		watch_acks(c);
+		send_bytes(c, data, len, &done);
+		if (done == len)
+			return;
+	}
+	queue_bytes(c, (const char *)data + done, len - done);
+	if (!c->connecting)
+		ev_io_start(c->loop, &c->writer);
+}
+
+void ioc_write_shared(struct ioc *c, struct shb *bytes)
+{
+	if (c->closed || !bytes->bytes.len)
+		return;
+	c->queued += bytes->bytes.len;
+	add_piece(c, shb_ref(bytes));
+	c->tail = NULL;
 	if (c->connecting)
 		return;
-	if (!write_pending(c) || c->out.len)
+	if (!write_pending(c) || c->queued)
 		ev_io_start(c->loop, &c->writer);
 }
 
@@ -408,7 +494,7 @@
 
 size_t ioc_pending(const struct ioc *c)
 {
-	return c->out.len - c->out_written;
+	return c->queued;
 }
 
 size_t ioc_unacked(const struct ioc *c)
--- a/lib/io/ioc.h
+++ b/lib/io/ioc.h
@@ -13,8 +13,10 @@
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <urcu/list.h>
 
 #include "base/buf.h"
+#include "base/shb.h"
 #include "base/err.h"
 #include "io/ack.h"
 
@@ -51,12 +53,14 @@
 	int keepalive_s;
 	int fd;
 	bool connecting;
-	bool closed;	    /* by ioc_close */
-	bool in_callback;   /* ioc_close frees when the callback returns */
-	bool paused;	    /* not reading */
-	uint64_t sent;	    /* bytes that the kernel has accepted */
-	struct buf out;	    /* bytes to write */
-	size_t out_written; /* bytes of `out` that are written */
+	bool closed;	  /* by ioc_close */
+	bool in_callback; /* ioc_close frees when the callback returns */
+	bool paused;	  /* not reading */
+	uint64_t sent;	  /* bytes that the kernel has accepted */
+	struct cds_list_head queue; /* of ioc_piece: bytes to write */
+	struct ioc_piece
+		*tail; /* the last one, if bytes may be appended to it */
+	size_t queued; /* bytes of the pieces, without the written ones */
 };
 
 /* When a connection ends whose peer is silent. */
@@ -104,6 +108,9 @@
  */
 void ioc_write(struct ioc *c, const void *data, size_t len);
 
+/* The same without a copy: takes a reference until the last byte is sent. */
+void ioc_write_shared(struct ioc *c, struct shb *bytes);
+
 /* Replaces the ack_timeout_ms of the connection. */
 void ioc_set_ack_timeout(struct ioc *c, int ms);
 
--- a/programs/edge.c
+++ b/programs/edge.c
@@ -1,5 +1,6 @@
 /* marldock-edge: an entry on the platform. */
 #include <argp.h>
+#include <malloc.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -59,6 +60,20 @@
 	}
 }
 
+/*
+ * Large blocks are mapped each on its own, so that their memory goes back to the
+ * system when they are freed. The C library would raise this size, and keep them,
+ * after the first large block was freed.
+ */
+#define MAP_FROM_BYTES 65536
+#define TRIM_FROM_BYTES 262144
+
+static void set_up_allocator(void)
+{
+	mallopt(M_MMAP_THRESHOLD, MAP_FROM_BYTES);
+	mallopt(M_TRIM_THRESHOLD, TRIM_FROM_BYTES);
+}
+
 int main(int argc, char **argv)
 {
 	static const struct argp argp = {
@@ -79,6 +94,7 @@
 	struct err e = ERR_INIT;
 	struct conf conf;
 
+	set_up_allocator();
 	argp_parse(&argp, argc, argv, 0, NULL, &o);
 	signal(SIGPIPE, SIG_IGN);
 	if (conf_load(o.settings, &conf, &e)) {
--- a/tests/fuzz/fuzz_edge.c
+++ b/tests/fuzz/fuzz_edge.c
@@ -105,8 +105,9 @@
 		return 0;
 	}
 	(*accepted)++;
-	pf_wire()->encode_request(&original.p.msg, &original.body, &a, &f,
+	pf_wire()->encode_request(&original.p.msg, original.body.len, &a, &f,
 				  &out);
+	buf_add(&out, original.body.data, original.body.len);
 	if (!parse_request(&forwarded, out.data, out.len, &used) ||
 	    used != out.len || !same_request(&original, &forwarded) ||
 	    !has_own_headers_only(&forwarded.p.msg))
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -568,7 +568,8 @@
 	parse(&p, true, HEAD);
 	pf_wire()->decode_request(&p.msg, &a, NULL);
 	buf_str(&body, "body");
-	pf_wire()->encode_request(&p.msg, &body, &a, &f, &out);
+	pf_wire()->encode_request(&p.msg, body.len, &a, &f, &out);
+	buf_add(&out, body.data, body.len);
 	CU_ASSERT_EQUAL(strncmp(out.data, "POST /x/1?q=2 HTTP/1.1\r\n", 24), 0);
 	CU_ASSERT_PTR_NULL(strstr(out.data, "forged"));
 	CU_ASSERT_PTR_NULL(strstr(out.data, "Hold"));
