mem: one account of what connections hold

Operators saw an entry run out of memory under clients that sent many bodies, most of them up to just short of their end. Cause: a bound on each of many, none on their sum. A connection bounded its body by size and time; the number of connections times bodies had no bound. bound_memory() bounded the sum of answers alone.

mem.h is one account of a process: heads, bodies, pipelined bytes, queued output, the owner's part (answers under way), tunnels. A connection accounts for its buffers as they are after each change, so that nothing is given back twice. Beyond the limit, 5/16 of limits.memory_mb, holders are given up: incomplete requests first (503, not read to their end, so not run), then complete ones that wait, then answers that are not read, then what endpoints run; among equals the one with most byte-seconds, so that a body that stands still goes before a new one. Holders of 16 KiB or less are never given up: ordinary requests are received and sent whatever large ones do. bound_memory() is gone. What still comes after a refusal is read up to the body limit, then no more.

Left: descriptors, and what the kernel holds for 300 connections.

--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -251,6 +251,25 @@
 			    "pauses of streams that callers read too slowly");
 }
 
+static void register_memory_metrics(struct met *m, struct edge_metrics *x)
+{
+	static const char *const names[MEM_RANKS] = {
+		[MEM_INCOMPLETE] = "memory_shed_incomplete_total",
+		[MEM_WAITING] = "memory_shed_waiting_total",
+		[MEM_ANSWERED] = "memory_shed_unread_total",
+		[MEM_RUNNING] = "memory_shed_running_total",
+	};
+	int i;
+
+	x->held_bytes = met_gauge(m, "memory_held_bytes",
+				  "held for connections: requests and answers");
+	x->large_held_bytes = met_gauge(m, "memory_held_large_bytes",
+					"of them, what the limit applies to");
+	for (i = 0; i < MEM_RANKS; i++)
+		x->memory_shed[i] = met_counter(
+			m, names[i], "given up when memory was short");
+}
+
 static void register_metrics(struct edge *en)
 {
 	struct met *m = &en->met;
@@ -282,6 +301,7 @@
 		met_counter(m, "endpoints_ended_total",
 			    "endpoints that ended under our requests");
 	register_answer_metrics(m, x);
+	register_memory_metrics(m, x);
 	register_suspect_metrics(m, x);
 	x->sends_not_run = met_counter(m, "sends_not_run_total",
 				       "sends that endpoints did not run");
@@ -409,6 +429,8 @@
 	jlog_int(en->log, "watch_rank", en->watch_rank);
 	jlog_int(en->log, "config_age_ms", force_age(&en->force, now));
 	jlog_int(en->log, "list_age_ms", edge_list_age(en, now));
+	jlog_int(en->log, "held_bytes", (int64_t)en->mem.bytes);
+	jlog_int(en->log, "shed", (int64_t)mem_nr_shed(&en->mem));
 	jlog_end(en->log);
 }
 
@@ -469,6 +491,7 @@
 		log_totals(en, now);
 	if (en->stopping)
 		edge_stop_tick(en, now);
+	mem_relieve(&en->mem);
 	set_tick_interval(en);
 }
 
@@ -575,6 +598,7 @@
 	if (ioc_address(conf->store.address, &store, e) ||
 	    open_listeners(en, e))
 		return 1;
+	edge_memory_open(en);
 	en->log = jlog_create(en->loop, clk, STDOUT_FILENO, level, conf->name);
 	log_start(en);
 	edge_store_open(en, &store);
--- a/lib/edge/edge_answer.c
+++ b/lib/edge/edge_answer.c
@@ -12,15 +12,6 @@
 /* Refusals by brittle endpoints before a last one ends the request. */
 #define MAX_BRITTLE_REFUSALS 1
 
-/*
- * Part of the machine's memory that the bodies of all answers under way may take.
- * An answer is copied twice on its way to the caller.
- */
-#define MEMORY_DIVISOR 8
-
-/* An answer is checked against that from this length on, bytes. */
-#define LARGE_ANSWER_BYTES (1u << 20)
-
 /* Bytes that a caller has not received, beyond which its stream is not read. */
 #define MAX_UNREAD_BYTES (256u << 10)
 
@@ -381,35 +372,17 @@
 static void handle_broken(struct edge_req *r, const char *why,
 			  bool by_connection);
 
-/* Ends a send whose answer is larger than an answer may be. */
-static void drop_oversized(struct edge_req *r, const char *why)
+void edge_answer_drop(struct edge_req *r, const char *why)
 {
 	met_inc(r->en->m.answers_oversized);
 	htc_cancel(r->call);
 	r->call = NULL;
 	buf_free(&r->answer_body);
 	evs_drop_partial(&r->events);
+	edge_req_hold(r);
 	handle_broken(r, why, false);
 }
 
-/* Drops the largest answer while all together take too much memory. */
-static void bound_memory(struct edge *en)
-{
-	const size_t max = (size_t)en->conf->limits.memory_mb * (1u << 20) /
-			   MEMORY_DIVISOR;
-	struct edge_req *r, *largest = NULL;
-	size_t sum = 0;
-
-	cds_list_for_each_entry(r, &en->requests, node) {
-		sum += r->answer_body.len;
-		if (r->call &&
-		    (!largest || r->answer_body.len > largest->answer_body.len))
-			largest = r;
-	}
-	if (sum > max && largest)
-		drop_oversized(largest, "answers take too much memory");
-}
-
 static void pass_events(struct edge_req *r, const char *data, size_t len)
 {
 	struct edge *en = r->en;
@@ -421,7 +394,7 @@
 		     r->rq.started ? r->events.last_id : -1, &events);
 	if (!n) {
 		if (r->events.too_large)
-			drop_oversized(r, "event too large");
+			edge_answer_drop(r, "event too large");
 		return;
 	}
 	edge_rollout_answered(r);
@@ -448,6 +421,7 @@
 		met_inc(en->m.streams_paused);
 		htc_pause(r->call, true);
 	}
+	edge_req_hold(r);
 	/* All events of the stopped run were received: continue at the copy. */
 	if (hand_on_event(&r->hand, r->events.last_id) == HAND_CONTINUE)
 		edge_move_continue(r);
@@ -456,17 +430,16 @@
 static void on_body(struct htc_call *call, const char *data, size_t len)
 {
 	struct edge_req *r = htc_owner(call);
+	struct edge *en = r->en;
 
 	note_received(r);
 	if (r->streaming) {
 		pass_events(r, data, len);
-		return;
+	} else if (!r->reply.not_run) {
+		buf_add(&r->answer_body, data, len);
+		edge_req_hold(r);
 	}
-	if (r->reply.not_run)
-		return;
-	buf_add(&r->answer_body, data, len);
-	if (r->answer_body.len > LARGE_ANSWER_BYTES)
-		bound_memory(r->en);
+	mem_relieve(&en->mem);
 }
 
 void edge_answer_drained(struct hsc *c)
@@ -476,6 +449,7 @@
 	if (!r || !r->unread)
 		return;
 	r->unread = false;
+	edge_req_hold(r);
 	if (r->call)
 		htc_pause(r->call, false);
 }
--- a/lib/edge/edge_config.c
+++ b/lib/edge/edge_config.c
@@ -32,6 +32,7 @@
 	jlog_int(en->log, "accounts", (int64_t)c->nr_accounts);
 	jlog_int(en->log, "keys", (int64_t)c->nr_keys);
 	jlog_end(en->log);
+	edge_memory_check_config(en, c);
 }
 
 /*
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -103,6 +103,7 @@
 	met_value *brittle_refusals, *endpoints_brittle;
 	met_value *endpoints_slow, *sends_off_slow;
 	met_value *tunnels, *tunnels_opened, *tunnels_refused;
+	met_value *held_bytes, *large_held_bytes, *memory_shed[MEM_RANKS];
 	/* Of whole requests, and of parts of their prompts. */
 	struct edge_suspect_metrics {
 		met_value *suspected, *convicted, *cleared;
@@ -247,6 +248,7 @@
 
 	/* The listeners. */
 	struct hsc_server callers, ready, lookup, peers;
+	struct mem mem;			/* what their connections hold */
 	struct cds_list_head requests;	/* of edge_req.node */
 	struct cds_list_head verifying; /* of edge_verify.node */
 
@@ -486,8 +488,28 @@
 /* Puts back a retry that edge_may_retry() spent and that no send follows. */
 void edge_retry_put_back(struct edge_req *r);
 
+/* ---- edge_memory.c: what connections hold ---- */
+
+/* Why a request or answer is given up when memory is short. */
+#define EDGE_WHY_NO_MEMORY "memory is short"
+
 /* Longer bodies are shared on their way instead of copied (shb.h). */
-#define EDGE_COPY_BYTES 16384
+#define EDGE_COPY_BYTES MEM_SMALL_BYTES
+
+/* Bounds the listeners, which are open. */
+void edge_memory_open(struct edge *en);
+
+/* Logs a configuration with bodies that the memory cannot hold. */
+void edge_memory_check_config(struct edge *en, const struct cfg *c);
+
+/* Sets the metrics of memory. */
+void edge_memory_set_metrics(struct edge *en);
+
+/* Accounts for what the request holds now. */
+void edge_req_hold(struct edge_req *r);
+
+/* Of hsc_vtable: gives up the request or its answer. */
+void edge_req_shed(struct hsc *c);
 
 /* ---- edge_stop.c: the entry's own shutdown ---- */
 
@@ -900,6 +922,9 @@
 /* Logs the end of the current send. `status`: HTTP status; 0: no answer. */
 void edge_log_send_ended(struct edge_req *r, const char *outcome, int status);
 
+/* Drops the current answer, which takes too much memory. May free `r`. */
+void edge_answer_drop(struct edge_req *r, const char *why);
+
 /* Why the rest of a stream is lost whose run was stopped for its migration. */
 #define EDGE_WHY_STOPPED "stopped for a copy that failed"
 
--- a/lib/edge/edge_lookup.c
+++ b/lib/edge/edge_lookup.c
@@ -66,9 +66,12 @@
 {
 	struct edge *en = c->server->owner;
 
-	(void)f;
-	en->wire->encode_own_answer(400, NULL, "malformed request", -1, true,
-				    out);
+	if (f == HSC_NO_ROOM)
+		en->wire->encode_own_answer(503, NULL, EDGE_WHY_NO_MEMORY, 500,
+					    true, out);
+	else
+		en->wire->encode_own_answer(400, NULL, "malformed request", -1,
+					    true, out);
 }
 
 static void get_limits(struct hsc_server *s, struct hsc_limits *out)
--- a/lib/edge/edge_peer_http.c
+++ b/lib/edge/edge_peer_http.c
@@ -63,6 +63,7 @@
 	r->conn = c;
 	c->request = r;
 	met_inc(en->m.store_relayed);
+	hsc_hold(c, MEM_RUNNING, wire.cap);
 	sto_relay(en->store, &wire, on_relay_answer, r);
 }
 
@@ -249,6 +250,7 @@
 	met_set(en->m.endpoints_unreached,
 		edge_count_unreached(en, edge_now(en)));
 	met_set(en->m.endpoint_age_ms, edge_endpoint_age(en, edge_now(en)));
+	edge_memory_set_metrics(en);
 	met_set(en->m.entries, en->nr_running);
 	met_set(en->m.in_core, en->ovl.core);
 	met_set(en->m.core_entries, (long long)en->prs.nr_core);
@@ -300,8 +302,7 @@
 static void on_malformed(struct hsc *c, enum hsc_read_error f, struct buf *out)
 {
 	(void)c;
-	(void)f;
-	hmsg_put_status(out, 400);
+	hmsg_put_status(out, f == HSC_NO_ROOM ? 503 : 400);
 	hmsg_put_int(out, "Content-Length", 0);
 	hmsg_put_end(out);
 }
--- a/lib/edge/edge_req.c
+++ b/lib/edge/edge_req.c
@@ -508,26 +508,29 @@
 	edge_req_free(r);
 }
 
-static void on_malformed(struct hsc *c, enum hsc_read_error f, struct buf *out)
+static void on_read_error(struct hsc *c, enum hsc_read_error f, struct buf *out)
 {
 	static const struct {
 		int status;
 		const char *why;
+		int64_t retry_ms;
 	} answers[] = {
-		[HSC_MALFORMED] = { 400, "malformed request" },
-		[HSC_HEAD_TOO_LARGE] = { 431, "head too large" },
-		[HSC_BODY_TOO_LARGE] = { 413, "body too large" },
-		[HSC_TIMEOUT] = { 408, "request took too long" },
+		[HSC_MALFORMED] = { 400, "malformed request", -1 },
+		[HSC_HEAD_TOO_LARGE] = { 431, "head too large", -1 },
+		[HSC_BODY_TOO_LARGE] = { 413, "body too large", -1 },
+		[HSC_TIMEOUT] = { 408, "request took too long", -1 },
+		/* Not read to its end, so it has not run. */
+		[HSC_NO_ROOM] = { 503, EDGE_WHY_NO_MEMORY, RETRY_LATER_MS },
 	};
 	struct edge *en = c->server->owner;
 
-	met_inc(en->m.requests_denied);
+	count_own_answer(en, answers[f].status);
 	jlog_begin(en->log, JLOG_INFO, "request_refused");
 	jlog_int(en->log, "status", answers[f].status);
 	jlog_str(en->log, "why", answers[f].why);
 	jlog_end(en->log);
-	en->wire->encode_own_answer(answers[f].status, NULL, answers[f].why, -1,
-				    true, out);
+	en->wire->encode_own_answer(answers[f].status, NULL, answers[f].why,
+				    answers[f].retry_ms, true, out);
 }
 
 /* Defaults apply until a configuration is known. */
@@ -547,6 +550,7 @@
 	.request = on_request,
 	.disconnected = on_caller_gone,
 	.drained = edge_answer_drained,
-	.read_error = on_malformed,
+	.read_error = on_read_error,
 	.limits = caller_limits,
+	.shed = edge_req_shed,
 };
--- a/lib/edge/edge_send.c
+++ b/lib/edge/edge_send.c
@@ -231,6 +231,7 @@
 	else
 		body = hsc_share_body(c);
 	rq_sent(&r->rq);
+	edge_req_hold(r);
 	if (edge_fatal_is_quarantined(r))
 		met_inc(en->m.sends_quarantined);
 	edge_fatal_sent(r);
--- a/lib/edge/edge_tunnel.c
+++ b/lib/edge/edge_tunnel.c
@@ -29,6 +29,7 @@
 	char endpoint_id[FLT_NAME];
 	struct hsc *conn; /* the request for it; NULL once it was answered */
 	struct ioc *entry, *endpoint; /* NULL: not open */
+	struct mem_holder holder;     /* of what is queued for both */
 	bool endpoint_closed;	      /* in order, after its last byte */
 	bool established;
 	ev_timer timer; /* of connecting, then of lingering */
@@ -50,9 +51,18 @@
 	jlog_end(en->log);
 }
 
+/* Accounts for what is queued. */
+static void update_held(struct edge_tunnel *t)
+{
+	mem_hold(&t->en->mem, &t->holder, MEM_RUNNING,
+		 (t->entry ? ioc_pending(t->entry) : 0) +
+			 (t->endpoint ? ioc_pending(t->endpoint) : 0));
+}
+
 /* Closes what is open. `close_io`: ioc_close, or ioc_abort to reset. */
 static void tunnel_free(struct edge_tunnel *t, void (*close_io)(struct ioc *))
 {
+	mem_hold(&t->en->mem, &t->holder, MEM_RUNNING, 0);
 	ev_timer_stop(t->en->loop, &t->timer);
 	if (t->entry)
 		close_io(t->entry);
@@ -135,6 +145,17 @@
 
 /* ---- The other entry's side ---- */
 
+static bool shed(struct mem_holder *h)
+{
+	struct edge_tunnel *t = caa_container_of(h, struct edge_tunnel, holder);
+
+	log_tunnel(t, EDGE_WHY_NO_MEMORY);
+	tunnel_free(t, ioc_abort);
+	return true;
+}
+
+static const struct mem_vtable holder_vtable = { shed };
+
 static void on_entry_data(struct ioc *io, const char *data, size_t len)
 {
 	struct edge_tunnel *t = io->owner;
@@ -144,12 +165,14 @@
 	ioc_write(t->endpoint, data, len);
 	if (ioc_pending(t->endpoint) > MAX_QUEUED_BYTES)
 		ioc_pause(io, true);
+	update_held(t);
 }
 
 static void on_entry_drained(struct ioc *io)
 {
 	struct edge_tunnel *t = io->owner;
 
+	update_held(t);
 	if (t->endpoint)
 		ioc_pause(t->endpoint, false);
 	if (t->endpoint_closed)
@@ -204,12 +227,14 @@
 	ioc_write(t->entry, data, len);
 	if (ioc_pending(t->entry) > MAX_QUEUED_BYTES)
 		ioc_pause(io, true);
+	update_held(t);
 }
 
 static void on_endpoint_drained(struct ioc *io)
 {
 	struct edge_tunnel *t = io->owner;
 
+	update_held(t);
 	if (t->entry)
 		ioc_pause(t->entry, false);
 }
@@ -284,6 +309,7 @@
 	t->en = en;
 	t->conn = c;
 	t->since_ms = edge_now(en);
+	mem_add(&t->holder, &holder_vtable);
 	str_copy(t->endpoint_id, e->info.id, sizeof(t->endpoint_id));
 	ev_timer_init(&t->timer, on_timer, 0, 0);
 	t->timer.data = t;
--- a/lib/io/hsc.c
+++ b/lib/io/hsc.c
@@ -12,7 +12,7 @@
 /*
  * Pipelined bytes after which a connection is not read until the response ends.
  */
-#define MAX_PIPELINED_BYTES 65536
+#define MAX_PIPELINED_BYTES MEM_SMALL_BYTES
 
 /*
  * Time for the peer to close after it has received the last response, in
@@ -33,6 +33,32 @@
 	.keepalive_s = 2,
 };
 
+/* ---- Memory ---- */
+
+static enum mem_rank rank_of(const struct hsc *c)
+{
+	switch (c->state) {
+	case HSC_READING:
+		return MEM_INCOMPLETE;
+	case HSC_RESPONDING:
+		return c->owner_rank;
+	default:
+		return MEM_ANSWERED;
+	}
+}
+
+/* Accounts for what the connection holds now. */
+static void update_held(struct hsc *c)
+{
+	struct mem *m = c->server->bounds.mem;
+
+	if (m)
+		mem_hold(m, &c->holder, rank_of(c),
+			 c->parse.msg.text.cap + c->body.cap +
+				 c->pipelined.cap + ioc_pending(c->io) +
+				 c->owner_bytes);
+}
+
 static void free_body(struct hsc *c)
 {
 	if (c->shared)
@@ -43,6 +69,22 @@
 	c->body = (struct buf)BUF_INIT;
 }
 
+/* The request is over, or is not read to its end. */
+static void free_request(struct hsc *c)
+{
+	free_body(c);
+	hmsg_reset(&c->parse.msg);
+	c->owner_bytes = 0;
+	c->request = NULL;
+}
+
+/* Connections on the stack may be freed: callers must not be in a callback. */
+static void relieve(struct hsc_server *s)
+{
+	if (s->bounds.mem)
+		mem_relieve(s->bounds.mem);
+}
+
 static void release(struct hsc *c)
 {
 	hparse_free(&c->parse);
@@ -63,6 +105,8 @@
 		s->nr_responding--;
 	cds_list_del(&c->node);
 	s->nr_conns--;
+	if (s->bounds.mem)
+		mem_hold(s->bounds.mem, &c->holder, MEM_ANSWERED, 0);
 	close_io(c->io);
 	if (c->in_feed)
 		c->free_pending = true;
@@ -107,6 +151,11 @@
 	if (c->state == HSC_RESPONDING)
 		c->server->nr_responding--;
 	c->state = HSC_LINGERING;
+	c->dropped = 0;
+	ioc_pause(c->io, false);
+	free_request(c);
+	buf_free(&c->pipelined);
+	update_held(c);
 	set_timer(c, LINGER_MS);
 	if (!ioc_pending(c->io))
 		shutdown(c->io->fd, SHUT_WR);
@@ -121,6 +170,31 @@
 	linger(c);
 }
 
+static bool shed(struct mem_holder *h)
+{
+	struct hsc *c = caa_container_of(h, struct hsc, holder);
+	const struct hsc_vtable *vt = c->server->vt;
+	const size_t before = h->bytes;
+
+	/* The client may have read a part of what was queued. */
+	update_held(c);
+	if (h->bytes < before)
+		return false;
+	if (c->state == HSC_READING) {
+		reject(c, HSC_NO_ROOM);
+	} else if (c->state == HSC_RESPONDING && vt->shed) {
+		vt->shed(c);
+	} else {
+		if (c->state == HSC_RESPONDING)
+			vt->disconnected(c);
+		/* What is queued is lost: the client must not see an orderly end. */
+		drop(c, ioc_abort);
+	}
+	return true;
+}
+
+static const struct mem_vtable holder_vtable = { shed };
+
 static void on_timer(struct ev_loop *loop, ev_timer *t, int revents)
 {
 	struct hsc *c = t->data;
@@ -177,6 +251,7 @@
 {
 	ev_timer_stop(c->server->loop, &c->timer);
 	c->state = HSC_RESPONDING;
+	c->owner_rank = MEM_WAITING;
 	c->head_match = 0;
 	c->server->nr_responding++;
 	if (!c->parse.msg.keep_alive)
@@ -218,29 +293,40 @@
 	}
 }
 
-static void end_feed(struct hsc *c)
+static void feed_and_relieve(struct hsc *c, const char *data, size_t len)
 {
+	struct hsc_server *s = c->server;
+
+	c->in_feed = true;
+	feed(c, data, len);
 	c->in_feed = false;
 	if (c->free_pending)
 		release(c);
+	else
+		update_held(c);
+	relieve(s);
 }
 
 static void on_data(struct ioc *io, const char *data, size_t len)
 {
 	struct hsc *c = io->owner;
 
-	if (c->state == HSC_LINGERING)
+	if (c->state == HSC_LINGERING) {
+		c->dropped += len;
+		if (c->dropped > c->limits.body_bytes)
+			ioc_pause(io, true);
 		return;
+	}
 	/* Behind the bytes that on_resume() has yet to parse, if there are any. */
 	if (c->state == HSC_RESPONDING || c->pipelined.len) {
 		if (c->pipelined.len + len > MAX_PIPELINED_BYTES)
 			ioc_pause(io, true);
 		buf_add(&c->pipelined, data, len);
+		update_held(c);
+		relieve(c->server);
 		return;
 	}
-	c->in_feed = true;
-	feed(c, data, len);
-	end_feed(c);
+	feed_and_relieve(c, data, len);
 }
 
 /* Parses the requests that were pipelined during the last response. */
@@ -253,9 +339,7 @@
 	(void)revents;
 	c->pipelined = (struct buf)BUF_INIT;
 	ioc_pause(c->io, false);
-	c->in_feed = true;
-	feed(c, pending.data, pending.len);
-	end_feed(c);
+	feed_and_relieve(c, pending.data, pending.len);
 	buf_free(&pending);
 }
 
@@ -273,6 +357,7 @@
 {
 	struct hsc *c = io->owner;
 
+	update_held(c);
 	if (c->state == HSC_LINGERING)
 		shutdown(io->fd, SHUT_WR);
 	else if (c->state == HSC_RESPONDING && c->server->vt->drained)
@@ -294,6 +379,7 @@
 	assert(c);
 	c->server = s;
 	c->io = ioc_adopt(s->loop, fd, &tcp_timeouts, &io_vtable, c);
+	mem_add(&c->holder, &holder_vtable);
 	ev_timer_init(&c->timer, on_timer, 0, 0);
 	c->timer.data = c;
 	ev_timer_init(&c->resume, on_resume, 0, 0);
@@ -323,6 +409,11 @@
 	}
 }
 
+void hsc_server_bound(struct hsc_server *s, const struct hsc_bounds *b)
+{
+	s->bounds = *b;
+}
+
 int hsc_server_open(struct hsc_server *s, struct ev_loop *loop,
 		    const struct sockaddr_in *at, const struct hsc_vtable *vt,
 		    void *owner, struct err *e)
@@ -343,7 +434,7 @@
 
 void hsc_server_address(const struct hsc_server *s, char *out, size_t size)
 {
-	struct sockaddr_in addr;
+	struct sockaddr_in addr = { 0 };
 	socklen_t len = sizeof(addr);
 	char ip[INET_ADDRSTRLEN];
 
@@ -419,6 +510,7 @@
 	if (c->state == HSC_RESPONDING && c->parse.msg.method == HTTP_HEAD)
 		len = head_part(c, data, len);
 	ioc_write(c->io, data, len);
+	update_held(c);
 }
 
 void hsc_write_shared(struct hsc *c, struct shb *bytes)
@@ -426,6 +518,7 @@
 	if (c->state == HSC_RESPONDING && c->parse.msg.method == HTTP_HEAD)
 		return;
 	ioc_write_shared(c->io, bytes);
+	update_held(c);
 }
 
 struct shb *hsc_share_body(struct hsc *c)
@@ -437,6 +530,13 @@
 	return c->shared;
 }
 
+void hsc_hold(struct hsc *c, enum mem_rank rank, size_t bytes)
+{
+	c->owner_rank = rank;
+	c->owner_bytes = bytes;
+	update_held(c);
+}
+
 size_t hsc_pending(const struct hsc *c)
 {
 	return ioc_pending(c->io);
@@ -445,14 +545,14 @@
 void hsc_done(struct hsc *c, bool close)
 {
 	assert(c->state == HSC_RESPONDING);
-	free_body(c);
-	c->request = NULL;
 	if (close || hsc_must_close(c)) {
 		linger(c);
 		return;
 	}
+	free_request(c);
 	c->server->nr_responding--;
 	c->state = HSC_IDLE;
+	update_held(c);
 	begin_delivery(c);
 	c->server->vt->limits(c->server, &c->limits);
 	if (c->pipelined.len) {
--- a/lib/io/hsc.h
+++ b/lib/io/hsc.h
@@ -16,6 +16,7 @@
 
 #include "io/hmsg.h"
 #include "io/ioc.h"
+#include "io/mem.h"
 
 struct hsc_limits {
 	size_t header_bytes; /* URL, header names and values together */
@@ -34,6 +35,13 @@
 	HSC_HEAD_TOO_LARGE,
 	HSC_BODY_TOO_LARGE,
 	HSC_TIMEOUT, /* header_ms or body_ms elapsed */
+	HSC_NO_ROOM, /* hsc_bounds.mem: the request was given up */
+};
+
+/* Of all connections of a server together. */
+struct hsc_bounds {
+	/* The account of what they hold; may be shared by servers. NULL: none. */
+	struct mem *mem;
 };
 
 struct hsc;
@@ -63,6 +71,11 @@
 	 * follow. May be NULL.
 	 */
 	void (*drained)(struct hsc *c);
+	/*
+	 * The memory of the connection is needed: end the response, which may be
+	 * cut. NULL: as `disconnected`, and the connection is closed.
+	 */
+	void (*shed)(struct hsc *c);
 };
 
 enum hsc_state {
@@ -83,6 +96,7 @@
 	unsigned nr_responding; /* connections in HSC_RESPONDING */
 	unsigned max_conns;	/* more are closed at once; 0: no limit */
 	bool draining;		/* connections close after their response */
+	struct hsc_bounds bounds;
 };
 
 struct hsc {
@@ -97,8 +111,12 @@
 	struct buf pipelined; /* bytes received after the current request */
 	ev_timer timer;
 	ev_timer resume; /* parses `pipelined` in the loop's next iteration */
-	size_t unacked;	 /* bytes, at the last check of a delivery */
-	int stalled_ms;	 /* since when the client received nothing of them */
+	struct mem_holder holder;
+	size_t owner_bytes; /* see hsc_hold() */
+	enum mem_rank owner_rank;
+	size_t dropped; /* bytes received while it lingers */
+	size_t unacked; /* bytes, at the last check of a delivery */
+	int stalled_ms; /* since when the client received nothing of them */
 	/* Bytes written of the CRLF CRLF that ends the response's head. */
 	unsigned head_match;
 	bool close_after;    /* the client requests a close */
@@ -113,6 +131,9 @@
 		    const struct sockaddr_in *at, const struct hsc_vtable *vt,
 		    void *owner, struct err *e);
 
+/* To be called before the first connection is accepted; `b` is copied. */
+void hsc_server_bound(struct hsc_server *s, const struct hsc_bounds *b);
+
 /* Writes the listening address as IP:PORT, at most `size` bytes with NUL. */
 void hsc_server_address(const struct hsc_server *s, char *out, size_t size);
 
@@ -145,6 +166,12 @@
  */
 struct shb *hsc_share_body(struct hsc *c);
 
+/*
+ * What the owner holds for the current request beside the connection's own buffers,
+ * until hsc_done(), and the rank of both.
+ */
+void hsc_hold(struct hsc *c, enum mem_rank rank, size_t bytes);
+
 /*
  * Ends the response. With `close`, or if hsc_must_close is true, the connection
  * is shut down after the last byte, and freed when the peer closes it or one
--- a/tests/standin/platform.c
+++ b/tests/standin/platform.c
@@ -1151,9 +1151,9 @@
 	*out = (struct hsc_limits){ 65536, 1u << 22, 5000, 5000, 60000 };
 }
 
-static const struct hsc_vtable endpoint_vtable = { endpoint_request,
-						   endpoint_gone, no_fault,
-						   limits, NULL };
+static const struct hsc_vtable endpoint_vtable = {
+	endpoint_request, endpoint_gone, no_fault, limits, NULL, NULL
+};
 
 /* `address`: IP:PORT; `id`: NULL for one of its own. */
 static struct endpoint *open_endpoint_at(const char *service,
@@ -1768,8 +1768,8 @@
 	free(v);
 }
 
-static const struct hsc_vtable vtable = { on_call, call_gone, no_fault, limits,
-					  NULL };
+static const struct hsc_vtable vtable = { on_call, call_gone, no_fault,
+					  limits,  NULL,      NULL };
 
 static void on_tick(struct ev_loop *loop, ev_timer *t, int revents)
 {
--- /dev/null
+++ b/tests/test_hsc_bounds.c
@@ -0,0 +1,242 @@
+/*
+ * The bounds of a server's connections together (hsc_bounds), over loopback: what is
+ * given up when they hold too much.
+ */
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "io/hsc.h"
+#include "support/unit.h"
+
+#define BODY_BYTES 200000
+
+static struct ev_loop *loop;
+static struct mem account;
+
+static struct {
+	struct hsc_server server;
+	struct sockaddr_in addr;
+	struct hsc *conn; /* of the last request */
+	bool waits;	  /* it is not answered */
+	size_t answer_bytes;
+	unsigned requests, shed;
+} w;
+
+static void on_request(struct hsc *c)
+{
+	struct buf body = BUF_INIT;
+	struct shb *shared;
+	char head[64];
+	size_t i;
+
+	w.requests++;
+	w.conn = c;
+	if (w.waits)
+		return;
+	for (i = 0; i < w.answer_bytes; i++)
+		buf_add(&body, &"0123456789"[i % 10], 1);
+	snprintf(head, sizeof(head),
+		 "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n", body.len);
+	hsc_write(c, head, strlen(head));
+	shared = shb_new(&body);
+	hsc_write_shared(c, shared);
+	shb_put(shared);
+	hsc_done(c, false);
+}
+
+static void on_gone(struct hsc *c)
+{
+	(void)c;
+}
+
+static void on_read_error(struct hsc *c, enum hsc_read_error e, struct buf *out)
+{
+	(void)c;
+	buf_fmt(out, "HTTP/1.1 %d X\r\nContent-Length: 0\r\n\r\n",
+		500 + (int)e);
+}
+
+static void set_limits(struct hsc_server *s, struct hsc_limits *out)
+{
+	(void)s;
+	*out = (struct hsc_limits){ 16384, BODY_BYTES, 5000, 5000, 5000 };
+}
+
+static void on_shed(struct hsc *c)
+{
+	static const char answer[] =
+		"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n";
+
+	w.shed++;
+	hsc_write(c, answer, strlen(answer));
+	hsc_done(c, false);
+}
+
+static const struct hsc_vtable vtable = { on_request, on_gone, on_read_error,
+					  set_limits, NULL,    on_shed };
+
+static void on_time(struct ev_loop *l, ev_timer *t, int revents)
+{
+	(void)t;
+	(void)revents;
+	ev_break(l, EVBREAK_ALL);
+}
+
+static void run_loop(void)
+{
+	ev_timer t;
+
+	ev_timer_init(&t, on_time, 0.05, 0);
+	ev_timer_start(loop, &t);
+	ev_run(loop, 0);
+	ev_timer_stop(loop, &t);
+}
+
+static void open_server(size_t limit)
+{
+	char at[32];
+
+	if (!loop)
+		loop = ev_default_loop(EVFLAG_AUTO);
+	memset(&w, 0, sizeof(w));
+	w.answer_bytes = 10;
+	mem_init(&account, clk_real(), limit);
+	ioc_address("127.0.0.1:0", &w.addr, NULL);
+	CU_ASSERT_EQUAL_FATAL(hsc_server_open(&w.server, loop, &w.addr, &vtable,
+					      NULL, NULL),
+			      0);
+	hsc_server_bound(&w.server, &(struct hsc_bounds){ &account });
+	hsc_server_address(&w.server, at, sizeof(at));
+	ioc_address(at, &w.addr, NULL);
+}
+
+/* Nothing is counted for connections that are gone. */
+static void close_server(int *fds, int n)
+{
+	while (n)
+		close(fds[--n]);
+	run_loop();
+	hsc_server_close(&w.server);
+	CU_ASSERT_EQUAL(account.bytes, 0);
+	CU_ASSERT_EQUAL(account.large_bytes, 0);
+}
+
+static int connect_client(void)
+{
+	const int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	CU_ASSERT_EQUAL_FATAL(connect(fd, (const struct sockaddr *)&w.addr,
+				      sizeof(w.addr)),
+			      0);
+	fcntl(fd, F_SETFL, O_NONBLOCK);
+	run_loop();
+	return fd;
+}
+
+/* Sends as fast as the server reads. */
+static void send_all(int fd, const struct buf *out)
+{
+	size_t sent = 0;
+	int turns;
+
+	for (turns = 0; sent < out->len && turns < 200; turns++) {
+		const ssize_t n = send(fd, out->data + sent, out->len - sent,
+				       MSG_NOSIGNAL);
+
+		sent += n > 0 ? (size_t)n : 0;
+		run_loop();
+	}
+}
+
+/* Sends the head of a request with a body, and `bytes` of it. */
+static void send_body(int fd, size_t bytes)
+{
+	BUF_AUTO out = BUF_INIT;
+	size_t end;
+
+	buf_fmt(&out,
+		"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n",
+		BODY_BYTES);
+	end = out.len + bytes;
+	while (out.len < end)
+		buf_str(&out, "x");
+	send_all(fd, &out);
+}
+
+static void send_small(int fd)
+{
+	static const char text[] = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+
+	send(fd, text, strlen(text), MSG_NOSIGNAL);
+	run_loop();
+}
+
+/* The status of what was received; 0: nothing, -1: the connection is closed. */
+static int status_of(int fd)
+{
+	char text[64];
+	const ssize_t n = recv(fd, text, sizeof(text) - 1, 0);
+
+	if (n <= 0)
+		return n == 0 ? -1 : 0;
+	text[n] = '\0';
+	return atoi(text + strlen("HTTP/1.1 "));
+}
+
+/* Guards against bodies that stop short of their end, whose sum had no bound. */
+static void the_oldest_incomplete_body_is_refused(void)
+{
+	int fds[4], i;
+
+	open_server(2 * BODY_BYTES + BODY_BYTES / 2);
+	for (i = 0; i < 3; i++) {
+		fds[i] = connect_client();
+		send_body(fds[i], BODY_BYTES - 1);
+	}
+	CU_ASSERT_EQUAL(status_of(fds[0]), 500 + HSC_NO_ROOM);
+	CU_ASSERT_EQUAL(status_of(fds[1]), 0);
+	CU_ASSERT_EQUAL(status_of(fds[2]), 0);
+	fds[3] = connect_client();
+	send_small(fds[3]);
+	CU_ASSERT_EQUAL(status_of(fds[3]), 200);
+	CU_ASSERT_EQUAL(account.shed[MEM_INCOMPLETE], 1);
+	close_server(fds, 4);
+}
+
+static void a_complete_request_goes_after_incomplete_ones(void)
+{
+	int fds[3];
+
+	open_server(2 * BODY_BYTES + BODY_BYTES / 2);
+	w.waits = true;
+	fds[0] = connect_client();
+	send_body(fds[0], BODY_BYTES);
+	fds[1] = connect_client();
+	send_body(fds[1], BODY_BYTES - 1);
+	fds[2] = connect_client();
+	send_body(fds[2], BODY_BYTES - 1);
+	CU_ASSERT_EQUAL(status_of(fds[0]), 0);
+	CU_ASSERT_EQUAL(status_of(fds[1]), 500 + HSC_NO_ROOM);
+	CU_ASSERT_EQUAL(w.shed, 0);
+	/* The owner's part belongs to the same request. */
+	hsc_hold(w.conn, MEM_WAITING, 2 * BODY_BYTES);
+	mem_relieve(&account);
+	CU_ASSERT_EQUAL(status_of(fds[2]), 500 + HSC_NO_ROOM);
+	CU_ASSERT_EQUAL(w.shed, 1);
+	CU_ASSERT_EQUAL(status_of(fds[0]), 503);
+	close_server(fds, 3);
+}
+
+static const struct unit_test tests[] = {
+	{ "the oldest incomplete body is refused",
+	  the_oldest_incomplete_body_is_refused },
+	{ "a complete request goes after incomplete ones",
+	  a_complete_request_goes_after_incomplete_ones },
+};
+
+UNIT_MAIN("hsc_bounds", tests)
--- a/tests/test_hsc_end.c
+++ b/tests/test_hsc_end.c
@@ -73,7 +73,7 @@
 }
 
 static const struct hsc_vtable vtable = { on_request, on_gone, on_read_error,
-					  set_limits, NULL };
+					  set_limits, NULL,    NULL };
 
 static void on_time(struct ev_loop *l, ev_timer *t, int revents)
 {
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -227,9 +227,10 @@
 	*out = (struct hsc_limits){ 4096, 10000, 200, 200, 5000 };
 }
 
-static const struct hsc_vtable peer_vtable = { peer_request, peer_disconnected,
-					       peer_read_error, peer_limits,
-					       NULL };
+static const struct hsc_vtable peer_vtable = {
+	peer_request, peer_disconnected, peer_read_error, peer_limits, NULL,
+	NULL
+};
 
 static struct ev_loop *loop;
 
@@ -763,9 +764,12 @@
 	hsc_done(c, false);
 }
 
-static const struct hsc_vtable tunnel_vtable = {
-	tunnel_request, peer_disconnected, peer_read_error, peer_limits, NULL
-};
+static const struct hsc_vtable tunnel_vtable = { tunnel_request,
+						 peer_disconnected,
+						 peer_read_error,
+						 peer_limits,
+						 NULL,
+						 NULL };
 
 static void calls_share_a_tunnel(void)
 {
@@ -992,7 +996,9 @@
 	static const struct hsc_vtable in_pieces = { write_in_pieces,
 						     peer_disconnected,
 						     peer_read_error,
-						     peer_limits, NULL };
+						     peer_limits,
+						     NULL,
+						     NULL };
 	BUF_AUTO expected = BUF_INIT;
 	char got[1024];
 	int fd, pieces;
@@ -1049,8 +1055,11 @@
  */
 static void bytes_set_aside_are_parsed_first(void)
 {
-	static const struct hsc_vtable vtable = { answer_url, peer_disconnected,
-						  peer_read_error, peer_limits,
+	static const struct hsc_vtable vtable = { answer_url,
+						  peer_disconnected,
+						  peer_read_error,
+						  peer_limits,
+						  NULL,
 						  NULL };
 	/* The second part goes on where the first one ends. */
 	static const char *const parts[][2] = {
--- a/tests/test_tunnel.c
+++ b/tests/test_tunnel.c
@@ -40,7 +40,7 @@
 }
 
 static const struct hsc_vtable vtable = { on_request, on_gone, on_read_error,
-					  set_limits, NULL };
+					  set_limits, NULL,    NULL };
 
 static void on_time(struct ev_loop *l, ev_timer *t, int revents)
 {
@@ -78,6 +78,7 @@
 	en->m.tunnels_opened = met_counter(&en->met, "opened", "");
 	en->m.tunnels_refused = met_counter(&en->met, "refused", "");
 	CDS_INIT_LIST_HEAD(&en->tunnels);
+	mem_init(&en->mem, clk_real(), SIZE_MAX);
 	flt_init(&en->fleet, NULL);
 
 	*listener = ioc_listen(&any, NULL);
