hsc: requests wait behind an answer that their client does not read

The next request of a connection is not read while more than 64 KiB of answers wait for the client; reading goes on when they are sent.

--- a/lib/io/hsc.c
+++ b/lib/io/hsc.c
@@ -14,6 +14,9 @@
  */
 #define MAX_PIPELINED_BYTES MEM_SMALL_BYTES
 
+/* Unsent bytes of responses beyond which the next request is not read. */
+#define MAX_UNSENT_BYTES 65536
+
 /*
  * Time for the peer to close after it has received the last response, in
  * milliseconds. Closing a socket that has unread bytes resets the connection,
@@ -152,6 +155,7 @@
 		c->server->nr_responding--;
 	c->state = HSC_LINGERING;
 	c->dropped = 0;
+	c->held_back = false;
 	ioc_pause(c->io, false);
 	free_request(c);
 	buf_free(&c->pipelined);
@@ -343,6 +347,18 @@
 	buf_free(&pending);
 }
 
+/* Between two requests: reads the next one unless the client reads too little. */
+static void read_next(struct hsc *c)
+{
+	c->held_back = ioc_pending(c->io) > MAX_UNSENT_BYTES;
+	if (c->held_back)
+		ioc_pause(c->io, true);
+	else if (c->pipelined.len)
+		ev_timer_start(c->server->loop, &c->resume);
+	else
+		ioc_pause(c->io, false);
+}
+
 static void on_ended(struct ioc *io, enum ioc_end how)
 {
 	struct hsc *c = io->owner;
@@ -360,6 +376,8 @@
 	update_held(c);
 	if (c->state == HSC_LINGERING)
 		shutdown(io->fd, SHUT_WR);
+	else if (c->state == HSC_IDLE && c->held_back)
+		read_next(c);
 	else if (c->state == HSC_RESPONDING && c->server->vt->drained)
 		c->server->vt->drained(c);
 }
@@ -555,12 +573,8 @@
 	update_held(c);
 	begin_delivery(c);
 	c->server->vt->limits(c->server, &c->limits);
-	if (c->pipelined.len) {
-		ev_timer_start(c->server->loop, &c->resume);
-		return;
-	}
 	set_timer(c, c->limits.idle_ms);
-	ioc_pause(c->io, false);
+	read_next(c);
 }
 
 void hsc_disconnect(struct hsc *c)
--- a/lib/io/hsc.h
+++ b/lib/io/hsc.h
@@ -121,6 +121,7 @@
 	unsigned head_match;
 	bool close_after;    /* the client requests a close */
 	bool body_too_large; /* body_bytes exceeded */
+	bool held_back;	     /* the next request waits for the client to read */
 	bool in_feed;	     /* the parser is on the stack */
 	bool free_pending;   /* freed when the parser returns */
 	void *request;	     /* for the owner, until hsc_done */
--- a/tests/test_hsc_bounds.c
+++ b/tests/test_hsc_bounds.c
@@ -14,6 +14,9 @@
 #include "support/unit.h"
 
 #define BODY_BYTES 200000
+/* More than the socket buffers of both sides hold, all together. */
+#define ANSWER_BYTES (2u << 20)
+#define REQUESTS 20
 
 static struct ev_loop *loop;
 static struct mem account;
@@ -232,11 +235,39 @@
 	close_server(fds, 3);
 }
 
+/* Guards against answers queued without a bound for a client that does not read. */
+static void a_client_that_does_not_read_is_not_answered_on(void)
+{
+	int fd, i;
+	unsigned answered;
+
+	open_server((size_t)64 << 20);
+	w.answer_bytes = ANSWER_BYTES;
+	fd = connect_client();
+	for (i = 0; i < REQUESTS; i++)
+		send_small(fd);
+	answered = w.requests;
+	CU_ASSERT(answered < REQUESTS / 2);
+	CU_ASSERT(account.bytes < 2 * ANSWER_BYTES);
+	/* It goes on when the client reads. */
+	for (i = 0; i < 100 && w.requests < REQUESTS; i++) {
+		static char data[1 << 20];
+
+		while (recv(fd, data, sizeof(data), 0) > 0)
+			;
+		run_loop();
+	}
+	CU_ASSERT_EQUAL(w.requests, REQUESTS);
+	close_server(&fd, 1);
+}
+
 static const struct unit_test tests[] = {
 	{ "the oldest incomplete body is refused",
 	  the_oldest_incomplete_body_is_refused },
 	{ "a complete request goes after incomplete ones",
 	  a_complete_request_goes_after_incomplete_ones },
+	{ "a client that does not read is not answered on",
+	  a_client_that_does_not_read_is_not_answered_on },
 };
 
 UNIT_MAIN("hsc_bounds", tests)
