hsc: each server has a share of the descriptors

Silent clients took all descriptors of an entry; none was left for endpoints, store and other entries, and accept(), which failed, was called again at once, at 0.98 of a core. With clients that returned when they were closed no ordinary request was answered. Cause: limits.descriptors was read from the settings and used nowhere.

rsc.h shares the descriptors out: 12/32 for callers, 3/32 for other entries, 2/32 for look-ups, 1/32 for readiness checks, the rest for connections that the entry opens, of which each caller's request needs one; no more than the memory for small holders has room for. At its maximum a server closes the connection that has been without a complete request for longest and accepts the new one; a request in progress is never closed for another. Without a descriptor the listener rests for 100 ms.

--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -268,6 +268,11 @@
 	for (i = 0; i < MEM_RANKS; i++)
 		x->memory_shed[i] = met_counter(
 			m, names[i], "given up when memory was short");
+	x->connections = met_gauge(m, "connections",
+				   "accepted connections that are open");
+	x->connections_closed =
+		met_counter(m, "connections_closed_for_others_total",
+			    "closed as there were too many");
 }
 
 static void register_metrics(struct edge *en)
@@ -431,6 +436,7 @@
 	jlog_int(en->log, "list_age_ms", edge_list_age(en, now));
 	jlog_int(en->log, "held_bytes", (int64_t)en->mem.bytes);
 	jlog_int(en->log, "shed", (int64_t)mem_nr_shed(&en->mem));
+	jlog_int(en->log, "closed_for_others", (int64_t)edge_memory_closed(en));
 	jlog_end(en->log);
 }
 
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -103,7 +103,8 @@
 	met_value *brittle_refusals, *endpoints_brittle;
 	met_value *endpoints_slow, *sends_off_slow;
 	met_value *tunnels, *tunnels_opened, *tunnels_refused;
-	met_value *held_bytes, *large_held_bytes, *memory_shed[MEM_RANKS];
+	met_value *held_bytes, *large_held_bytes, *connections,
+		*connections_closed, *memory_shed[MEM_RANKS];
 	/* Of whole requests, and of parts of their prompts. */
 	struct edge_suspect_metrics {
 		met_value *suspected, *convicted, *cleared;
@@ -502,7 +503,10 @@
 /* Logs a configuration with bodies that the memory cannot hold. */
 void edge_memory_check_config(struct edge *en, const struct cfg *c);
 
-/* Sets the metrics of memory. */
+/* Connections closed as others needed their descriptors, ever. */
+unsigned long edge_memory_closed(const struct edge *en);
+
+/* Sets the metrics of memory and connections. */
 void edge_memory_set_metrics(struct edge *en);
 
 /* Accounts for what the request holds now. */
--- a/lib/edge/edge_memory.c
+++ b/lib/edge/edge_memory.c
@@ -1,25 +1,38 @@
 /* What connections hold: its bounds, and what is given up when memory is short. */
 #include <stdlib.h>
+#include <sys/resource.h>
 
 #include "edge/edge_internal.h"
+#include "edge/rsc.h"
 
-/* What requests and answers may hold of the memory, in sixteenths. */
-#define HELD_PARTS 5
+/* The settings may allow more than the system. */
+static size_t descriptor_limit(const struct edge *en)
+{
+	const size_t n = (size_t)en->conf->limits.descriptors;
+	struct rlimit r;
+
+	if (getrlimit(RLIMIT_NOFILE, &r) || r.rlim_cur >= n)
+		return n;
+	return (size_t)r.rlim_cur;
+}
 
 void edge_memory_open(struct edge *en)
 {
-	struct hsc_server *servers[] = {
-		&en->callers,
-		&en->peers,
-		&en->lookup,
-		&en->ready,
+	struct hsc_server *servers[RSC_SERVERS] = {
+		[RSC_CALLERS] = &en->callers,
+		[RSC_PEERS] = &en->peers,
+		[RSC_LOOKUP] = &en->lookup,
+		[RSC_READY] = &en->ready,
 	};
-	const size_t memory = (size_t)en->conf->limits.memory_mb << 20;
-	size_t i;
+	const struct rsc r = rsc_share((size_t)en->conf->limits.memory_mb << 20,
+				       descriptor_limit(en));
+	int i;
 
-	mem_init(&en->mem, en->clk, memory / 16 * HELD_PARTS);
-	for (i = 0; i < sizeof(servers) / sizeof(servers[0]); i++) {
-		hsc_server_bound(servers[i], &(struct hsc_bounds){ &en->mem });
+	mem_init(&en->mem, en->clk, r.held_bytes);
+	for (i = 0; i < RSC_SERVERS; i++) {
+		hsc_server_bound(servers[i],
+				 &(struct hsc_bounds){
+					 &en->mem, r.servers[i].max_conns });
 	}
 }
 
@@ -34,6 +47,13 @@
 	jlog_end(en->log);
 }
 
+unsigned long edge_memory_closed(const struct edge *en)
+{
+	return en->callers.nr_closed_for_others +
+	       en->peers.nr_closed_for_others +
+	       en->lookup.nr_closed_for_others + en->ready.nr_closed_for_others;
+}
+
 void edge_memory_set_metrics(struct edge *en)
 {
 	int i;
@@ -42,6 +62,10 @@
 	met_set(en->m.large_held_bytes, (long long)en->mem.large_bytes);
 	for (i = 0; i < MEM_RANKS; i++)
 		met_set(en->m.memory_shed[i], (long long)en->mem.shed[i]);
+	met_set(en->m.connections, en->callers.nr_conns + en->peers.nr_conns +
+					   en->lookup.nr_conns +
+					   en->ready.nr_conns);
+	met_set(en->m.connections_closed, (long long)edge_memory_closed(en));
 }
 
 void edge_req_hold(struct edge_req *r)
--- /dev/null
+++ b/lib/edge/rsc.c
@@ -0,0 +1,47 @@
+#include "edge/rsc.h"
+
+#include "io/mem.h"
+
+/* Descriptors that are not for sockets; a quarter of few descriptors. */
+#define FILES 200
+
+/* Connections that each server has however few descriptors there are. */
+#define MIN_CONNS 4
+
+/*
+ * Parts of the sockets. The sockets beyond these are for connections that the process
+ * opens: callers' requests need one each.
+ */
+#define PARTS 32
+#define PARTS_ACCEPTED 18 /* the sum of `conns` below */
+static const struct {
+	unsigned conns;
+} parts[RSC_SERVERS] = {
+	[RSC_CALLERS] = { 12 },
+	[RSC_PEERS] = { 3 },
+	[RSC_LOOKUP] = { 2 },
+	[RSC_READY] = { 1 },
+};
+
+static size_t smaller(size_t a, size_t b)
+{
+	return a < b ? a : b;
+}
+
+struct rsc rsc_share(size_t memory, size_t descriptors)
+{
+	const size_t sockets = descriptors - smaller(FILES, descriptors / 4);
+	const size_t small = memory / 16 * 3 / MEM_SMALL_BYTES;
+	struct rsc r = { .held_bytes = memory / 16 * 5 };
+	int i;
+
+	for (i = 0; i < RSC_SERVERS; i++) {
+		const size_t n =
+			smaller(sockets * parts[i].conns / PARTS,
+				small * parts[i].conns / PARTS_ACCEPTED);
+
+		r.servers[i].max_conns = n > MIN_CONNS ? (unsigned)n
+						       : MIN_CONNS;
+	}
+	return r;
+}
--- /dev/null
+++ b/lib/edge/rsc.h
@@ -0,0 +1,31 @@
+/*
+ * rsc: resources: how the memory and the descriptors of an entry are shared out, from
+ * its settings limits.memory_mb and limits.descriptors. Pure.
+ *
+ * Memory: five sixteenths for what large requests and answers hold (mem.h), three for
+ * small ones. The process itself and the system have the rest.
+ */
+#ifndef RSC_H
+#define RSC_H
+
+#include <stddef.h>
+
+enum rsc_server {
+	RSC_CALLERS,
+	RSC_PEERS,
+	RSC_LOOKUP,
+	RSC_READY,
+	RSC_SERVERS
+};
+
+struct rsc {
+	size_t held_bytes; /* limit of the account, struct mem */
+	struct {
+		unsigned max_conns;
+	} servers[RSC_SERVERS];
+};
+
+/* `memory`: in bytes; `descriptors`: that the process may open. */
+struct rsc rsc_share(size_t memory, size_t descriptors);
+
+#endif
--- a/lib/io/hsc.c
+++ b/lib/io/hsc.c
@@ -17,6 +17,9 @@
 /* Unsent bytes of responses beyond which the next request is not read. */
 #define MAX_UNSENT_BYTES 65536
 
+/* Pause when there is no descriptor, and no connection to be closed, ms. */
+#define REST_MS 100
+
 /*
  * Time for the peer to close after it has received the last response, in
  * milliseconds. Closing a socket that has unread bytes resets the connection,
@@ -397,6 +400,7 @@
 	assert(c);
 	c->server = s;
 	c->io = ioc_adopt(s->loop, fd, &tcp_timeouts, &io_vtable, c);
+	c->since_s = ev_now(s->loop);
 	mem_add(&c->holder, &holder_vtable);
 	ev_timer_init(&c->timer, on_timer, 0, 0);
 	c->timer.data = c;
@@ -409,6 +413,47 @@
 	set_timer(c, c->limits.idle_ms);
 }
 
+/*
+ * Closes the connection that has been without a complete request for longest. False:
+ * responses are in progress on all of them.
+ */
+static bool close_for_another(struct hsc_server *s)
+{
+	struct hsc *c, *first = NULL;
+
+	cds_list_for_each_entry(c, &s->conns, node) {
+		if (c->state != HSC_RESPONDING &&
+		    (!first || c->since_s < first->since_s))
+			first = c;
+	}
+	if (!first)
+		return false;
+	s->nr_closed_for_others++;
+	drop(first, ioc_close);
+	return true;
+}
+
+static bool is_shortage(int error)
+{
+	return error == EMFILE || error == ENFILE || error == ENOBUFS ||
+	       error == ENOMEM;
+}
+
+static void rest(struct hsc_server *s)
+{
+	ev_io_stop(s->loop, &s->acceptor);
+	ev_timer_set(&s->rest, (double)REST_MS / 1000, 0);
+	ev_timer_start(s->loop, &s->rest);
+}
+
+static void on_rested(struct ev_loop *loop, ev_timer *t, int revents)
+{
+	struct hsc_server *s = t->data;
+
+	(void)revents;
+	ev_io_start(loop, &s->acceptor);
+}
+
 static void on_acceptable(struct ev_loop *loop, ev_io *w, int revents)
 {
 	struct hsc_server *s = w->data;
@@ -418,12 +463,18 @@
 	(void)revents;
 	for (i = 0; i < ACCEPT_BATCH; i++) {
 		fd = accept4(s->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+		/* The queue stays readable: without a pause this would spin. */
+		if (fd < 0 && is_shortage(errno) && !close_for_another(s))
+			rest(s);
 		if (fd < 0)
 			return;
-		if (s->max_conns && s->nr_conns >= s->max_conns)
+		if (s->bounds.max_conns && s->nr_conns >= s->bounds.max_conns &&
+		    !close_for_another(s)) {
+			s->nr_closed_for_others++;
 			close(fd);
-		else
+		} else {
 			accept_one(s, fd);
+		}
 	}
 }
 
@@ -446,6 +497,8 @@
 		return -1;
 	ev_io_init(&s->acceptor, on_acceptable, s->fd, EV_READ);
 	s->acceptor.data = s;
+	ev_timer_init(&s->rest, on_rested, 0, 0);
+	s->rest.data = s;
 	ev_io_start(loop, &s->acceptor);
 	return 0;
 }
@@ -466,6 +519,7 @@
 	if (s->fd < 0)
 		return;
 	ev_io_stop(s->loop, &s->acceptor);
+	ev_timer_stop(s->loop, &s->rest);
 	close(s->fd);
 	s->fd = -1;
 }
@@ -570,6 +624,7 @@
 	free_request(c);
 	c->server->nr_responding--;
 	c->state = HSC_IDLE;
+	c->since_s = ev_now(c->server->loop);
 	update_held(c);
 	begin_delivery(c);
 	c->server->vt->limits(c->server, &c->limits);
--- a/lib/io/hsc.h
+++ b/lib/io/hsc.h
@@ -42,6 +42,11 @@
 struct hsc_bounds {
 	/* The account of what they hold; may be shared by servers. NULL: none. */
 	struct mem *mem;
+	/*
+	 * Maximum number. The one that has been without a complete request for
+	 * longest is closed for another one. 0: no limit.
+	 */
+	unsigned max_conns;
 };
 
 struct hsc;
@@ -94,9 +99,10 @@
 	struct cds_list_head conns;
 	unsigned nr_conns;
 	unsigned nr_responding; /* connections in HSC_RESPONDING */
-	unsigned max_conns;	/* more are closed at once; 0: no limit */
 	bool draining;		/* connections close after their response */
 	struct hsc_bounds bounds;
+	unsigned long nr_closed_for_others; /* by bounds.max_conns, ever */
+	ev_timer rest; /* accepts again after there was no descriptor */
 };
 
 struct hsc {
@@ -111,6 +117,7 @@
 	struct buf pipelined; /* bytes received after the current request */
 	ev_timer timer;
 	ev_timer resume; /* parses `pipelined` in the loop's next iteration */
+	double since_s;	 /* last complete response, else accept; ev_now() */
 	struct mem_holder holder;
 	size_t owner_bytes; /* see hsc_hold() */
 	enum mem_rank owner_rank;
--- a/tests/test_hsc_bounds.c
+++ b/tests/test_hsc_bounds.c
@@ -1,12 +1,13 @@
 /*
  * The bounds of a server's connections together (hsc_bounds), over loopback: what is
- * given up when they hold too much.
+ * given up when they hold too much, and which are closed when there are too many.
  */
 #include <arpa/inet.h>
 #include <fcntl.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -100,7 +101,7 @@
 	ev_timer_stop(loop, &t);
 }
 
-static void open_server(size_t limit)
+static void open_server(size_t limit, unsigned max_conns)
 {
 	char at[32];
 
@@ -113,7 +114,8 @@
 	CU_ASSERT_EQUAL_FATAL(hsc_server_open(&w.server, loop, &w.addr, &vtable,
 					      NULL, NULL),
 			      0);
-	hsc_server_bound(&w.server, &(struct hsc_bounds){ &account });
+	hsc_server_bound(&w.server,
+			 &(struct hsc_bounds){ &account, max_conns });
 	hsc_server_address(&w.server, at, sizeof(at));
 	ioc_address(at, &w.addr, NULL);
 }
@@ -196,7 +198,7 @@
 {
 	int fds[4], i;
 
-	open_server(2 * BODY_BYTES + BODY_BYTES / 2);
+	open_server(2 * BODY_BYTES + BODY_BYTES / 2, 0);
 	for (i = 0; i < 3; i++) {
 		fds[i] = connect_client();
 		send_body(fds[i], BODY_BYTES - 1);
@@ -215,7 +217,7 @@
 {
 	int fds[3];
 
-	open_server(2 * BODY_BYTES + BODY_BYTES / 2);
+	open_server(2 * BODY_BYTES + BODY_BYTES / 2, 0);
 	w.waits = true;
 	fds[0] = connect_client();
 	send_body(fds[0], BODY_BYTES);
@@ -241,7 +243,7 @@
 	int fd, i;
 	unsigned answered;
 
-	open_server((size_t)64 << 20);
+	open_server((size_t)64 << 20, 0);
 	w.answer_bytes = ANSWER_BYTES;
 	fd = connect_client();
 	for (i = 0; i < REQUESTS; i++)
@@ -261,6 +263,72 @@
 	close_server(&fd, 1);
 }
 
+/* Guards against silent clients that keep others out. */
+static void the_longest_silent_connection_makes_room(void)
+{
+	int fds[4], i;
+
+	open_server((size_t)64 << 20, 3);
+	for (i = 0; i < 3; i++)
+		fds[i] = connect_client();
+	/* The first one is not silent any more. */
+	send_small(fds[0]);
+	CU_ASSERT_EQUAL(status_of(fds[0]), 200);
+	fds[3] = connect_client();
+	CU_ASSERT_EQUAL(w.server.nr_conns, 3);
+	CU_ASSERT_EQUAL(status_of(fds[0]), 0);
+	CU_ASSERT_EQUAL(status_of(fds[1]), -1);
+	CU_ASSERT_EQUAL(status_of(fds[2]), 0);
+	send_small(fds[3]);
+	CU_ASSERT_EQUAL(status_of(fds[3]), 200);
+	close_server(fds, 4);
+}
+
+static void a_request_in_progress_is_not_closed_for_others(void)
+{
+	int fds[3];
+
+	open_server((size_t)64 << 20, 2);
+	w.waits = true;
+	fds[0] = connect_client();
+	send_small(fds[0]);
+	fds[1] = connect_client();
+	send_small(fds[1]);
+	fds[2] = connect_client();
+	CU_ASSERT_EQUAL(status_of(fds[0]), 0);
+	CU_ASSERT_EQUAL(status_of(fds[1]), 0);
+	CU_ASSERT_EQUAL(status_of(fds[2]), -1);
+	close_server(fds, 3);
+}
+
+/* Guards against a loop that spins while accept() fails for want of a descriptor. */
+static void without_a_descriptor_the_listener_rests(void)
+{
+	struct rlimit before, none;
+	unsigned turns = 0;
+	int fd;
+
+	open_server((size_t)64 << 20, 0);
+	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+	getrlimit(RLIMIT_NOFILE, &before);
+	none = before;
+	none.rlim_cur = 0;
+	setrlimit(RLIMIT_NOFILE, &none);
+	CU_ASSERT(connect(fd, (const struct sockaddr *)&w.addr,
+			  sizeof(w.addr)) < 0);
+	while (turns < 20 && !ev_is_active(&w.server.rest)) {
+		ev_run(loop, EVRUN_NOWAIT);
+		turns++;
+	}
+	CU_ASSERT(ev_is_active(&w.server.rest));
+	CU_ASSERT_FALSE(ev_is_active(&w.server.acceptor));
+	setrlimit(RLIMIT_NOFILE, &before);
+	while (w.server.nr_conns == 0 && turns++ < 200)
+		run_loop();
+	CU_ASSERT_EQUAL(w.server.nr_conns, 1);
+	close_server(&fd, 1);
+}
+
 static const struct unit_test tests[] = {
 	{ "the oldest incomplete body is refused",
 	  the_oldest_incomplete_body_is_refused },
@@ -268,6 +336,12 @@
 	  a_complete_request_goes_after_incomplete_ones },
 	{ "a client that does not read is not answered on",
 	  a_client_that_does_not_read_is_not_answered_on },
+	{ "the longest silent connection makes room",
+	  the_longest_silent_connection_makes_room },
+	{ "a request in progress is not closed for others",
+	  a_request_in_progress_is_not_closed_for_others },
+	{ "without a descriptor the listener rests",
+	  without_a_descriptor_the_listener_rests },
 };
 
 UNIT_MAIN("hsc_bounds", tests)
