hsc, htc: receive buffers are bounded together

Bytes that the kernel has received and an entry has not read count toward its memory, and the kernel lets the buffer of each connection grow to megabytes. With 1,000 descriptors and 350 clients that send bodies of 4 MiB an entry took 67 to 70 MB of the 64 in its settings, in two of two plays, though it held 20 of them itself.

The accepted connections of a server get their receive buffers from a quarter of the memory, split among the servers: each a 512th part of what is left, 64 KiB at most as the kernel counts them, 8 KiB at least. Few connections have large buffers, and all that the descriptors allow have one. Connections to endpoints have 64 KiB, which count for streams that are paused since their callers read slowly.

It runs as crowd_test_many.

--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -494,6 +494,9 @@
 /* Why a request or answer is given up when memory is short. */
 #define EDGE_WHY_NO_MEMORY "memory is short"
 
+/* Bytes that the kernel receives for a connection to an endpoint, unread. */
+#define EDGE_WINDOW_BYTES 65536
+
 /* Longer bodies are shared on their way instead of copied (shb.h). */
 #define EDGE_COPY_BYTES MEM_SMALL_BYTES
 
--- a/lib/edge/edge_memory.c
+++ b/lib/edge/edge_memory.c
@@ -30,9 +30,10 @@
 
 	mem_init(&en->mem, en->clk, r.held_bytes);
 	for (i = 0; i < RSC_SERVERS; i++) {
-		hsc_server_bound(servers[i],
-				 &(struct hsc_bounds){
-					 &en->mem, r.servers[i].max_conns });
+		hsc_server_bound(
+			servers[i],
+			&(struct hsc_bounds){ &en->mem, r.servers[i].max_conns,
+					      r.servers[i].window_bytes });
 	}
 }
 
@@ -76,7 +77,8 @@
 
 	hsc_hold(r->conn, may_run ? MEM_RUNNING : MEM_WAITING,
 		 sent + r->answer_head.cap + r->answer_body.cap +
-			 r->events.partial.cap);
+			 r->events.partial.cap +
+			 (r->unread ? EDGE_WINDOW_BYTES : 0));
 }
 
 void edge_req_shed(struct hsc *c)
--- a/lib/edge/edge_relay.c
+++ b/lib/edge/edge_relay.c
@@ -145,6 +145,7 @@
 		.keepalive_s = KEEPALIVE_S,
 		.idle_ms = IDLE_TIMEOUT_MS,
 		.max_body_bytes = EDGE_MAX_ANSWER_BYTES,
+		.window_bytes = EDGE_WINDOW_BYTES,
 	};
 	struct sockaddr_in addr;
 	struct edge_link *l;
--- a/lib/edge/rsc.c
+++ b/lib/edge/rsc.c
@@ -9,18 +9,18 @@
 #define MIN_CONNS 4
 
 /*
- * Parts of the sockets. The sockets beyond these are for connections that the process
- * opens: callers' requests need one each.
+ * Parts of the sockets, and of the memory for windows. The sockets beyond these are for
+ * connections that the process opens: callers' requests need one each.
  */
 #define PARTS 32
 #define PARTS_ACCEPTED 18 /* the sum of `conns` below */
 static const struct {
-	unsigned conns;
+	unsigned conns, window;
 } parts[RSC_SERVERS] = {
-	[RSC_CALLERS] = { 12 },
-	[RSC_PEERS] = { 3 },
-	[RSC_LOOKUP] = { 2 },
-	[RSC_READY] = { 1 },
+	[RSC_CALLERS] = { 12, 24 },
+	[RSC_PEERS] = { 3, 4 },
+	[RSC_LOOKUP] = { 2, 2 },
+	[RSC_READY] = { 1, 2 },
 };
 
 static size_t smaller(size_t a, size_t b)
@@ -42,6 +42,8 @@
 
 		r.servers[i].max_conns = n > MIN_CONNS ? (unsigned)n
 						       : MIN_CONNS;
+		r.servers[i].window_bytes =
+			memory / 4 / PARTS * parts[i].window;
 	}
 	return r;
 }
--- a/lib/edge/rsc.h
+++ b/lib/edge/rsc.h
@@ -3,7 +3,8 @@
  * its settings limits.memory_mb and limits.descriptors. Pure.
  *
  * Memory: five sixteenths for what large requests and answers hold (mem.h), three for
- * small ones. The process itself and the system have the rest.
+ * small ones, a quarter for the kernel's receive buffers of accepted connections. The
+ * process itself and the connections that it opens have the rest.
  */
 #ifndef RSC_H
 #define RSC_H
@@ -22,6 +23,7 @@
 	size_t held_bytes; /* limit of the account, struct mem */
 	struct {
 		unsigned max_conns;
+		size_t window_bytes; /* of the kernel, for all connections */
 	} servers[RSC_SERVERS];
 };
 
--- a/lib/io/hsc.c
+++ b/lib/io/hsc.c
@@ -17,6 +17,14 @@
 /* Unsent bytes of responses beyond which the next request is not read. */
 #define MAX_UNSENT_BYTES 65536
 
+/*
+ * A connection gets this part of the kernel's memory that is left, within bounds, so
+ * that few connections get large windows and many have one each.
+ */
+#define WINDOW_DIVISOR 512
+#define MIN_WINDOW_BYTES 8192
+#define MAX_WINDOW_BYTES 65536
+
 /* Pause when there is no descriptor, and no connection to be closed, ms. */
 #define REST_MS 100
 
@@ -111,6 +119,7 @@
 		s->nr_responding--;
 	cds_list_del(&c->node);
 	s->nr_conns--;
+	s->windows -= c->window;
 	if (s->bounds.mem)
 		mem_hold(s->bounds.mem, &c->holder, MEM_ANSWERED, 0);
 	close_io(c->io);
@@ -393,6 +402,26 @@
 
 /* ---- The server ---- */
 
+/* The kernel takes twice the size of the receive buffer. */
+static void give_window(struct hsc *c)
+{
+	struct hsc_server *s = c->server;
+	size_t bytes;
+
+	if (!s->bounds.window_bytes)
+		return;
+	bytes = s->bounds.window_bytes > s->windows
+			? (s->bounds.window_bytes - s->windows) / WINDOW_DIVISOR
+			: 0;
+	bytes = bytes > MAX_WINDOW_BYTES ? MAX_WINDOW_BYTES : bytes;
+	bytes = bytes < MIN_WINDOW_BYTES ? MIN_WINDOW_BYTES : bytes;
+	c->window = bytes;
+	s->windows += bytes;
+	/* Otherwise it has the listener's. */
+	if (bytes < MAX_WINDOW_BYTES)
+		ioc_set_window(c->io, (int)bytes / 2);
+}
+
 static void accept_one(struct hsc_server *s, int fd)
 {
 	struct hsc *c = calloc(1, sizeof(*c));
@@ -402,6 +431,7 @@
 	c->io = ioc_adopt(s->loop, fd, &tcp_timeouts, &io_vtable, c);
 	c->since_s = ev_now(s->loop);
 	mem_add(&c->holder, &holder_vtable);
+	give_window(c);
 	ev_timer_init(&c->timer, on_timer, 0, 0);
 	c->timer.data = c;
 	ev_timer_init(&c->resume, on_resume, 0, 0);
@@ -480,7 +510,12 @@
 
 void hsc_server_bound(struct hsc_server *s, const struct hsc_bounds *b)
 {
+	const int bytes = MAX_WINDOW_BYTES / 2;
+
 	s->bounds = *b;
+	/* Of connections that wait to be accepted. */
+	if (b->window_bytes)
+		setsockopt(s->fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
 }
 
 int hsc_server_open(struct hsc_server *s, struct ev_loop *loop,
--- a/lib/io/hsc.h
+++ b/lib/io/hsc.h
@@ -47,6 +47,11 @@
 	 * longest is closed for another one. 0: no limit.
 	 */
 	unsigned max_conns;
+	/*
+	 * Memory of the kernel for bytes that were received and not read. 0: as the
+	 * system has it.
+	 */
+	size_t window_bytes;
 };
 
 struct hsc;
@@ -101,6 +106,7 @@
 	unsigned nr_responding; /* connections in HSC_RESPONDING */
 	bool draining;		/* connections close after their response */
 	struct hsc_bounds bounds;
+	size_t windows; /* given to connections, of bounds.window_bytes */
 	unsigned long nr_closed_for_others; /* by bounds.max_conns, ever */
 	ev_timer rest; /* accepts again after there was no descriptor */
 };
@@ -118,6 +124,7 @@
 	ev_timer timer;
 	ev_timer resume; /* parses `pipelined` in the loop's next iteration */
 	double since_s;	 /* last complete response, else accept; ev_now() */
+	size_t window;	 /* its part of hsc_server.windows */
 	struct mem_holder holder;
 	size_t owner_bytes; /* see hsc_hold() */
 	enum mem_rank owner_rank;
--- a/lib/io/htc.c
+++ b/lib/io/htc.c
@@ -553,6 +553,8 @@
 		free(k);
 		return NULL;
 	}
+	if (p->limits.window_bytes)
+		ioc_set_window(k->io, p->limits.window_bytes);
 	hparse_init(&k->parse, false, 0, &parse_vtable, k);
 	ev_timer_init(&k->timer, on_timer, 0, 0);
 	k->timer.data = k;
--- a/lib/io/htc.h
+++ b/lib/io/htc.h
@@ -85,6 +85,7 @@
 	 * with HTC_TOO_LARGE. 0: no limit.
 	 */
 	size_t max_body_bytes;
+	int window_bytes; /* see ioc_set_window(); 0: as the system has it */
 };
 
 struct htc_peer {
--- a/lib/io/ioc.c
+++ b/lib/io/ioc.c
@@ -481,6 +481,11 @@
 		ev_io_start(c->loop, &c->writer);
 }
 
+void ioc_set_window(struct ioc *c, int bytes)
+{
+	setsockopt(c->fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
+}
+
 void ioc_set_ack_timeout(struct ioc *c, int ms)
 {
 	c->ack_timeout_ms = ms;
--- a/lib/io/ioc.h
+++ b/lib/io/ioc.h
@@ -111,6 +111,12 @@
 /* The same without a copy: takes a reference until the last byte is sent. */
 void ioc_write_shared(struct ioc *c, struct shb *bytes);
 
+/*
+ * Bounds the bytes that the kernel receives for the connection and the owner has not
+ * read. The kernel takes up to twice as much memory.
+ */
+void ioc_set_window(struct ioc *c, int bytes);
+
 /* Replaces the ack_timeout_ms of the connection. */
 void ioc_set_ack_timeout(struct ioc *c, int ms);
 
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -146,6 +146,7 @@
 # Tests that measure a process, one after the other when nothing else runs.
 ALONE='
 crowd_test scripts/crowd_test.sh
+crowd_test_many DESCRIPTORS=1000 CASES=returning scripts/crowd_test.sh
 '
 lines=()
 if [ "$WHAT" != process ]; then
