hsc: the bytes around a body are bounded

Sizes and extensions of chunks are no part of the body, so its limit did not count them: a client could send chunks of one byte, each with an extension of kilobytes, for as long as a body may take, and cost an entry processor time without reaching a limit. The parser bounds one extension, not their sum.

A request may have 16 bytes beside each byte of its body, 64 KiB, and twice the limit of its head; beyond that it is refused with 400.

--- a/lib/edge/edge_req.c
+++ b/lib/edge/edge_req.c
@@ -518,6 +518,7 @@
 		[HSC_MALFORMED] = { 400, "malformed request", -1 },
 		[HSC_HEAD_TOO_LARGE] = { 431, "head too large", -1 },
 		[HSC_BODY_TOO_LARGE] = { 413, "body too large", -1 },
+		[HSC_FRAMING_TOO_LARGE] = { 400, "framing too large", -1 },
 		[HSC_TIMEOUT] = { 408, "request took too long", -1 },
 		/* Not read to its end, so it has not run. */
 		[HSC_NO_ROOM] = { 503, EDGE_WHY_NO_MEMORY, RETRY_LATER_MS },
--- a/lib/io/hsc.c
+++ b/lib/io/hsc.c
@@ -17,6 +17,13 @@
 /* Unsent bytes of responses beyond which the next request is not read. */
 #define MAX_UNSENT_BYTES 65536
 
+/*
+ * Bytes that a request may have beside its body: a part of the body, for chunks of one
+ * byte and their extensions, and a number beyond that and the head.
+ */
+#define MAX_FRAMING_RATIO 16
+#define MAX_FRAMING_BYTES 65536
+
 /*
  * A connection gets this part of the kernel's memory that is left, within bounds, so
  * that few connections get large windows and many have one each.
@@ -275,6 +282,12 @@
 	c->server->vt->request(c);
 }
 
+static bool framing_is_too_large(const struct hsc *c)
+{
+	return c->fed > MAX_FRAMING_BYTES + 2 * c->limits.header_bytes +
+				MAX_FRAMING_RATIO * c->body.len;
+}
+
 /* Parses bytes until a request is complete. */
 static void feed(struct hsc *c, const char *data, size_t len)
 {
@@ -285,15 +298,19 @@
 		c->server->vt->limits(c->server, &c->limits);
 		c->parse.max_head_bytes = c->limits.header_bytes;
 		c->state = HSC_READING;
+		c->fed = 0;
 		set_timer(c, c->limits.header_ms);
 	}
 	r = hparse_feed(&c->parse, data, len, &used);
+	c->fed += used;
 	if (c->body_too_large) {
 		reject(c, HSC_BODY_TOO_LARGE);
 		return;
 	}
 	switch (r) {
 	case HPARSE_MORE:
+		if (framing_is_too_large(c))
+			reject(c, HSC_FRAMING_TOO_LARGE);
 		break;
 	case HPARSE_STOPPED:
 		if (used < len)
--- a/lib/io/hsc.h
+++ b/lib/io/hsc.h
@@ -34,8 +34,9 @@
 	HSC_MALFORMED, /* not HTTP, or ambiguous framing */
 	HSC_HEAD_TOO_LARGE,
 	HSC_BODY_TOO_LARGE,
-	HSC_TIMEOUT, /* header_ms or body_ms elapsed */
-	HSC_NO_ROOM, /* hsc_bounds.mem: the request was given up */
+	HSC_TIMEOUT,	       /* header_ms or body_ms elapsed */
+	HSC_FRAMING_TOO_LARGE, /* many times the body that it frames */
+	HSC_NO_ROOM,	       /* hsc_bounds.mem: the request was given up */
 };
 
 /* Of all connections of a server together. */
@@ -128,6 +129,7 @@
 	struct mem_holder holder;
 	size_t owner_bytes; /* see hsc_hold() */
 	enum mem_rank owner_rank;
+	size_t fed;	/* bytes of the current request, with framing */
 	size_t dropped; /* bytes received while it lingers */
 	size_t unacked; /* bytes, at the last check of a delivery */
 	int stalled_ms; /* since when the client received nothing of them */
--- a/tests/test_hsc_bounds.c
+++ b/tests/test_hsc_bounds.c
@@ -266,6 +266,37 @@
 	close_server(&fd, 1);
 }
 
+/* A request with chunks of one byte, each of them `chunk`. */
+static void send_chunks(int fd, const char *chunk, int n)
+{
+	BUF_AUTO out = BUF_INIT;
+
+	buf_str(&out, "POST / HTTP/1.1\r\nHost: x\r\n"
+		      "Transfer-Encoding: chunked\r\n\r\n");
+	while (n--)
+		buf_str(&out, chunk);
+	buf_str(&out, "0\r\n\r\n");
+	send_all(fd, &out);
+}
+
+/* Guards against bytes between chunks that cost time without a bound. */
+static void framing_is_bounded(void)
+{
+	BUF_AUTO extended = BUF_INIT;
+	int fds[2];
+
+	open_server((size_t)64 << 20, 0);
+	buf_fmt(&extended, "1;%1000s\r\nx\r\n", "x");
+	fds[0] = connect_client();
+	send_chunks(fds[0], buf_cstr(&extended), 200);
+	CU_ASSERT_EQUAL(status_of(fds[0]), 500 + HSC_FRAMING_TOO_LARGE);
+	/* Chunks of one byte are within the bound. */
+	fds[1] = connect_client();
+	send_chunks(fds[1], "1\r\nx\r\n", 20000);
+	CU_ASSERT_EQUAL(status_of(fds[1]), 200);
+	close_server(fds, 2);
+}
+
 /* Guards against silent clients that keep others out. */
 static void the_longest_silent_connection_makes_room(void)
 {
@@ -357,6 +388,7 @@
 	  a_complete_request_goes_after_incomplete_ones },
 	{ "a client that does not read is not answered on",
 	  a_client_that_does_not_read_is_not_answered_on },
+	{ "framing is bounded", framing_is_bounded },
 	{ "the longest silent connection makes room",
 	  the_longest_silent_connection_makes_room },
 	{ "a request in progress is not closed for others",
