edge_req: few log lines for many refused requests

Each request that could not be read had a line in the log. The log drops what is over 2,000 lines a second, whatever it is: a crowd of clients that come back as fast as they are refused pushed out the lines of ordinary requests.

At most ten such lines a second are written; the next one says how many had none (`suppressed`). All are counted in metrics as before. crowd_test, returning: 103 lines at one entry before, 10 now.

--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -249,7 +249,11 @@
 
 	/* The listeners. */
 	struct hsc_server callers, ready, lookup, peers;
-	struct mem mem;			/* what their connections hold */
+	struct mem mem; /* what their connections hold */
+	struct {
+		int64_t since_ms;
+		unsigned lines, suppressed;
+	} refusal_log; /* lines of requests that were not read */
 	struct cds_list_head requests;	/* of edge_req.node */
 	struct cds_list_head verifying; /* of edge_verify.node */
 
--- a/lib/edge/edge_req.c
+++ b/lib/edge/edge_req.c
@@ -508,6 +508,30 @@
 	edge_req_free(r);
 }
 
+/* Lines a second of requests that were not read to their end. */
+#define MAX_REFUSAL_LINES 10
+
+static void log_refusal(struct edge *en, int status, const char *why)
+{
+	const int64_t now = edge_now(en);
+
+	if (now - en->refusal_log.since_ms >= 1000) {
+		en->refusal_log.since_ms = now;
+		en->refusal_log.lines = 0;
+	}
+	if (en->refusal_log.lines == MAX_REFUSAL_LINES) {
+		en->refusal_log.suppressed++;
+		return;
+	}
+	en->refusal_log.lines++;
+	jlog_begin(en->log, JLOG_INFO, "request_refused");
+	jlog_int(en->log, "status", status);
+	jlog_str(en->log, "why", why);
+	jlog_int(en->log, "suppressed", en->refusal_log.suppressed);
+	jlog_end(en->log);
+	en->refusal_log.suppressed = 0;
+}
+
 static void on_read_error(struct hsc *c, enum hsc_read_error f, struct buf *out)
 {
 	static const struct {
@@ -526,10 +550,7 @@
 	struct edge *en = c->server->owner;
 
 	count_own_answer(en, answers[f].status);
-	jlog_begin(en->log, JLOG_INFO, "request_refused");
-	jlog_int(en->log, "status", answers[f].status);
-	jlog_str(en->log, "why", answers[f].why);
-	jlog_end(en->log);
+	log_refusal(en, answers[f].status, answers[f].why);
 	en->wire->encode_own_answer(answers[f].status, NULL, answers[f].why,
 				    answers[f].retry_ms, true, out);
 }
