rollout: an entry does not withhold the only version that is left

The entry had established the version that it listed first and withheld the other one until a record says otherwise. The established version left. The duty holder had started a second later, had never listed another version, so nothing was withheld there and it wrote no record.

Cause: the established version was set once, and its end waited for a decision of an entry that cannot know of it. Without a record, an entry now replaces an established version that has had no endpoint in service for 5 s, the delay after which the holder takes an unordered version into use, by the version that started first. An order that comes meanwhile still gets its record, which goes first.

--- a/lib/edge/edge_rollout.c
+++ b/lib/edge/edge_rollout.c
@@ -74,7 +74,7 @@
 const char *edge_rollout_serving(const struct edge_rollout *ro)
 {
 	if (!ro->recorded)
-		return ro->established;
+		return ro->established.version;
 	return ro->record.stage == ROL_COMPLETED ? ro->record.target
 						 : ro->record.from;
 }
@@ -96,12 +96,56 @@
 {
 	if (!e->info.version[0])
 		return;
-	if (ro->established[0] &&
+	if (ro->established.version[0] &&
 	    (en->watches[EDGE_WATCH_ENDPOINTS].mirror.complete ||
-	     e->info.started_ms >= ro->established_started_ms))
+	     e->info.started_ms >= ro->established.started_ms))
 		return;
-	str_copy(ro->established, e->info.version, sizeof(ro->established));
-	ro->established_started_ms = e->info.started_ms;
+	str_copy(ro->established.version, e->info.version,
+		 sizeof(ro->established.version));
+	ro->established.started_ms = e->info.started_ms;
+}
+
+static struct rol_listed list_versions(const struct edge *en,
+				       const struct edge_rollout *ro)
+{
+	const struct flt_endpoint *e;
+	struct rol_listed l = { 0 };
+
+	cds_list_for_each_entry(e, &en->fleet.endpoints, node) {
+		if (!belongs_to(ro, e) || e->draining_since_ms ||
+		    e->missing_since_ms || e->exited || !e->info.version[0])
+			continue;
+		if (!strcmp(e->info.version, ro->established.version))
+			l.any_established = true;
+		else if (!l.first_other ||
+			 e->info.started_ms < l.first_other->started_ms)
+			l.first_other = &e->info;
+	}
+	return l;
+}
+
+/*
+ * The duty holder may have started after the established version had left: it then
+ * knows no other version than the one that this entry withholds, and writes no record.
+ */
+static void check_established(const struct edge *en, struct edge_rollout *ro,
+			      int64_t now)
+{
+	struct rol_listed l;
+
+	if (now - ro->established_checked_ms < USE_UPDATE_INTERVAL_MS)
+		return;
+	ro->established_checked_ms = now;
+	if (ro->recorded || !en->watches[EDGE_WATCH_ENDPOINTS].mirror.complete)
+		return;
+	l = list_versions(en, ro);
+	if (!rol_replace_established(&ro->established, &l, now))
+		return;
+	ro->uses_outdated = true;
+	jlog_begin(en->log, JLOG_INFO, "version_established");
+	jlog_str(en->log, "service", ro->service);
+	jlog_str(en->log, "version", ro->established.version);
+	jlog_end(en->log);
 }
 
 static int by_weight(const void *a, const void *b)
@@ -139,7 +183,8 @@
 static void set_use(const struct edge_rollout *ro, struct flt_endpoint *e,
 		    bool chosen)
 {
-	e->use = rol_use(record_of(ro), ro->established, &e->info, chosen);
+	e->use = rol_use(record_of(ro), ro->established.version, &e->info,
+			 chosen);
 }
 
 static void update_uses(struct edge *en, struct edge_rollout *ro)
@@ -545,6 +590,7 @@
 	if (!enabled(en))
 		return;
 	cds_list_for_each_entry(ro, &en->rollouts, node) {
+		check_established(en, ro, now);
 		if (uses_need_update(ro, now))
 			update_uses(en, ro);
 		if (en->lead.is_holder)
--- a/lib/edge/edge_rollout_duty.c
+++ b/lib/edge/edge_rollout_duty.c
@@ -11,12 +11,6 @@
 /* Minimum delay between two writes. */
 #define WRITE_RETRY_MS 250
 
-/*
- * A version that is listed without an order is used after this delay, in which
- * its order may still arrive.
- */
-#define UNORDERED_DELAY_MS 5000
-
 /* ---- Observations ---- */
 
 /* Counts of a service's endpoints, by their version. */
@@ -56,7 +50,8 @@
 static struct endpoint_sums
 sum_endpoints(const struct edge *en, const struct edge_rollout *ro, int64_t now)
 {
-	const char *from = ro->recorded ? ro->record.from : ro->established;
+	const char *from = ro->recorded ? ro->record.from
+					: ro->established.version;
 	const char *target = ro->recorded ? ro->record.target : "";
 	const struct flt_endpoint *e;
 	struct endpoint_sums s = { 0 };
@@ -281,8 +276,8 @@
 }
 
 /*
- * Accepts a version that was listed without an order for UNORDERED_DELAY_MS, if
- * no roll-out is in progress: sets ro->next and returns true when it is due.
+ * Accepts a version that was listed without an order for ROL_UNORDERED_DELAY_MS,
+ * if no roll-out is in progress: sets ro->next and returns true when it is due.
  */
 static bool accept_unordered(struct edge_rollout *ro,
 			     const struct endpoint_sums *sums,
@@ -294,7 +289,7 @@
 	}
 	if (!ro->unordered_since_ms)
 		ro->unordered_since_ms = now;
-	if (now - ro->unordered_since_ms < UNORDERED_DELAY_MS)
+	if (now - ro->unordered_since_ms < ROL_UNORDERED_DELAY_MS)
 		return false;
 	ro->unordered_since_ms = 0;
 	memset(&ro->next, 0, sizeof(ro->next));
--- a/lib/edge/edge_rollout_internal.h
+++ b/lib/edge/edge_rollout_internal.h
@@ -19,8 +19,8 @@
 struct edge_rollout {
 	struct cds_list_head node; /* in edge.rollouts */
 	char service[FLT_NAME];
-	char established[FLT_NAME]; /* version that serves; "": none listed */
-	int64_t established_started_ms; /* start of its first endpoint */
+	struct rol_established established;
+	int64_t established_checked_ms;
 	bool uses_outdated; /* the endpoints' uses await an update */
 	int64_t uses_updated_ms;
 	bool recorded; /* `record` is set */
--- a/lib/rollout/rollout.c
+++ b/lib/rollout/rollout.c
@@ -496,6 +496,23 @@
 	return info->started_ms > r->changed_ms + LATE_START_MS;
 }
 
+bool rol_replace_established(struct rol_established *e,
+			     const struct rol_listed *l, int64_t now_ms)
+{
+	if (!e->version[0] || l->any_established || !l->first_other) {
+		e->gone_ms = 0;
+		return false;
+	}
+	if (!e->gone_ms)
+		e->gone_ms = now_ms;
+	if (now_ms - e->gone_ms < ROL_UNORDERED_DELAY_MS)
+		return false;
+	str_copy(e->version, l->first_other->version, sizeof(e->version));
+	e->started_ms = l->first_other->started_ms;
+	e->gone_ms = 0;
+	return true;
+}
+
 enum flt_use rol_use(const struct rol_record *r, const char *established,
 		     const struct flt_info *info, bool chosen)
 {
--- a/lib/rollout/rollout.h
+++ b/lib/rollout/rollout.h
@@ -136,6 +136,33 @@
 
 /* ---- Per-entry routing ---- */
 
+/*
+ * A version that is listed without an order, or instead of the established one, is
+ * used after this delay: its order may still arrive.
+ */
+#define ROL_UNORDERED_DELAY_MS 5000
+
+/* The version that serves while there is no record. */
+struct rol_established {
+	char version[FLT_NAME]; /* "": none was listed */
+	int64_t started_ms;	/* start of its first endpoint */
+	int64_t gone_ms; /* without an endpoint in service since then; 0: has one */
+};
+
+/* The endpoints of a service that are in service. */
+struct rol_listed {
+	bool any_established;
+	const struct flt_info
+		*first_other; /* started first; NULL: there is none */
+};
+
+/*
+ * Establishes another version if the established one has had no endpoint for
+ * ROL_UNORDERED_DELAY_MS. Returns true if it did.
+ */
+bool rol_replace_established(struct rol_established *e,
+			     const struct rol_listed *l, int64_t now_ms);
+
 /*
  * Returns which requests an endpoint gets. `r` may be NULL: only `established`
  * serves then, or any version if it is "". `chosen`: the endpoint is selected
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -133,6 +133,7 @@
 odd_entries_test scripts/odd_entries_test.sh 2>&1
 odd_entries_test_overlay MAX_MESH=1 scripts/odd_entries_test.sh 2>&1
 rollout_test scripts/rollout_test.sh
+version_gone_test scripts/version_gone_test.sh
 fault_soak scripts/fault_soak.sh 4 1 2 175523 228304 2>&1
 statement_soak STATEMENTS=1 scripts/fault_soak.sh 8 1 2 2>&1
 cut_soak CUTS=1 scripts/fault_soak.sh 6 1 2 3 2>&1
--- a/tests/test_rollout.c
+++ b/tests/test_rollout.c
@@ -1202,7 +1202,37 @@
 	}
 }
 
+/* ---- The version that serves without a record ---- */
+
+/* Guards against a version withheld for good, as the established one had left. */
+static void a_version_without_endpoints_is_replaced(void)
+{
+	const struct flt_info other = { .version = "v2", .started_ms = 50 };
+	struct rol_established e = { .version = "v1", .started_ms = 10 };
+	struct rol_listed both = { true, &other }, none = { false, NULL },
+			  gone = { false, &other };
+	int64_t now = 1000;
+
+	CU_ASSERT_FALSE(rol_replace_established(&e, &gone, now));
+	now += ROL_UNORDERED_DELAY_MS - 1;
+	CU_ASSERT_FALSE(rol_replace_established(&e, &gone, now));
+	/* It was back meanwhile, or nothing else was listed. */
+	CU_ASSERT_FALSE(rol_replace_established(&e, &both, now));
+	now += 1;
+	CU_ASSERT_FALSE(rol_replace_established(&e, &gone, now));
+	CU_ASSERT_FALSE(rol_replace_established(&e, &none, now + 10));
+	CU_ASSERT_FALSE(rol_replace_established(&e, &gone, now + 20));
+	CU_ASSERT_STRING_EQUAL(e.version, "v1");
+	now += 20 + ROL_UNORDERED_DELAY_MS;
+	CU_ASSERT_TRUE(rol_replace_established(&e, &gone, now));
+	CU_ASSERT_STRING_EQUAL(e.version, "v2");
+	CU_ASSERT_EQUAL(e.started_ms, 50);
+	CU_ASSERT_FALSE(rol_replace_established(&e, &none, now + 100000));
+}
+
 static const struct unit_test tests[] = {
+	{ "a version without endpoints is replaced",
+	  a_version_without_endpoints_is_replaced },
 	{ "counts are kept by order, route and group",
 	  counts_are_kept_by_order_route_and_group },
 	{ "a full table drops rows", a_full_table_drops_rows },
