ioc: what was sent of a queue is freed while more is appended

Bytes that a socket did not take were appended to one buffer, which was freed when all of it was written. The queue to a client that reads as fast as its answer grows, but never all of it, kept what was sent for as long as the answer lasted, beside the account of memory, which counts what is unsent.

A piece of the queue of 64 KiB or more is not appended to; it is freed when it is written. test_hsc_bounds "sent bytes of a full queue are freed" fails without the bound.

--- a/lib/io/ioc.c
+++ b/lib/io/ioc.c
@@ -99,12 +99,18 @@
 	return p;
 }
 
+/*
+ * Pieces are not appended to beyond this size: what was written of a piece is freed with
+ * it, and a queue that never empties would keep all of it.
+ */
+#define MAX_PIECE_BYTES 65536
+
 /* Appends a copy. */
 static void queue_bytes(struct ioc *c, const char *data, size_t len)
 {
 	struct buf bytes = BUF_INIT;
 
-	if (c->tail) {
+	if (c->tail && c->tail->bytes->bytes.len < MAX_PIECE_BYTES) {
 		buf_add(&c->tail->bytes->bytes, data, len);
 		return;
 	}
--- a/tests/test_hsc_bounds.c
+++ b/tests/test_hsc_bounds.c
@@ -4,6 +4,7 @@
  */
 #include <arpa/inet.h>
 #include <fcntl.h>
+#include <malloc.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -279,6 +280,33 @@
 	send_all(fd, &out);
 }
 
+/* Guards against bytes kept after they were sent, while a queue never empties. */
+static void sent_bytes_of_a_full_queue_are_freed(void)
+{
+	static char data[1 << 16];
+	size_t before, held;
+	int fd, i;
+
+	open_server((size_t)64 << 20, 0);
+	w.waits = true;
+	fd = connect_client();
+	send_small(fd);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(w.conn);
+	before = mallinfo2().uordblks + mallinfo2().hblkhd;
+	for (i = 0; i < 256; i++)
+		hsc_write(w.conn, data, sizeof(data));
+	for (i = 0; i < 256; i++) {
+		while (recv(fd, data, sizeof(data), 0) < 0)
+			ev_run(loop, EVRUN_NOWAIT);
+		hsc_write(w.conn, data, sizeof(data));
+	}
+	held = mallinfo2().uordblks + mallinfo2().hblkhd - before;
+	CU_ASSERT(hsc_pending(w.conn) > (1u << 20));
+	/* Buffers have up to an eighth to spare. */
+	CU_ASSERT(held < hsc_pending(w.conn) / 4 * 5 + (1u << 20));
+	close_server(&fd, 1);
+}
+
 /* Guards against bytes between chunks that cost time without a bound. */
 static void framing_is_bounded(void)
 {
@@ -388,6 +416,8 @@
 	  a_complete_request_goes_after_incomplete_ones },
 	{ "a client that does not read is not answered on",
 	  a_client_that_does_not_read_is_not_answered_on },
+	{ "sent bytes of a full queue are freed",
+	  sent_bytes_of_a_full_queue_are_freed },
 	{ "framing is bounded", framing_is_bounded },
 	{ "the longest silent connection makes room",
 	  the_longest_silent_connection_makes_room },
