hsv: the bodies of all requests together have a bound

The class of the crowd's fault in the entry with the product's own interface: each of 360 workers holds a body of up to 1 MiB, and nothing bounded their sum. With 300 clients that send all but the end of a body and stay open it took 363 MB, of 256 MB that an instance has by docs/CAPACITY.md.

Bodies of over 16 KiB share `bodies_bytes`, 64 MiB by default: a request whose body goes beyond it is refused with 503, not run, and Retry-After. Smaller ones are always received. The metric refused_no_room_total counts refusals.

Clients that send a byte now and then still keep its workers; that is open in docs/design/memory.md.

--- a/lib/config/set.c
+++ b/lib/config/set.c
@@ -38,6 +38,7 @@
 	{ INT(workers, 4, 4000, "threads") },
 	{ INT(in_flight, 1, 4000, "requests") },
 	{ INT(body_bytes, 1024, 8388608, "bytes") },
+	{ INT(bodies_bytes, 8388608, 1073741824, "bytes") },
 	{ INT(entry_list_ms, 100, 600000, "milliseconds") },
 	{ INT(drain_ms, 100, 3600000, "milliseconds") },
 	{ INT(key_life_ms, 1000, 86400000, "milliseconds") },
@@ -133,6 +134,7 @@
 	s->workers = 360;
 	s->in_flight = 320;
 	s->body_bytes = 1048576;
+	s->bodies_bytes = 67108864;
 	s->entry_list_ms = 10000;
 	s->drain_ms = 60000;
 	s->key_life_ms = 600000;
--- a/lib/config/set.h
+++ b/lib/config/set.h
@@ -33,6 +33,7 @@
 	int64_t workers;       /* threads that serve clients */
 	int64_t in_flight;     /* maximum number of concurrent requests */
 	int64_t body_bytes;    /* maximum size of a request body */
+	int64_t bodies_bytes;  /* of all large request bodies together */
 	int64_t entry_list_ms; /* how long clients may cache the entry list */
 	int64_t drain_ms;      /* time limit of the drain after SIGTERM */
 	int64_t key_life_ms;   /* how long a request key is remembered */
--- a/lib/entry/ent_member.c
+++ b/lib/entry/ent_member.c
@@ -754,6 +754,7 @@
 	met_set(en->m.in_flight, (long long)atomic_load(&en->in_flight));
 	met_set(en->m.peer_calls, (long long)links_calls(en->links));
 	met_set(en->m.peer_bytes, (long long)links_bytes(en->links));
+	met_set(en->m.no_room, (long long)hsv_nr_no_room(en->hsv));
 }
 
 /*
--- a/lib/entry/entry.c
+++ b/lib/entry/entry.c
@@ -81,6 +81,8 @@
 		{ &x->peer_calls, "peer_calls_total", "calls to peers" },
 		{ &x->peer_bytes, "peer_bytes_total",
 		  "bytes of calls to peers, both ways" },
+		{ &x->no_room, "refused_no_room_total",
+		  "requests refused as bodies together were too large" },
 		{ &x->alarms, "alarms_total", "alarms raised" },
 	};
 	size_t i;
@@ -189,6 +191,7 @@
 	cfg.address = en->set.http_address;
 	cfg.workers = (int)en->set.workers;
 	cfg.max_body = (size_t)en->set.body_bytes;
+	cfg.max_bodies = (size_t)en->set.bodies_bytes;
 	en->hsv = hsv_start(&cfg, ent_http_handle, en, e);
 	if (!en->hsv) {
 		free(en);
--- a/lib/entry/entry_internal.h
+++ b/lib/entry/entry_internal.h
@@ -256,7 +256,7 @@
 	met_value *items_new, *items_old, *items_conflict, *items_invalid;
 	met_value *denied, *stale_versions, *tokens_dropped;
 	met_value *in_flight, *queued, *votes, *view, *members, *drain;
-	met_value *peer_calls, *peer_bytes, *alarms;
+	met_value *peer_calls, *peer_bytes, *no_room, *alarms;
 };
 
 enum ent_command_kind {
--- a/lib/net/hsv.c
+++ b/lib/net/hsv.c
@@ -1,6 +1,7 @@
 #include "net/hsv.h"
 
 #include <pthread.h>
+#include <stdatomic.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -23,28 +24,78 @@
 	hsv_handler fn;
 	void *arg;
 	size_t max_body;
+	size_t max_bodies;
+	atomic_size_t bodies; /* bytes of the large ones that workers hold */
+	atomic_ulong nr_no_room;
 	char address[64];
 };
 
-static bool read_body(struct hsv *s, struct hsv_request *rq)
+enum body_result {
+	BODY_WHOLE,
+	BODY_REFUSED,
+	BODY_NO_ROOM
+};
+
+/* Appends to the body. *counted: its bytes in s->bodies. False: there is no room. */
+static bool add_to_body(struct hsv *s, struct buf *body, const char *data,
+			size_t len, size_t *counted)
+{
+	size_t all;
+
+	if (s->max_bodies && body->len + len > HSV_SMALL_BYTES) {
+		const size_t more = body->len + len - *counted;
+
+		all = atomic_fetch_add(&s->bodies, more) + more;
+		*counted += more;
+		if (all > s->max_bodies)
+			return false;
+	}
+	buf_add(body, data, len);
+	return true;
+}
+
+static enum body_result read_body(struct hsv *s, struct hsv_request *rq,
+				  size_t *counted)
 {
 	const struct mg_request_info *ri = mg_get_request_info(rq->conn);
 	char chunk[8192];
 	int n;
 
 	if (ri->content_length > (long long)s->max_body)
-		return false;
+		return BODY_REFUSED;
 	/* Without a length and not chunked there is no body. */
 	if (ri->content_length < 0 &&
 	    !strstr(hsv_header(rq, "Transfer-Encoding"), "chunked"))
-		return true;
+		return BODY_WHOLE;
 	while ((n = mg_read(rq->conn, chunk, sizeof(chunk))) > 0) {
 		if (rq->body.len + (size_t)n > s->max_body)
-			return false;
-		buf_add(&rq->body, chunk, (size_t)n);
+			return BODY_REFUSED;
+		if (!add_to_body(s, &rq->body, chunk, (size_t)n, counted))
+			return BODY_NO_ROOM;
 	}
 	return ri->content_length < 0 ||
-	       rq->body.len == (size_t)ri->content_length;
+			       rq->body.len == (size_t)ri->content_length
+		       ? BODY_WHOLE
+		       : BODY_REFUSED;
+}
+
+static void refuse_body(struct hsv *s, struct hsv_request *rq,
+			enum body_result why)
+{
+	char detail[96];
+
+	if (why == BODY_NO_ROOM) {
+		atomic_fetch_add(&s->nr_no_room, 1);
+		hsv_problem(rq, 503,
+			    "Marldock-Run: not-run\r\nRetry-After: 1\r\n",
+			    "No room for the body",
+			    "bodies of other requests take the memory");
+		return;
+	}
+	snprintf(detail, sizeof(detail),
+		 "a body of at most %zu bytes is taken, whole", s->max_body);
+	hsv_problem(rq, 413, "Marldock-Run: not-run\r\n",
+		    "Body too large or cut short", detail);
 }
 
 static int handle(struct mg_connection *conn, void *arg)
@@ -57,15 +108,12 @@
 		.path = ri->local_uri ? ri->local_uri : "/",
 		.query = ri->query_string ? ri->query_string : "",
 	};
+	enum body_result result;
+	size_t counted = 0;
 
-	if (!read_body(s, &rq)) {
-		char detail[96];
-
-		snprintf(detail, sizeof(detail),
-			 "a body of at most %zu bytes is taken, whole",
-			 s->max_body);
-		hsv_problem(&rq, 413, "Marldock-Run: not-run\r\n",
-			    "Body too large or cut short", detail);
+	result = read_body(s, &rq, &counted);
+	if (result != BODY_WHOLE) {
+		refuse_body(s, &rq, result);
 	} else {
 		s->fn(&rq, s->arg);
 		if (!rq.started)
@@ -73,6 +121,7 @@
 				    "Not found", rq.path);
 	}
 	buf_free(&rq.body);
+	atomic_fetch_sub(&s->bodies, counted);
 	return 200;
 }
 
@@ -113,6 +162,7 @@
 	s->fn = fn;
 	s->arg = arg;
 	s->max_body = cfg->max_body;
+	s->max_bodies = cfg->max_bodies;
 	snprintf(workers, sizeof(workers), "%d", cfg->workers);
 	pthread_attr_init(&attr);
 	pthread_attr_setstacksize(&attr, WORKER_STACK);
@@ -137,6 +187,11 @@
 	return s->address;
 }
 
+unsigned long hsv_nr_no_room(struct hsv *s)
+{
+	return atomic_load(&s->nr_no_room);
+}
+
 void hsv_stop(struct hsv *s)
 {
 	if (!s)
--- a/lib/net/hsv.h
+++ b/lib/net/hsv.h
@@ -27,10 +27,18 @@
 
 typedef void (*hsv_handler)(struct hsv_request *rq, void *arg);
 
+/* Smaller bodies are always received. */
+#define HSV_SMALL_BYTES 16384
+
 struct hsv_config {
 	const char *address; /* IP:PORT; port 0: any free one */
 	int workers;
 	size_t max_body;
+	/*
+	 * Of all bodies of over HSV_SMALL_BYTES together: a request whose body goes
+	 * beyond it is refused with 503. 0: no limit.
+	 */
+	size_t max_bodies;
 };
 
 /* Starts to listen; NULL with an error if that fails. */
@@ -40,6 +48,9 @@
 /* The address it listens on, "IP:PORT". */
 const char *hsv_address(const struct hsv *s);
 
+/* Requests refused as bodies together were too large, ever. */
+unsigned long hsv_nr_no_room(struct hsv *s);
+
 /* Stops and waits for the workers. */
 void hsv_stop(struct hsv *s);
 
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -147,6 +147,7 @@
 # Tests that measure a process, one after the other when nothing else runs.
 ALONE='
 crowd_test scripts/crowd_test.sh
+entry_crowd_test scripts/entry_crowd_test.sh
 crowd_test_many DESCRIPTORS=1000 CASES=returning scripts/crowd_test.sh
 '
 lines=()
--- a/tests/test_answer.c
+++ b/tests/test_answer.c
@@ -74,7 +74,7 @@
 			   const char *last_event, struct buf *out)
 {
 	struct script script = { .batches = batches, .nr = nr };
-	const struct hsv_config cfg = { "127.0.0.1:0", 2, 1000 };
+	const struct hsv_config cfg = { "127.0.0.1:0", 2, 1000, 0 };
 	struct hsv *server = hsv_start(&cfg, serve_script, &script, NULL);
 	struct hcl *client = hcl_create();
 	HCL_REPLY_AUTO reply = HCL_REPLY_INIT;
