--- a/lib/edge/rsc.c
+++ b/lib/edge/rsc.c
@@ -13,7 +13,6 @@
  * connections that the process opens: callers' requests need one each.
  */
 #define PARTS 32
-#define PARTS_ACCEPTED 18 /* the sum of `conns` below */
 static const struct {
 	unsigned conns, window;
 } parts[RSC_SERVERS] = {
@@ -33,12 +32,14 @@
 	const size_t sockets = descriptors - smaller(FILES, descriptors / 4);
 	const size_t small = memory / 16 * 3 / MEM_SMALL_BYTES;
 	struct rsc r = { .held_bytes = memory / 16 * 5 };
+	unsigned accepted = 0;
 	int i;
 
+	for (i = 0; i < RSC_SERVERS; i++)
+		accepted += parts[i].conns;
 	for (i = 0; i < RSC_SERVERS; i++) {
-		const size_t n =
-			smaller(sockets * parts[i].conns / PARTS,
-				small * parts[i].conns / PARTS_ACCEPTED);
+		const size_t n = smaller(sockets * parts[i].conns / PARTS,
+					 small * parts[i].conns / accepted);
 
 		r.servers[i].max_conns = n > MIN_CONNS ? (unsigned)n
 						       : MIN_CONNS;
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -26,6 +26,26 @@
 
 is() { [ "$1" = "$2" ]; }
 
+# wait_for COMMAND...: until it holds; half a minute at most.
+wait_for() {
+	local i
+	for i in $(seq 1 600); do
+		"$@" >/dev/null 2>&1 && return 0
+		sleep 0.05
+	done
+	return 1
+}
+
+# within_tries COMMAND...: it holds in one of a few tries, which may take long.
+within_tries() {
+	local try
+	for try in $(seq 1 20); do
+		"$@" && return 0
+		sleep 0.2
+	done
+	return 1
+}
+
 # start NAME COMMAND...: runs it in the background, log in DIR/NAME.log.
 start() {
 	local name=$1
--- a/scripts/crowd_test.sh
+++ b/scripts/crowd_test.sh
@@ -48,25 +48,16 @@
 
 settled() { grep -q '^settled' "$DIR/crowd-$1.out"; }
 
-# answered N: one of a few requests to the entry is answered by an endpoint.
-answered() {
-	local try
-	for try in $(seq 1 20); do
-		is "$(request "$1" "$CASE-$1-$try-$RANDOM" /l/x -d hello -m 5)" 200 &&
-			return 0
-		sleep 0.2
-	done
-	return 1
+# served N: an endpoint answers a request to the entry.
+served() {
+	is "$(request "$1" "$CASE-$1-$RANDOM$RANDOM" /l/x -d hello -m 5)" 200
 }
 
-# called N WHAT CALL: the same for look-ups and readiness.
+answered() { within_tries served "$1"; }
+
+# called N WHAT CALL: the entry answers a look-up or a readiness check.
 called() {
-	local try
-	for try in $(seq 1 20); do
-		curl -s -m 5 -f -o /dev/null "http://$(address "$1" "$2")$3" && return 0
-		sleep 0.2
-	done
-	return 1
+	within_tries curl -s -m 5 -f -o /dev/null "http://$(address "$1" "$2")$3"
 }
 
 looked_up() {
@@ -84,35 +75,26 @@
 	[ -n "$value" ] && [ "$value" -lt "$3" ]
 }
 
-# muted MODE: app's endpoints do not answer while this runs; see endless.c.
-muted() {
+# replace_endpoints MODE: app's endpoints do not answer; see endless.c.
+replace_endpoints() {
 	local i
 	echo "$1" >"$DIR/mode"
-	for i in 1 2; do
-		start "muted-$i" "$BIN/standin-endless" --mode "$DIR/mode"
-		printf '{"service":"app","address":"%s","zone":"north","version":"v1","slots":1000,"state":"ready","coldLeftMs":0,"seqNo":1}' \
-			"$(ready "muted-$i")" >"$DIR/entry"
-		curl -s -o /dev/null --data-binary @"$DIR/entry" \
-			"http://$PLATFORM/test/put?key=servers/muted-$CASE-$i"
-	done
+	for i in 1 2; do start_endless "mute-$CASE-$i" app 1000; done
 	for i in 2 4 6 8; do platform_test "unlist?id=i-$i" >/dev/null; done
-	wait_for everywhere knows_muted
+	wait_for everywhere knows_mute
 }
 
-knows_muted() { grep -q "\"endpoint\":\"muted-$CASE-2\"" "$DIR/edge-$1.out"; }
+knows_mute() { grep -q "\"endpoint\":\"mute-$CASE-2\"" "$DIR/edge-$1.out"; }
 
-spoken() {
+restore_endpoints() {
 	local i
-	for i in 1 2; do
-		curl -s -o /dev/null "http://$PLATFORM/test/delete?key=servers/muted-$CASE-$i"
-		end_child "$(pid_of "muted-$i")"
-	done
+	end_endless "mute-$CASE-1" "mute-$CASE-2"
 	for i in 2 4 6 8; do platform_test "relist?id=i-$i" >/dev/null; done
 }
 
 start_crowd() {
 	case $1 in
-	mute | deaf) muted "$1" && crowd whole callers "$CLIENTS" ;;
+	mute | deaf) replace_endpoints "$1" && crowd whole callers "$CLIENTS" ;;
 	whole) crowd whole callers "$CLIENTS" --returns 2 ;;
 	lookup_chunks) crowd large_chunks lookup "$CLIENTS" ;;
 	silent) crowd silent callers "$MANY_CLIENTS" ;;
@@ -147,7 +129,7 @@
 		;;
 	esac
 	for n in $(seq 1 "$EDGES"); do end_child "$(pid_of "crowd-$n")"; done
-	case $CASE in mute | deaf) spoken ;; esac
+	case $CASE in mute | deaf) restore_endpoints ;; esac
 	expect "$CASE: ordinary requests are answered after the crowd" serves_all
 	for n in $(seq 1 "$EDGES"); do
 		kill -TERM "$(pid_of "usage-$n")"
--- a/scripts/edge_cluster.sh
+++ b/scripts/edge_cluster.sh
@@ -95,16 +95,6 @@
 		sed "s/.*\"$2\":\"\([^\"]*\)\".*/\1/"
 }
 
-# wait_for COMMAND...: until it holds; half a minute at most.
-wait_for() {
-	local i
-	for i in $(seq 1 600); do
-		"$@" >/dev/null 2>&1 && return 0
-		sleep 0.05
-	done
-	return 1
-}
-
 # put_document VERSION KEYS [MORE_ROUTES [MORE_SERVICES]]
 put_document() {
 	# As a script file: many routes are too long for an argument.
@@ -177,6 +167,25 @@
 # in_force N VERSION: entry N has had it in force.
 in_force() { grep -q "\"event\":\"config_in_force\",\"config\":$2," "$DIR/edge-$1.out"; }
 
+# start_endless NAME SERVICE SLOTS: starts an endpoint in trouble and lists it; $DIR/mode
+# says what it answers, see tests/standin/endless.c.
+start_endless() {
+	start "$1" "$BIN/standin-endless" --mode "$DIR/mode"
+	printf '{"service":"%s","address":"%s","zone":"north","version":"v1","slots":%s,"state":"ready","coldLeftMs":0,"seqNo":1}' \
+		"$2" "$(ready "$1")" "$3" >"$DIR/entry"
+	curl -s -o /dev/null --data-binary @"$DIR/entry" \
+		"http://$PLATFORM/test/put?key=servers/$1"
+}
+
+# end_endless NAME...: they end, and are off the list.
+end_endless() {
+	local name
+	for name in "$@"; do
+		curl -s -o /dev/null "http://$PLATFORM/test/delete?key=servers/$name"
+		end_child "$(pid_of "$name")"
+	done
+}
+
 # with_callers CALLER EACH COMMAND...: runs `CALLER N K` for each entry N and for K
 # from 1 to EACH, in the background, while the command runs. They end when
 # $DIR/stop exists.
--- a/scripts/endless_test.sh
+++ b/scripts/endless_test.sh
@@ -28,21 +28,13 @@
 
 # endless NAME SERVICE: starts an endpoint in trouble and lists it.
 endless() {
-	start "$1" "$BIN/standin-endless" --mode "$DIR/mode"
+	start_endless "$1" "$2" 8
 	BAD="$BAD $1"
-	printf '{"service":"%s","address":"%s","zone":"north","version":"v1","slots":8,"state":"ready","coldLeftMs":0,"seqNo":1}' \
-		"$2" "$(ready "$1")" >"$DIR/entry"
-	curl -s -o /dev/null --data-binary @"$DIR/entry" \
-		"http://$PLATFORM/test/put?key=servers/$1"
 }
 
 # end_bad: all of them end, and are off the list.
 end_bad() {
-	local name
-	for name in $BAD; do
-		curl -s -o /dev/null "http://$PLATFORM/test/delete?key=servers/$name"
-		end_child "$(pid_of "$name")"
-	done
+	end_endless $BAD
 	BAD=
 }
 
--- a/scripts/entry_crowd_test.sh
+++ b/scripts/entry_crowd_test.sh
@@ -23,16 +23,6 @@
 			"http://$ENTRY/v1/entries")" 200
 }
 
-# within_tries COMMAND...: one of a few tries.
-within_tries() {
-	local try
-	for try in $(seq 1 20); do
-		"$@" && return 0
-		sleep 0.2
-	done
-	return 1
-}
-
 settled() { grep -q '^settled' "$DIR/crowd.out"; }
 
 deployment kvotebors-nord
@@ -42,8 +32,7 @@
 start usage "$BIN/standin-usage" --pid "$(pid_of entry-1)" --port "${ENTRY##*:}"
 start crowd "$BIN/standin-crowd" --address "$ENTRY" --form large_chunks \
 	--connections "$CLIENTS" --bytes "$BODY_BYTES" --path /v1/x
-expect "the crowd has sent what it can" eval 'for i in $(seq 1 600); do
-	settled && break; sleep 0.05; done; settled'
+expect "the crowd has sent what it can" wait_for settled
 expect "ordinary calls are answered beside the crowd" within_tries answered
 end_child "$(pid_of crowd)"
 expect "ordinary calls are answered after the crowd" within_tries answered
