inp: timers run after the input that had arrived

What callers saw: after a moment in which their entry did not run, streams ended without their last events (the connection was closed), and requests that had been sent whole were answered 408.

Cause: what did not arrive in time was judged before what did arrive was read. libev runs the watchers of one priority from the last that became ready to the first, so the timers of an iteration run before its sockets. A poll that SIGCONT interrupts reports nothing at all, and one reports 64 descriptors at first. So the first thing that a process did after it had been suspended, or had no processor, was to end what was out of time by then: deadlines of requests, time-outs of calls, of requests that are read, of idle connections, of tunnels, and the silence of other entries, the store and the endpoints.

Change: sockets have a higher priority than timers, and a timer that is due is deferred until a poll that began afterwards has reported all input, at most eight polls. Only timers that judge are deferred. An entry without load polls once more at each tick.

--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -480,8 +480,9 @@
 	struct edge *en = t->data;
 	const int64_t now = edge_now(en);
 
-	(void)loop;
 	(void)revents;
+	if (inp_defers(loop, t))
+		return;
 	edge_store_tick(en, now);
 	if (now - en->gossip_round_ms >= GOSSIP_INTERVAL_MS) {
 		en->gossip_round_ms = now;
@@ -616,6 +617,7 @@
 	ev_timer_init(&en->tick, on_tick, 0, (double)TICK_INTERVAL_MS / 1000);
 	en->tick.data = en;
 	ev_timer_start(en->loop, &en->tick);
+	inp_attach(&en->input, en->loop);
 	en->iteration_ms = edge_now(en);
 	ev_check_init(&en->iteration, on_iteration);
 	ev_set_priority(&en->iteration, EV_MAXPRI);
--- a/lib/edge/edge_bind.c
+++ b/lib/edge/edge_bind.c
@@ -433,7 +433,8 @@
 	struct edge_req *r = t->data;
 
 	(void)revents;
-	ev_timer_stop(loop, t);
+	if (inp_defers(loop, t))
+		return;
 	if (edge_now(r->en) - r->query.began_ms >= RECALL_TIMEOUT_MS) {
 		end_query(r);
 		return;
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -40,6 +40,7 @@
 #include "fleet/flt.h"
 #include "io/hsc.h"
 #include "io/htc.h"
+#include "io/inp.h"
 #include "limit/acct.h"
 #include "limit/again.h"
 #include "limit/shed.h"
@@ -341,6 +342,7 @@
 	struct edge_duty *duty;
 
 	int64_t totals_ms; /* when the totals were last logged */
+	struct inp input;
 	ev_timer tick;
 	ev_check iteration;   /* of the event loop, before its other watchers */
 	int64_t iteration_ms; /* the last one */
--- a/lib/edge/edge_peer.c
+++ b/lib/edge/edge_peer.c
@@ -132,7 +132,6 @@
 	ssize_t n;
 	int i;
 
-	(void)loop;
 	(void)revents;
 	for (i = 0; i < READ_BATCH; i++) {
 		size = sizeof(from);
@@ -146,6 +145,7 @@
 		if (gsp_decode(&en->gossip_in, bytes, (size_t)n))
 			apply_record(en, &en->gossip_in, edge_now(en));
 	}
+	inp_event(loop, true);
 }
 
 /*
@@ -329,6 +329,7 @@
 		return err_set(e, ERR_IO, "gossip socket on %s: %s",
 			       en->peer_address, strerror(errno));
 	ev_io_init(&en->gossip_watcher, on_datagrams, en->gossip_fd, EV_READ);
+	ev_set_priority(&en->gossip_watcher, INP_PRIORITY);
 	en->gossip_watcher.data = en;
 	ev_io_start(en->loop, &en->gossip_watcher);
 	return 0;
--- a/lib/edge/edge_req.c
+++ b/lib/edge/edge_req.c
@@ -439,7 +439,8 @@
 	struct edge_req *r = t->data;
 
 	(void)revents;
-	ev_timer_stop(loop, t);
+	if (inp_defers(loop, t))
+		return;
 	cds_list_del(&r->wait_node);
 	r->awaiting_config = false;
 	r->config_checked = true;
@@ -451,7 +452,8 @@
 	struct edge_req *r = t->data;
 
 	(void)revents;
-	ev_timer_stop(loop, t);
+	if (inp_defers(loop, t))
+		return;
 	if (r->endpoint)
 		edge_rollout_failed(r, false);
 	edge_step(r, rq_timed_out(&r->rq), "out of time");
--- a/lib/edge/edge_tunnel.c
+++ b/lib/edge/edge_tunnel.c
@@ -135,8 +135,9 @@
 {
 	struct edge_tunnel *t = timer->data;
 
-	(void)loop;
 	(void)revents;
+	if (inp_defers(loop, timer))
+		return;
 	if (t->established)
 		end_lingering(t);
 	else
--- a/lib/io/hsc.c
+++ b/lib/io/hsc.c
@@ -9,6 +9,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "io/inp.h"
+
 /*
  * Pipelined bytes after which a connection is not read until the response ends.
  */
@@ -223,8 +225,9 @@
 {
 	struct hsc *c = t->data;
 
-	(void)loop;
 	(void)revents;
+	if (inp_defers(loop, t))
+		return;
 	if (c->state == HSC_READING)
 		reject(c, HSC_TIMEOUT);
 	else if (c->state == HSC_LINGERING && is_delivering(c, LINGER_MS))
@@ -549,6 +552,7 @@
 	if (s->fd < 0)
 		return -1;
 	ev_io_init(&s->acceptor, on_acceptable, s->fd, EV_READ);
+	ev_set_priority(&s->acceptor, INP_PRIORITY);
 	s->acceptor.data = s;
 	ev_timer_init(&s->rest, on_rested, 0, 0);
 	s->rest.data = s;
--- a/lib/io/htc.c
+++ b/lib/io/htc.c
@@ -4,6 +4,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "io/inp.h"
+
 /*
  * Subtracted from the time-out in the peer's Keep-Alive header, in
  * milliseconds: the peer starts its timer earlier than the response arrives
@@ -171,9 +173,9 @@
 {
 	struct htc_conn *k = t->data;
 
-	(void)loop;
 	(void)revents;
-	fail(k, HTC_TIMEOUT);
+	if (!inp_defers(loop, t))
+		fail(k, HTC_TIMEOUT);
 }
 
 /* ---- Responses ---- */
--- a/lib/io/ioc.c
+++ b/lib/io/ioc.c
@@ -13,6 +13,7 @@
 #include <unistd.h>
 
 #include "base/clk.h"
+#include "io/inp.h"
 
 /*
  * Bytes read from a connection per iteration of the event loop. Bounded, so
@@ -186,9 +187,9 @@
 	static char chunk[READ_BYTES];
 	ssize_t n;
 
-	(void)loop;
 	(void)revents;
 	n = recv(c->fd, chunk, sizeof(chunk), 0);
+	inp_event(loop, n == (ssize_t)sizeof(chunk));
 	if (n < 0 && (errno == EAGAIN || errno == EINTR))
 		return;
 	if (n <= 0) {
@@ -334,6 +335,7 @@
 	const int error = was_connecting ? finish_connect(c) : 0;
 
 	(void)revents;
+	inp_event(loop, false);
 	if (error) {
 		notify_ended(c, error == ECONNREFUSED || error == ECONNRESET
 					? IOC_END_REFUSED
@@ -409,6 +411,8 @@
 	CDS_INIT_LIST_HEAD(&c->queue);
 	ev_io_init(&c->reader, on_readable, fd, EV_READ);
 	ev_io_init(&c->writer, on_writable, fd, EV_WRITE);
+	ev_set_priority(&c->reader, INP_PRIORITY);
+	ev_set_priority(&c->writer, INP_PRIORITY);
 	ev_timer_init(&c->ack_timer, on_ack_timer, 0, 0);
 	c->reader.data = c;
 	c->writer.data = c;
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -185,6 +185,7 @@
 	const char *raw; /* bytes of each response; NULL: no response */
 	bool disconnect; /* disconnect after `raw` */
 	int requests;
+	int idle_ms;	       /* of its limits; 0: long */
 	struct hsc *last_conn; /* the connection of the last request */
 };
 
@@ -223,8 +224,10 @@
 
 static void peer_limits(struct hsc_server *s, struct hsc_limits *out)
 {
-	(void)s;
-	*out = (struct hsc_limits){ 4096, 10000, 200, 200, 5000 };
+	const struct peer *p = s->owner;
+
+	*out = (struct hsc_limits){ 4096, 10000, 200, 200,
+				    p->idle_ms ? p->idle_ms : 5000 };
 }
 
 static const struct hsc_vtable peer_vtable = {
@@ -1198,6 +1201,80 @@
 	hsc_server_close(&p.server);
 }
 
+/* ---- Stalls of the process ---- */
+
+/* The process does not run for so long; time-outs have elapsed then. */
+static void stall(int ms)
+{
+	clk_sleep_ms(ms);
+	ev_now_update(loop);
+}
+
+/* An endpoint's whole response was in its socket as the call was ended by its time-out. */
+static void response_that_has_arrived_does_not_time_out(void)
+{
+	const struct sockaddr_in any = { .sin_family = AF_INET };
+	const int listener = ioc_listen(&any, NULL);
+	struct sockaddr_in addr;
+	socklen_t len = sizeof(addr);
+	struct htc_peer to;
+	struct call c;
+	int fd;
+
+	getsockname(listener, (struct sockaddr *)&addr, &len);
+	htc_peer_init(&to, loop, clk_real(), &addr, &call_limits);
+	start(&to, &c, 100);
+	run_loop(0.02);
+	fd = accept(listener, NULL, NULL);
+	CU_ASSERT(fd >= 0);
+	send_text(fd, OK(2, "hi"));
+	stall(150);
+	run_loop(0.02);
+	CU_ASSERT_EQUAL(c.failures, 0);
+	CU_ASSERT_EQUAL(c.ends, 1);
+	CU_ASSERT_STRING_EQUAL(buf_cstr(&c.body), "hi");
+	buf_free(&c.body);
+	htc_peer_close(&to);
+	close(fd);
+	close(listener);
+}
+
+/* A request whose last byte had arrived was answered 408, or its connection closed. */
+static void request_that_has_arrived_does_not_time_out(void)
+{
+	static const struct {
+		const char *before, *during;
+	} cases[] = {
+		{ "GET / HTTP/1.1\r\nHo", "st: x\r\n\r\n" },
+		{ "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n"
+		  "\r\n5\r\nhel",
+		  "lo\r\n0\r\n\r\n" },
+		{ "", "GET / HTTP/1.1\r\nHost: x\r\n\r\n" },
+	};
+	char got[256];
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct peer p;
+		int fd;
+
+		open_peer(&p, OK(2, "hi"));
+		p.idle_ms = 200;
+		fd = connect_to(&p);
+		send_text(fd, cases[i].before);
+		run_loop(0.02);
+		send_text(fd, cases[i].during);
+		stall(250);
+		run_loop(0.05);
+		read_all(fd, got, sizeof(got));
+		CU_ASSERT_STRING_EQUAL(got, OK(2, "hi"));
+		CU_ASSERT_EQUAL(p.requests, 1);
+		close(fd);
+		run_loop(0.02);
+		hsc_server_close(&p.server);
+	}
+}
+
 static const struct unit_test tests[] = {
 	{ "a request is parsed in pieces of any size",
 	  request_is_parsed_in_pieces_of_any_size },
@@ -1248,6 +1325,10 @@
 	  closing_idle_connections_keeps_read_requests },
 	{ "a client that disconnects is detected",
 	  client_that_disconnects_is_detected },
+	{ "a response that has arrived does not time out",
+	  response_that_has_arrived_does_not_time_out },
+	{ "a request that has arrived does not time out",
+	  request_that_has_arrived_does_not_time_out },
 };
 
 int main(void)
