edge_verify: the deadline does not cut off an answer whose proof is on its way

What callers saw: a stream of which every event had come was cut off, after their entry had not run for a while.

Cause: an answer without length or chunks counts as whole once a registration that is newer than its end shows the same process. After a stall the end may be old, so that registration is awaited, for a second or more if no list changes. The deadline ended the wait, though the whole answer had been received.

Change: at the deadline the registration is read as soon as it can be newer, and that read is awaited for 0.4 s. Without it the answer is cut off as before: that no process is known to have ended is no proof that it did not.

--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -976,6 +976,12 @@
 /* Bytes of the current answer were received. */
 void edge_verify_received(struct edge_req *r);
 
+/*
+ * The request's deadline has passed. Returns the time for which a verification in
+ * progress may still go on, ms; 0: none is, or that time is over.
+ */
+int edge_verify_last(struct edge_req *r);
+
 /* Stops the verification, if one is in progress. */
 void edge_verify_cancel(struct edge_req *r);
 
--- a/lib/edge/edge_req.c
+++ b/lib/edge/edge_req.c
@@ -350,6 +350,13 @@
 	return cfg_service(r->cfg, route->shares[i].service);
 }
 
+static void set_deadline_timer(struct edge_req *r, int64_t ms)
+{
+	ev_timer_stop(r->en->loop, &r->deadline_timer);
+	ev_timer_set(&r->deadline_timer, ms > 0 ? (double)ms / 1000 : 0.001, 0);
+	ev_timer_start(r->en->loop, &r->deadline_timer);
+}
+
 static void arm_deadline_timer(struct edge_req *r)
 {
 	int64_t ms = r->route->timeout_ms > 0 ? r->route->timeout_ms
@@ -359,10 +366,7 @@
 	if (r->attempt.deadline_ms >= 0 && r->attempt.deadline_ms < ms)
 		ms = r->attempt.deadline_ms;
 	r->deadline_at_ms = r->arrived_ms + ms;
-	ms = r->deadline_at_ms - now + DEADLINE_GRACE_MS;
-	ev_timer_stop(r->en->loop, &r->deadline_timer);
-	ev_timer_set(&r->deadline_timer, ms > 0 ? (double)ms / 1000 : 0.001, 0);
-	ev_timer_start(r->en->loop, &r->deadline_timer);
+	set_deadline_timer(r, r->deadline_at_ms - now + DEADLINE_GRACE_MS);
 }
 
 /* Assigns the configuration in force to the request. */
@@ -450,10 +454,16 @@
 static void on_deadline(struct ev_loop *loop, ev_timer *t, int revents)
 {
 	struct edge_req *r = t->data;
+	int verify_ms;
 
 	(void)revents;
 	if (inp_defers(loop, t))
 		return;
+	verify_ms = edge_verify_last(r);
+	if (verify_ms) {
+		set_deadline_timer(r, verify_ms);
+		return;
+	}
 	if (r->endpoint)
 		edge_rollout_failed(r, false);
 	edge_step(r, rq_timed_out(&r->rq), "out of time");
--- a/lib/edge/edge_verify.c
+++ b/lib/edge/edge_verify.c
@@ -10,7 +10,8 @@
  * it is newer than the connection: an endpoint registers as it starts.
  *
  * Without a newer one, a request that may be sent again is, after a while. Another
- * one has nothing to gain by that: it waits until its deadline.
+ * one has nothing to gain by that: it waits until its deadline. The answer has been
+ * received by then, so the store is asked once more before it is cut off.
  */
 #include <assert.h>
 #include <stdio.h>
@@ -43,6 +44,12 @@
  */
 #define READ_INTERVAL_MS 1000
 
+/*
+ * At the deadline the registration is read as soon as it can be newer, and awaited for
+ * this time, ms: callers still expect an answer then.
+ */
+#define LAST_READ_MS 400
+
 struct edge_verify {
 	struct cds_list_head node; /* in edge.verifying, while it waits */
 	struct edge *en;
@@ -52,6 +59,7 @@
 	int64_t connected_ms; /* waits for a newer list since; 0: connecting */
 	int64_t read_ms;      /* the last read of the registration began */
 	bool reading, ended;  /* on_registration() frees it */
+	bool last;	      /* the request's deadline has passed */
 };
 
 static void release(struct edge_verify *v)
@@ -172,6 +180,16 @@
 		verify_free(v);
 }
 
+int edge_verify_last(struct edge_req *r)
+{
+	struct edge_verify *v = r->verify;
+
+	if (!v || v->last)
+		return 0;
+	v->last = true;
+	return LAST_READ_MS;
+}
+
 /* ---- The wait for a newer registration ---- */
 
 /* Of another start under the same id, or of the one that answered. */
@@ -254,6 +272,14 @@
 	return NULL;
 }
 
+/* The last read is the first one that can be newer than the connection. */
+static bool is_read_due(const struct edge_verify *v, int64_t now)
+{
+	if (v->last && !is_newer(v, v->read_ms))
+		return is_newer(v, now);
+	return now - v->read_ms >= READ_INTERVAL_MS;
+}
+
 void edge_verify_tick(struct edge *en, int64_t now)
 {
 	enum whole_process process;
@@ -263,7 +289,7 @@
 	while ((v = find_due(en, now, &process)))
 		finish(v, process);
 	cds_list_for_each_entry(v, &en->verifying, node) {
-		if (!v->reading && now - v->read_ms >= READ_INTERVAL_MS)
+		if (!v->reading && is_read_due(v, now))
 			read_registration(v, now);
 	}
 }
