edge_move: a run that was stopped continues at its copy, also as that endpoint leaves

What callers saw: a stream that must not be repeated was closed within its answer, in calm, while its endpoint was leaving; nothing had failed.

Cause: whether the endpoint with the copy may be used was asked twice, by the rule for new requests: before the stop, where another endpoint can still be found, and after it, where the run exists nowhere else. An endpoint that began to leave, or that an unrelated request had put into backoff or used up the limit of, between the two was no way any more ('no way to the copy'), and the stream was cut off.

Change: after the stop only an endpoint that has exited, that has been leaving for half of bounds.drain_ms, or a quarantined request ends the stream. The same bound held for the source before.

--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -582,7 +582,7 @@
  */
 void edge_send_abandon_silent(struct edge *en);
 
-/* True if a migrated run may continue at `to`. */
+/* True if a run that is about to be stopped may continue at `to`. */
 bool edge_send_can_move(const struct edge_req *r,
 			const struct flt_endpoint *to);
 
@@ -1015,8 +1015,8 @@
 /* The stream ended at the source; cancels a migration that has not stopped it. */
 void edge_move_stream_ended(struct edge_req *r);
 
-/* True if a leaving endpoint may be sent a run back that it stopped and kept. */
-bool edge_move_source_continues(const struct edge_req *r);
+/* True if a stopped run may continue at the endpoint, which may be leaving. */
+bool edge_move_is_in_time(const struct edge *en, const struct flt_endpoint *e);
 
 /*
  * The KV cache was copied and the stream has stopped: continues at the copy.
--- a/lib/edge/edge_move.c
+++ b/lib/edge/edge_move.c
@@ -37,8 +37,8 @@
 /* Time-out of the call that frees a copy, ms. */
 #define FREE_CALL_TIMEOUT_MS 1000
 
-/* Part of bounds.drain_ms after which a leaving endpoint is sent nothing more. */
-#define SOURCE_TIME_DIVISOR 2
+/* Part of bounds.drain_ms after which no run continues at a leaving endpoint. */
+#define CONTINUE_TIME_DIVISOR 2
 
 enum move_step {
 	MOVE_COPY, /* the run goes on meanwhile */
@@ -173,13 +173,11 @@
 		edge_move_cancel(r);
 }
 
-bool edge_move_source_continues(const struct edge_req *r)
+bool edge_move_is_in_time(const struct edge *en, const struct flt_endpoint *e)
 {
-	const double drain_ms = r->en->conf->bounds.drain_ms;
-
-	return !r->endpoint->exited &&
-	       (double)flt_leaving_ms(r->endpoint, edge_now(r->en)) <
-		       drain_ms / SOURCE_TIME_DIVISOR;
+	return !e->exited &&
+	       (double)flt_leaving_ms(e, edge_now(en)) <
+		       en->conf->bounds.drain_ms / CONTINUE_TIME_DIVISOR;
 }
 
 void edge_move_continue(struct edge_req *r)
@@ -295,7 +293,7 @@
 	if (m->status == 200 && has_handle)
 		stopped(m, "copied");
 	else if (m->status == 503 && has_handle &&
-		 edge_move_source_continues(m->r))
+		 edge_move_is_in_time(m->en, m->from))
 		continue_at_source(m);
 	else if (has_handle || m->status == 200)
 		continue_as_prepared(m);
--- a/lib/edge/edge_send.c
+++ b/lib/edge/edge_send.c
@@ -382,11 +382,18 @@
 {
 	const int64_t now = edge_now(r->en);
 
-	if (edge_fatal_is_quarantined(r))
-		return false;
-	if (to == r->endpoint)
-		return edge_move_source_continues(r);
-	return flt_in_service(to, now) && !gate_waits(&to->gate, now);
+	return !edge_fatal_is_quarantined(r) && flt_in_service(to, now) &&
+	       !gate_waits(&to->gate, now);
+}
+
+/*
+ * The run was stopped and exists nowhere else, so only what makes its continuation
+ * impossible or forbidden counts: a failed connection or a limit does not.
+ */
+static bool can_continue_at(const struct edge_req *r,
+			    const struct flt_endpoint *to)
+{
+	return !edge_fatal_is_quarantined(r) && edge_move_is_in_time(r->en, to);
 }
 
 void edge_send_moved(struct edge_req *r, struct flt_endpoint *to,
@@ -396,7 +403,7 @@
 	char copy_at[sizeof(r->endpoint->info.address) + 64];
 
 	/* Its limit was charged when the copy was requested. */
-	if (!edge_send_can_move(r, to)) {
+	if (!can_continue_at(r, to)) {
 		edge_send_lost(r, "no way to the copy");
 		return;
 	}
--- a/scripts/migration_test.sh
+++ b/scripts/migration_test.sh
@@ -5,6 +5,9 @@
 #
 # Failure: entries stopped runs before there was a copy of them, and cut off their
 # streams when it was late or refused, while the endpoint could still have ended them.
+#
+# Failure: a run was stopped once its copy was made, and its stream cut off, since the
+# endpoint with the copy had begun to leave before the stop was answered.
 # Usage: migration_test.sh
 cd "$(dirname "$0")/.." || exit 1
 EDGES=${EDGES:-2}
@@ -13,7 +16,7 @@
 . scripts/cluster.sh
 . scripts/edge_cluster.sh
 trap cluster_stop EXIT
-CASES=${CASES:-made late no_room kept silent unknown ended busy}
+CASES=${CASES:-made late no_room kept silent unknown ended busy target}
 EVENTS=20
 STREAMS=8
 
@@ -29,11 +32,21 @@
 
 whole() { awk -v all=$EVENTS '$1 == "200:0" && $2 == all' "$DIR/told-$CASE" | wc -l; }
 
+selected() { case " $CASES " in *" $1 "*) ;; *) false ;; esac }
+
+# drain_later SECONDS ENDPOINT...: they leave as well.
+drain_later() {
+	local i
+	sleep "$1"
+	shift
+	for i in "$@"; do platform_test "drain?id=$i" >/dev/null; done
+}
+
 # leaves NAME ENDPOINT COPIES [ALIVE_MS [BEFORE_S]]: the endpoint leaves while streams
 # run at all entries.
 leaves() {
 	local n k pids=
-	case " $CASES " in *" $1 "*) ;; *) return ;; esac
+	selected "$1" || return
 	CASE=$1
 	platform_test "copies?$3" >/dev/null
 	for n in $(seq 1 "$EDGES"); do
@@ -57,9 +70,11 @@
 put_document 2 '"k1"'
 expect "all entries serve" wait_for everywhere begins
 leaves made i-1 "mode=0" 1000
-expect "made: streams went on at their copies" [ -n "$(moved made)" ]
+selected made &&
+	expect "made: streams went on at their copies" [ -n "$(moved made)" ]
 leaves late i-3 "mode=0&ms=1100" 4000
-expect "late: streams went on at their copies" [ -n "$(moved late)" ]
+selected late &&
+	expect "late: streams went on at their copies" [ -n "$(moved late)" ]
 leaves no_room i-5 "mode=4"
 leaves kept i-7 "mode=1"
 leaves silent i-11 "mode=2"
@@ -67,7 +82,19 @@
 leaves ended i-13 "mode=0&ms=1100" 4000 2.3
 leaves busy i-15 "mode=5"
 expect "copies that are not used are freed" wait_for eval '[ "$(seen copies_held)" = 0 ]'
-expect "ended: there were such copies" [ "$(seen copies_freed)" -gt 0 ]
+selected ended &&
+	expect "ended: there were such copies" [ "$(seen copies_freed)" -gt 0 ]
+# The endpoints with the copies leave between the answers to copies and to stops.
+if selected target; then
+	cluster_stop
+	start_edges || exit 1
+	put_document 2 '"k1"'
+	expect "target: all entries serve" wait_for everywhere begins
+	drain_later 0.4 i-3 i-5 &
+	drain_later 1.55 i-7 i-9 i-11 i-13 i-15 i-17 &
+	leaves target i-1 "mode=0&ms=600" 4000
+	expect "target: streams went on at their copies" [ -n "$(moved target)" ]
+fi
 expect "no entry ended by itself" \
 	[ -z "$(grep -lE 'Sanitizer|Assertion' "$DIR"/*.log)" ]
 
