htc: a connection with unread input is not reused

What callers saw: 502, or a stream cut off, for a request that no endpoint had run.

Cause: an idle connection was taken for a call by its age alone. If the endpoint had closed or reset it and the event loop had not read that yet, the request was sent into the closed connection: it may have run, so one that must not be repeated failed, and the endpoint counted as broken off. The same with a late second response, which was taken for the response to the new call. It takes one iteration in which the call starts before the socket is read; after a stall all that happened meanwhile is unread.

Evidence: the new case of test_http, on the code before: with the end or a reset unread the call fails, with a second response unread it gets that one; 22 checks fail, none with the change.

Change: a connection on which input is pending is left to the event loop, and the next one is taken. poll() and not a read: the reader still learns of a reset, which idle_lost reports.

--- a/lib/io/htc.c
+++ b/lib/io/htc.c
@@ -523,19 +523,24 @@
 	return idle < k->keep_alive_ms && idle < max_idle_ms;
 }
 
-/* Takes the connection used last: the peer is least likely to be closing it. */
+/*
+ * Takes the connection used last: the peer is least likely to be closing it. One with
+ * unread input has ended, or has a late second response: the event loop closes it.
+ */
 static struct htc_conn *take_idle(struct htc_peer *p, int max_idle_ms)
 {
 	const int64_t now = clk_boot_ms(p->clk);
 	struct htc_conn *k;
 
-	if (cds_list_empty(&p->idle))
-		return NULL;
-	k = cds_list_first_entry(&p->idle, struct htc_conn, node);
-	if (!is_reusable(k, now, max_idle_ms ? max_idle_ms : INT64_MAX))
-		return NULL;
-	idle_del(k);
-	return k;
+	cds_list_for_each_entry(k, &p->idle, node) {
+		if (!is_reusable(k, now, max_idle_ms ? max_idle_ms : INT64_MAX))
+			return NULL;
+		if (ioc_has_input(k->io))
+			continue;
+		idle_del(k);
+		return k;
+	}
+	return NULL;
 }
 
 static struct htc_conn *open_conn(struct htc_peer *p)
--- a/lib/io/ioc.c
+++ b/lib/io/ioc.c
@@ -5,6 +5,7 @@
 #include <errno.h>
 #include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -529,6 +530,14 @@
 	return (size_t)bytes;
 }
 
+bool ioc_has_input(const struct ioc *c)
+{
+	struct pollfd p = { .fd = c->fd, .events = POLLIN };
+
+	/* Unlike a read, this keeps the error of a reset for the reader. */
+	return poll(&p, 1, 0) > 0;
+}
+
 size_t ioc_pending(const struct ioc *c)
 {
 	return c->queued;
--- a/lib/io/ioc.h
+++ b/lib/io/ioc.h
@@ -130,6 +130,9 @@
 /* Number of bytes that the peer has not acknowledged, with the queued ones. */
 size_t ioc_unacked(const struct ioc *c);
 
+/* True if bytes, or the end of the connection, were received and not read. */
+bool ioc_has_input(const struct ioc *c);
+
 /* Number of bytes that were received and not read. */
 size_t ioc_unread(const struct ioc *c);
 
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -1239,6 +1239,79 @@
 	close(listener);
 }
 
+static void count_lost(void *arg)
+{
+	++*(int *)arg;
+}
+
+/*
+ * A call was sent on an idle connection whose end, or a late second response, was unread
+ * in its socket: it failed, or got the response to another request.
+ */
+static void connection_with_unread_input_is_not_reused(void)
+{
+	static const struct {
+		const char *bytes;
+		bool closed, reset;
+	} cases[] = {
+		{ "", true, false },
+		{ "", true, true },
+		{ OK(3, "bad"), false, false },
+		{ OK(3, "bad"), true, false },
+	};
+	const struct linger now = { .l_onoff = 1, .l_linger = 0 };
+	const struct sockaddr_in any = { .sin_family = AF_INET };
+	const int listener = ioc_listen(&any, NULL);
+	struct sockaddr_in addr;
+	socklen_t len = sizeof(addr);
+	size_t i;
+
+	getsockname(listener, (struct sockaddr *)&addr, &len);
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct htc_peer to;
+		struct call c;
+		int first, second, lost = 0;
+		char request[256];
+
+		htc_peer_init(&to, loop, clk_real(), &addr, &call_limits);
+		to.idle_lost = count_lost;
+		to.idle_lost_arg = &lost;
+		start(&to, &c, 0);
+		run_loop(0.02);
+		first = accept(listener, NULL, NULL);
+		/* Closing it with unread bytes would reset it. */
+		CU_ASSERT(recv(first, request, sizeof(request), 0) > 0);
+		send_text(first, OK(2, "hi"));
+		run_loop(0.02);
+		CU_ASSERT_EQUAL(to.nr_idle, 1);
+		buf_free(&c.body);
+
+		send_text(first, cases[i].bytes);
+		if (cases[i].reset)
+			setsockopt(first, SOL_SOCKET, SO_LINGER, &now,
+				   sizeof(now));
+		if (cases[i].closed)
+			close(first);
+		start(&to, &c, 0);
+		run_loop(0.02);
+		second = accept(listener, NULL, NULL);
+		CU_ASSERT(second >= 0);
+		send_text(second, OK(3, "new"));
+		run_loop(0.02);
+		CU_ASSERT_EQUAL(c.failures, 0);
+		CU_ASSERT_STRING_EQUAL(buf_cstr(&c.body), "new");
+		CU_ASSERT_EQUAL(to.reused, 0);
+		CU_ASSERT_EQUAL(to.idle_closed, 1);
+		CU_ASSERT_EQUAL(lost, cases[i].reset);
+		buf_free(&c.body);
+		htc_peer_close(&to);
+		if (!cases[i].closed)
+			close(first);
+		close(second);
+	}
+	close(listener);
+}
+
 /* A request whose last byte had arrived was answered 408, or its connection closed. */
 static void request_that_has_arrived_does_not_time_out(void)
 {
@@ -1327,6 +1400,8 @@
 	  client_that_disconnects_is_detected },
 	{ "a response that has arrived does not time out",
 	  response_that_has_arrived_does_not_time_out },
+	{ "connection with unread input is not reused",
+	  connection_with_unread_input_is_not_reused },
 	{ "a request that has arrived does not time out",
 	  request_that_has_arrived_does_not_time_out },
 };
