htc: a call whose connection was seen late has its time

What callers saw: a request was sent again through another way, or a call to the store or to another entry failed, though the other side was well.

Cause: a connection that the kernel establishes while the process does not run is reported after the time for it. It was accepted, the request (or the request for a tunnel) sent, and the time-out, due since the stall, ended it before the peer could answer: a relay counted as failed, the store as unreachable, a call that stops a run as unanswered though its endpoint received it.

Evidence: the new case of test_http, on the code before: a call of 900 ms whose connection is established within a stall of 1,000 ms fails at once.

Change: a connection that is seen established after its time starts the time-outs anew, once for the connection and once for the tunnel. A peer that is silent from then on is still given up, which the case checks as well.

--- a/lib/io/htc.c
+++ b/lib/io/htc.c
@@ -21,9 +21,10 @@
 	struct htc_call *call;	 /* NULL while idle */
 	htc_probe_cb probe_done; /* NULL unless a probe is in progress */
 	void *probe_arg;
-	struct buf wire;  /* request to send once established */
-	struct shb *body; /* that follows on it; NULL: none */
-	ev_timer timer;	  /* of connect, then of the whole call */
+	struct buf wire;	 /* request to send once established */
+	struct shb *body;	 /* that follows on it; NULL: none */
+	ev_timer timer;		 /* of connect, then of the whole call */
+	int64_t establish_by_ms; /* when its timer is due until then */
 	int64_t idle_since_ms;
 	int64_t keep_alive_ms; /* idle time for which the peer keeps it open */
 	size_t wire_len;       /* bytes of the current request */
@@ -46,6 +47,7 @@
 	const struct htc_vtable *vt;
 	void *owner;
 	struct htc_conn *conn;
+	int total_ms;	     /* 0: none */
 	int64_t deadline_ms; /* boot clock; 0: none */
 	enum htc_unreached unreached;
 	size_t max_body_bytes; /* 0: no limit */
@@ -160,6 +162,16 @@
 			       : p->limits.connect_ms;
 }
 
+/* Of the connection; `total_ms` of its call bounds it, 0: none. */
+static void set_establish_timer(struct htc_conn *k, int total_ms)
+{
+	const int ms = establish_ms(k->peer);
+	const int bound = total_ms && total_ms < ms ? total_ms : ms;
+
+	k->establish_by_ms = clk_boot_ms(k->peer->clk) + bound;
+	set_timer(k, bound);
+}
+
 static void set_call_timer(struct htc_conn *k)
 {
 	const int64_t until = k->call->deadline_ms;
@@ -295,6 +307,23 @@
 		ioc_write_shared(k->io, body);
 }
 
+/*
+ * Called when a connection, or its tunnel, is established. If that is seen after its
+ * time, this process did not run for a while, and the peer has yet to be asked: the
+ * time-outs begin anew.
+ */
+static void allow_for_stall(struct htc_conn *k)
+{
+	struct htc_call *c = k->call;
+	const int64_t now = clk_boot_ms(k->peer->clk);
+
+	if (now < k->establish_by_ms)
+		return;
+	if (c && c->total_ms)
+		c->deadline_ms = now + c->total_ms;
+	set_establish_timer(k, c ? c->total_ms : 0);
+}
+
 /* The connection to the peer is established. */
 static void established(struct htc_conn *k)
 {
@@ -351,6 +380,7 @@
 	if (end && status == 200 && end + 4 == head + k->tunnel_answer.len) {
 		buf_free(&k->tunnel_answer);
 		k->tunnelling = false;
+		allow_for_stall(k);
 		established(k);
 	} else if (end && status == 502) {
 		not_established(k, HTC_UNREACHED_REFUSED);
@@ -470,6 +500,7 @@
 {
 	struct htc_conn *k = io->owner;
 
+	allow_for_stall(k);
 	if (k->tunnelling)
 		request_tunnel(k);
 	else
@@ -591,7 +622,7 @@
 		return false;
 	k->probe_done = done;
 	k->probe_arg = arg;
-	set_timer(k, establish_ms(p));
+	set_establish_timer(k, 0);
 	return true;
 }
 
@@ -625,6 +656,7 @@
 	c->conn = k;
 	c->no_body = no_body;
 	c->max_body_bytes = p->limits.max_body_bytes;
+	c->total_ms = total_ms;
 	c->deadline_ms = total_ms ? clk_boot_ms(p->clk) + total_ms : 0;
 	k->call = c;
 	k->wire_len = wire->len + (body ? body->bytes.len : 0);
@@ -639,8 +671,7 @@
 	k->body = shb_ref(body);
 	k->wire = *wire;
 	*wire = (struct buf)BUF_INIT;
-	set_timer(k, total_ms && total_ms < establish_ms(p) ? total_ms
-							    : establish_ms(p));
+	set_establish_timer(k, total_ms);
 	return c;
 }
 
@@ -658,7 +689,9 @@
 
 void htc_extend(struct htc_call *c, int ms)
 {
+	c->total_ms = ms;
 	c->deadline_ms = clk_boot_ms(c->conn->peer->clk) + ms;
+	c->conn->establish_by_ms = c->deadline_ms;
 	set_call_timer(c->conn);
 }
 
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -1312,6 +1312,59 @@
 	close(listener);
 }
 
+/*
+ * A connection was established while the process did not run. Its call was sent, and
+ * timed out before the peer could answer it; so was a relay given up.
+ */
+static void connecting_does_not_use_up_the_time_of_a_call(void)
+{
+	const struct sockaddr_in any = { .sin_family = AF_INET };
+	const int listener = ioc_listen(&any, NULL);
+	struct sockaddr_in addr;
+	socklen_t len = sizeof(addr);
+	int tunnelled;
+
+	getsockname(listener, (struct sockaddr *)&addr, &len);
+	for (tunnelled = 0; tunnelled < 2; tunnelled++) {
+		struct htc_peer to;
+		struct call c;
+		int fd;
+
+		htc_peer_init(&to, loop, clk_real(), &addr, &call_limits);
+		if (tunnelled)
+			htc_peer_tunnel(&to, &addr, "127.0.0.1:9");
+		start(&to, &c, 900);
+		stall(1000);
+		run_loop(0.05);
+		CU_ASSERT_EQUAL_FATAL(c.failures, 0);
+		fd = accept(listener, NULL, NULL);
+		CU_ASSERT(fd >= 0);
+		if (tunnelled) {
+			send_text(fd, "HTTP/1.1 200 OK\r\n\r\n");
+			run_loop(0.05);
+		}
+		send_text(fd, OK(2, "hi"));
+		run_loop(0.05);
+		CU_ASSERT_EQUAL(c.failures, 0);
+		CU_ASSERT_EQUAL(c.ends, 1);
+		buf_free(&c.body);
+
+		/* A peer that is silent from then on is not waited for without end. */
+		htc_peer_close(&to);
+		close(fd);
+		start(&to, &c, 900);
+		stall(1000);
+		run_loop(1.2);
+		CU_ASSERT_EQUAL(c.failures, 1);
+		CU_ASSERT_EQUAL(c.why, tunnelled ? HTC_NOT_SENT : HTC_TIMEOUT);
+		fd = accept(listener, NULL, NULL);
+		CU_ASSERT(fd >= 0);
+		close(fd);
+		htc_peer_close(&to);
+	}
+	close(listener);
+}
+
 /* A request whose last byte had arrived was answered 408, or its connection closed. */
 static void request_that_has_arrived_does_not_time_out(void)
 {
@@ -1402,6 +1455,8 @@
 	  response_that_has_arrived_does_not_time_out },
 	{ "connection with unread input is not reused",
 	  connection_with_unread_input_is_not_reused },
+	{ "connecting does not use up the time of a call",
+	  connecting_does_not_use_up_the_time_of_a_call },
 	{ "a request that has arrived does not time out",
 	  request_that_has_arrived_does_not_time_out },
 };
