swim: a stall of this process is not silence of others

What callers saw: nothing that was traced; other entries took over runs of an entry that was well is what a false death leads to.

Cause: an entry that had not run for a while (suspended, or without a processor) compared the time of its last probe, and of a suspicion, with now. In the first two ticks it asked others to probe an entry and, without waiting for them, suspected it; an entry that was suspected before was declared dead, and gossiped as such, before its refutation was read.

Evidence: the new cases of test_member, on the code before: after a gap of 8 s between two ticks the suspect is dead in the first second, and the probed entry suspected within the time for an acknowledgement.

Change: a gap between two ticks that is longer than a probe period does not count for the probe in progress and for suspicions. A peer that stays silent is still suspected and declared dead, which the cases and 'a crash is detected by all' check.

--- a/lib/member/swim.c
+++ b/lib/member/swim.c
@@ -44,6 +44,7 @@
 	uint64_t probing; /* id of the probed peer */
 	int64_t probe_at; /* when that probe was started */
 	int64_t next_period;
+	int64_t ticked_at; /* -1: never */
 	/* Lifeguard; 0: healthy. Time-outs are multiplied by 1 + this. */
 	unsigned health_penalty;
 	struct cds_list_head gossip; /* peers whose state is to be sent */
@@ -81,6 +82,7 @@
 	s->self.id = view_instance_id(self->name, self->boot);
 	s->cfg = *cfg;
 	s->last_contact = -1;
+	s->ticked_at = -1;
 	rnd_seed(&s->rnd, seed);
 	CDS_INIT_LIST_HEAD(&s->gossip);
 	for (i = 0; i < NR_BUCKETS; i++)
@@ -436,6 +438,30 @@
 		set_state(s, p, SWIM_SUSPECT, p->refutations, now_ms);
 }
 
+/*
+ * Time in which this process did not run is no silence of others: their messages may
+ * not have been read yet.
+ */
+static void allow_for_stall(struct swim *s, int64_t now_ms)
+{
+	const int64_t stall = s->ticked_at < 0 ? 0 : now_ms - s->ticked_at;
+	size_t i;
+
+	s->ticked_at = now_ms;
+	if (stall <= s->cfg.period_ms)
+		return;
+	s->probe_at += stall;
+	for (i = 0; i < s->nr; i++) {
+		struct peer *p = s->peers[i];
+
+		if (p->state != SWIM_SUSPECT)
+			continue;
+		p->since_ms += stall;
+		if (p->since_ms > now_ms)
+			p->since_ms = now_ms;
+	}
+}
+
 struct swim_action swim_tick(struct swim *s, int64_t now_ms)
 {
 	const struct swim_action none = { .kind = SWIM_DO_NOTHING };
@@ -443,6 +469,7 @@
 	struct swim_action a = none;
 	struct peer *p;
 
+	allow_for_stall(s, now_ms);
 	if (s->phase == PROBE_DIRECT &&
 	    now_ms - s->probe_at >= s->cfg.ack_ms * time_factor) {
 		p = find(s, s->probing);
--- a/tests/test_member.c
+++ b/tests/test_member.c
@@ -323,6 +323,56 @@
 	close_net(&n);
 }
 
+#define PROCESS_STALL_MS 8000
+
+/* An entry that had not run for a while declared another one dead before it read its refutation. */
+static void stall_is_not_silence_of_a_suspect(void)
+{
+	struct swim_delta d = { .state = SWIM_SUSPECT };
+	struct net n;
+	int i;
+
+	open_net(&n);
+	d.member = n.m[4];
+	swim_apply(n.s[0], &d, n.now);
+	n.now += PROCESS_STALL_MS;
+	for (i = 0; i < 20; i++, n.now += 50) {
+		tick(&n, 0);
+		CU_ASSERT(swim_state_of(n.s[0], n.m[4].id) != SWIM_DEAD);
+	}
+	run(&n, 20000);
+	for (i = 0; i < NODES; i++)
+		CU_ASSERT_EQUAL(swim_state_of(n.s[i], n.m[4].id), SWIM_ALIVE);
+	close_net(&n);
+}
+
+/* The same, with a probe that was not answered before: others were not asked either. */
+static void stall_is_not_silence_of_a_probed_entry(void)
+{
+	const struct swim_config cfg = swim_default_config();
+	struct swim_action a;
+	struct net n;
+	int64_t began;
+
+	open_net(&n);
+	do {
+		n.now += 50;
+		a = swim_tick(n.s[0], n.now);
+	} while (a.kind != SWIM_DO_PROBE);
+	n.now += PROCESS_STALL_MS;
+	for (began = n.now; n.now < began + cfg.ack_ms; n.now += 50) {
+		swim_tick(n.s[0], n.now);
+		CU_ASSERT_EQUAL(swim_state_of(n.s[0], a.target.id), SWIM_ALIVE);
+	}
+	/* Neither it nor those asked to probe it answer. */
+	while (n.now < began + PROCESS_STALL_MS) {
+		n.now += 50;
+		swim_tick(n.s[0], n.now);
+	}
+	CU_ASSERT(swim_state_of(n.s[0], a.target.id) != SWIM_ALIVE);
+	close_net(&n);
+}
+
 /* A restart at the same address is a new incarnation; the old one is dead. */
 static void restart_marks_old_incarnation_dead(void)
 {
@@ -386,6 +436,10 @@
 	{ "a crash is detected by all", crash_is_detected },
 	{ "one broken link is no crash", broken_link_is_no_crash },
 	{ "a suspected entry refutes", suspected_entry_refutes },
+	{ "a stall is not silence of a suspect",
+	  stall_is_not_silence_of_a_suspect },
+	{ "a stall is not silence of a probed entry",
+	  stall_is_not_silence_of_a_probed_entry },
 	{ "a restart marks the old incarnation dead",
 	  restart_marks_old_incarnation_dead },
 	{ "leaving is gossiped", leaving_is_gossiped },
