whole: a list that is read after a stall is as old as the stall

What callers could see: the first half of an answer without length or chunks, passed on as a whole answer. Found by reading; not reproduced with processes.

Cause: the end of such an answer is proved by a list of endpoints that is newer than a connection to the endpoint. The time of a list was the time at which its answer was read. An answer that came as a stall began and was read at its end counted as made seconds later than it was, so as newer than a process that had started in the place of the one that answered.

Change: what is read within 0.3 s after a stall counts as made when the stall began, or when it was asked for if that is later. The same time decides whether followers are served and whether records are fresh, where the old one erred towards too young as well. Verification then waits for the next list, or reads the registration.

--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -471,6 +471,7 @@
 		    pause > en->stall_length_ms)
 			en->stall_length_ms = pause;
 		en->stalled_ms = now;
+		en->stall_began_ms = en->iteration_ms;
 	}
 	en->iteration_ms = now;
 }
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -172,7 +172,7 @@
 	bool following;		 /* the last watch was sent to another entry */
 	bool from_store;	 /* the last answer came from the store */
 	int64_t follow_after_ms; /* watches go to the store until then */
-	int64_t complete_ms;	 /* the mirror was last complete; 0: never */
+	int64_t complete_ms;	 /* the mirror was complete then; 0: never */
 	int64_t era;		 /* of the store when the keys were read */
 	bool resyncing;		 /* re-reading all keys in a new era */
 	int64_t list_wanted_ms;	 /* the keys are to be listed since; 0: not */
@@ -349,6 +349,7 @@
 	int64_t config_since_ms; /* the configuration in force came then; 0: none */
 	/* The process was suspended, or had no processor, until then; 0: never. */
 	int64_t stalled_ms;
+	int64_t stall_began_ms;
 	int64_t stall_length_ms; /* the longest recent one */
 	ev_signal on_term, on_int, on_hup;
 	ev_prepare turn; /* of the event loop, before it polls */
--- a/lib/edge/edge_verify.c
+++ b/lib/edge/edge_verify.c
@@ -32,9 +32,6 @@
  */
 #define SILENCE_KEPT_MS 2000
 
-/* The same after a stall of this process: its sockets are read at once, ms. */
-#define STALL_KEPT_MS 300
-
 /* A request that may be sent again waits no longer for a newer list, ms. */
 #define MAX_LIST_WAIT_MS 2000
 
@@ -138,7 +135,7 @@
 	return !is_silent(r, now) &&
 	       !is_within(r->endpoint->silence_ended_ms, SILENCE_KEPT_MS,
 			  now) &&
-	       !is_within(r->en->stalled_ms, STALL_KEPT_MS, now);
+	       !is_within(r->en->stalled_ms, WHOLE_STALL_KEPT_MS, now);
 }
 
 bool edge_verify_start(struct edge_req *r)
--- a/lib/edge/edge_watch.c
+++ b/lib/edge/edge_watch.c
@@ -130,6 +130,20 @@
 	jlog_end(en->log);
 }
 
+/* The mirror has all keys as of the answer that was just read. */
+static void set_complete(struct edge_watch *w, const struct sto_answer *a,
+			 int64_t now)
+{
+	const struct whole_reading t = {
+		.asked_ms = a->asked_ms,
+		.read_ms = now,
+		.stall_began_ms = w->en->stall_began_ms,
+		.stall_ended_ms = w->en->stalled_ms,
+	};
+
+	w->complete_ms = whole_as_of(&t);
+}
+
 /* Applies a page of a listing; the last one completes the mirror. */
 static void apply_page(struct edge_watch *w, const struct sto_answer *a,
 		       int64_t now)
@@ -146,7 +160,7 @@
 		     a->more, a->revision, now);
 	if (a->more)
 		return;
-	w->complete_ms = now;
+	set_complete(w, a, now);
 	w->resyncing = false;
 	log_listed(w, now);
 	w->list_wanted_ms = 0;
@@ -258,7 +272,7 @@
 	w->from_store = true;
 	apply_changes(w, a);
 	mir_watch_end(&w->mirror, a->nr_items, a->revision, now);
-	w->complete_ms = now;
+	set_complete(w, a, now);
 	edge_serve_followers(en, now);
 }
 
@@ -293,7 +307,7 @@
 	w->from_store = false;
 	apply_changes(w, a);
 	mir_watch_end(&w->mirror, 0, a->revision, now);
-	w->complete_ms = now;
+	set_complete(w, a, now);
 	/* The next batch may be there: many follow on an old listing. */
 	if (a->nr_items)
 		watch_tick(w, now);
--- a/lib/stream/whole.c
+++ b/lib/stream/whole.c
@@ -19,6 +19,15 @@
 						: WHOLE_UNVERIFIED;
 }
 
+int64_t whole_as_of(const struct whole_reading *t)
+{
+	if (!t->stall_ended_ms ||
+	    t->read_ms - t->stall_ended_ms >= WHOLE_STALL_KEPT_MS)
+		return t->read_ms;
+	return t->asked_ms > t->stall_began_ms ? t->asked_ms
+					       : t->stall_began_ms;
+}
+
 bool whole_is_registered(int64_t connected_ms, int64_t store_back_ms,
 			 int64_t as_of_ms)
 {
--- a/lib/stream/whole.h
+++ b/lib/stream/whole.h
@@ -39,6 +39,22 @@
 
 enum whole_verdict whole_judge(const struct whole_facts *f);
 
+/* After a stall of this process its sockets are read at once: within this time, ms. */
+#define WHOLE_STALL_KEPT_MS 300
+
+/* Times of an answer of the store; monotonic, in ms. */
+struct whole_reading {
+	int64_t asked_ms;
+	int64_t read_ms;
+	int64_t stall_began_ms, stall_ended_ms; /* of the last stall; 0: none */
+};
+
+/*
+ * The time as of which an answer has the state of the store, at least. What is read
+ * after a stall may have been in the socket all the while.
+ */
+int64_t whole_as_of(const struct whole_reading *t);
+
 /*
  * True if the store's registrations as of `as_of_ms` have the process that accepted
  * a connection at `connected_ms`. `store_back_ms`: end of the store's last outage,
--- a/tests/test_hand.c
+++ b/tests/test_hand.c
@@ -218,6 +218,35 @@
 				rows[i].want);
 }
 
+/*
+ * A list that had been in the socket during a stall counted as made when it was read, so
+ * as newer than a process that had started meanwhile: the half of an answer of its
+ * predecessor would have been passed on as whole.
+ */
+static void lists_read_after_a_stall_are_older(void)
+{
+	static const struct {
+		struct whole_reading at;
+		int64_t want;
+	} rows[] = {
+		{ { 5000, 5800, 0, 0 }, 5800 },
+		{ { 5000, 5800, 1000, 4000 }, 5800 }, /* asked after it */
+		{ { 5000, 8010, 5100, 8000 }, 5100 },
+		{ { 5000, 8299, 5100, 8000 }, 5100 },
+		{ { 5000, 8300, 5100, 8000 }, 8300 },
+		{ { 8005, 8020, 5100, 8000 }, 8005 },
+	};
+	const int64_t connected_ms = 5200;
+	int64_t as_of;
+	size_t i;
+
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++)
+		CU_ASSERT_EQUAL(whole_as_of(&rows[i].at), rows[i].want);
+	/* Connected within the stall, before which the list was made. */
+	as_of = whole_as_of(&rows[2].at);
+	CU_ASSERT_FALSE(whole_is_registered(connected_ms, 0, as_of));
+}
+
 static void without_a_call_streams_end_normally(void)
 {
 	struct hand h;
@@ -240,6 +269,8 @@
 	{ "only a proven answer is whole", only_a_proven_answer_is_whole },
 	{ "registrations before a start prove nothing",
 	  registrations_before_a_start_prove_nothing },
+	{ "lists read after a stall are older",
+	  lists_read_after_a_stall_are_older },
 	{ "without a call streams end normally",
 	  without_a_call_streams_end_normally },
 };
