test_inp: descriptors that can be written as well as read

A poll reports both events of a descriptor as one, and inp counts two. Suspected: it then takes a full poll for one that has room, and runs timers before the rest of the input.

--- a/tests/test_inp.c
+++ b/tests/test_inp.c
@@ -168,6 +168,30 @@
 	}
 }
 
+/*
+ * The same, for descriptors that can be written as well: a poll reports both events of a
+ * descriptor as one.
+ */
+static void a_timer_runs_after_input_of_descriptors_to_write(void)
+{
+	static char data[400000];
+	struct world w;
+	size_t n, i;
+
+	for (n = 30; n <= MAX_CONNS; n += 30) {
+		open_world(&w, n, 10);
+		for (i = 0; i < n; i++)
+			ioc_write(w.conns[i], data, sizeof(data));
+		for (i = 0; i < n; i++) {
+			while (read(w.peers[i], data, sizeof(data)) > 0)
+				;
+		}
+		run_after_stall(&w);
+		CU_ASSERT_EQUAL(w.received_before_timer, 10 * n);
+		close_world(&w);
+	}
+}
+
 static void send_after_poll(struct ev_loop *loop, ev_check *check, int revents)
 {
 	struct world *w = check->data;
@@ -241,6 +265,8 @@
 	  a_timer_runs_after_input_of_the_same_poll },
 	{ "a timer runs after the input of many descriptors",
 	  a_timer_runs_after_input_of_many_descriptors },
+	{ "a timer runs after input of descriptors to write",
+	  a_timer_runs_after_input_of_descriptors_to_write },
 	{ "a timer runs after all input of a descriptor",
 	  a_timer_runs_after_all_input_of_a_descriptor },
 	{ "a timer runs after the end of a connection",
