hsc: a stall does not use up the time of a request that is being read

What callers saw: 408 to a request of which the rest was on its way, after a moment in which their entry did not run.

Cause: the window of a connection is 8 to 64 KB. A client with a larger body can send no more than that while the entry does not run, though the time-out of the body goes on: it was over before the client learned that there is room.

Change: the time-out of a request that is being read is extended by the part of it in which the process did not run, at most by itself, for each stall. A client that sends nothing afterwards is still rejected, which the case checks as well.

--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -470,6 +470,7 @@
 		if (now - en->stalled_ms > EDGE_STALL_MEMORY_MS ||
 		    pause > en->stall_length_ms)
 			en->stall_length_ms = pause;
+		inp_add_stall(&en->input, pause);
 		en->stalled_ms = now;
 		en->stall_began_ms = en->iteration_ms;
 	}
--- a/lib/io/hsc.c
+++ b/lib/io/hsc.c
@@ -141,6 +141,8 @@
 static void set_timer(struct hsc *c, int ms)
 {
 	ev_timer_stop(c->server->loop, &c->timer);
+	c->timer_ms = ms;
+	c->loop_stalled_ms = inp_stalled_ms(c->server->loop);
 	if (ms <= 0)
 		return;
 	ev_timer_set(&c->timer, (double)ms / 1000, 0);
@@ -221,6 +223,14 @@
 
 static const struct mem_vtable holder_vtable = { shed };
 
+/* The part of the time-out that has elapsed while this process did not run, ms. */
+static int stalled_part(const struct hsc *c)
+{
+	const int64_t ms = inp_stalled_ms(c->server->loop) - c->loop_stalled_ms;
+
+	return ms < c->timer_ms ? (int)ms : c->timer_ms;
+}
+
 static void on_timer(struct ev_loop *loop, ev_timer *t, int revents)
 {
 	struct hsc *c = t->data;
@@ -228,7 +238,9 @@
 	(void)revents;
 	if (inp_defers(loop, t))
 		return;
-	if (c->state == HSC_READING)
+	if (c->state == HSC_READING && stalled_part(c) > 0)
+		set_timer(c, stalled_part(c));
+	else if (c->state == HSC_READING)
 		reject(c, HSC_TIMEOUT);
 	else if (c->state == HSC_LINGERING && is_delivering(c, LINGER_MS))
 		set_timer(c, LINGER_MS);
--- a/lib/io/hsc.h
+++ b/lib/io/hsc.h
@@ -123,6 +123,8 @@
 	struct shb *shared;   /* what `body` is a view of; NULL: its own */
 	struct buf pipelined; /* bytes received after the current request */
 	ev_timer timer;
+	int timer_ms;		 /* for which it was set */
+	int64_t loop_stalled_ms; /* inp_stalled_ms() at that time */
 	ev_timer resume; /* parses `pipelined` in the loop's next iteration */
 	double since_s;	 /* last complete response, else accept; ev_now() */
 	size_t window;	 /* its part of hsc_server.windows */
--- a/lib/io/inp.c
+++ b/lib/io/inp.c
@@ -89,3 +89,15 @@
 	ev_timer_start(loop, t);
 	return true;
 }
+
+void inp_add_stall(struct inp *p, int64_t ms)
+{
+	p->stalled_ms += ms;
+}
+
+int64_t inp_stalled_ms(struct ev_loop *loop)
+{
+	const struct inp *p = ev_userdata(loop);
+
+	return p ? p->stalled_ms : 0;
+}
--- a/lib/io/inp.h
+++ b/lib/io/inp.h
@@ -19,6 +19,7 @@
 
 #include <ev.h>
 #include <stdbool.h>
+#include <stdint.h>
 
 /* Of watchers of input, to be set before they are started. */
 #define INP_PRIORITY 1
@@ -34,6 +35,7 @@
 	bool all_read;	      /* the poll before left no input */
 	unsigned nr_deferred; /* iterations in a row with deferred timers */
 	unsigned poll_max;    /* events that a poll reports at least */
+	int64_t stalled_ms; /* time in which the process did not run, in all */
 };
 
 /*
@@ -54,4 +56,13 @@
  */
 bool inp_defers(struct ev_loop *loop, ev_timer *t);
 
+/* To be called after each time in which the process did not run, in ms. */
+void inp_add_stall(struct inp *p, int64_t ms);
+
+/*
+ * The sum of these times, ms: a time-out of what a peer sends that contains a part of it
+ * is extended by that, since a peer whose window is full sends nothing meanwhile.
+ */
+int64_t inp_stalled_ms(struct ev_loop *loop);
+
 #endif
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -12,6 +12,7 @@
 #include "base/clk.h"
 #include "io/hsc.h"
 #include "io/htc.h"
+#include "io/inp.h"
 #include "support/unit.h"
 
 /* ---- Parsing ---- */
@@ -1365,6 +1366,56 @@
 	close(listener);
 }
 
+/* The client of a body that is larger than its window, or one that stops within it. */
+static void send_long_body(bool goes_on, const char *want)
+{
+	const int small = 2048;
+	char body[9000], got[256];
+	struct inp input;
+	struct peer p;
+	ssize_t n;
+	int fd;
+
+	memset(body, 'x', sizeof(body));
+	inp_attach(&input, loop);
+	open_peer(&p, OK(2, "hi"));
+	setsockopt(p.server.fd, SOL_SOCKET, SO_RCVBUF, &small, sizeof(small));
+	fd = connect_to(&p);
+	setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &small, sizeof(small));
+	send_text(fd, "POST / HTTP/1.1\r\nHost: x\r\n"
+		      "Content-Length: 9000\r\n\r\n");
+	run_loop(0.02);
+	n = send(fd, body, sizeof(body), MSG_DONTWAIT);
+	CU_ASSERT(n > 0 && n < (ssize_t)sizeof(body));
+	stall(300);
+	inp_add_stall(&input, 300);
+	run_loop(0.02);
+	while (goes_on && n > 0 && n < (ssize_t)sizeof(body)) {
+		const ssize_t more =
+			send(fd, body + n, sizeof(body) - n, MSG_DONTWAIT);
+
+		n += more > 0 ? more : 0;
+		run_loop(0.005);
+	}
+	run_loop(0.5);
+	read_all(fd, got, sizeof(got));
+	CU_ASSERT(!strncmp(got, want, strlen(want)));
+	close(fd);
+	run_loop(0.02);
+	hsc_server_close(&p.server);
+	ev_set_userdata(loop, NULL);
+}
+
+/*
+ * A client whose window was full while the process did not run was answered 408 before
+ * it could send the rest of its body.
+ */
+static void stall_does_not_use_up_the_time_of_a_body(void)
+{
+	send_long_body(true, "HTTP/1.1 200");
+	send_long_body(false, "HTTP/1.1 4");
+}
+
 /* A request whose last byte had arrived was answered 408, or its connection closed. */
 static void request_that_has_arrived_does_not_time_out(void)
 {
@@ -1453,6 +1504,8 @@
 	  client_that_disconnects_is_detected },
 	{ "a response that has arrived does not time out",
 	  response_that_has_arrived_does_not_time_out },
+	{ "a stall does not use up the time of a body",
+	  stall_does_not_use_up_the_time_of_a_body },
 	{ "connection with unread input is not reused",
 	  connection_with_unread_input_is_not_reused },
 	{ "connecting does not use up the time of a call",
