--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -12,6 +12,7 @@
 #include "base/clk.h"
 #include "io/hsc.h"
 #include "io/htc.h"
+#include "io/inp.h"
 #include "support/unit.h"
 
 /* ---- Parsing ---- */
@@ -1239,6 +1240,182 @@
 	close(listener);
 }
 
+static void count_lost(void *arg)
+{
+	++*(int *)arg;
+}
+
+/*
+ * A call was sent on an idle connection whose end, or a late second response, was unread
+ * in its socket: it failed, or got the response to another request.
+ */
+static void connection_with_unread_input_is_not_reused(void)
+{
+	static const struct {
+		const char *bytes;
+		bool closed, reset;
+	} cases[] = {
+		{ "", true, false },
+		{ "", true, true },
+		{ OK(3, "bad"), false, false },
+		{ OK(3, "bad"), true, false },
+	};
+	const struct linger now = { .l_onoff = 1, .l_linger = 0 };
+	const struct sockaddr_in any = { .sin_family = AF_INET };
+	const int listener = ioc_listen(&any, NULL);
+	struct sockaddr_in addr;
+	socklen_t len = sizeof(addr);
+	size_t i;
+
+	getsockname(listener, (struct sockaddr *)&addr, &len);
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct htc_peer to;
+		struct call c;
+		int first, second, lost = 0;
+		char request[256];
+
+		htc_peer_init(&to, loop, clk_real(), &addr, &call_limits);
+		to.idle_lost = count_lost;
+		to.idle_lost_arg = &lost;
+		start(&to, &c, 0);
+		run_loop(0.02);
+		first = accept(listener, NULL, NULL);
+		/* Closing it with unread bytes would reset it. */
+		CU_ASSERT(recv(first, request, sizeof(request), 0) > 0);
+		send_text(first, OK(2, "hi"));
+		run_loop(0.02);
+		CU_ASSERT_EQUAL(to.nr_idle, 1);
+		buf_free(&c.body);
+
+		send_text(first, cases[i].bytes);
+		if (cases[i].reset)
+			setsockopt(first, SOL_SOCKET, SO_LINGER, &now,
+				   sizeof(now));
+		if (cases[i].closed)
+			close(first);
+		start(&to, &c, 0);
+		run_loop(0.02);
+		second = accept(listener, NULL, NULL);
+		CU_ASSERT(second >= 0);
+		send_text(second, OK(3, "new"));
+		run_loop(0.02);
+		CU_ASSERT_EQUAL(c.failures, 0);
+		CU_ASSERT_STRING_EQUAL(buf_cstr(&c.body), "new");
+		CU_ASSERT_EQUAL(to.reused, 0);
+		CU_ASSERT_EQUAL(to.idle_closed, 1);
+		CU_ASSERT_EQUAL(lost, cases[i].reset);
+		buf_free(&c.body);
+		htc_peer_close(&to);
+		if (!cases[i].closed)
+			close(first);
+		close(second);
+	}
+	close(listener);
+}
+
+/*
+ * A connection was established while the process did not run. Its call was sent, and
+ * timed out before the peer could answer it; so was a relay given up.
+ */
+static void connecting_does_not_use_up_the_time_of_a_call(void)
+{
+	const struct sockaddr_in any = { .sin_family = AF_INET };
+	const int listener = ioc_listen(&any, NULL);
+	struct sockaddr_in addr;
+	socklen_t len = sizeof(addr);
+	int tunnelled;
+
+	getsockname(listener, (struct sockaddr *)&addr, &len);
+	for (tunnelled = 0; tunnelled < 2; tunnelled++) {
+		struct htc_peer to;
+		struct call c;
+		int fd;
+
+		htc_peer_init(&to, loop, clk_real(), &addr, &call_limits);
+		if (tunnelled)
+			htc_peer_tunnel(&to, &addr, "127.0.0.1:9");
+		start(&to, &c, 900);
+		stall(1000);
+		run_loop(0.05);
+		CU_ASSERT_EQUAL_FATAL(c.failures, 0);
+		fd = accept(listener, NULL, NULL);
+		CU_ASSERT(fd >= 0);
+		if (tunnelled) {
+			send_text(fd, "HTTP/1.1 200 OK\r\n\r\n");
+			run_loop(0.05);
+		}
+		send_text(fd, OK(2, "hi"));
+		run_loop(0.05);
+		CU_ASSERT_EQUAL(c.failures, 0);
+		CU_ASSERT_EQUAL(c.ends, 1);
+		buf_free(&c.body);
+
+		/* A peer that is silent from then on is not waited for without end. */
+		htc_peer_close(&to);
+		close(fd);
+		start(&to, &c, 900);
+		stall(1000);
+		run_loop(1.2);
+		CU_ASSERT_EQUAL(c.failures, 1);
+		CU_ASSERT_EQUAL(c.why, tunnelled ? HTC_NOT_SENT : HTC_TIMEOUT);
+		fd = accept(listener, NULL, NULL);
+		CU_ASSERT(fd >= 0);
+		close(fd);
+		htc_peer_close(&to);
+	}
+	close(listener);
+}
+
+/* The client of a body that is larger than its window, or one that stops within it. */
+static void send_long_body(bool goes_on, const char *want)
+{
+	const int small = 2048;
+	char body[9000], got[256];
+	struct inp input;
+	struct peer p;
+	ssize_t n;
+	int fd;
+
+	memset(body, 'x', sizeof(body));
+	inp_attach(&input, loop);
+	open_peer(&p, OK(2, "hi"));
+	setsockopt(p.server.fd, SOL_SOCKET, SO_RCVBUF, &small, sizeof(small));
+	fd = connect_to(&p);
+	setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &small, sizeof(small));
+	send_text(fd, "POST / HTTP/1.1\r\nHost: x\r\n"
+		      "Content-Length: 9000\r\n\r\n");
+	run_loop(0.02);
+	n = send(fd, body, sizeof(body), MSG_DONTWAIT);
+	CU_ASSERT(n > 0 && n < (ssize_t)sizeof(body));
+	stall(300);
+	inp_add_stall(&input, 300);
+	run_loop(0.02);
+	while (goes_on && n > 0 && n < (ssize_t)sizeof(body)) {
+		const ssize_t more =
+			send(fd, body + n, sizeof(body) - n, MSG_DONTWAIT);
+
+		n += more > 0 ? more : 0;
+		run_loop(0.005);
+	}
+	run_loop(0.5);
+	read_all(fd, got, sizeof(got));
+	CU_ASSERT(!strncmp(got, want, strlen(want)));
+	close(fd);
+	run_loop(0.02);
+	hsc_server_close(&p.server);
+	ev_set_userdata(loop, NULL);
+}
+
+/*
+ * A client whose window was full while the process did not run was answered 408 before
+ * it could send the rest of its body.
+ */
+static void stall_does_not_use_up_the_time_of_a_body(void)
+{
+	send_long_body(true, "HTTP/1.1 200");
+	send_long_body(false, "HTTP/1.1 4");
+}
+
 /* A request whose last byte had arrived was answered 408, or its connection closed. */
 static void request_that_has_arrived_does_not_time_out(void)
 {
@@ -1327,6 +1504,12 @@
 	  client_that_disconnects_is_detected },
 	{ "a response that has arrived does not time out",
 	  response_that_has_arrived_does_not_time_out },
+	{ "a stall does not use up the time of a body",
+	  stall_does_not_use_up_the_time_of_a_body },
+	{ "connection with unread input is not reused",
+	  connection_with_unread_input_is_not_reused },
+	{ "connecting does not use up the time of a call",
+	  connecting_does_not_use_up_the_time_of_a_call },
 	{ "a request that has arrived does not time out",
 	  request_that_has_arrived_does_not_time_out },
 };
