hcl, mux: a reply cut within its head is no reply

What callers saw: a 200 with an empty body, framed as whole, from a plain service whose process closed the connection after the status line of its reply. The same request, repeated, got the same answer.

Cause: libcurl reports success if a connection closes after the status line and before the empty line, unless the headers so far announce a body. hcl took that for a reply. mux acted on the status of such a head: 503 and 429 as "not run", 400 as final.

Fix: rhead notes the empty line that ends a head. Without it, a call fails as one whose connection was lost, and a stream ends as broken without a status. Header bytes are bounded with it (128 kB), whatever version of libcurl: informational replies, headers and trailers without end fail as too large, which they did not before.

--- a/lib/net/hcl.c
+++ b/lib/net/hcl.c
@@ -8,6 +8,8 @@
 #include <string.h>
 #include <strings.h>
 
+#include "net/rhead.h"
+
 /* Idle handles kept, each with its connections. */
 #define MAX_IDLE 32
 
@@ -26,6 +28,7 @@
 struct call {
 	const struct hcl_request *rq;
 	struct hcl_reply *out;
+	struct rhead head;
 	bool too_large;
 };
 
@@ -94,10 +97,15 @@
 static size_t on_header(char *data, size_t size, size_t n, void *arg)
 {
 	struct call *c = arg;
+	const size_t len = size * n;
 
-	if (c->out->headers.len + size * n < MAX_HEADERS)
-		buf_add(&c->out->headers, data, size * n);
-	return size * n;
+	if (!rhead_line(&c->head, data, len)) {
+		c->too_large = true;
+		return 0;
+	}
+	if (c->out->headers.len + len < MAX_HEADERS)
+		buf_add(&c->out->headers, data, len);
+	return len;
 }
 
 static struct curl_slist *set_headers(CURL *c, const struct hcl_request *rq)
@@ -160,16 +168,25 @@
 		       "%s: %s", call->rq->address, why);
 }
 
+static int check_head(const struct call *call, struct err *e)
+{
+	if (rhead_is_whole(&call->head, call->out->status))
+		return 0;
+	return err_set(e, ERR_IO,
+		       "%s: connection closed within the reply's head",
+		       call->rq->address);
+}
+
 int hcl_call(struct hcl *h, const struct hcl_request *rq, struct hcl_reply *out,
 	     struct err *e)
 {
 	CURL *c = take_handle(h);
-	struct call call = { rq, out, false };
+	struct call call = { .rq = rq, .out = out };
 	struct curl_slist *headers = set_headers(c, rq);
 	char *type = NULL;
 	long status = 0;
 	CURLcode rc;
-	int ret = 0;
+	int ret;
 
 	set_options(c, rq, &call);
 	rc = curl_easy_perform(c);
@@ -177,8 +194,8 @@
 	out->status = (int)status;
 	if (!curl_easy_getinfo(c, CURLINFO_CONTENT_TYPE, &type) && type)
 		str_copy(out->content_type, type, sizeof(out->content_type));
-	if (rc != CURLE_OK)
-		ret = map_error(c, rc, &call, e);
+	ret = rc != CURLE_OK ? map_error(c, rc, &call, e)
+			     : check_head(&call, e);
 	curl_slist_free_all(headers);
 	give_handle(h, c);
 	return ret;
--- a/lib/net/mux.c
+++ b/lib/net/mux.c
@@ -10,6 +10,7 @@
 
 #include "base/buf.h"
 #include "base/ring.h"
+#include "net/rhead.h"
 
 /* Commands that may wait; more than the streams can be at once. */
 #define RING_PART 2
@@ -28,6 +29,7 @@
 	int64_t idle_ms;
 	struct mux_sink sink;
 	void *arg;
+	struct rhead head;
 	bool got_status;
 	bool stopped;
 };
@@ -73,6 +75,13 @@
 	return len;
 }
 
+static size_t on_header(char *data, size_t size, size_t n, void *arg)
+{
+	struct stream *s = arg;
+
+	return rhead_line(&s->head, data, size * n) ? size * n : 0;
+}
+
 static void free_stream(struct mux *m, struct stream *s)
 {
 	if (s->curl) {
@@ -92,6 +101,11 @@
 
 	if (s->curl)
 		curl_easy_getinfo(s->curl, CURLINFO_RESPONSE_CODE, &status);
+	/* What was received of the head states nothing. */
+	if (!rhead_is_whole(&s->head, status)) {
+		status = 0;
+		why = why == ERR_NONE ? ERR_IO : why;
+	}
 	if (why == ERR_NONE)
 		tell_status(s);
 	cds_list_del(&s->node);
@@ -132,6 +146,8 @@
 	curl_easy_setopt(c, CURLOPT_BUFFERSIZE, 4096L);
 	curl_easy_setopt(c, CURLOPT_WRITEFUNCTION, on_write);
 	curl_easy_setopt(c, CURLOPT_WRITEDATA, s);
+	curl_easy_setopt(c, CURLOPT_HEADERFUNCTION, on_header);
+	curl_easy_setopt(c, CURLOPT_HEADERDATA, s);
 	if (s->idle_ms) {
 		curl_easy_setopt(c, CURLOPT_LOW_SPEED_LIMIT, 1L);
 		curl_easy_setopt(c, CURLOPT_LOW_SPEED_TIME,
--- /dev/null
+++ b/lib/net/rhead.h
@@ -0,0 +1,26 @@
+/*
+ * rhead: the head of a reply that libcurl receives. libcurl takes a connection that
+ * closes after the status line for a whole reply, and stores headers without a bound
+ * in some versions.
+ */
+#ifndef RHEAD_H
+#define RHEAD_H
+
+#include <stdbool.h>
+#include <stddef.h>
+
+/* Bytes of a reply's head, with informational replies before it and trailers. */
+#define RHEAD_MAX_BYTES ((size_t)131072)
+
+struct rhead {
+	size_t bytes;
+	bool complete; /* the empty line after the headers arrived */
+};
+
+/* To be called with each line that libcurl reports; false: there are too many bytes. */
+bool rhead_line(struct rhead *h, const char *data, size_t len);
+
+/* True if the reply with this status has its whole head, and is a final one. */
+bool rhead_is_whole(const struct rhead *h, long status);
+
+#endif
--- a/scripts/process_test.sh
+++ b/scripts/process_test.sh
@@ -234,6 +234,21 @@
 expect "response expires, outcome stays" [ "$code" = 410 ]
 expect "repeat after expiry did not run again" sh -c "for a in $PLAIN_ADDRESSES; do curl -s http://\$a/standin/runs; done | grep -o '\"c1\":[0-9]*' | grep -qx '\"c1\":1'"
 
+# -- A plain service that closes within the head of its reply --
+# Guards against a reply that counts as whole, with an empty body.
+plain_fault() {
+	local a
+	for a in $PLAIN_ADDRESSES; do
+		curl -s -o /dev/null "http://$a/standin/fault" -d "{\"mode\":\"$1\"}"
+	done
+}
+plain_fault cut
+cut_call() { status_of -H "$AUTH" -H "Idempotency-Key: $g.cut" -d '{"nonce":"d1"}' "http://$ENTRY/v1/services/quota/transfer"; }
+expect "reply cut within its head is no success" [ "$(cut_call)" = 504 ]
+expect "nor is it when the call is repeated" [ "$(cut_call)" != 200 ]
+plain_fault up
+expect "call with a cut reply ran once" sh -c "for a in $PLAIN_ADDRESSES; do curl -s http://\$a/standin/runs; done | grep -o '\"d1\":[0-9]*' | grep -qx '\"d1\":1'"
+
 # Sanitizer builds write their reports into the logs.
 cluster_stop
 expect "no sanitizer report" [ -z "$(grep -lE '(Thread|Address|Leak)Sanitizer|runtime error' "$BASE"/*/*.log)" ]
--- a/tests/standin/plain.c
+++ b/tests/standin/plain.c
@@ -1,8 +1,8 @@
 /*
  * standin-plain: a plain service whose calls have effects. Counts the runs of
  * each nonce in the body {"nonce": "..."}; GET /standin/runs lists them.
- * POST /standin/fault {"mode": "up" | "drop"}: drop runs the call and ends
- * the connection without a reply.
+ * POST /standin/fault {"mode": "up" | "drop" | "cut"}: drop runs the call and
+ * ends the connection without a reply, cut within the head of the reply.
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -20,7 +20,7 @@
 	pthread_mutex_t lock;
 	struct run *runs;
 	long delay_ms;
-	bool drop;
+	bool drop, cut;
 };
 
 static long count_run(struct plain *p, const char *nonce)
@@ -56,26 +56,31 @@
 {
 	JSN_AUTO *o = jsn_parse(buf_cstr(&rq->body), rq->body.len);
 	const char *nonce = jsn_str(o, "nonce", "");
+	static const char head_part[] = "HTTP/1.1 200 OK\r\nContent-Le";
 	struct plain *p = arg;
 	BUF_AUTO b = BUF_INIT;
-	bool drop = false;
+	bool drop = false, cut = false;
 
 	pthread_mutex_lock(&p->lock);
 	if (!strcmp(rq->path, "/standin/runs")) {
 		list_runs(p, &b);
 	} else if (!strcmp(rq->path, "/standin/fault")) {
-		p->drop = !strcmp(jsn_str(o, "mode", "up"), "drop");
+		p->cut = !strcmp(jsn_str(o, "mode", "up"), "cut");
+		p->drop = p->cut || !strcmp(jsn_str(o, "mode", "up"), "drop");
 		buf_str(&b, "{}");
 	} else if (!strcmp(rq->path, "/standin/exit")) {
 		standin_quit();
 	} else {
 		drop = p->drop;
+		cut = p->cut;
 		buf_fmt(&b, "{\"nonce\":\"%s\",\"run\":%ld}", nonce,
 			count_run(p, nonce));
 	}
 	pthread_mutex_unlock(&p->lock);
 	if (strncmp(rq->path, "/standin/", 9))
 		clk_sleep_ms(p->delay_ms);
+	if (cut)
+		mg_write(rq->conn, head_part, strlen(head_part));
 	if (drop)
 		rq->started = true;
 	else
