edge_answer: a refusal of another request states nothing of this one

What callers saw: a request that may run once was sent a second time, or answered 503 though it may have run, if its endpoint sent the refusal of another request and then broke off.

Cause: the head of an answer was decoded into the state of the request before its id was compared. The answer was skipped, but its "not run" stayed, and was read when the connection was lost.

Fix: the head is decoded by itself, and taken over once it is known to be of this attempt.

--- a/lib/edge/edge_answer.c
+++ b/lib/edge/edge_answer.c
@@ -313,17 +313,19 @@
 {
 	struct edge_req *r = htc_owner(call);
 	struct edge *en = r->en;
+	struct reply reply;
 	const char *fault;
 
 	note_received(r);
-	en->wire->decode_answer(m, &r->attempt, &r->reply);
-	if (r->reply.other_attempt) {
+	en->wire->decode_answer(m, &r->attempt, &reply);
+	if (reply.other_attempt) {
 		jlog_begin(en->log, JLOG_WARN, "foreign_answer");
 		jlog_str(en->log, "id", r->attempt.id);
 		jlog_str(en->log, "endpoint", r->endpoint->info.id);
 		jlog_end(en->log);
 		return false;
 	}
+	r->reply = reply;
 	edge_statement_answered(r);
 	fault = find_fault(&r->reply);
 	if (fault) {
--- a/scripts/edge_cluster.sh
+++ b/scripts/edge_cluster.sh
@@ -10,6 +10,8 @@
 EXPOSURE=${EXPOSURE:-0.1}
 # More settings of an entry, each with a comma before it.
 EDGE_SETTINGS=${EDGE_SETTINGS:-}
+# More bounds, in the same way.
+EDGE_BOUNDS=${EDGE_BOUNDS:-}
 # A command that runs an entry, such as prlimit.
 EDGE_RUN=${EDGE_RUN:-}
 # Not empty: entries can be cut off from all endpoints, see cut_off().
@@ -40,7 +42,7 @@
 		"store": { "address": "$PLATFORM" },
 		"cloud": { "address": "$PLATFORM", "duties": ["usage"] },
 		"bounds": { "usage_window_s": 1, "usage_late_s": 10,
-			"exposure_share": $EXPOSURE, "exposure_slack": 50 },
+			"exposure_share": $EXPOSURE, "exposure_slack": 50$EDGE_BOUNDS },
 		"policy": { "max_mesh": $MAX_MESH }$EDGE_SETTINGS
 	}
 	END
@@ -168,9 +170,10 @@
 in_force() { grep -q "\"event\":\"config_in_force\",\"config\":$2," "$DIR/edge-$1.out"; }
 
 # start_endless NAME SERVICE SLOTS: starts an endpoint in trouble and lists it; $DIR/mode
-# says what it answers, see tests/standin/endless.c.
+# and the files in $DIR/answers say what it answers, see tests/standin/endless.c.
 start_endless() {
-	start "$1" "$BIN/standin-endless" --mode "$DIR/mode"
+	start "$1" "$BIN/standin-endless" --mode "$DIR/mode" \
+		--answers "$DIR/answers"
 	printf '{"service":"%s","address":"%s","zone":"north","version":"v1","slots":%s,"state":"ready","coldLeftMs":0,"seqNo":1}' \
 		"$2" "$(ready "$1")" "$3" >"$DIR/entry"
 	curl -s -o /dev/null --data-binary @"$DIR/entry" \
--- a/tests/standin/endless.c
+++ b/tests/standin/endless.c
@@ -3,10 +3,17 @@
  * answer, without end, until the caller closes the connection, or with nothing. One
  * thread a connection, so that other stand-ins are not slowed down.
  *
- * Options: --mode FILE, --address IP:PORT. Prints "ready ADDRESS", and a line "closed
- * MODE BYTES ID" for each answer that has ended. The file
+ * Options: --mode FILE, --address IP:PORT, --answers DIR. Prints "ready ADDRESS", and a
+ * line "closed MODE BYTES ID" for each answer that has ended. The file
  * holds the name of a mode, which is read for each request; see `modes`.
+ *
+ * A request without a body and with the query "case=NAME" is answered with the text of
+ * DIR/NAME.N at its Nth try, whichever of the stand-ins gets it, or of the last such
+ * file; %ID% stands for the attempt's id. Its first line says how the connection goes
+ * on: fin, reset, or kept. Prints "sent NAME N I ID", I: how many requests came on the
+ * connection.
  */
+#include <fcntl.h>
 #include <poll.h>
 #include <pthread.h>
 #include <signal.h>
@@ -72,7 +79,7 @@
 /* Nothing is sent; of `mute` the request is read, of `deaf` its body is not. */
 static const struct mode mute = { .name = "mute" }, deaf = { .name = "deaf" };
 
-static const char *mode_file;
+static const char *mode_file, *answers_dir;
 
 static const struct mode *read_mode(void)
 {
@@ -195,13 +202,114 @@
 	fflush(stdout);
 }
 
+/* ---- Scripted answers ---- */
+
+/* Copies the name of the case that the request asks for; false: none. */
+static bool case_name(const char *request, char *out, size_t size)
+{
+	static const char query[] = "?case=";
+	const size_t line = strcspn(request, "\r");
+	const char *at = strstr(request, query);
+
+	if (!at || at > request + line)
+		return false;
+	at += strlen(query);
+	snprintf(out, size, "%.*s", (int)strcspn(at, " "), at);
+	return true;
+}
+
+/* Counts the tries of an attempt among all stand-ins of the directory. */
+static int count_try(const char *id)
+{
+	char path[512];
+	int n, fd;
+
+	for (n = 1; n < 100; n++) {
+		snprintf(path, sizeof(path), "%s/try-%s-%d", answers_dir, id,
+			 n);
+		fd = open(path, O_CREAT | O_EXCL | O_WRONLY | O_CLOEXEC, 0600);
+		if (fd >= 0) {
+			close(fd);
+			break;
+		}
+	}
+	return n;
+}
+
+static bool read_answer(const char *name, int n, struct buf *out)
+{
+	char path[512], piece[4096];
+	size_t len;
+	FILE *f = NULL;
+
+	for (; n && !f; n--) {
+		snprintf(path, sizeof(path), "%s/%s.%d", answers_dir, name, n);
+		f = fopen(path, "re");
+	}
+	if (!f)
+		return false;
+	while ((len = fread(piece, 1, sizeof(piece), f)) > 0)
+		buf_add(out, piece, len);
+	fclose(f);
+	return true;
+}
+
+static void put_with_id(const char *text, const char *id, struct buf *out)
+{
+	static const char mark[] = "%ID%";
+	const char *at;
+
+	while ((at = strstr(text, mark))) {
+		buf_add(out, text, (size_t)(at - text));
+		buf_str(out, id);
+		text = at + strlen(mark);
+	}
+	buf_str(out, text);
+}
+
+/* Returns true if the connection is kept. */
+static bool answer_case(int fd, const char *request, const char *name,
+			int on_connection)
+{
+	const struct linger reset = { .l_onoff = 1, .l_linger = 0 };
+	BUF_AUTO file = BUF_INIT;
+	BUF_AUTO out = BUF_INIT;
+	const char *text, *how;
+	size_t sent = 0;
+	char id[128];
+	int n;
+
+	attempt_id(request, id, sizeof(id));
+	n = count_try(id);
+	if (!read_answer(name, n, &file)) {
+		fprintf(stderr, "no answer for \"%s\"\n", name);
+		exit(2);
+	}
+	how = buf_cstr(&file);
+	text = how + strcspn(how, "\n");
+	put_with_id(*text ? text + 1 : text, id, &out);
+	printf("sent %s %d %d %s\n", name, n, on_connection, id);
+	fflush(stdout);
+	send_all(fd, buf_cstr(&out), out.len, &sent);
+	if (!strncmp(how, "reset", strlen("reset")))
+		setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+	return !strncmp(how, "kept", strlen("kept"));
+}
+
+/* ---- Connections ---- */
+
 static void *serve(void *arg)
 {
 	const int fd = (int)(intptr_t)arg;
 	char *head = mem_new(HEAD_BYTES);
 	const struct mode *m = NULL;
+	bool got = read_head(fd, head);
+	char name[128];
+	int n = 1;
 
-	if (read_head(fd, head))
+	while (got && answers_dir && case_name(head, name, sizeof(name)))
+		got = answer_case(fd, head, name, n++) && read_head(fd, head);
+	if (got)
 		m = read_mode();
 	if (m == &mute)
 		stay_mute(fd);
@@ -222,6 +330,7 @@
 	int listener, fd;
 
 	mode_file = standin_option(argc, argv, "mode", "/dev/null");
+	answers_dir = standin_option(argc, argv, "answers", NULL);
 	signal(SIGPIPE, SIG_IGN);
 	if (ioc_address(standin_option(argc, argv, "address", "127.0.0.2:0"),
 			&addr, NULL))
