--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -799,6 +799,228 @@
 	hsc_server_close(&p.server);
 }
 
+/* ---- Heads cut in the middle ---- */
+
+/* Heads of responses, with what may come before one. */
+static const char *const cut_heads[] = {
+	"HTTP/1.1 200 OK\r\nX: y\r\nContent-Length: 10\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX: y\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX: y\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nX: y\r\n\r\n",
+	"HTTP/1.0 200 OK\r\nContent-Type: text/plain\r\nX: y\r\n\r\n",
+	"HTTP/1.0 200 OK\r\nContent-Length: 10\r\nX: y\r\n\r\n",
+	"HTTP/1.1 204 No Content\r\nX: y\r\n\r\n",
+	"HTTP/1.1 503 Busy\r\nRetry-After: 1\r\nX: y\r\n\r\n",
+	"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX: y\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nId: old\r\nContent-Length: 3\r\n\r\nabc"
+	"HTTP/1.1 200 OK\r\nX: y\r\n\r\n",
+};
+
+#define NR_CUT_HEADS (sizeof(cut_heads) / sizeof(cut_heads[0]))
+#define NR_CUT_ALONE (NR_CUT_HEADS - 2) /* those that nothing comes before */
+#define MAX_CUTS 128
+
+/* Guards against a part of a head that the parser takes for a message. */
+static void end_within_a_head_ends_no_message(void)
+{
+	size_t i, n, used;
+
+	for (i = 0; i < NR_CUT_ALONE; i++) {
+		for (n = 0; n < strlen(cut_heads[i]); n++) {
+			struct parsed got = { 0, 0, BUF_INIT };
+			struct hparse p;
+
+			hparse_init(&p, false, 0, &parse_vtable, &got);
+			CU_ASSERT_EQUAL(hparse_feed(&p, cut_heads[i], n, &used),
+					HPARSE_MORE);
+			CU_ASSERT_FALSE(hparse_eof(&p));
+			CU_ASSERT_EQUAL(got.heads + got.ends, 0);
+			hparse_free(&p);
+			buf_free(&got.body);
+		}
+	}
+}
+
+/* A server that answers /N with the first N bytes of its text, and ends so. */
+struct cutter {
+	struct peer peer;
+	size_t len;
+	bool reset;
+	bool cuts_tunnels; /* its answers to requests for tunnels instead */
+};
+
+static void end_by(struct hsc *c, bool reset)
+{
+	const struct linger now = { .l_onoff = 1, .l_linger = 0 };
+
+	if (reset)
+		setsockopt(c->io->fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+	hsc_disconnect(c);
+}
+
+static void cutter_request(struct hsc *c)
+{
+	struct cutter *s = c->server->owner;
+	const char *url = hmsg_url(&c->parse.msg);
+	const bool tunnel =
+		!strncmp(url, HTC_TUNNEL_PATH, strlen(HTC_TUNNEL_PATH));
+	const char *whole = tunnel ? "HTTP/1.1 200 X\r\n\r\n" : OK(2, "hi");
+	size_t n;
+
+	if (tunnel ? !s->cuts_tunnels : !strcmp(url, "/whole")) {
+		hsc_write(c, whole, strlen(whole));
+		hsc_done(c, false);
+		return;
+	}
+	n = tunnel ? (size_t)s->peer.requests++ : strtoul(url + 1, NULL, 10);
+	hsc_write(c, s->peer.raw, n < s->len ? n : s->len);
+	end_by(c, s->reset);
+}
+
+static const struct hsc_vtable cutter_vtable = { cutter_request,
+						 peer_disconnected,
+						 peer_read_error,
+						 peer_limits,
+						 NULL,
+						 NULL };
+
+static void open_cutter(struct cutter *s, const char *text, bool reset)
+{
+	memset(s, 0, sizeof(*s));
+	open_peer(&s->peer, text);
+	s->peer.server.vt = &cutter_vtable;
+	s->peer.server.owner = s;
+	s->len = strlen(text);
+	s->reset = reset;
+}
+
+/* Starts a call for each cut, or for a whole response each, and awaits their ends. */
+static void call_all(struct htc_peer *to, struct call *calls, size_t nr,
+		     const char *method, bool whole)
+{
+	size_t i, ended = 0, turn;
+
+	for (i = 0; i < nr; i++) {
+		struct buf wire = BUF_INIT;
+		char path[32] = "whole";
+
+		memset(&calls[i], 0, sizeof(calls[i]));
+		calls[i].skip_id = "old";
+		if (!whole)
+			snprintf(path, sizeof(path), "%zu", i);
+		buf_fmt(&wire, "%s /%s HTTP/1.1\r\nHost: x\r\n\r\n", method,
+			path);
+		CU_ASSERT_PTR_NOT_NULL_FATAL(
+			htc_start(to, &wire, 0, !strcmp(method, "HEAD"), 0,
+				  &call_vtable, &calls[i]));
+	}
+	for (turn = 0; turn < 500 && ended < nr; turn++) {
+		run_loop(0.005);
+		for (i = ended = 0; i < nr; i++)
+			ended += calls[i].ends + calls[i].failures;
+	}
+	CU_ASSERT_EQUAL(ended, nr);
+}
+
+static void expect_lost(struct call *calls, size_t nr)
+{
+	size_t i;
+
+	for (i = 0; i < nr; i++) {
+		CU_ASSERT_EQUAL(calls[i].heads + calls[i].ends, 0);
+		CU_ASSERT_EQUAL(calls[i].failures, 1);
+		CU_ASSERT_EQUAL(calls[i].why, HTC_CONNECTION_LOST);
+		buf_free(&calls[i].body);
+	}
+}
+
+/* A text cut at each byte, by an end in order or a reset. */
+static void cut_all(const char *text, bool reset, const char *method,
+		    bool tunnel, bool kept)
+{
+	static struct call calls[MAX_CUTS];
+	const size_t nr = strlen(text);
+	struct htc_peer to;
+	struct cutter s;
+	size_t i;
+
+	CU_ASSERT_FATAL(nr <= MAX_CUTS);
+	open_cutter(&s, text, reset);
+	htc_peer_init(&to, loop, clk_real(), &s.peer.addr, &call_limits);
+	if (tunnel)
+		htc_peer_tunnel(&to, &s.peer.addr, "127.0.0.2:9");
+	if (kept) {
+		call_all(&to, calls, nr, method, true);
+		for (i = 0; i < nr; i++) {
+			CU_ASSERT_EQUAL(calls[i].ends, 1);
+			buf_free(&calls[i].body);
+		}
+		CU_ASSERT_EQUAL(to.nr_idle, nr);
+	}
+	call_all(&to, calls, nr, method, false);
+	expect_lost(calls, nr);
+	CU_ASSERT_EQUAL(to.opened, nr);
+	CU_ASSERT_EQUAL(to.nr_open, 0);
+	hsc_server_close(&s.peer.server);
+}
+
+/* Guards against a 200 with an empty body for a response cut within its head. */
+static void response_cut_within_its_head_fails(void)
+{
+	size_t i;
+
+	for (i = 0; i < NR_CUT_HEADS; i++) {
+		cut_all(cut_heads[i], false, "GET", false, false);
+		cut_all(cut_heads[i], true, "GET", false, false);
+		cut_all(cut_heads[i], false, "GET", false, true);
+		cut_all(cut_heads[i], false, "GET", true, false);
+		cut_all(cut_heads[i], true, "GET", true, false);
+	}
+}
+
+/* The same in answer to HEAD, of which a skipped response has no body. */
+static void response_to_head_cut_within_its_head_fails(void)
+{
+	size_t i;
+
+	for (i = 0; i + 1 < NR_CUT_HEADS; i++) {
+		cut_all(cut_heads[i], false, "HEAD", false, false);
+		cut_all(cut_heads[i], true, "HEAD", true, false);
+	}
+}
+
+/* Guards against a request that counts as sent, or refused by its endpoint. */
+static void relay_answer_cut_within_its_head_opens_no_tunnel(void)
+{
+	static const char *const answers[] = {
+		"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 502 X\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 504 X\r\nContent-Length: 0\r\n\r\n",
+	};
+	static struct call calls[MAX_CUTS];
+	size_t i, n;
+
+	for (i = 0; i < 2 * sizeof(answers) / sizeof(answers[0]); i++) {
+		const size_t nr = strlen(answers[i / 2]);
+		struct htc_peer to;
+		struct cutter s;
+
+		open_cutter(&s, answers[i / 2], i % 2);
+		s.cuts_tunnels = true;
+		htc_peer_init(&to, loop, clk_real(), &s.peer.addr,
+			      &call_limits);
+		htc_peer_tunnel(&to, &s.peer.addr, "127.0.0.2:9");
+		call_all(&to, calls, nr, "GET", false);
+		for (n = 0; n < nr; n++) {
+			CU_ASSERT_EQUAL(calls[n].failures, 1);
+			CU_ASSERT_EQUAL(calls[n].why, HTC_NOT_SENT);
+			CU_ASSERT_EQUAL(calls[n].cause, HTC_UNREACHED_RELAY);
+		}
+		CU_ASSERT_EQUAL(to.nr_open, 0);
+		hsc_server_close(&s.peer.server);
+	}
+}
+
 static void call_to_a_silent_peer_times_out(void)
 {
 	struct htc_peer to;
@@ -1309,6 +1531,14 @@
 	{ "a call without a tunnel is not sent",
 	  call_without_a_tunnel_is_not_sent },
 	{ "calls share a tunnel", calls_share_a_tunnel },
+	{ "an end within a head ends no message",
+	  end_within_a_head_ends_no_message },
+	{ "a response cut within its head fails",
+	  response_cut_within_its_head_fails },
+	{ "a response to HEAD cut within its head fails",
+	  response_to_head_cut_within_its_head_fails },
+	{ "a relay's answer cut within its head opens no tunnel",
+	  relay_answer_cut_within_its_head_opens_no_tunnel },
 	{ "a call to a silent peer times out",
 	  call_to_a_silent_peer_times_out },
 	{ "the peer detects a cancelled call", peer_detects_a_cancelled_call },
