edge_peer_http: relayed answers count in the account of memory

What callers saw: nothing yet; an entry that relays calls of others to a store whose answers do not end runs out of memory, with all that its callers wait for.

Cause: each answer is bounded (16 MB), their sum was not, and a call whose entry had left was read to its end.

Fix: the store's client states what it holds of a relayed answer; it is held in the account for the connection of the entry that asked, which is given up if memory is short. The call ends with that connection.

--- a/lib/edge/edge_peer_http.c
+++ b/lib/edge/edge_peer_http.c
@@ -14,9 +14,27 @@
 
 /* A call in flight to the store. */
 struct relayed_call {
-	struct hsc *conn; /* NULL: the peer has disconnected */
+	struct hsc *conn;
+	struct sto_relay *call;
+	size_t request_bytes;
 };
 
+static void on_relay_held(void *arg, size_t bytes)
+{
+	struct relayed_call *r = arg;
+	struct edge *en = r->conn->server->owner;
+
+	hsc_hold(r->conn, MEM_RUNNING, r->request_bytes + bytes);
+	mem_relieve(&en->mem); /* may free `r` */
+}
+
+/* The peer has left, or its connection is given up for its memory. */
+static void abandon(struct relayed_call *r)
+{
+	sto_relay_cancel(r->call);
+	free(r);
+}
+
 static void on_relay_answer(void *arg, int status, int64_t era,
 			    const char *body, size_t len, bool sent)
 {
@@ -26,8 +44,6 @@
 	BUF_AUTO out = BUF_INIT;
 
 	free(r);
-	if (!c)
-		return;
 	c->request = NULL;
 	en = c->server->owner;
 	/* The call may have been executed or not: any status could be wrong. */
@@ -49,6 +65,7 @@
 {
 	const struct hmsg *m = &c->parse.msg;
 	struct relayed_call *r = calloc(1, sizeof(*r));
+	struct sto_relay *call;
 	struct buf wire = BUF_INIT;
 
 	assert(r);
@@ -63,8 +80,11 @@
 	r->conn = c;
 	c->request = r;
 	met_inc(en->m.store_relayed);
-	hsc_hold(c, MEM_RUNNING, wire.cap);
-	sto_relay(en->store, &wire, on_relay_answer, r);
+	r->request_bytes = wire.cap;
+	hsc_hold(c, MEM_RUNNING, r->request_bytes);
+	call = sto_relay(en->store, &wire, on_relay_held, on_relay_answer, r);
+	if (call) /* else `r` is freed */
+		r->call = call;
 }
 
 /* ---- Followers ---- */
@@ -295,7 +315,7 @@
 		cds_list_del(&f->node);
 		free(f);
 	} else if (r) {
-		r->conn = NULL;
+		abandon(r);
 	}
 }
 
--- a/lib/store/sto.c
+++ b/lib/store/sto.c
@@ -765,7 +765,9 @@
 
 /* ---- Relaying for other entries ---- */
 
-struct relay {
+struct sto_relay {
+	struct htc_call *call;
+	sto_relay_held held;
 	sto_relayed done;
 	void *arg;
 	int64_t until_ms; /* time-out of the whole answer */
@@ -778,7 +780,7 @@
 
 static bool relay_head(struct htc_call *call, const struct hmsg *m)
 {
-	struct relay *r = htc_owner(call);
+	struct sto_relay *r = htc_owner(call);
 
 	r->status = m->status;
 	r->era = r->codec->era(m);
@@ -787,14 +789,15 @@
 
 static void relay_body(struct htc_call *call, const char *data, size_t len)
 {
-	struct relay *r = htc_owner(call);
+	struct sto_relay *r = htc_owner(call);
 	const int64_t left = r->until_ms - clk_boot_ms(r->clk);
 
 	buf_add(&r->body, data, len);
 	htc_extend(call, left < CALL_MS ? (int)left : CALL_MS);
+	r->held(r->arg, r->body.cap);
 }
 
-static void relay_finish(struct relay *r, int status, bool sent)
+static void relay_finish(struct sto_relay *r, int status, bool sent)
 {
 	r->done(r->arg, status, r->era, buf_cstr(&r->body), r->body.len, sent);
 	buf_free(&r->body);
@@ -803,7 +806,7 @@
 
 static void relay_end(struct htc_call *call)
 {
-	struct relay *r = htc_owner(call);
+	struct sto_relay *r = htc_owner(call);
 
 	relay_finish(r, r->status, true);
 }
@@ -816,17 +819,29 @@
 static const struct htc_vtable relay_vtable = { relay_head, relay_body,
 						relay_end, relay_failed };
 
-void sto_relay(struct sto *s, struct buf *wire, sto_relayed done, void *arg)
+struct sto_relay *sto_relay(struct sto *s, struct buf *wire,
+			    sto_relay_held held, sto_relayed done, void *arg)
 {
-	struct relay *r = calloc(1, sizeof(*r));
+	struct sto_relay *r = calloc(1, sizeof(*r));
 
 	assert(r);
+	r->held = held;
 	r->done = done;
 	r->arg = arg;
 	r->clk = s->clk;
 	r->codec = s->codec;
 	r->until_ms = clk_boot_ms(s->clk) + RELAY_WAIT_MS + ANSWER_MS;
-	if (!htc_start(&s->direct, wire, 0, false, RELAY_WAIT_MS + CALL_MS,
-		       &relay_vtable, r))
-		relay_finish(r, 0, false);
+	r->call = htc_start(&s->direct, wire, 0, false, RELAY_WAIT_MS + CALL_MS,
+			    &relay_vtable, r);
+	if (r->call)
+		return r;
+	relay_finish(r, 0, false);
+	return NULL;
+}
+
+void sto_relay_cancel(struct sto_relay *r)
+{
+	htc_cancel(r->call);
+	buf_free(&r->body);
+	free(r);
 }
--- a/lib/store/sto.h
+++ b/lib/store/sto.h
@@ -262,11 +262,23 @@
 typedef void (*sto_relayed)(void *arg, int status, int64_t era,
 			    const char *body, size_t len, bool sent);
 
+/*
+ * `bytes` of the answer to a relayed request are held. The request may be cancelled from
+ * within.
+ */
+typedef void (*sto_relay_held)(void *arg, size_t bytes);
+
+struct sto_relay;
+
 /*
  * Sends a request of another entry, which cannot reach the store, unchanged to
- * the store. Takes the contents of `wire`. `done` is called once; it is called
- * from within if the request cannot be started.
+ * the store. Takes the contents of `wire`. `done` is called once, after which the
+ * request is freed. Returns NULL, and has called `done`, if it cannot be started.
  */
-void sto_relay(struct sto *s, struct buf *wire, sto_relayed done, void *arg);
+struct sto_relay *sto_relay(struct sto *s, struct buf *wire,
+			    sto_relay_held held, sto_relayed done, void *arg);
+
+/* Cancels and frees the request; no callback follows. It may have been executed. */
+void sto_relay_cancel(struct sto_relay *r);
 
 #endif
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -130,6 +130,7 @@
 stall_test scripts/stall_test.sh
 endless_test scripts/endless_test.sh 1
 head_test scripts/head_test.sh
+endless_store_test scripts/endless_store_test.sh
 power_test scripts/power_test.sh
 older_copy_test scripts/older_copy_test.sh
 odd_entries_test scripts/odd_entries_test.sh 2>&1
--- a/tests/test_sto.c
+++ b/tests/test_sto.c
@@ -229,12 +229,75 @@
 	close_fixture(&f);
 }
 
+struct relayed {
+	struct sto_relay *call;
+	size_t held, max, len;
+	int done;
+};
+
+static void on_held(void *arg, size_t bytes)
+{
+	struct relayed *r = arg;
+
+	r->held = bytes;
+	if (bytes > r->max)
+		sto_relay_cancel(r->call);
+}
+
+static void on_relayed(void *arg, int status, int64_t era, const char *body,
+		       size_t len, bool sent)
+{
+	struct relayed *r = arg;
+
+	(void)era;
+	(void)body;
+	CU_ASSERT_EQUAL(status, 200);
+	CU_ASSERT(sent);
+	r->done++;
+	r->len = len;
+}
+
+static void relay_to_store(struct fixture *f, struct relayed *r)
+{
+	struct buf wire = BUF_INIT;
+	int i;
+
+	buf_str(&wire, "GET /v1/kv-key?key=x HTTP/1.1\r\nHost: x\r\n\r\n");
+	r->call = sto_relay(f->sto, &wire, on_held, on_relayed, r);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(r->call);
+	for (i = 0; i < 100000 && !r->done && r->held <= r->max; i++)
+		ev_run(loop, EVRUN_ONCE);
+}
+
+/* Guards against relayed answers that are held and accounted for nowhere. */
+static void relayed_answer_states_what_it_holds(void)
+{
+	const size_t pad = 1u << 20;
+	struct relayed r = { .max = SIZE_MAX };
+	struct fixture f;
+
+	open_fixture(&f);
+	f.store.pad = pad;
+	relay_to_store(&f, &r);
+	CU_ASSERT_EQUAL(r.done, 1);
+	CU_ASSERT(r.len > pad);
+	CU_ASSERT(r.held >= r.len);
+	r = (struct relayed){ .max = pad / 2 };
+	relay_to_store(&f, &r);
+	CU_ASSERT_EQUAL(r.done, 0);
+	CU_ASSERT(r.held > r.max);
+	CU_ASSERT(r.held < 2 * pad);
+	close_fixture(&f);
+}
+
 static const struct unit_test tests[] = {
 	{ "a failed relay ends the backoff", failed_relay_ends_the_backoff },
 	{ "relayed reads are sent again directly",
 	  relayed_reads_are_sent_again_directly },
 	{ "changes that are too large are listed",
 	  changes_that_are_too_large_are_listed },
+	{ "a relayed answer states what it holds",
+	  relayed_answer_states_what_it_holds },
 };
 
 int main(void)
