--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -129,6 +129,7 @@
 grace_test scripts/grace_test.sh
 stall_test scripts/stall_test.sh
 endless_test scripts/endless_test.sh 1
+endless_test_tunnel TUNNEL=1 CASES="event body_chunked foreign header" scripts/endless_test.sh 1
 head_test scripts/head_test.sh
 endless_store_test scripts/endless_store_test.sh
 power_test scripts/power_test.sh
--- a/scripts/endless_test.sh
+++ b/scripts/endless_test.sh
@@ -5,11 +5,14 @@
 #
 # Failure: one event that never ended was read into memory, gigabytes a call, until
 # its caller left; the entry grew to many times what its machine has.
-# Usage: endless_test.sh [SECONDS] (of load in each case; default 2)
+# Usage: endless_test.sh [SECONDS] (of load in each case; default 2). With TUNNEL=1 the
+# second entry reaches endpoints through the first one's tunnels alone.
 cd "$(dirname "$0")/.." || exit 1
 EDGES=${EDGES:-2}
 EDGE_SERVICES_EACH=4
 PLATFORM_ARGS="--gap 20"
+TUNNEL=${TUNNEL:-}
+CUTTABLE=$TUNNEL
 . scripts/cluster.sh
 . scripts/edge_cluster.sh
 trap cluster_stop EXIT
@@ -134,9 +137,22 @@
 		expect "$CASE: an entry keeps to its memory" \
 			below "$(grown_mb "$n")" "$MEMORY_MB"
 	done
+	[ -z "$TUNNEL" ] || were_relayed
 	end_bad
 }
 
+# relayed_bad: attempts that an endpoint in trouble got through a tunnel.
+relayed_bad() {
+	grep '"event":"send"' "$DIR/edge-2.out" | grep '"endpoint":"bad-' |
+		grep -c '"relay":"edge-1"'
+}
+
+were_relayed() {
+	expect "$CASE: endpoints in trouble got requests through tunnels" \
+		[ "$(relayed_bad)" -gt "$RELAYED" ]
+	RELAYED=$(relayed_bad)
+}
+
 # All endpoints of a service answer so at the same time.
 flood() {
 	local i n streams
@@ -163,9 +179,19 @@
 
 knows_bad() { grep -q "\"endpoint\":\"bad-app-$CASE[-0-9]*\"" "$DIR/edge-$1.out"; }
 
+is_relayed() {
+	request 2 "relayed-$RANDOM" /l/x >/dev/null
+	grep -q '"event":"send".*"relay":"edge-1"' "$DIR/edge-2.out"
+}
+
+RELAYED=0
 start_edges || exit 1
 put_document 2 '"k1"'
 expect "all entries serve" wait_for everywhere begins
+if [ -n "$TUNNEL" ]; then
+	cut_off refuse 2
+	expect "the second entry uses the first one's tunnels" wait_for is_relayed
+fi
 for C in $CASES; do case_of "$C"; done
 [ -n "$NO_FLOOD" ] || flood
 
