edge_move: the call that frees a copy reads no more than 64 kB of its answer

It had the bound of endpoints' answers (16 MB), of which nothing was kept: read in vain, until the call's time-out of one second. Found by reading; migration_test: 22 passed.

--- a/lib/edge/edge_move.c
+++ b/lib/edge/edge_move.c
@@ -131,6 +131,7 @@
 {
 	struct htc_peer *from = way_to_source(m);
 	struct buf wire = BUF_INIT;
+	struct htc_call *call;
 
 	if (!m->copy.handle[0] || !from || m->from->exited) {
 		move_free(m);
@@ -138,9 +139,12 @@
 	}
 	met_inc(m->en->m.copies_unused);
 	m->en->wire->encode_copy_free(m->copy.handle, &wire);
-	if (htc_start(from, &wire, 0, false, FREE_CALL_TIMEOUT_MS, &free_vtable,
-		      m))
+	call = htc_start(from, &wire, 0, false, FREE_CALL_TIMEOUT_MS,
+			 &free_vtable, m);
+	if (call) {
+		htc_set_max_body(call, HTC_SMALL_BODY_BYTES);
 		return;
+	}
 	buf_free(&wire);
 	move_free(m);
 }
