--- a/tests/standin/platform.c
+++ b/tests/standin/platform.c
@@ -88,6 +88,7 @@
 	unsigned seen; /* requests since it was drained */
 	int room;      /* requests that run at the same time; 0: any number */
 	int first_ms, gap_ms; /* to the first event, between two; 0: as all */
+	int answer_ms;	      /* until it answers a plain request */
 	int64_t silent_until_ms;
 	struct stm statements;
 };
@@ -107,11 +108,12 @@
 	bool stopped; /* its run, at the source */
 };
 
-/* The answer to a call for a copy, which is queued behind others. */
+/* An answer that comes later: to a call for a copy, or of a plain request. */
 struct late_answer {
 	struct cds_list_head node;
 	struct hsc *conn;
-	char text[80];
+	struct endpoint *at; /* of a plain request; NULL: `text` is answered */
+	char text[80];	     /* or the request's id */
 	int64_t due_ms;
 };
 
@@ -839,7 +841,6 @@
 		account ? account : "nobody");
 	buf_fmt(&body, "%*s", w.answer_pad, "");
 	put_head(e, &out, error ? 500 : 200, id, false);
-	run_log_begin(&w.run_log, id, e->id);
 	if (!w.unframed)
 		hmsg_put_int(&out, "Content-Length", (int64_t)body.len);
 	hmsg_put_end(&out);
@@ -894,21 +895,35 @@
 	return NULL;
 }
 
-static void answer_copy(struct hsc *c, const char *text)
+static void add_late_answer(struct hsc *c, struct endpoint *at,
+			    const char *text, int ms)
 {
-	struct late_answer *l;
+	struct late_answer *l = calloc(1, sizeof(*l));
 
-	if (!w.copy_ms) {
-		reply(c, 200, text);
-		return;
-	}
-	l = calloc(1, sizeof(*l));
 	l->conn = c;
-	l->due_ms = now_ms() + w.copy_ms;
+	l->at = at;
+	l->due_ms = now_ms() + ms;
 	str_copy(l->text, text, sizeof(l->text));
 	cds_list_add_tail(&l->node, &w.late_answers);
 }
 
+static void answer_copy(struct hsc *c, const char *text)
+{
+	if (w.copy_ms)
+		add_late_answer(c, NULL, text, w.copy_ms);
+	else
+		reply(c, 200, text);
+}
+
+static void run_plain(struct endpoint *e, struct hsc *c, const char *id)
+{
+	run_log_begin(&w.run_log, id, e->id);
+	if (e->answer_ms)
+		add_late_answer(c, e, id, e->answer_ms);
+	else
+		answer_plain(e, c, id);
+}
+
 static void answer_late(int64_t now)
 {
 	struct late_answer *l, *next;
@@ -917,12 +932,15 @@
 		if (now < l->due_ms)
 			continue;
 		cds_list_del(&l->node);
-		reply(l->conn, 200, l->text);
+		if (l->at)
+			answer_plain(l->at, l->conn, l->text);
+		else
+			reply(l->conn, 200, l->text);
 		free(l);
 	}
 }
 
-/* The caller of a copy, or its endpoint, is gone. */
+/* The caller `c`, or the endpoint `e`, is gone. */
 static void drop_late_answers(const struct hsc *c, const struct endpoint *e)
 {
 	struct late_answer *l, *next;
@@ -930,6 +948,9 @@
 	cds_list_for_each_entry_safe(l, next, &w.late_answers, node) {
 		if (l->conn != c && l->conn->server->owner != e)
 			continue;
+		if (l->at)
+			run_log_end(&w.run_log, l->text, l->at->id,
+				    e ? RUN_BROKE : RUN_LEFT);
 		cds_list_del(&l->node);
 		free(l);
 	}
@@ -1126,7 +1147,7 @@
 	      (e->error_percent && answers_error(e))))
 		start_stream(e, c, id, poison);
 	else
-		answer_plain(e, c, id);
+		run_plain(e, c, id);
 }
 
 static void endpoint_gone(struct hsc *c)
@@ -1581,6 +1602,9 @@
 		e->first_ms = atoi(number);
 		hmsg_query(url, "gap", number, sizeof(number));
 		e->gap_ms = atoi(number);
+	} else if (!strncmp(url, "/test/answer", 12)) {
+		hmsg_query(url, "ms", number, sizeof(number));
+		e->answer_ms = atoi(number);
 	} else if (!strncmp(url, "/test/silent", 12)) {
 		hmsg_query(url, "ms", number, sizeof(number));
 		e->silent_until_ms = now_ms() + atoll(number);
