hsc: a draining server answers requests behind a response

What callers saw: on a connection that is kept, a request sent behind a stream that had begun before the SIGTERM of the entry got no answer. The connection was closed after the stream, although its head had announced no close and the request had been received.

Cause: hsc_done() closes every connection of a draining server, and drops what was set aside during the response. A response whose head was sent before the signal cannot announce that. hsc_server_close_idle() keeps such connections, but never sees them.

Now the connection is kept if a request is set aside behind a response that announced no close. The request gets a response, which announces it: it is served, or rejected as not run 3 s after the signal.

--- a/lib/io/hsc.c
+++ b/lib/io/hsc.c
@@ -674,7 +674,12 @@
 void hsc_done(struct hsc *c, bool close)
 {
 	assert(c->state == HSC_RESPONDING);
-	if (close || hsc_must_close(c)) {
+	/*
+	 * A response whose head was sent before the server began to drain has not
+	 * announced a close: what the client has sent behind it is due a response.
+	 */
+	if (close || c->close_after ||
+	    (c->server->draining && !c->pipelined.len)) {
 		linger(c);
 		return;
 	}
--- a/lib/io/hsc.h
+++ b/lib/io/hsc.h
@@ -193,7 +193,8 @@
 /*
  * Ends the response. With `close`, or if hsc_must_close is true, the connection
  * is shut down after the last byte, and freed when the peer closes it or one
- * second after it has received that byte.
+ * second after it has received that byte. Without `close`, for a response that
+ * has announced none, a draining server first answers a request behind it.
  */
 void hsc_done(struct hsc *c, bool close);
 
--- a/scripts/late_grace_test.sh
+++ b/scripts/late_grace_test.sh
@@ -4,10 +4,11 @@
 # its callers keep their connections. Checks counts, never times.
 #
 # Failure: requests that came late in the grace period were passed on to endpoints
-# that needed longer than the process had left, and ended without a known outcome.
+# that needed longer than the process had left, and ended without a known outcome;
+# requests that were behind an answer or still being read ended without any.
 # Usage: late_grace_test.sh
 cd "$(dirname "$0")/.." || exit 1
-CASES=(unlearned slower pieces starting)
+CASES=(unlearned slower pieces starting behind)
 EDGES=${#CASES[@]}
 . scripts/cluster.sh
 . scripts/edge_cluster.sh
@@ -112,6 +113,8 @@
 expect "all entries serve" wait_for everywhere begins
 for i in 7 8; do platform_test "answer?id=i-$i&ms=9000" >/dev/null; done
 for i in 9 10; do platform_test "answer?id=i-$i&ms=60" >/dev/null; done
+# The stream behind which requests wait.
+for i in 1 3 5; do platform_test "pace?id=i-$i&first=200&gap=260" >/dev/null; done
 learn 2 /slower/x
 for i in 9 10; do platform_test "answer?id=i-$i&ms=9000" >/dev/null; done
 
@@ -126,6 +129,13 @@
 for at in 1700 1800 1900 2000 2100 2200; do
 	say 2 "then-$at" "$at" "$(call "then-$at" /slower/x)" &
 done
+# Of each pair, the first answer has begun before the signal, and has announced no
+# close of the connection.
+for k in 1 2 3 4 5 6; do
+	echo "behind-$k -1" >>"$DIR/sent-5"
+	say 5 "stream-$k" - "$(call "stream-$k" /o/x)" \
+		$((k * 200)) "$(call "behind-$k" /u/x)" &
+done
 for at in 1000 2000 3200 4000 6000 7000; do
 	say 3 "chunked-$at" \
 		- "$(head_of "chunked-$at" /u/x 'Transfer-Encoding: chunked')2\r\nhe\r\n" \
@@ -139,7 +149,7 @@
 	say 3 "head-$at" - 'POST /u/x HTTP/1.1\r\nHost: t.exa' \
 		"$at" "$(call "head-$at" /u/x | sed 's/.*Host: t.exa//')" &
 done
-for n in 3 1 2; do sleep 0.2; stop "$n" & done
+for n in 3 1 2 5; do sleep 0.2; stop "$n" & done
 
 # Told to stop as soon as it listens, before it has read a document.
 platform_test "down?ms=3000" >/dev/null
@@ -162,6 +172,7 @@
 judge 3
 expect "pieces: what was read soon enough is served" [ $SERVED -ge 4 ]
 judge 4
+judge 5
 
 echo "late_grace_test: $PASSED passed, $FAILED failed"
 [ "$FAILED" = 0 ]
