scripts: the judgement of held callers' requests is shared by soaks

What shutdown_soak does with held_callers moves to held_soak.sh, for a second soak.

The time of a request in which its entry was suspended is counted from all STOP and CONT, not from the last CONT alone: an entry that is suspended at intervals would excuse every close. The time-outs of routes come from a file, as documents change them. judge() that fails is a failed check; it left none before.

--- a/scripts/shutdown_soak.sh
+++ b/scripts/shutdown_soak.sh
@@ -16,6 +16,7 @@
 cd "$(dirname "$0")/.." || exit 1
 . scripts/cluster.sh
 . scripts/edge_cluster.sh
+. scripts/held_soak.sh
 trap cluster_stop EXIT
 SECONDS_EACH=$1
 shift
@@ -32,25 +33,6 @@
 DEADLINE_MS=${DEADLINE_MS:-11000}
 BASE=$DIR
 
-note() { echo "$(now_ms) $*" >>"$DIR/signals"; }
-
-# is_entry N PID: the process is still that of entry N.
-is_entry() { grep -qsz "edge-$1.json" "/proc/$2/cmdline"; }
-
-# signal_entry NAME N PID
-signal_entry() {
-	is_entry "$2" "$3" || return 0
-	note "$1" "$2"
-	kill "-$1" "$3"
-}
-
-# later SECONDS COMMAND...: in the background.
-later() {
-	local wait=$1
-	shift
-	{ sleep "$wait"; "$@"; } >/dev/null 2>&1 &
-}
-
 # list_entries: the addresses that callers go to.
 list_entries() {
 	local n
@@ -112,25 +94,6 @@
 	signal_entry CONT "$n" "$pid"
 }
 
-# pace N: most endpoints need 3 to 7 s for a stream.
-pace() {
-	[ $((RANDOM % 6)) = 0 ] && return
-	platform_test "pace?id=i-$1&first=$((RANDOM % 900 + 100))&gap=$((RANDOM % 180 + 140))"
-}
-
-# replace_endpoint: the oldest leaves while streams run, and another one comes.
-replace_endpoint() {
-	local i=i-${LLM[0]}
-	[ -n "$NO_LEAVING" ] && return
-	note LEAVES "$i"
-	NEWEST=$((NEWEST + 1))
-	LLM=("${LLM[@]:1}" $NEWEST)
-	platform_test "start?service=llm&version=v1&n=1"
-	pace $NEWEST
-	platform_test "drain?id=$i"
-	platform_test "end?id=$i&ms=$((RANDOM % 2500 + 1500))"
-}
-
 # One event; most are the SIGTERM of an entry.
 event() {
 	local n=$((RANDOM % EDGES + 1)) e=i-${LLM[$((RANDOM % ENDPOINTS))]}
@@ -149,114 +112,10 @@
 	esac
 }
 
-# Judges each request that ended without a whole answer:
-# VERDICT WHY ID ENTRY PATH RESULT SENT END TERM_AGE HOW ENDPOINT
-# VERDICT: allowed; cut (around a SIGTERM); stalled (the same, of an entry that was
-# frozen near it); apart (with no SIGTERM near); slow (any of them, of a caller that
-# reads slowly); torn.
-judge() {
-	awk -v grace=$GRACE_MS -v deadline="$DEADLINE_MS" -v slow="$SLOW" '
-	FILENAME ~ /signals$/ {
-		if ($2 == "TERM") { terms[$3] = terms[$3] " " $1 }
-		if ($2 == "STOP") { stops[$3] = stops[$3] " " $1 }
-		if ($2 == "CONT") { thaws[$3] = thaws[$3] " " $1 }
-		next
-	}
-	FILENAME ~ /run-times$/ { ran[$1]++; how[$1] = $5; at[$1] = $2; until[$1] = $4; next }
-	# The first SIGTERM of the process that got the request, if it is near.
-	function term_of(entry, from, to,   i, n, list) {
-		n = split(terms[entry], list, " ")
-		for (i = 1; i <= n; i++)
-			if (from < list[i] + grace + 300 && to >= list[i] &&
-			    to <= list[i] + grace + 1000) return list[i]
-		return 0
-	}
-	function frozen(entry, from, to,   i, n, list) {
-		n = split(stops[entry], list, " ")
-		for (i = 1; i <= n; i++)
-			if (list[i] >= from && list[i] <= to) return 1
-		return 0
-	}
-	# From when on the entry could read what was sent by `from`.
-	function readable(entry, from, to,   i, n, list) {
-		n = split(thaws[entry], list, " ")
-		for (i = 1; i <= n; i++)
-			if (list[i] > from && list[i] <= to) from = list[i]
-		return from
-	}
-	function say(verdict, why,   part) {
-		split($1, part, "-")
-		if (verdict != "allowed" && verdict != "torn" &&
-		    substr(part[3], 2) + 0 < slow) {
-			why = verdict "-" why
-			verdict = "slow"
-		}
-		print verdict, why, $1, $2, $3, $7 "/" $8, $4, $6,
-			term ? $4 - term : "-", term ? $6 - term : "-",
-			($1 in ran) ? how[$1] : "none",
-			($1 in ran) ? at[$1] : "-"
-	}
-	$7 == "torn" { term = 0; say("torn", "body"); next }
-	$7 != "cut" && $7 != "closed" { next }
-	{
-		# A caller that reads slowly sees the end later than the endpoint.
-		ended = how[$1] == "left" && until[$1] < $6 ? until[$1] : $6
-		term = term_of($2, $4, ended)
-		timeout = $3 ~ /^\/[so]/ ? 12000 : 1500
-		if (deadline < timeout) timeout = deadline
-		if ($6 - $4 >= timeout) say("allowed", "time")
-		else if (how[$1] == "broke") say("allowed", "endpoint")
-		else if (!($1 in ran) &&
-			 ($5 == 0 || $6 - readable($2, $5, $6) <= 200))
-			say("allowed", "crossed")
-		else if (term && ($1 in ran) && $4 <= term + 3000 &&
-			 (until[$1] == 0 || until[$1] >= term + grace * 5 / 6))
-			say("allowed", "late")
-		else {
-			why = ($1 in ran) ? "run-" how[$1] : "held"
-			if (frozen($2, $4 - 4000, ended)) say("stalled", why)
-			else if (term) say("cut", why)
-			else say("apart", why)
-		}
-	}' "$DIR/signals" "$DIR/run-times" "$DIR/told"
-}
-
-# last_lines: what the entries logged last of each request that was not allowed to end.
-last_lines() {
-	local verdict why id entry rest
-	grep -v ^allowed "$DIR/judged" | while read -r verdict why id entry rest; do
-		echo "$verdict $why $id $entry $rest :: $(
-			grep -h "\"id\":\"$id\"" "$DIR/edge-$entry"*.out | tail -1 |
-				sed 's/.*"event":"\([^"]*\)".*"id":"[^"]*",*\(.*\)}/\1 \2/' |
-				cut -c1-150)"
-	done
-}
-
-# ran_though_refused: ids of requests that must not be repeated, answered with a
-# status that promises that they did not run.
-ran_though_refused() {
-	awk 'FILENAME ~ /run-times$/ { ran[$1] = 1; next }
-		$3 ~ /^\/[uo]/ && $7 ~ /^(503|429|408|421)$/ && ($1 in ran) { print $1 }' \
-		"$DIR/run-times" "$DIR/told"
-}
-
-none() { ! grep -q "^$1 " "$DIR/judged"; }
-
 check() {
-	platform_test "runs?times" >"$DIR/run-times"
-	cp "$DIR/callers.out" "$DIR/told"
-	judge >"$DIR/judged"
-	last_lines >"$DIR/cuts"
-	echo "seed $SEED: $(wc -l <"$DIR/told") requests," \
-		"$(awk '$7 == "whole"' "$DIR/told" | wc -l) whole," \
-		"$(awk '$7 ~ /^[0-9]/' "$DIR/told" | wc -l) refused or failed," \
-		"$(awk '$7 == "left"' "$DIR/told" | wc -l) left," \
-		"$(grep -c ' TERM ' "$DIR/signals") SIGTERM;" \
-		"$(awk '{ n[$1 " " $2]++ } END { for (k in n) printf "%s %d; ", k, n[k] }' \
-			"$DIR/judged")"
-	cat "$DIR/cuts"
+	judge_soak "$SEED"
 	expect "$SEED: something was served" \
-		[ "$(awk '$7 == "whole"' "$DIR/told" | wc -l)" -gt 20 ]
+		[ "$(whole_answers)" -gt 20 ]
 	expect "$SEED: no answer is cut around a SIGTERM" none cut
 	expect "$SEED: no answer is cut around a stall" none stalled
 	expect "$SEED: no answer is cut with no signal near" none apart
@@ -277,6 +136,7 @@
 	STORE_OF=() LEFT=() OFF_LIST=()
 	RANDOM=$SEED
 	: >"$DIR/signals"
+	echo "0 12000 1500" >"$DIR/time-outs"
 	start platform "$BIN/standin-platform" --endpoints "$ENDPOINTS" --gap 60
 	STORE=$(ready platform) || return 1
 	for i in $(seq 1 "$EDGES"); do
