document_soak: documents in series beside streams and slow entries

Failure: requests that entries had read ended without a whole answer beside a change of the document, or while the entry that decoded it did not run.

The soak sends a document every 1 to 3 s, at times two at once, while entries are suspended or held to a part of a core, the store's answers are slow, and endpoints leave or are silent. held_callers sends bodies in pieces, leaves streams and continues them elsewhere.

Of an answer without framing whose endpoint has left nothing proves that it was whole: such cuts are counted apart, as "unproved".

--- a/Makefile
+++ b/Makefile
@@ -185,6 +185,11 @@
 shutdown-soak: all
 	BIN=$(BUILD)/bin scripts/shutdown_soak.sh $(SHUTDOWN_SECONDS) $(SOAK_SEEDS)
 
+DOCUMENT_SECONDS = 20
+.PHONY: document-soak
+document-soak: all
+	BIN=$(BUILD)/bin scripts/document_soak.sh $(DOCUMENT_SECONDS) $(SOAK_SEEDS)
+
 REJOIN_SECONDS = 8
 .PHONY: rejoin-soak
 rejoin-soak: all
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -141,6 +141,7 @@
 version_soak VERSIONS=1 scripts/fault_soak.sh 6 1 2 3 4 2>&1
 poison_soak POISON=1 scripts/fault_soak.sh 6 1 2 3 134 2>&1
 shutdown_soak scripts/shutdown_soak.sh 20 301 312
+document_soak scripts/document_soak.sh 14 6 11
 rejoin_soak scripts/rejoin_soak.sh 5 1 2 3 4 2>&1
 packages_test scripts/packages_test.sh 2>&1
 check_test scripts/check_test.sh 2>&1
--- a/scripts/edge_cluster.sh
+++ b/scripts/edge_cluster.sh
@@ -95,7 +95,8 @@
 		sed "s/.*\"$2\":\"\([^\"]*\)\".*/\1/"
 }
 
-# put_document VERSION KEYS [MORE_ROUTES [MORE_SERVICES]]
+# put_document VERSION KEYS [MORE_ROUTES [MORE_SERVICES]]; DOCUMENT_EDITS: sed commands for
+# the rest.
 put_document() {
 	# As a script file: many routes are too long for an argument.
 	printf 's|%%VERSION%%|%s|; s|%%KEYS%%|%s|; s|%%ROUTES%%|%s|\n' \
@@ -104,6 +105,7 @@
 	[ -z "${MAX_BODY_BYTES:-}" ] ||
 		echo "s|\(\"maxBodyBytes\":\)[0-9]*|\1$MAX_BODY_BYTES|" \
 			>>"$DIR/document.sed"
+	[ -z "${DOCUMENT_EDITS:-}" ] || echo "$DOCUMENT_EDITS" >>"$DIR/document.sed"
 	sed -f "$DIR/document.sed" tests/standin/document.json \
 		>"$DIR/document.json"
 	curl -s -o /dev/null --data-binary @"$DIR/document.json" \
