edge_verify: a stall is no wait for the proof of an answer's end

What callers saw: a resumable stream was cut with every event received, 'answer without framing, and endpoint gone', though its endpoint was there.

Cause: a request that may be sent again waits at most 2 s for the proof of an end without framing, and is then sent again. A stall of the entry counted as waiting, so the first tick after it gave up before the registration could be read; and it gave up also where no time was left to send again, so the answer was cut off.

Change: the wait begins anew after a stall, and ends with a repeat only while there is time for one; else the registration is read at the deadline as for other requests.

test_hand, 'a suspended process does not wait': fails if the stall counts as waiting (8 passed, 1 failed), 9 pass with the change. stall_test: 5 passed.

--- a/lib/edge/edge_answer.c
+++ b/lib/edge/edge_answer.c
@@ -79,7 +79,7 @@
 
 /* ---- The next step ---- */
 
-static bool has_time(const struct edge_req *r)
+bool edge_has_time(const struct edge_req *r)
 {
 	return r->deadline_at_ms - edge_now(r->en) > MIN_RETRY_TIME_MS;
 }
@@ -87,7 +87,8 @@
 /* True if time and the retry budget allow another send. */
 static bool may_retry(struct edge_req *r)
 {
-	return has_time(r) && (!r->sends_reached || edge_may_retry(r, false));
+	return edge_has_time(r) &&
+	       (!r->sends_reached || edge_may_retry(r, false));
 }
 
 /* Closes the caller's connection before the answer is complete. */
@@ -179,7 +180,7 @@
 	enum rq_step step;
 
 	end_not_run(r, o, why, true);
-	step = rq_refused(&r->rq, (again || (pause && has_time(r))) &&
+	step = rq_refused(&r->rq, (again || (pause && edge_has_time(r))) &&
 					  !refused_enough(r));
 	if (pause && (step == RQ_SEND || step == RQ_RESUME) &&
 	    edge_place_wait(r))
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -487,6 +487,9 @@
 /* Frees the request, and cancels what is in flight for it. */
 void edge_req_free(struct edge_req *r);
 
+/* True if enough of the request's time is left for another send. */
+bool edge_has_time(const struct edge_req *r);
+
 /* True if the service's retry budget allows a retry; `spend`: charges it. */
 bool edge_may_retry(struct edge_req *r, bool spend);
 
--- a/lib/edge/edge_verify.c
+++ b/lib/edge/edge_verify.c
@@ -9,9 +9,10 @@
  * be so old, the endpoint's registration decides, in a list or read by itself, once
  * it is newer than the connection: an endpoint registers as it starts.
  *
- * Without a newer one, a request that may be sent again is, after a while. Another
- * one has nothing to gain by that: it waits until its deadline. The answer has been
- * received by then, so the store is asked once more before it is cut off.
+ * Without a newer one, a request that may be sent again is, after a while and before
+ * its deadline. Another one has nothing to gain by that: it waits until its deadline.
+ * The answer has been received by then, so the store is asked once more before it is
+ * cut off.
  */
 #include <assert.h>
 #include <stdio.h>
@@ -35,9 +36,6 @@
 /* The same after a stall of this process: its sockets are read at once, ms. */
 #define STALL_KEPT_MS 300
 
-/* A request that may be sent again waits no longer for a newer list, ms. */
-#define MAX_LIST_WAIT_MS 2000
-
 /*
  * Without a newer list, the registration is read from the store after this time
  * and then at this interval, ms. A list that is watched is mostly sooner.
@@ -253,6 +251,13 @@
 	sto_call(v->en->store, &c, on_registration, v);
 }
 
+/* True if the request is sent again rather than to wait for a newer list. */
+static bool gives_up(const struct edge_verify *v, int64_t now)
+{
+	return rq_is_repeatable(&v->r->rq) && edge_has_time(v->r) &&
+	       whole_has_waited(v->connected_ms, v->en->stalled_ms, now);
+}
+
 /* A verification that can be finished now; NULL: none. */
 static struct edge_verify *find_due(struct edge *en, int64_t now,
 				    enum whole_process *process)
@@ -264,9 +269,7 @@
 		assert(v->r);
 		*process = is_newer(v, listed) ? WHOLE_PROCESS_SAME
 					       : WHOLE_PROCESS_OTHER;
-		if (*process == WHOLE_PROCESS_SAME ||
-		    (rq_is_repeatable(&v->r->rq) &&
-		     now > v->connected_ms + MAX_LIST_WAIT_MS))
+		if (*process == WHOLE_PROCESS_SAME || gives_up(v, now))
 			return v;
 	}
 	return NULL;
--- a/lib/stream/whole.c
+++ b/lib/stream/whole.c
@@ -5,6 +5,9 @@
 /* Time from the start of an endpoint to its registration, ms. */
 #define REGISTERED_MS 100
 
+/* A request that may be sent again waits no longer for a registration, ms. */
+#define MAX_WAIT_MS 2000
+
 enum whole_verdict whole_judge(const struct whole_facts *f)
 {
 	if (f->partial_event)
@@ -26,3 +29,11 @@
 	       (!store_back_ms ||
 		as_of_ms > store_back_ms + FLT_LAPSE_GRACE_MS);
 }
+
+bool whole_has_waited(int64_t connected_ms, int64_t stalled_ms, int64_t now_ms)
+{
+	const int64_t since = stalled_ms > connected_ms ? stalled_ms
+							: connected_ms;
+
+	return now_ms > since + MAX_WAIT_MS;
+}
--- a/lib/stream/whole.h
+++ b/lib/stream/whole.h
@@ -48,4 +48,11 @@
 bool whole_is_registered(int64_t connected_ms, int64_t store_back_ms,
 			 int64_t as_of_ms);
 
+/*
+ * True if a registration that is newer than a connection at `connected_ms` has been
+ * awaited for so long that the request is sent again instead. `stalled_ms`: end of the
+ * last time in which this process did not run, which is no wait; 0: none. Monotonic, ms.
+ */
+bool whole_has_waited(int64_t connected_ms, int64_t stalled_ms, int64_t now_ms);
+
 #endif
--- a/tests/test_hand.c
+++ b/tests/test_hand.c
@@ -218,6 +218,25 @@
 				rows[i].want);
 }
 
+static void suspended_process_does_not_wait(void)
+{
+	static const struct {
+		int64_t connected_ms, stalled_ms, now_ms;
+		bool want;
+	} rows[] = {
+		{ 5000, 0, 7000, false },    { 5000, 0, 7100, true },
+		{ 5000, 1000, 7100, true }, /* before the wait */
+		{ 5000, 7900, 7902, false }, { 5000, 7900, 9950, true },
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++)
+		CU_ASSERT_EQUAL(whole_has_waited(rows[i].connected_ms,
+						 rows[i].stalled_ms,
+						 rows[i].now_ms),
+				rows[i].want);
+}
+
 static void without_a_call_streams_end_normally(void)
 {
 	struct hand h;
@@ -240,6 +259,8 @@
 	{ "only a proven answer is whole", only_a_proven_answer_is_whole },
 	{ "registrations before a start prove nothing",
 	  registrations_before_a_start_prove_nothing },
+	{ "a suspended process does not wait",
+	  suspended_process_does_not_wait },
 	{ "without a call streams end normally",
 	  without_a_call_streams_end_normally },
 };
