--- a/lib/edge/edge_verify.c
+++ b/lib/edge/edge_verify.c
@@ -12,9 +12,10 @@
  * A connection that is not established proves nothing, and neither does one that is
  * refused while those to other endpoints are: both are tried again.
  *
- * Without a newer registration, a request that may be sent again is, after a while. Another
- * one has nothing to gain by that: it waits until its deadline. The answer has been
- * received by then, so the store is asked once more before it is cut off.
+ * Without a newer registration, a request that may be sent again is, after a while and
+ * before its deadline. Another one has nothing to gain by that: it waits until its
+ * deadline. The answer has been received by then, so the store is asked once more before
+ * it is cut off.
  */
 #include <assert.h>
 #include <stdio.h>
@@ -35,9 +36,6 @@
  */
 #define SILENCE_KEPT_MS 2000
 
-/* A request that may be sent again waits no longer for a proof, ms. */
-#define MAX_WAIT_MS 2000
-
 /* Between two connections, ms. */
 #define PROBE_INTERVAL_MS 200
 
@@ -292,6 +290,13 @@
 	sto_call(v->en->store, &c, on_registration, v);
 }
 
+/* True if the request is sent again rather than to wait for a proof. */
+static bool gives_up(const struct edge_verify *v, int64_t now)
+{
+	return rq_is_repeatable(&v->r->rq) && edge_has_time(v->r) &&
+	       whole_has_waited(v->began_ms, v->en->stalled_ms, now);
+}
+
 /* UNKNOWN: it has to wait. */
 static enum whole_process judge(const struct edge_verify *v, int64_t now)
 {
@@ -304,7 +309,7 @@
 		return WHOLE_PROCESS_OTHER;
 	if (!v->connected_ms && v->e->exited)
 		return WHOLE_PROCESS_OTHER;
-	if (rq_is_repeatable(&v->r->rq) && now > v->began_ms + MAX_WAIT_MS)
+	if (gives_up(v, now))
 		return WHOLE_PROCESS_OTHER;
 	return WHOLE_PROCESS_UNKNOWN;
 }
