--- a/lib/edge/edge_verify.c
+++ b/lib/edge/edge_verify.c
@@ -172,12 +172,14 @@
  */
 static bool probe(struct edge_verify *v)
 {
-	const char *relay = v->r->relay;
-	const struct edge_way way = edge_way_to(v->en, v->e, relay[0]);
+	const struct edge_req *r = v->r;
+	struct edge_way way;
 
+	assert(r);
+	way = edge_way_to(v->en, v->e, r->relay[0]);
 	v->probed_ms = edge_now(v->en);
 	if (v->e->exited || !way.pool ||
-	    (relay[0] && strcmp(way.relay ? way.relay : "", relay) != 0))
+	    (r->relay[0] && strcmp(way.relay ? way.relay : "", r->relay) != 0))
 		return false;
 	v->probing = htc_probe(way.pool, on_probed, v);
 	return v->probing;
