htc: connections in use when the peer is closed are not reused

What callers saw: an entry that was cut off from all endpoints sent requests through another one, which got SIGTERM. A stream sent 4.6 s later, when the entry used another relay, was cut off as the first one ended.

Cause: htc_peer_close() closes idle connections, before the peer gets another relay or none. A connection in use by a stream became idle after that, and took the next request, through the relay that was leaving. The log named the new one.

The streams begun before the signal end in time, so that their connections are there to be reused.

Now such a connection is closed at the end of its call: each call of htc_peer_close() is counted, and a connection is kept only if it was opened since the last one.

--- a/lib/io/htc.c
+++ b/lib/io/htc.c
@@ -29,6 +29,7 @@
 	size_t wire_len;       /* bytes of the current request */
 	uint64_t sent_before;  /* ioc.sent when the call started */
 	unsigned served;
+	unsigned closes;    /* htc_peer.closes when it was opened */
 	bool skip_response; /* skip this response: 1xx or of an earlier call */
 	bool no_reuse;	    /* a response was skipped: do not reuse */
 	bool closing;	    /* the peer announced that it closes */
@@ -266,7 +267,7 @@
 	const struct htc_peer *p = k->peer;
 	const bool request_sent = k->io->sent - k->sent_before >= k->wire_len;
 	bool keep = !k->closing && !excess && !k->no_reuse && request_sent &&
-		    !k->io->closed;
+		    !k->io->closed && k->closes == p->closes;
 
 	ev_timer_stop(p->loop, &k->timer);
 	k->keep_alive_ms = keep_alive_time_ms(&k->parse.msg, p->limits.idle_ms);
@@ -502,6 +503,7 @@
 {
 	struct htc_conn *k, *next;
 
+	p->closes++;
 	cds_list_for_each_entry_safe(k, next, &p->idle, node) {
 		conn_free(k, false);
 	}
@@ -548,6 +550,7 @@
 
 	assert(k);
 	k->peer = p;
+	k->closes = p->closes;
 	k->tunnelling = p->tunnel_to[0];
 	k->ack_timeout_ms = p->limits.ack_timeout_ms;
 	k->io = ioc_connect(p->loop, &p->addr, &timeouts, &io_vtable, k, NULL);
--- a/lib/io/htc.h
+++ b/lib/io/htc.h
@@ -96,6 +96,7 @@
 	struct cds_list_head idle; /* of htc_conn, most recently used first */
 	unsigned nr_idle;
 	unsigned nr_open;	   /* idle and in use */
+	unsigned closes;	   /* calls of htc_peer_close */
 	unsigned long opened;	   /* connections since htc_peer_init */
 	unsigned long reused;	   /* calls on idle connections */
 	unsigned long idle_closed; /* by the peer, or for unexpected bytes */
@@ -111,8 +112,8 @@
 		   const struct htc_limits *limits);
 
 /*
- * Closes the idle connections. Those in use go on; they must have ended before
- * the peer is freed.
+ * Closes the idle connections. Those in use go on, and are closed at the end of their
+ * call; they must have ended before the peer is freed.
  */
 void htc_peer_close(struct htc_peer *p);
 
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -128,6 +128,7 @@
 migration_test scripts/migration_test.sh
 grace_test scripts/grace_test.sh
 late_grace_test scripts/late_grace_test.sh
+relay_grace_test scripts/relay_grace_test.sh
 stall_test scripts/stall_test.sh
 endless_test scripts/endless_test.sh 1
 power_test scripts/power_test.sh
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -754,6 +754,30 @@
 	}
 }
 
+/*
+ * Guards against a call that goes through a former relay, on a connection that was in
+ * use when the peer got another one.
+ */
+static void connections_in_use_at_a_close_are_not_reused(void)
+{
+	struct htc_peer to;
+	struct peer p;
+	struct call c;
+
+	open_peer(&p, NULL);
+	htc_peer_init(&to, loop, clk_real(), &p.addr, &call_limits);
+	start(&to, &c, 0);
+	run_loop(0.03);
+	htc_peer_close(&to);
+	hsc_write(p.last_conn, OK(2, "hi"), strlen(OK(2, "hi")));
+	hsc_done(p.last_conn, false);
+	run_loop(0.03);
+	CU_ASSERT_EQUAL(c.ends, 1);
+	CU_ASSERT_EQUAL(to.nr_open, 0);
+	buf_free(&c.body);
+	hsc_server_close(&p.server);
+}
+
 /* A relay that opens the tunnel, and answers as the endpoint. */
 static void tunnel_request(struct hsc *c)
 {
@@ -1339,6 +1363,8 @@
 	  probe_of_an_exited_peer_is_refused },
 	{ "a call without a tunnel is not sent",
 	  call_without_a_tunnel_is_not_sent },
+	{ "connections in use at a close are not reused",
+	  connections_in_use_at_a_close_are_not_reused },
 	{ "calls share a tunnel", calls_share_a_tunnel },
 	{ "a call to a silent peer times out",
 	  call_to_a_silent_peer_times_out },
