entry: the call that makes an entry hold a copy carries the whole state

What callers saw: an owner died, the entry that took over answered the first caller and was killed, too. The third entry, which held the copy, ran the request again: a second caller with the same key got another answer, or 502.

Cause: PEER_HOLD carried the record alone. Tokens, generations, endpoint and outcome followed with the next batch, up to copy_ms later, but the copy counted as held ("rehome held=yes") from the reply on. If the request had ended by then, its prompt was freed, and the record had neither prompt nor answer.

Fix: the call carries the state, filled in under the same lock as the record, and the copy is complete before it is in the holder's table, where another thread could take it over. A holder of an ended request has its answer and runs nothing. A state that does not begin at the first token is refused.

Evidence: takeover_test.sh, new group killed_before_copy.

--- a/lib/entry/ent_claim.c
+++ b/lib/entry/ent_claim.c
@@ -488,10 +488,7 @@
 	}
 	args = mem_new(sizeof(*args));
 	ent_fill_head(en, &args->head);
-	args->view = rq->slot_view;
-	args->slot = rq->slot;
-	args->birth_ms = rq->birth_ms;
-	ent_fill_record(rq, &args->record);
+	ent_fill_hold(rq, args);
 	ent_req_get(rq);
 	c = ent_prepare_call(h->address, PEER_HOLD,
 			     (xdrproc_t)xdr_peer_hold_args, args,
--- a/lib/entry/ent_copy.c
+++ b/lib/entry/ent_copy.c
@@ -22,9 +22,9 @@
 
 /* ---- The record ---- */
 
-void ent_fill_record(struct ent_req *rq, peer_record *r)
+/* Called with the request's lock held. */
+static void fill_record(struct ent_req *rq, peer_record *r)
 {
-	pthread_mutex_lock(&rq->lock);
 	r->key = mem_dup(rq->key);
 	r->account = mem_dup(rq->account);
 	r->service = mem_dup(rq->service);
@@ -42,6 +42,12 @@
 		r->body.body_len = (u_int)strlen(rq->body);
 		r->body.body_val = mem_dup(rq->body);
 	}
+}
+
+void ent_fill_record(struct ent_req *rq, peer_record *r)
+{
+	pthread_mutex_lock(&rq->lock);
+	fill_record(rq, r);
 	pthread_mutex_unlock(&rq->lock);
 }
 
@@ -56,14 +62,15 @@
 	return same;
 }
 
-bool ent_store_record(struct entry *en, const peer_record *r, uint64_t view,
-		      unsigned slot, int64_t birth_ms)
+/* Creates a copy that is not in the table yet; NULL if the key is malformed. */
+static struct ent_req *create_copy(struct entry *en, const peer_record *r,
+				   uint64_t view, unsigned slot,
+				   int64_t birth_ms)
 {
-	struct ent_req *rq, *found;
-	bool accepted;
+	struct ent_req *rq;
 
 	if (!*r->key || strlen(r->key) >= GRANT_KEY_MAX)
-		return false;
+		return NULL;
 	rq = ent_req_create(en, r->key);
 	str_copy(rq->account, r->account, sizeof(rq->account));
 	str_copy(rq->service, r->service, sizeof(rq->service));
@@ -85,8 +92,18 @@
 	rq->flow.attempt = r->attempt;
 	rq->body = mem_new(r->body.body_len + 1);
 	memcpy(rq->body, r->body.body_val, r->body.body_len);
-	found = ent_req_add(en, rq);
-	accepted = found == rq || is_owned_by(found, r->owner);
+	return rq;
+}
+
+/*
+ * Adds a copy to the table, and drops the caller's reference. False if the key
+ * is there for another owner.
+ */
+static bool add_copy(struct entry *en, struct ent_req *rq)
+{
+	struct ent_req *found = ent_req_add(en, rq);
+	const bool accepted = found == rq || is_owned_by(found, rq->owner);
+
 	ent_req_put(found);
 	ent_req_put(rq);
 	if (accepted)
@@ -94,25 +111,12 @@
 	return accepted;
 }
 
-bool ent_become_holder(struct entry *en, const peer_hold_args *a)
+bool ent_store_record(struct entry *en, const peer_record *r, uint64_t view,
+		      unsigned slot, int64_t birth_ms)
 {
-	struct ent_req *rq = ent_req_find(en, a->record.key);
-	bool held;
+	struct ent_req *rq = create_copy(en, r, view, slot, birth_ms);
 
-	if (!rq)
-		return ent_store_record(en, &a->record, a->view, a->slot,
-					a->birth_ms);
-	pthread_mutex_lock(&rq->lock);
-	held = rq->role == ENT_HOLDER && rq->flow.phase != FLOW_DONE &&
-	       !strcmp(rq->account, a->record.account);
-	if (held) {
-		rq->owner = a->record.owner;
-		rq->flow.endpoint = a->record.endpoint;
-		rq->flow.attempt = a->record.attempt;
-	}
-	pthread_mutex_unlock(&rq->lock);
-	ent_req_put(rq);
-	return held;
+	return rq && add_copy(en, rq);
 }
 
 /* ---- Sending ---- */
@@ -143,14 +147,11 @@
 	}
 }
 
-/* Called with the request's lock held. */
-static void fill_update(struct ent_req *rq, peer_update *u)
+/* Fills in the state with the tokens after the first `from`. Lock held. */
+static void fill_state(struct ent_req *rq, uint32_t from, peer_update *u)
 {
 	const struct flow *f = &rq->flow;
-	uint32_t from = rq->copied_tokens;
 
-	if (from > f->tokens)
-		from = f->tokens;
 	u->key = mem_dup(rq->key);
 	u->model_version = mem_dup(rq->version);
 	u->endpoint = f->endpoint;
@@ -168,7 +169,27 @@
 		memcpy(u->result.result_val, rq->result, rq->result_len);
 		u->result.result_len = (u_int)rq->result_len;
 	}
-	rq->copied_tokens = f->tokens;
+}
+
+/* Called with the request's lock held. */
+static void fill_update(struct ent_req *rq, peer_update *u)
+{
+	const uint32_t tokens = rq->flow.tokens;
+
+	fill_state(rq, rq->copied_tokens < tokens ? rq->copied_tokens : tokens,
+		   u);
+	rq->copied_tokens = tokens;
+}
+
+void ent_fill_hold(struct ent_req *rq, peer_hold_args *a)
+{
+	pthread_mutex_lock(&rq->lock);
+	a->view = rq->slot_view;
+	a->slot = rq->slot;
+	a->birth_ms = rq->birth_ms;
+	fill_record(rq, &a->record);
+	fill_state(rq, 0, &a->state);
+	pthread_mutex_unlock(&rq->lock);
 }
 
 /* Updates to one holder. */
@@ -360,6 +381,19 @@
 	pthread_cond_broadcast(&rq->changed);
 }
 
+/* Called with the request's lock held, or before the request is in the table. */
+static void apply_state(struct ent_req *rq, const peer_update *u)
+{
+	apply_tokens(rq, u);
+	apply_gens(rq, u);
+	rq->flow.endpoint = u->endpoint;
+	rq->flow.attempt = u->attempt;
+	rq->status = u->status;
+	str_copy(rq->version, u->model_version, sizeof(rq->version));
+	str_copy(rq->finish, u->finish, sizeof(rq->finish));
+	apply_end(rq, u);
+}
+
 bool ent_apply_update(struct entry *en, const peer_update *u)
 {
 	struct ent_req *rq = ent_req_find(en, u->key);
@@ -373,14 +407,7 @@
 		ok = true;
 	} else if (u->from <= rq->flow.tokens) {
 		ok = true;
-		apply_tokens(rq, u);
-		apply_gens(rq, u);
-		rq->flow.endpoint = u->endpoint;
-		rq->flow.attempt = u->attempt;
-		rq->status = u->status;
-		str_copy(rq->version, u->model_version, sizeof(rq->version));
-		str_copy(rq->finish, u->finish, sizeof(rq->finish));
-		apply_end(rq, u);
+		apply_state(rq, u);
 		release = u->release && rq->flow.phase != FLOW_DONE;
 	}
 	pthread_mutex_unlock(&rq->lock);
@@ -390,6 +417,34 @@
 	return ok;
 }
 
+bool ent_become_holder(struct entry *en, const peer_hold_args *a)
+{
+	struct ent_req *rq;
+	bool held;
+
+	if (a->state.from)
+		return false;
+	rq = ent_req_find(en, a->record.key);
+	if (!rq) {
+		rq = create_copy(en, &a->record, a->view, a->slot, a->birth_ms);
+		if (!rq)
+			return false;
+		/* Complete before another thread can take it over. */
+		apply_state(rq, &a->state);
+		return add_copy(en, rq);
+	}
+	pthread_mutex_lock(&rq->lock);
+	held = rq->role == ENT_HOLDER && rq->flow.phase != FLOW_DONE &&
+	       !strcmp(rq->account, a->record.account);
+	if (held) {
+		rq->owner = a->record.owner;
+		apply_state(rq, &a->state);
+	}
+	pthread_mutex_unlock(&rq->lock);
+	ent_req_put(rq);
+	return held;
+}
+
 /* ---- Taking over ---- */
 
 /* Ends a plain call of a lost owner: it is unknown whether it ran. */
--- a/lib/entry/entry_internal.h
+++ b/lib/entry/entry_internal.h
@@ -572,6 +572,11 @@
 void ent_queue_copy(struct ent_req *rq);
 /* Fills in the message. The strings are to be freed by xdr_free(). */
 void ent_fill_record(struct ent_req *rq, peer_record *r);
+/*
+ * Fills in all but the head: the record and the present state, with all tokens.
+ * The strings are to be freed by xdr_free().
+ */
+void ent_fill_hold(struct ent_req *rq, peer_hold_args *a);
 /*
  * Stores a copy of a request that another entry claims. False if this entry has
  * the key for another owner, or if the key is malformed.
@@ -581,7 +586,7 @@
 /*
  * Becomes the holder for the owner in the record, which may replace an earlier
  * owner: an entry that took over did not win the claim, so the judges' votes do
- * not identify it. False if this entry owns the request, knows its outcome, or
+ * not identify it. The copy is complete from then on. False if this entry owns the request, knows its outcome, or
  * has the key for another account.
  */
 bool ent_become_holder(struct entry *en, const peer_hold_args *a);
--- a/lib/net/peer.h
+++ b/lib/net/peer.h
@@ -149,15 +149,6 @@
 };
 typedef struct peer_claim_reply peer_claim_reply;
 
-struct peer_hold_args {
-	peer_head head;
-	u_quad_t view;
-	u_int slot;
-	quad_t birth_ms;
-	peer_record record;
-};
-typedef struct peer_hold_args peer_hold_args;
-
 struct peer_update {
 	char *key;
 	char *model_version;
@@ -183,6 +174,16 @@
 };
 typedef struct peer_update peer_update;
 
+struct peer_hold_args {
+	peer_head head;
+	u_quad_t view;
+	u_int slot;
+	quad_t birth_ms;
+	peer_record record;
+	peer_update state;
+};
+typedef struct peer_hold_args peer_hold_args;
+
 struct peer_update_args {
 	peer_head head;
 	struct {
@@ -438,8 +439,8 @@
 extern  bool_t xdr_peer_record (XDR *, peer_record*);
 extern  bool_t xdr_peer_claim_args (XDR *, peer_claim_args*);
 extern  bool_t xdr_peer_claim_reply (XDR *, peer_claim_reply*);
-extern  bool_t xdr_peer_hold_args (XDR *, peer_hold_args*);
 extern  bool_t xdr_peer_update (XDR *, peer_update*);
+extern  bool_t xdr_peer_hold_args (XDR *, peer_hold_args*);
 extern  bool_t xdr_peer_update_args (XDR *, peer_update_args*);
 extern  bool_t xdr_peer_fetch_args (XDR *, peer_fetch_args*);
 extern  bool_t xdr_peer_fetch_reply (XDR *, peer_fetch_reply*);
@@ -470,8 +471,8 @@
 extern bool_t xdr_peer_record ();
 extern bool_t xdr_peer_claim_args ();
 extern bool_t xdr_peer_claim_reply ();
-extern bool_t xdr_peer_hold_args ();
 extern bool_t xdr_peer_update ();
+extern bool_t xdr_peer_hold_args ();
 extern bool_t xdr_peer_update_args ();
 extern bool_t xdr_peer_fetch_args ();
 extern bool_t xdr_peer_fetch_reply ();
--- a/lib/net/peer.x
+++ b/lib/net/peer.x
@@ -116,15 +116,6 @@
 	bool held;
 };
 
-/* Makes the receiver the holder of the copy, whoever won the claim. */
-struct peer_hold_args {
-	peer_head head;
-	unsigned hyper view;
-	unsigned int slot;
-	hyper birth_ms;
-	peer_record record;
-};
-
 /* News of a request, from its owner to the entry that holds the copy. */
 struct peer_update {
 	string key<PEER_KEY>;
@@ -141,6 +132,20 @@
 	bool release;
 };
 
+/*
+ * Makes the receiver the holder of the copy, whoever won the claim. `state` has
+ * all tokens, and the outcome if the request has ended: the owner may be lost
+ * before its first update.
+ */
+struct peer_hold_args {
+	peer_head head;
+	unsigned hyper view;
+	unsigned int slot;
+	hyper birth_ms;
+	peer_record record;
+	peer_update state;
+};
+
 struct peer_update_args {
 	peer_head head;
 	peer_update updates<4096>;
--- a/lib/net/peer_xdr.c
+++ b/lib/net/peer_xdr.c
@@ -310,24 +310,6 @@
 	return TRUE;
 }
 
-bool_t
-xdr_peer_hold_args (XDR *xdrs, peer_hold_args *objp)
-{
-	register int32_t *buf;
-
-	 if (!xdr_peer_head (xdrs, &objp->head))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->view))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->slot))
-		 return FALSE;
-	 if (!xdr_quad_t (xdrs, &objp->birth_ms))
-		 return FALSE;
-	 if (!xdr_peer_record (xdrs, &objp->record))
-		 return FALSE;
-	return TRUE;
-}
-
 bool_t
 xdr_peer_update (XDR *xdrs, peer_update *objp)
 {
@@ -362,6 +344,26 @@
 	return TRUE;
 }
 
+bool_t
+xdr_peer_hold_args (XDR *xdrs, peer_hold_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_peer_head (xdrs, &objp->head))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->view))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->slot))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->birth_ms))
+		 return FALSE;
+	 if (!xdr_peer_record (xdrs, &objp->record))
+		 return FALSE;
+	 if (!xdr_peer_update (xdrs, &objp->state))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_peer_update_args (XDR *xdrs, peer_update_args *objp)
 {
--- a/scripts/takeover_test.sh
+++ b/scripts/takeover_test.sh
@@ -304,6 +304,23 @@
 	close_request
 }
 
+# The entry that took over answers the client, and is killed before its next copy
+# is due: the third entry has only what came with the request to hold the copy.
+# Guards against a holder that knows a request but not its answer.
+killed_before_copy() {
+	local TOKENS=100
+	fresh 1000 || return 1
+	OWNER=$(another)
+	new_request
+	step_copied
+	await "$DIR/$HOLDER.log" "key=$REQUEST .*takeover" >/dev/null
+	one ask "$(address_of "$HOLDER")"
+	await "$DIR/$HOLDER.log" "key=$REQUEST .*rehome .*held=yes" >/dev/null
+	kill_entry "$HOLDER"
+	whole "killed before its next copy"
+	close_request
+}
+
 # pause_owner: the owner does not answer for half a second, in which client two
 # asks the holder. The vote on another key makes the holder's calls to the owner
 # fail meanwhile. Fails if the pause was so long that the owner may be suspected.
@@ -399,7 +416,7 @@
 }
 
 for repeat in $(seq 1 "$REPEATS"); do
-	for group in ${GROUPS_OF_CASES:-takeovers one_judge_left paused_owner plain_calls}; do
+	for group in ${GROUPS_OF_CASES:-takeovers one_judge_left killed_before_copy paused_owner plain_calls}; do
 		$group
 	done
 done
