entry: a takeover is requested also where the winner of a claim is unknown

What callers saw: owner and first holder of a copy were killed within a second. Entries without a copy answered "claim not decided, ask again" until the membership had noticed the second death.

Cause: the two were two of the key's three judges, so the claim ended as unknown. The entry asked the third judge, which held the copy of a lost owner, but requested a takeover only where the winner was known.

Fix: it requests one whether or not the winner is known. The holder decides by its own evidence, as before: the membership suspects its owner, or its host refuses connections; for a plain call, the owner is dead.

Evidence: takeover_test.sh, new group only_holder_left.

--- a/lib/entry/ent_answer.h
+++ b/lib/entry/ent_answer.h
@@ -115,8 +115,9 @@
 void ent_serve_local(struct ent_writer *w, struct ent_req *rq);
 
 /*
- * True if a judge of the key or their reserve owns the request or has its
- * outcome. Calls these peers and waits for the replies.
+ * True if a judge of the key or their reserve owns the request, has its outcome
+ * or takes it over from a lost owner. Calls these peers and waits for the
+ * replies.
  */
 bool ent_find_remote(struct entry *en, const struct ent_req *rq);
 
--- a/lib/entry/ent_feed.c
+++ b/lib/entry/ent_feed.c
@@ -210,8 +210,9 @@
  * key's judges, first without a takeover: the winner may have crashed and
  * another entry may have taken over already, and the holder that is queried
  * first may not have that information. Only if none of them owns the request or
- * has its outcome does a second round request a takeover. There is no takeover
- * while the winner is unknown or replies.
+ * has its outcome does a second round request a takeover, which the holder
+ * refuses unless it finds its owner lost. There is none while the winner replies.
+ * The winner may be unknown: too few of the key's judges may be left.
  */
 static bool find_owner(struct ent_remote_feed *r, uint32_t gen, uint32_t offset,
 		       struct ent_batch *out)
@@ -222,7 +223,7 @@
 				 s.addresses, &s.winner_first);
 	if (query_entries(r, &s, false, gen, offset, out))
 		return true;
-	if (!r->winner || s.winner_replied)
+	if (s.winner_replied)
 		return false;
 	return query_entries(r, &s, true, gen, offset, out);
 }
--- a/scripts/takeover_test.sh
+++ b/scripts/takeover_test.sh
@@ -304,6 +304,28 @@
 	close_request
 }
 
+# The owner and then the entry that took over and answered are killed: of the
+# three judges of the key only the one that holds the copy is left. An entry that
+# holds nothing has it take over. Guards against a key that nobody answers for
+# until the membership has noticed the second loss.
+only_holder_left() {
+	local TOKENS=100 first third
+	fresh 1000 || return 1
+	OWNER=$(another)
+	new_request
+	step_copied
+	one ask "$(address_of "$(another "$OWNER" "$HOLDER")")"
+	first=$(answer hash)
+	third=$(await "$DIR/$HOLDER.log" "key=$REQUEST .*rehome .*held=yes" |
+		sed 's/.*holder=\([^ ]*\).*/\1/')
+	kill_entry "$HOLDER"
+	one forget
+	one ask "$(address_of "$(another "$OWNER" "$HOLDER" "$(entry_at "$third")")")"
+	expect "only the holder left: the first answer again" is "$(answer hash)" "$first"
+	whole "only the holder left"
+	close_request
+}
+
 # The entry that took over answers the client, and is killed before its next copy
 # is due: the third entry has only what came with the request to hold the copy.
 # Guards against a holder that knows a request but not its answer.
@@ -416,7 +438,7 @@
 }
 
 for repeat in $(seq 1 "$REPEATS"); do
-	for group in ${GROUPS_OF_CASES:-takeovers one_judge_left killed_before_copy paused_owner plain_calls}; do
+	for group in ${GROUPS_OF_CASES:-takeovers one_judge_left only_holder_left killed_before_copy paused_owner plain_calls}; do
 		$group
 	done
 done
