inp: a poll that began before a time-out was due does not count for it

Found by a review. What callers may see: the same as before timers ran after input, if the process is suspended within the very poll for which another timer was deferred: the time-outs that elapse in it ran before that input was read.

Cause: the poll after a deferral counted for all timers, also for those that became due within it.

Change: such a poll does not wait; one that took longer than 0.1 s is followed by another one.

--- a/lib/io/inp.c
+++ b/lib/io/inp.c
@@ -11,6 +11,13 @@
 /* A poll that was full doubles the next one: this many cover 8,000 descriptors. */
 #define MAX_DEFERRED 10
 
+/*
+ * A poll for which timers were deferred does not wait. If it takes longer, s, the process
+ * was suspended in it, and time-outs are due that were not when it began. A process that
+ * gets a part of a processor pauses for less.
+ */
+#define MAX_POLL_S 0.1
+
 void inp_attach(struct inp *p, struct ev_loop *loop)
 {
 	memset(p, 0, sizeof(*p));
@@ -24,7 +31,8 @@
 
 	if (p->iteration == iteration)
 		return;
-	p->polled_for = p->defers && p->iteration + 1 == iteration;
+	p->polled_for = p->defers && p->iteration + 1 == iteration &&
+			ev_now(loop) - p->deferred_s < MAX_POLL_S;
 	p->iteration = iteration;
 	p->nr_events = 0;
 	p->more = p->decided = p->defers = false;
@@ -69,6 +77,7 @@
 	p->decided = true;
 	p->defers = needs_poll(p) && p->nr_deferred < MAX_DEFERRED;
 	p->nr_deferred = p->defers ? p->nr_deferred + 1 : 0;
+	p->deferred_s = ev_time();
 	if (p->nr_events >= p->poll_max)
 		p->poll_max *= 2; /* as libev does */
 }
--- a/lib/io/inp.h
+++ b/lib/io/inp.h
@@ -32,6 +32,7 @@
 	bool polled_for; /* timers were deferred in the iteration before */
 	bool decided;	 /* whether they are deferred in this one: */
 	bool defers;
+	double deferred_s;    /* ev_time() of the decision */
 	bool all_read;	      /* the poll before left no input */
 	unsigned nr_deferred; /* iterations in a row with deferred timers */
 	unsigned poll_max;    /* events that a poll reports at least */
--- a/tests/test_inp.c
+++ b/tests/test_inp.c
@@ -11,6 +11,8 @@
 
 #define MAX_CONNS 600
 #define STALL_MS 20
+#define LONG_STALL_MS \
+	150 /* more than a process pauses for want of a processor */
 
 struct world {
 	struct ev_loop *loop;
@@ -219,6 +221,54 @@
 	close_world(&w);
 }
 
+static void begin_poll(struct ev_loop *loop)
+{
+	(void)loop;
+}
+
+/* Follows epoll_wait(), before the time of the poll is taken. */
+static void stall_in_poll(struct ev_loop *loop)
+{
+	struct world *w =
+		caa_container_of(ev_userdata(loop), struct world, input);
+
+	ev_set_loop_release_cb(loop, NULL, NULL);
+	CU_ASSERT_EQUAL(write(w->peers[0], "x", 1), 1);
+	clk_sleep_ms(LONG_STALL_MS);
+}
+
+static void on_early_timer(struct ev_loop *loop, ev_timer *t, int revents)
+{
+	bool *stalled = t->data;
+
+	(void)revents;
+	if (!inp_defers(loop, t) || *stalled)
+		return;
+	*stalled = true;
+	ev_set_loop_release_cb(loop, begin_poll, stall_in_poll);
+}
+
+/*
+ * The same, in a poll for which another timer had been deferred: it began before the
+ * time-out was due.
+ */
+static void a_timer_runs_after_input_that_a_deferring_poll_missed(void)
+{
+	struct world w;
+	bool stalled = false;
+	ev_timer early;
+
+	open_world(&w, 1, 0);
+	ev_timer_init(&early, on_early_timer, 0, 0);
+	early.data = &stalled;
+	ev_timer_start(w.loop, &early);
+	ev_run(w.loop, 0);
+	CU_ASSERT(w.fired);
+	CU_ASSERT_EQUAL(w.received_before_timer, 1);
+	ev_timer_stop(w.loop, &early);
+	close_world(&w);
+}
+
 /* Without a limit, busy connections would hold time-outs back for good. */
 static void input_without_end_does_not_hold_timers_back(void)
 {
@@ -273,6 +323,8 @@
 	  a_timer_runs_after_the_end_of_a_connection },
 	{ "a timer runs after input that a poll missed",
 	  a_timer_runs_after_input_that_a_poll_missed },
+	{ "a timer runs after input that a deferring poll missed",
+	  a_timer_runs_after_input_that_a_deferring_poll_missed },
 	{ "input without end does not hold timers back",
 	  input_without_end_does_not_hold_timers_back },
 	{ "a deferred timer keeps its interval",
