hsc: a draining server answers requests that it received and has not read

What callers saw: a request that had arrived, but was not read, as the response before it ended got no answer if its entry was draining.

Cause: only bytes that were set aside counted as a request behind a response.

Change: so do bytes that were received; the same for connections that are idle as the server closes them.

test_http, 'draining answers requests that were not read yet': fails without the change (the second response is missing).

--- a/lib/io/hsc.c
+++ b/lib/io/hsc.c
@@ -593,13 +593,19 @@
 	s->fd = -1;
 }
 
+/* Bytes, or the end of the connection, were received behind the current request. */
+static bool has_request_behind(const struct hsc *c)
+{
+	return c->pipelined.len || ioc_has_input(c->io);
+}
+
 void hsc_server_close_idle(struct hsc_server *s)
 {
 	struct hsc *c, *next;
 
 	stop_listening(s);
 	cds_list_for_each_entry_safe(c, next, &s->conns, node) {
-		if (c->state != HSC_IDLE || c->pipelined.len)
+		if (c->state != HSC_IDLE || has_request_behind(c))
 			continue;
 		if (ioc_unacked(c->io))
 			linger(c);
@@ -691,7 +697,7 @@
 	 * announced a close: what the client has sent behind it is due a response.
 	 */
 	if (close || c->close_after ||
-	    (c->server->draining && !c->pipelined.len)) {
+	    (c->server->draining && !has_request_behind(c))) {
 		linger(c);
 		return;
 	}
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -1461,6 +1461,33 @@
 	hsc_server_close(&p.server);
 }
 
+/* The same, for a request that was received and not yet read: input that was late. */
+static void draining_answers_requests_that_were_not_read_yet(void)
+{
+	struct peer p;
+	char got[512];
+	int fd;
+
+	open_peer(&p, NULL);
+	fd = connect_to(&p);
+	send_text(fd, "GET /1 HTTP/1.1\r\nHost: x\r\n\r\n");
+	run_loop(0.03);
+	CU_ASSERT(!hsc_must_close(p.last_conn));
+	hsc_write(p.last_conn, OK(2, "hi"), strlen(OK(2, "hi")));
+	hsc_server_drain(&p.server);
+	send_text(fd, "GET /2 HTTP/1.1\r\nHost: x\r\n\r\n");
+	p.raw = OK(2, "yo");
+	hsc_done(p.last_conn, false);
+	hsc_server_close_idle(&p.server);
+	run_loop(0.03);
+	read_all(fd, got, sizeof(got));
+	CU_ASSERT_STRING_EQUAL(got, OK(2, "hi") OK(2, "yo"));
+	close(fd);
+	run_loop(0.02);
+	CU_ASSERT_EQUAL(p.server.nr_conns, 0);
+	hsc_server_close(&p.server);
+}
+
 static void client_that_disconnects_is_detected(void)
 {
 	struct peer p;
@@ -1788,6 +1815,8 @@
 	  closing_idle_connections_keeps_read_requests },
 	{ "draining answers requests behind a response",
 	  draining_answers_requests_behind_a_response },
+	{ "draining answers requests that were not read yet",
+	  draining_answers_requests_that_were_not_read_yet },
 	{ "a client that disconnects is detected",
 	  client_that_disconnects_is_detected },
 	{ "a response that has arrived does not time out",
