edge_send: a continuation that cannot be begun does not use its freed request

What callers saw: all streams of an entry ended with its process, as endpoints left while it had no descriptors left.

Cause: where a run continues at its copy and no connection can be opened, the send ends the request and frees it; the reference to the target was dropped through it.

--- a/lib/edge/edge_send.c
+++ b/lib/edge/edge_send.c
@@ -400,6 +400,7 @@
 		     const char *handle)
 {
 	const struct pick_result p = { .endpoint = to, .cached = true };
+	struct edge *en = r->en;
 	char copy_at[sizeof(r->endpoint->info.address) + 64];
 
 	/* Its limit was charged when the copy was requested. */
@@ -416,6 +417,6 @@
 	flt_ref(to); /* edge_send_stop drops the migration's reference */
 	edge_send_stop(r);
 	r->retry_charged = false; /* the migration was charged on its own */
-	start_send(r, &p, copy_at);
-	flt_unref(&r->en->fleet, to);
+	start_send(r, &p, copy_at); /* may free `r` */
+	flt_unref(&en->fleet, to);
 }
