edge_send: a stopped run whose copy is not reached or gone is tried again

What callers saw: a stream that must not be repeated was closed within its answer as its endpoint left, with most of its time left: the endpoint with the copy of its run refused to continue it, or was not reached.

Cause: the run was stopped before its continuation was sure, and one failed send to the copy ended it. Neither another try was made, nor the endpoint asked that had stopped the run and keeps it.

Change: the copy and the endpoint that stopped the run are tried in turn, 100 ms apart, as long as the request has time and they may be sent to; one that refuses is not asked again, and gets no further copy at once.

--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -495,6 +495,7 @@
 	edge_relay_tick(en, now);
 	edge_fatal_tick(en, now);
 	edge_move_tick(en, now);
+	edge_send_copies_tick(en, now);
 	edge_verify_tick(en, now);
 	if (now - en->totals_ms >= TOTALS_INTERVAL_MS)
 		log_totals(en, now);
--- a/lib/edge/edge_answer.c
+++ b/lib/edge/edge_answer.c
@@ -180,6 +180,8 @@
 	enum rq_step step;
 
 	end_not_run(r, o, why, true);
+	if (edge_send_copy_again(r, true))
+		return;
 	step = rq_refused(&r->rq, (again || (pause && edge_has_time(r))) &&
 					  !refused_enough(r));
 	if (pause && (step == RQ_SEND || step == RQ_RESUME) &&
@@ -193,6 +195,8 @@
 {
 	r->sends_reached--;
 	edge_retry_refund(r);
+	if (edge_send_copy_again(r, false))
+		return;
 	edge_step(r, rq_unreached(&r->rq, may_retry(r)), why);
 }
 
@@ -336,6 +340,8 @@
 	buf_free(&r->answer_body);
 	r->streaming = r->reply.events && r->reply.status / 100 == 2 &&
 		       !r->reply.not_run;
+	if (!r->reply.not_run)
+		edge_send_forget_copy(r);
 	if (r->streaming)
 		htc_set_max_body(call, 0); /* its events are bounded */
 	else if (r->reply.not_run)
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -416,6 +416,14 @@
 	struct evs events;
 	uint64_t events_before_send; /* events.events when it began */
 	struct hand hand;	/* state of the migration off this endpoint */
+	/* Where a run that was stopped can go on; of a stream that is not repeated. */
+	struct {
+		char at[FLT_NAME + 128]; /* IP:PORT/HANDLE; "": nowhere */
+		struct flt_endpoint *to; /* the next one; both referenced */
+		struct flt_endpoint *other; /* NULL: it refused */
+		int64_t again_ms; /* of the next try; 0: none is due */
+		unsigned tries;	  /* move_tries of the source */
+	} copy;
 	struct edge_move *move; /* the migration's call; NULL: none */
 	bool move_untargeted;	/* there was no endpoint to move it to */
 	unsigned move_tries;	/* copies requested of this endpoint */
@@ -594,6 +602,18 @@
  * Continues a migrated run on `to`, which holds a copy of its KV cache under
  * `handle`. May free `r`.
  */
+/* Sends stopped runs to their copies again that were not reached. */
+void edge_send_copies_tick(struct edge *en, int64_t now);
+
+/*
+ * A send from a copy did not run. True: it will be repeated. `refused`: the endpoint
+ * does not have the copy, but the other one may have the run.
+ */
+bool edge_send_copy_again(struct edge_req *r, bool refused);
+
+/* The run goes on, or is lost: its copy cannot be used again. */
+void edge_send_forget_copy(struct edge_req *r);
+
 void edge_send_moved(struct edge_req *r, struct flt_endpoint *to,
 		     const char *handle);
 
--- a/lib/edge/edge_req.c
+++ b/lib/edge/edge_req.c
@@ -54,6 +54,7 @@
 		flt_unref(&en->fleet, r->tried[--r->nr_tried]);
 	if (r->move_refused)
 		flt_unref(&en->fleet, r->move_refused);
+	edge_send_forget_copy(r);
 	if (r->awaiting_config || r->parked)
 		cds_list_del(&r->wait_node);
 	cds_list_del(&r->node);
--- a/lib/edge/edge_send.c
+++ b/lib/edge/edge_send.c
@@ -396,6 +396,91 @@
 	return !edge_fatal_is_quarantined(r) && edge_move_is_in_time(r->en, to);
 }
 
+/* Between two tries to reach a copy, ms. */
+#define COPY_RETRY_MS 100
+
+void edge_send_forget_copy(struct edge_req *r)
+{
+	r->copy.at[0] = '\0';
+	r->copy.again_ms = 0;
+	if (r->copy.to)
+		flt_unref(&r->en->fleet, r->copy.to);
+	if (r->copy.other)
+		flt_unref(&r->en->fleet, r->copy.other);
+	r->copy.to = r->copy.other = NULL;
+}
+
+/* The source has the run as well: it is tried in turn with the copy. */
+static bool take_turns(struct edge_req *r)
+{
+	struct flt_endpoint *to = r->copy.to;
+
+	if (!r->copy.other || !can_continue_at(r, r->copy.other))
+		return false;
+	r->copy.to = r->copy.other;
+	r->copy.other = to;
+	return true;
+}
+
+bool edge_send_copy_again(struct edge_req *r, bool refused)
+{
+	const bool turned = r->rq.at_copy && r->copy.at[0] && take_turns(r);
+
+	if (!r->rq.at_copy || !r->copy.at[0] || !edge_has_time(r) ||
+	    (refused && !turned) || !can_continue_at(r, r->copy.to))
+		return false;
+	if (turned)
+		r->move_tries = r->copy.tries;
+	if (refused) {
+		/* No further copy is made there at once. */
+		if (r->move_refused)
+			flt_unref(&r->en->fleet, r->move_refused);
+		r->move_refused = r->copy.other;
+		r->copy.other = NULL;
+	}
+	rq_copy_unused(&r->rq);
+	r->copy.again_ms = edge_now(r->en) + (refused ? 0 : COPY_RETRY_MS);
+	return true;
+}
+
+static void send_again(struct edge_req *r)
+{
+	const struct pick_result p = { .endpoint = r->copy.to, .cached = true };
+
+	r->copy.again_ms = 0;
+	if (can_continue_at(r, r->copy.to))
+		start_send(r, &p, r->copy.at);
+	else
+		edge_step(r, rq_no_endpoint(&r->rq), "no way to the copy");
+}
+
+void edge_send_copies_tick(struct edge *en, int64_t now)
+{
+	struct edge_req *r, *next;
+
+	cds_list_for_each_entry_safe(r, next, &en->requests, node) {
+		if (r->copy.again_ms && now >= r->copy.again_ms)
+			send_again(r);
+	}
+}
+
+/* Streams that may be repeated are resumed elsewhere instead. */
+static void remember_copy(struct edge_req *r, struct flt_endpoint *to,
+			  const char *at)
+{
+	edge_send_forget_copy(r);
+	if (rq_is_repeatable(&r->rq))
+		return;
+	str_copy(r->copy.at, at, sizeof(r->copy.at));
+	r->copy.tries = r->move_tries;
+	r->copy.to = to;
+	flt_ref(to);
+	if (to == r->endpoint)
+		return;
+	r->copy.other = r->endpoint;
+	flt_ref(r->endpoint);
+}
+
 void edge_send_moved(struct edge_req *r, struct flt_endpoint *to,
 		     const char *handle)
 {
@@ -410,6 +495,7 @@
 	}
 	snprintf(copy_at, sizeof(copy_at), "%s/%s", r->endpoint->info.address,
 		 handle);
+	remember_copy(r, to, copy_at);
 	edge_log_send_ended(r, "moved", r->reply.status);
 	rq_moved(&r->rq);
 	if (to != r->endpoint)
--- a/lib/request/rq.c
+++ b/lib/request/rq.c
@@ -107,6 +107,12 @@
 	r->at_copy = true;
 }
 
+void rq_copy_unused(struct rq *r)
+{
+	assert(r->sending && r->at_copy);
+	r->sending = false;
+}
+
 enum rq_step rq_answered(struct rq *r, bool good, bool again)
 {
 	assert(r->sending);
--- a/lib/request/rq.h
+++ b/lib/request/rq.h
@@ -92,6 +92,9 @@
  */
 void rq_moved(struct rq *r);
 
+/* The send from a copy did not run, and the copy may serve another one. */
+void rq_copy_unused(struct rq *r);
+
 /*
  * The endpoint ran the request and responded; `good`: with success. Within a
  * stream that has started, only the rest of the stream is a success; after any
--- a/scripts/migration_test.sh
+++ b/scripts/migration_test.sh
@@ -16,7 +16,7 @@
 . scripts/cluster.sh
 . scripts/edge_cluster.sh
 trap cluster_stop EXIT
-CASES=${CASES:-made late no_room kept silent unknown ended busy target unreached full}
+CASES=${CASES:-made late no_room kept silent unknown ended busy target unreached full lost}
 EVENTS=20
 STREAMS=8
 
@@ -79,6 +79,8 @@
 leaves kept i-7 "mode=1"
 leaves silent i-11 "mode=2"
 leaves unknown i-9 "mode=3"
+# The copy is gone as its stream is to go on there; the source keeps the run's memory.
+leaves lost i-17 "mode=9"
 leaves ended i-13 "mode=0&ms=1100" 4000 2.3
 leaves busy i-15 "mode=5"
 expect "copies that are not used are freed" wait_for eval '[ "$(seen copies_held)" = 0 ]'
--- a/tests/standin/platform.c
+++ b/tests/standin/platform.c
@@ -882,6 +882,7 @@
 	COPY_STOPS_EARLY,  /* against the protocol: any call stops the run */
 	COPY_SILENT_FIRST, /* a call without a stop gets no answer */
 	COPY_UNKNOWN_STOP, /* for a call that would stop the run it is unknown */
+	COPY_LOST, /* it is made, and gone as the run is to continue from it */
 };
 
 static struct stream *find_stream(const struct endpoint *e, const char *id)
@@ -1016,7 +1017,7 @@
 		w.nr_stopped++;
 		cut_stream(s, RUN_MOVED);
 	}
-	if (!last || w.copy_mode == COPY_MADE)
+	if (!last || w.copy_mode == COPY_MADE || w.copy_mode == COPY_LOST)
 		answer_copy(c, text);
 	else if (w.copy_mode != COPY_SILENT)
 		reply(c, 503, text);
@@ -1036,6 +1037,8 @@
 		return false;
 	if (w.copies[n].source == e && !w.copies[n].stopped)
 		return false;
+	if (w.copies[n].source != e && w.copy_mode == COPY_LOST)
+		return false;
 	w.copies[n].used = true;
 	return true;
 }
