edge_send: the next tries of stopped runs are found one by one

Found as the merge was read: a try that fails ends its request, which frees places and may end others, also the next one of the list. No test provokes the moment; migration_test passes as before.

--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -415,11 +415,11 @@
 	} tally; /* how the current send is counted in a roll-out (tally.h) */
 	struct evs events;
 	uint64_t events_before_send; /* events.events when it began */
-	struct hand hand;	/* state of the migration off this endpoint */
+	struct hand hand; /* state of the migration off this endpoint */
 	/* Where a run that was stopped can go on; of a stream that is not repeated. */
 	struct {
-		char at[FLT_NAME + 128]; /* IP:PORT/HANDLE; "": nowhere */
-		struct flt_endpoint *to; /* the next one; both referenced */
+		char at[FLT_NAME + 128];    /* IP:PORT/HANDLE; "": nowhere */
+		struct flt_endpoint *to;    /* the next one; both referenced */
 		struct flt_endpoint *other; /* NULL: it refused */
 		int64_t again_ms; /* of the next try; 0: none is due */
 		unsigned tries;	  /* move_tries of the source */
@@ -598,10 +598,6 @@
 bool edge_send_can_move(const struct edge_req *r,
 			const struct flt_endpoint *to);
 
-/*
- * Continues a migrated run on `to`, which holds a copy of its KV cache under
- * `handle`. May free `r`.
- */
 /* Sends stopped runs to their copies again that were not reached. */
 void edge_send_copies_tick(struct edge *en, int64_t now);
 
@@ -614,6 +610,10 @@
 /* The run goes on, or is lost: its copy cannot be used again. */
 void edge_send_forget_copy(struct edge_req *r);
 
+/*
+ * Continues a migrated run on `to`, which holds a copy of its KV cache under
+ * `handle`. May free `r`.
+ */
 void edge_send_moved(struct edge_req *r, struct flt_endpoint *to,
 		     const char *handle);
 
--- a/lib/edge/edge_send.c
+++ b/lib/edge/edge_send.c
@@ -454,14 +454,25 @@
 		edge_step(r, rq_no_endpoint(&r->rq), "no way to the copy");
 }
 
-void edge_send_copies_tick(struct edge *en, int64_t now)
+/* A request whose next try is due; NULL: none. */
+static struct edge_req *find_due(struct edge *en, int64_t now)
 {
-	struct edge_req *r, *next;
+	struct edge_req *r;
 
-	cds_list_for_each_entry_safe(r, next, &en->requests, node) {
+	cds_list_for_each_entry(r, &en->requests, node) {
 		if (r->copy.again_ms && now >= r->copy.again_ms)
-			send_again(r);
+			return r;
 	}
+	return NULL;
+}
+
+void edge_send_copies_tick(struct edge *en, int64_t now)
+{
+	struct edge_req *r;
+
+	/* What ends one request may end others too. */
+	while ((r = find_due(en, now)))
+		send_again(r);
 }
 
 /* Streams that may be repeated are resumed elsewhere instead. */
@@ -502,7 +513,7 @@
 		r->move_tries = 0;
 	flt_ref(to); /* edge_send_stop drops the migration's reference */
 	edge_send_stop(r);
-	r->retry_charged = false; /* the migration was charged on its own */
+	r->retry_charged = false;   /* the migration was charged on its own */
 	start_send(r, &p, copy_at); /* may free `r` */
 	flt_unref(&en->fleet, to);
 }
--- a/scripts/migration_test.sh
+++ b/scripts/migration_test.sh
@@ -8,6 +8,9 @@
 #
 # Failure: a run was stopped once its copy was made, and its stream cut off, since the
 # endpoint with the copy had begun to leave before the stop was answered.
+#
+# Failure: the endpoint with the copy refused to continue a run, or was not reached, and
+# its stream was cut off, though the endpoint that had stopped the run kept it.
 # Usage: migration_test.sh
 cd "$(dirname "$0")/.." || exit 1
 EDGES=${EDGES:-2}
