--- a/lib/edge/edge_verify.c
+++ b/lib/edge/edge_verify.c
@@ -63,7 +63,7 @@
 	int64_t read_ms;      /* the last read of the registration began */
 	bool waits;	      /* in edge.verifying */
 	bool probing;	      /* on_probed() is called */
-	bool refused; /* is true once others are reached: a check is on */
+	bool refused; /* conclusive if the check in progress reaches others */
 	bool reading, ended; /* on_registration() frees it */
 	bool last;	     /* the request's deadline has passed */
 };
--- a/lib/io/hsc.h
+++ b/lib/io/hsc.h
@@ -193,10 +193,10 @@
 void hsc_hold(struct hsc *c, enum mem_rank rank, size_t bytes);
 
 /*
- * Ends the response. With `close`, or if hsc_must_close is true, the connection
- * is shut down after the last byte, and freed when the peer closes it or one
- * second after it has received that byte. Without `close`, for a response that
- * has announced none, a draining server first answers a request behind it.
+ * Ends the response. With `close`, if the client requested a close, or if the server
+ * drains and nothing was received behind the request, the connection is shut down
+ * after the last byte, and freed when the peer closes it or one second after it has
+ * received that byte. `close` is to be set if the response has announced a close.
  */
 void hsc_done(struct hsc *c, bool close);
 
--- a/lib/io/htc.c
+++ b/lib/io/htc.c
@@ -309,9 +309,9 @@
 }
 
 /*
- * Called when a connection, or its tunnel, is established. If that is seen after its
- * time, this process did not run for a while, and the peer has yet to be asked: the
- * time-outs begin anew.
+ * Called when a connection, or its tunnel, is established. If its time-out has elapsed,
+ * this process did not run for a while, and the peer has not received the request yet:
+ * the time-outs start again.
  */
 static void allow_for_stall(struct htc_conn *k)
 {
--- a/lib/stream/whole.h
+++ b/lib/stream/whole.h
@@ -65,8 +65,8 @@
 			 int64_t as_of_ms);
 
 /*
- * True if a proof has been awaited since `since_ms`, so long that the request is sent
- * again instead. `stalled_ms`: end of the last time in which this process did not run,
+ * True if a proof has been awaited for the maximum time, since `since_ms`: the request is
+ * sent again instead. `stalled_ms`: end of the last time in which this process did not run,
  * which is no wait; 0: none. Monotonic, ms.
  */
 bool whole_has_waited(int64_t since_ms, int64_t stalled_ms, int64_t now_ms);
--- a/scripts/takeover_test.sh
+++ b/scripts/takeover_test.sh
@@ -305,9 +305,9 @@
 }
 
 # The owner and then the entry that took over and answered are killed: of the
-# three judges of the key only the one that holds the copy is left. An entry that
-# holds nothing has it take over. Guards against a key that nobody answers for
-# until the membership has noticed the second loss.
+# three judges of the key only the one that holds the copy is left. An entry without
+# a copy requests its takeover. Guards against a key for which no entry answers until
+# the membership has detected the second loss.
 only_holder_left() {
 	local TOKENS=100 first third
 	fresh 1000 || return 1
