--- a/scripts/migration_test.sh
+++ b/scripts/migration_test.sh
@@ -14,7 +14,7 @@
 # Usage: migration_test.sh
 cd "$(dirname "$0")/.." || exit 1
 EDGES=${EDGES:-2}
-EDGE_SERVICES_EACH=9
+EDGE_SERVICES_EACH=10
 PLATFORM_ARGS="--gap 150"
 . scripts/cluster.sh
 . scripts/edge_cluster.sh
@@ -96,7 +96,7 @@
 	put_document 2 '"k1"'
 	expect "target: all entries serve" wait_for everywhere begins
 	drain_later 0.4 i-3 i-5 &
-	drain_later 1.55 i-7 i-9 i-11 i-13 i-15 i-17 &
+	drain_later 1.55 i-7 i-9 i-11 i-13 i-15 i-17 i-19 &
 	leaves target i-1 "mode=0&ms=600" 4000
 	expect "target: streams went on at their copies" [ -n "$(moved target)" ]
 fi
