edge_move: one function excludes a target of a run's copies

Cause: the reference to the last target was replaced in three places, two of them the same lines, one added with the tries of stopped runs.

--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -1039,6 +1039,9 @@
 /* The stream ended at the source; cancels a migration that has not stopped it. */
 void edge_move_stream_ended(struct edge_req *r);
 
+/* No copy of the run is made at `target` until another one is excluded; NULL: none is. */
+void edge_move_exclude(struct edge_req *r, struct flt_endpoint *target);
+
 /* True if a stopped run may continue at the endpoint, which may be leaving. */
 bool edge_move_is_in_time(const struct edge *en, const struct flt_endpoint *e);
 
--- a/lib/edge/edge_move.c
+++ b/lib/edge/edge_move.c
@@ -195,6 +195,15 @@
 	edge_send_moved(r, m->to, handle);
 }
 
+void edge_move_exclude(struct edge_req *r, struct flt_endpoint *target)
+{
+	if (target)
+		flt_ref(target);
+	if (r->move_refused)
+		flt_unref(&r->en->fleet, r->move_refused);
+	r->move_refused = target;
+}
+
 /* No copy was made, and the run goes on. */
 static void copy_failed(struct edge_move *m, const char *why)
 {
@@ -204,10 +213,7 @@
 	met_inc(en->m.moves_failed);
 	log_move(m, why);
 	hand_on_copy_ended(&r->hand, edge_now(en));
-	if (r->move_refused)
-		flt_unref(&en->fleet, r->move_refused);
-	r->move_refused = m->to;
-	flt_ref(m->to);
+	edge_move_exclude(r, m->to);
 	r->move_after_ms = edge_now(en) + RETRY_MS;
 	edge_move_cancel(r);
 }
--- a/lib/edge/edge_req.c
+++ b/lib/edge/edge_req.c
@@ -52,8 +52,7 @@
 	edge_send_stop(r);
 	while (r->nr_tried)
 		flt_unref(&en->fleet, r->tried[--r->nr_tried]);
-	if (r->move_refused)
-		flt_unref(&en->fleet, r->move_refused);
+	edge_move_exclude(r, NULL);
 	edge_send_forget_copy(r);
 	if (r->awaiting_config || r->parked)
 		cds_list_del(&r->wait_node);
--- a/lib/edge/edge_send.c
+++ b/lib/edge/edge_send.c
@@ -433,9 +433,8 @@
 		r->move_tries = r->copy.tries;
 	if (refused) {
 		/* No further copy is made there at once. */
-		if (r->move_refused)
-			flt_unref(&r->en->fleet, r->move_refused);
-		r->move_refused = r->copy.other;
+		edge_move_exclude(r, r->copy.other);
+		flt_unref(&r->en->fleet, r->copy.other);
 		r->copy.other = NULL;
 	}
 	rq_copy_unused(&r->rq);
