ioc: a reset that a write has met is not reported as an orderly close

Callers saw: an endpoint answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was being written. Callers got the part as a complete answer, framed as whole.

Cause: the kernel reports the error of a reset once. If part and reset arrive within one turn of the event loop, the reader receives the part, and the writer of the same connection gets the error from send(). The next recv() returns 0, as after an orderly close, and ioc reported IOC_END_CLOSED: the end of an answer without framing. The endpoint's process runs, so edge_verify does not find the difference. A relay's tunnel passed the close on as a close, in the same way.

Change: ioc keeps that a write failed; a read of 0 after it is IOC_END_RESET. Bytes received before the reset are still read first, so a framed answer that is complete stays complete. Nothing else takes the error off the socket: SO_ERROR is read only while connecting, TCP_INFO, SIOCOUTQ and poll() leave it.

Evidence: early_answer_test, 20 requests of each of four kinds.

Whole answers without a length to uploads that are read, and framed answers before a reset, pass as before, on both ways.

--- a/lib/io/ioc.c
+++ b/lib/io/ioc.c
@@ -194,7 +194,8 @@
 	if (n < 0 && (errno == EAGAIN || errno == EINTR))
 		return;
 	if (n <= 0) {
-		notify_ended(c, n == 0 ? IOC_END_CLOSED : IOC_END_RESET);
+		notify_ended(c, n == 0 && !c->write_failed ? IOC_END_CLOSED
+							   : IOC_END_RESET);
 		return;
 	}
 	c->in_callback = true;
@@ -283,8 +284,12 @@
 		n = send(c->fd, data + *done, len - *done, MSG_NOSIGNAL);
 		if (n < 0 && errno == EINTR)
 			continue;
-		if (n < 0)
-			return errno == EAGAIN;
+		if (n < 0 && errno == EAGAIN)
+			return true;
+		if (n < 0) {
+			c->write_failed = true;
+			return false;
+		}
 		c->sent += (uint64_t)n;
 		c->queued -= (size_t)n;
 		*done += (size_t)n;
@@ -349,7 +354,7 @@
 		if (finish_callback(c))
 			return;
 	}
-	/* After a write error, the next read reports the end. */
+	/* The end is reported once all received bytes have been read. */
 	if (!write_pending(c)) {
 		ev_io_stop(loop, &c->writer);
 		return;
--- a/lib/io/ioc.h
+++ b/lib/io/ioc.h
@@ -57,7 +57,12 @@
 	bool closed;	  /* by ioc_close */
 	bool in_callback; /* ioc_close frees when the callback returns */
 	bool paused;	  /* not reading */
-	uint64_t sent;	  /* bytes that the kernel has accepted */
+	/*
+	 * The kernel reports the error of a reset once: if a write receives it,
+	 * reads return 0 as after an orderly close.
+	 */
+	bool write_failed;
+	uint64_t sent;		    /* bytes that the kernel has accepted */
 	struct cds_list_head queue; /* of ioc_piece: bytes to write */
 	struct ioc_piece
 		*tail; /* the last one, if bytes may be appended to it */
--- /dev/null
+++ b/scripts/early_answer_test.sh
@@ -0,0 +1,120 @@
+#!/bin/bash
+# Endpoints that answer before they have read a long upload, and end the connection; real
+# entries on a stand-in of the platform, one of which reaches endpoints through the other
+# one's tunnels. Checks counts, never times.
+#
+# Failure: an endpoint answered an upload at once with a 200 without a length, sent a part
+# of its body and reset the connection; callers got the part as a whole answer.
+# Usage: early_answer_test.sh
+cd "$(dirname "$0")/.." || exit 1
+EDGES=2
+CUTTABLE=1
+EDGE_SERVICES_EACH=2
+ENDLESS_WINDOW=8192
+MAX_BODY_BYTES=4000000
+UPLOAD_BYTES=3000000
+# Of uploads that are read to their end. On loopback a tunnel is slow: a segment can be
+# larger than the receive window of a relay.
+SMALL_BYTES=30000
+EACH=${EACH:-20}
+# A request of each case may be repeated.
+EDGE_BOUNDS=', "retry_slack": 100000'
+. scripts/cluster.sh
+. scripts/edge_cluster.sh
+. scripts/scripted_answers.sh
+trap cluster_stop EXIT
+# Of requests: which may be repeated (l, s), and which may not.
+KINDS='l s u o'
+
+# add_case CASE HOW PLAIN STREAM: the first try of a request is answered so, of which
+# there are EACH; the second one is answered whole.
+add_case() {
+	local i
+	for i in $(seq 1 "$EACH"); do
+		answer "$1-$i-plain" 1 "$2" "$3"
+		answer "$1-$i-stream" 1 "$2" "$4"
+		answer "$1-$i-plain" 2 fin "$(whole_plain)"
+		answer "$1-$i-stream" 2 fin "$(whole_stream)"
+	done
+}
+
+# run CASE [UPLOAD]: all kinds of requests, through both entries.
+run() {
+	local n kind pids
+	for n in 1 2; do
+		pids=
+		for kind in $KINDS; do
+			UPLOAD=$DIR/${2:-upload} send_all "$n" "$kind" \
+				$(seq -f "$1-%g" 1 "$EACH") &
+			pids="$pids $!"
+		done
+		wait $pids
+	done
+}
+
+way() { [ "$1" = 1 ] && echo direct || echo tunnel; }
+
+# taken_for_whole N KIND...: requests whose part, of their only try, callers got as whole.
+taken_for_whole() {
+	local n=$1 kind id status
+	shift
+	for kind in "$@"; do
+		while read -r id status; do
+			[ "$status" = 200:0 ] && is "$(tries "$id")" 1 && echo "$id"
+		done <"$DIR/told-$n-$kind"
+	done | wc -l
+}
+
+# A part never counts as whole: a request that may be repeated is sent again.
+expect_cut() {
+	local n
+	for n in 1 2; do
+		echo "$(way $n): $1: $(taken_for_whole $n $KINDS) of $((4 * EACH)) parts taken for whole"
+		ended "$(way $n): $1: a plain call is sent again" $n l 200:0 2
+		ended "$(way $n): $1: a stream is sent again" $n s 200:0 2
+		ended "$(way $n): $1: a plain call that may run once gets 502" $n u 502:0 1
+		expect "$(way $n): $1: a stream that may run once is broken off" \
+			is "$(taken_for_whole $n o)" 0
+		expect "$(way $n): $1: and is sent once" \
+			is "$(grep -c " $n-o-$1-" <(grep -h '^sent' "$DIR"/bad-*.out))" "$EACH"
+	done
+}
+
+# expect_passed CASE STATUS: the first answer is passed on.
+expect_passed() {
+	local n kind
+	for n in 1 2; do
+		for kind in $KINDS; do
+			ended "$(way $n): $1: passed on ($kind)" $n $kind "$2" 1
+		done
+	done
+}
+
+# ---- Test ----
+
+start_scripted
+head -c "$UPLOAD_BYTES" /dev/zero | tr '\0' x >"$DIR/upload"
+head -c "$SMALL_BYTES" /dev/zero | tr '\0' x >"$DIR/small"
+EVENTS='id: 1|data: piece 1||id: 2|data: piece 2||'
+
+for HOW in unread reset; do
+	add_case "part-$HOW" $HOW "$(head_of unframed text/plain)part" \
+		"$(head_of unframed text/event-stream)$EVENTS"
+	run "part-$HOW"
+	expect_cut "part-$HOW"
+done
+
+# What was received before the reset is complete by its framing.
+add_case framed unread "$(whole_plain)" "$(whole_stream)"
+run framed
+expect_passed framed 200:0
+
+add_case read "read fin" "$(head_of unframed text/plain)whole" \
+	"$(head_of unframed text/event-stream)${EVENTS}id: 3|data: piece 3||"
+run read small
+expect_passed read 200:0
+
+expect "no entry ended by itself" [ -z "$(grep -lE 'Sanitizer|Assertion' "$DIR"/*.log)" ]
+
+echo "early_answer_test: $PASSED passed, $FAILED failed"
+[ "$FAILED" = 0 ]
--- a/scripts/edge_cluster.sh
+++ b/scripts/edge_cluster.sh
@@ -173,9 +173,10 @@
 
 # start_endless NAME SERVICE SLOTS: starts an endpoint in trouble and lists it; $DIR/mode
 # and the files in $DIR/answers say what it answers, see tests/standin/endless.c.
+# ENDLESS_WINDOW: size of its receive buffer, bytes.
 start_endless() {
 	start "$1" "$BIN/standin-endless" --mode "$DIR/mode" \
-		--answers "$DIR/answers"
+		--answers "$DIR/answers" --window "${ENDLESS_WINDOW:-0}"
 	printf '{"service":"%s","address":"%s","zone":"north","version":"v1","slots":%s,"state":"ready","coldLeftMs":0,"seqNo":1}' \
 		"$2" "$(ready "$1")" "$3" >"$DIR/entry"
 	curl -s -o /dev/null --data-binary @"$DIR/entry" \
--- a/tests/standin/endless.c
+++ b/tests/standin/endless.c
@@ -3,14 +3,17 @@
  * answer, without end, until the caller closes the connection, or with nothing. One
  * thread a connection, so that other stand-ins are not slowed down.
  *
- * Options: --mode FILE, --address IP:PORT, --answers DIR. Prints "ready ADDRESS", and a
+ * Options: --mode FILE, --address IP:PORT, --answers DIR, --window BYTES (size of the
+ * receive buffer; 0: as the system has it). Prints "ready ADDRESS", and a
  * line "closed MODE BYTES ID" for each answer that has ended. The file
  * holds the name of a mode, which is read for each request; see `modes`.
  *
- * A request without a body and with the query "case=NAME" is answered with the text of
- * DIR/NAME.N at its Nth try, whichever of the stand-ins gets it, or of the last such
- * file; %ID% stands for the attempt's id. Its first line says how the connection goes
- * on: fin, reset, or kept. Prints "sent NAME N I ID", I: how many requests came on the
+ * A request with the query "case=NAME" is answered with the text of DIR/NAME.N at its Nth
+ * try, whichever of the stand-ins gets it, or of the last such file; %ID% stands for the
+ * attempt's id. Its first line says how the connection goes on: fin, reset, kept, unread
+ * (closed with a part of the request received and not read, which resets it), shutdown
+ * (an orderly end, then closed), or drain (an orderly end, then the rest of the request
+ * is read). The request's body is read before the answer if "read " precedes that. Prints "sent NAME N I ID", I: how many requests came on the
  * connection.
  */
 #include <fcntl.h>
@@ -104,7 +107,7 @@
 	exit(2);
 }
 
-/* Reads up to the end of a head; false: there is none. A body is left unread. */
+/* Reads up to the end of a head; false: there is none. The rest of a body is left unread. */
 static bool read_head(int fd, char *head)
 {
 	size_t len = 0;
@@ -161,6 +164,24 @@
 		buf_str(out, "\r\n");
 }
 
+/* Reads the body of which `head` has the first bytes. */
+static void read_body(int fd, const char *head)
+{
+	static const char name[] = "\nContent-Length: ";
+	const char *length = strcasestr(head, name);
+	const char *body = strstr(head, "\r\n\r\n") + 4;
+	char piece[PIECE_BYTES];
+	size_t left;
+	ssize_t n = 1;
+
+	if (!length || length > body)
+		return;
+	left = strtoul(length + strlen(name), NULL, 10) - strlen(body);
+	for (; left && n > 0; left -= (size_t)n)
+		n = recv(fd, piece, left < sizeof(piece) ? left : sizeof(piece),
+			 0);
+}
+
 /* Until the caller closes the connection. */
 static void stay_mute(int fd)
 {
@@ -267,11 +288,18 @@
 	buf_str(out, text);
 }
 
+static bool is_how(const char *how, const char *name)
+{
+	return !strncmp(how, name, strlen(name));
+}
+
 /* Returns true if the connection is kept. */
 static bool answer_case(int fd, const char *request, const char *name,
 			int on_connection)
 {
+	static const char read_first[] = "read ";
 	const struct linger reset = { .l_onoff = 1, .l_linger = 0 };
+	struct pollfd p = { .fd = fd, .events = POLLIN };
 	BUF_AUTO file = BUF_INIT;
 	BUF_AUTO out = BUF_INIT;
 	const char *text, *how;
@@ -286,14 +314,24 @@
 		exit(2);
 	}
 	how = buf_cstr(&file);
+	if (!strncmp(how, read_first, strlen(read_first))) {
+		read_body(fd, request);
+		how += strlen(read_first);
+	}
+	if (is_how(how, "unread"))
+		poll(&p, 1, -1);
 	text = how + strcspn(how, "\n");
 	put_with_id(*text ? text + 1 : text, id, &out);
 	printf("sent %s %d %d %s\n", name, n, on_connection, id);
 	fflush(stdout);
 	send_all(fd, buf_cstr(&out), out.len, &sent);
-	if (!strncmp(how, "reset", strlen("reset")))
+	if (is_how(how, "reset"))
 		setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
-	return !strncmp(how, "kept", strlen("kept"));
+	if (is_how(how, "shutdown") || is_how(how, "drain"))
+		shutdown(fd, SHUT_WR);
+	if (is_how(how, "drain"))
+		stay_mute(fd);
+	return is_how(how, "kept");
 }
 
 /* ---- Connections ---- */
@@ -327,15 +365,19 @@
 	struct sockaddr_in addr;
 	socklen_t len = sizeof(addr);
 	pthread_t thread;
-	int listener, fd;
+	int listener, fd, window;
 
 	mode_file = standin_option(argc, argv, "mode", "/dev/null");
 	answers_dir = standin_option(argc, argv, "answers", NULL);
+	window = atoi(standin_option(argc, argv, "window", "0"));
 	signal(SIGPIPE, SIG_IGN);
 	if (ioc_address(standin_option(argc, argv, "address", "127.0.0.2:0"),
 			&addr, NULL))
 		return 64;
 	listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	if (window)
+		setsockopt(listener, SOL_SOCKET, SO_RCVBUF, &window,
+			   sizeof(window));
 	if (listener < 0 ||
 	    bind(listener, (struct sockaddr *)&addr, sizeof(addr)) ||
 	    listen(listener, 256))
