edge: log how an endpoint's connection ended, and what of the request was unacknowledged

Cause: `send_ended` and `cut` did not say whether a connection was closed or reset, nor how much of the request the endpoint had received by then. An answer without a length that ends early, and a whole one, gave the same lines.

Change: htc_end_name() and htc_unacked(); `connection` and `unacked_bytes` in both lines.

--- a/lib/edge/edge_answer.c
+++ b/lib/edge/edge_answer.c
@@ -60,6 +60,8 @@
 	jlog_str(en->log, "outcome", outcome);
 	jlog_int(en->log, "status", status);
 	jlog_bool(en->log, "unframed", r->unframed);
+	jlog_str(en->log, "connection", r->conn_end);
+	jlog_int(en->log, "unacked_bytes", (int64_t)r->request_unacked);
 	jlog_int(en->log, "events", (int64_t)r->events.events);
 	jlog_int(en->log, "first_ms",
 		 r->first_event_ms ? r->first_event_ms - r->sent_ms : -1);
@@ -644,6 +646,15 @@
 	}
 }
 
+/* What the connection says of the end of the call. */
+static void note_end(struct edge_req *r, const struct htc_call *call)
+{
+	r->call = NULL;
+	r->unframed = htc_ended_by_close(call);
+	r->conn_end = htc_end_name(call);
+	r->request_unacked = htc_unacked(call);
+}
+
 static void end_refused(struct edge_req *r)
 {
 	edge_send_not_run(r, r->reply.misdirected ? FLT_MISDIRECTED : FLT_BUSY,
@@ -654,8 +665,7 @@
 {
 	struct edge_req *r = htc_owner(call);
 
-	r->call = NULL;
-	r->unframed = htc_ended_by_close(call);
+	note_end(r, call);
 	if (r->reply.not_run) {
 		end_refused(r);
 		return;
@@ -684,7 +694,7 @@
 	};
 	struct edge_req *r = htc_owner(call);
 
-	r->call = NULL;
+	note_end(r, call);
 	if (why == HTC_TOO_LARGE)
 		met_inc(r->en->m.answers_oversized);
 	/* The head has said so, however the rest ends. */
--- a/lib/edge/edge_cut.c
+++ b/lib/edge/edge_cut.c
@@ -38,6 +38,8 @@
 	jlog_str(en->log, "relay", e ? r->relay : "");
 	jlog_int(en->log, "sent_ago_ms", e ? now - r->sent_ms : -1);
 	jlog_int(en->log, "event_ago_ms", age(r->last_event_ms, now));
+	jlog_str(en->log, "connection", e ? r->conn_end : "");
+	jlog_int(en->log, "unacked_bytes", e ? (int64_t)r->request_unacked : 0);
 	jlog_int(en->log, "endpoint_age_ms", e ? age(e->received_ms, now) : -1);
 	jlog_int(en->log, "unread_bytes",
 		 r->call ? (int64_t)htc_unread(r->call) : 0);
--- a/lib/edge/edge_internal.h
+++ b/lib/edge/edge_internal.h
@@ -405,6 +405,8 @@
 	bool offered;		/* counted in the load that clients offer */
 	struct reply reply;
 	bool unframed;		    /* the answer ended with its connection */
+	const char *conn_end;	    /* how that ended during the send; "" */
+	size_t request_unacked;	    /* bytes, when it ended */
 	struct edge_verify *verify; /* of its end; NULL: none */
 	struct buf answer_head;	    /* until the first event was passed on */
 	struct buf answer_body;	    /* of an answer without a stream */
--- a/lib/edge/edge_send.c
+++ b/lib/edge/edge_send.c
@@ -220,6 +220,8 @@
 	r->sent_true_ms = walltime_now(&en->walltime, now);
 	memset(&r->reply, 0, sizeof(r->reply));
 	r->unframed = false;
+	r->conn_end = "";
+	r->request_unacked = 0;
 	r->unread = false;
 	evs_drop_partial(&r->events);
 	r->events_before_send = r->events.events;
--- a/lib/io/htc.c
+++ b/lib/io/htc.c
@@ -57,6 +57,9 @@
 	bool no_body;
 	bool head_delivered; /* the owner accepted the head */
 	bool ended_by_close; /* the response has no framing */
+	/* Of its connection, if that ended during the call. */
+	const char *end_name;
+	size_t unacked;
 };
 
 static void idle_add(struct htc_conn *k)
@@ -461,6 +464,10 @@
 	struct htc_conn *k = io->owner;
 	bool complete = false;
 
+	if (k->call) {
+		k->call->end_name = ioc_end_name(how);
+		k->call->unacked = ioc_unacked(io);
+	}
 	/* Only an orderly close ends a response without framing. */
 	if (how == IOC_END_CLOSED && k->call) {
 		k->in_parser = true;
@@ -718,6 +725,16 @@
 	return c->ended_by_close;
 }
 
+size_t htc_unacked(const struct htc_call *c)
+{
+	return c->unacked;
+}
+
+const char *htc_end_name(const struct htc_call *c)
+{
+	return c->end_name ? c->end_name : "";
+}
+
 size_t htc_unread(const struct htc_call *c)
 {
 	return ioc_unread(c->conn->io);
--- a/lib/io/htc.h
+++ b/lib/io/htc.h
@@ -185,6 +185,15 @@
  */
 bool htc_ended_by_close(const struct htc_call *c);
 
+/*
+ * Number of bytes of the request that the peer, or a relay, had not acknowledged when the
+ * connection ended; 0 if it did not. Valid in `end` and `failed`.
+ */
+size_t htc_unacked(const struct htc_call *c);
+
+/* How the connection ended, for logs; "" if it did not. Valid in `end` and `failed`. */
+const char *htc_end_name(const struct htc_call *c);
+
 /* Number of bytes of the response that were received and not read. */
 size_t htc_unread(const struct htc_call *c);
 
