edge: a success without framing does not end before its request was received

Callers saw: a part of an answer as a complete one, after an endpoint had answered an upload at once with a 200 without a length, sent a part and closed in order while most of the upload was still to come. This is the case of a reset with another last step: a process that closes, or exits, while nothing is unread sends a FIN first.

Cause: the protocol takes the close for the end of the answer, and the process is found running. Nothing compared the end with how much of the request had been received.

Change: a 2xx without a length or chunks that ends by a close, while bytes of its request are unacknowledged, counts as cut off (whole_judge): the request is sent again, or answered with 502 at once. A sound endpoint has received the request by then, and its last segment acknowledges it. An early refusal passes, and a framed answer does. A relay acknowledges what the endpoint has not received, so it passes such a close on as a reset, after the last byte; a reset by the endpoint no longer discards what is queued for the other entry.

Price: a 413 without framing that comes through a relay before its upload is read is answered with 502, or sent again.

--- a/lib/edge/edge_tunnel.c
+++ b/lib/edge/edge_tunnel.c
@@ -23,6 +23,9 @@
 /* The other entry is given up after it has taken no byte for this long, ms. */
 #define UNREAD_MS 10000
 
+/* Between two checks whether the other entry has received the last byte, ms. */
+#define RECEIVED_CHECK_MS 5
+
 struct edge_tunnel {
 	struct cds_list_head node; /* in edge.tunnels */
 	struct edge *en;
@@ -30,10 +33,13 @@
 	struct hsc *conn; /* the request for it; NULL once it was answered */
 	struct ioc *entry, *endpoint; /* NULL: not open */
 	struct mem_holder holder;     /* of what is queued for both */
-	bool endpoint_closed;	      /* in order, after its last byte */
+	bool endpoint_ended;	      /* its last byte was received */
+	bool reset; /* the other entry's connection is reset after that byte */
 	bool established;
 	ev_timer timer; /* of connecting, then of lingering */
 	uint64_t sent;	/* to the other entry, when `timer` was set to linger */
+	size_t unacked; /* by the other entry, at the last check */
+	int unacked_for; /* checks since it was another number */
 	int64_t since_ms;
 };
 
@@ -108,22 +114,39 @@
 	ev_timer_start(t->en->loop, &t->timer);
 }
 
-/* The endpoint has closed: waits for the other entry. */
+/* A reset would discard what the other entry has not received. */
+static void reset_once_received(struct edge_tunnel *t)
+{
+	const size_t unacked = ioc_unacked(t->entry);
+
+	t->unacked_for = unacked == t->unacked ? t->unacked_for + 1 : 0;
+	t->unacked = unacked;
+	if (!unacked || t->unacked_for > UNREAD_MS / RECEIVED_CHECK_MS)
+		tunnel_free(t, ioc_abort);
+	else
+		set_timer(t, RECEIVED_CHECK_MS);
+}
+
+/* The endpoint's connection has ended: waits for the other entry. */
 static void linger(struct edge_tunnel *t)
 {
 	t->sent = t->entry->sent;
 	if (ioc_pending(t->entry)) {
 		set_timer(t, UNREAD_MS);
-		return;
+	} else if (t->reset) {
+		reset_once_received(t);
+	} else {
+		shutdown(t->entry->fd, SHUT_WR);
+		set_timer(t, LINGER_MS);
 	}
-	shutdown(t->entry->fd, SHUT_WR);
-	set_timer(t, LINGER_MS);
 }
 
 /* An orderly close would make what was passed on look complete. */
 static void end_lingering(struct edge_tunnel *t)
 {
-	if (!ioc_pending(t->entry))
+	if (!ioc_pending(t->entry) && t->reset)
+		reset_once_received(t);
+	else if (!ioc_pending(t->entry))
 		tunnel_free(t, ioc_close);
 	else if (t->entry->sent != t->sent)
 		linger(t);
@@ -176,7 +199,7 @@
 	update_held(t);
 	if (t->endpoint)
 		ioc_pause(t->endpoint, false);
-	if (t->endpoint_closed)
+	if (t->endpoint_ended)
 		linger(t);
 }
 
@@ -240,24 +263,29 @@
 		ioc_pause(t->entry, false);
 }
 
+/* Bytes of the other entry that the endpoint has not received. */
+static bool has_unreceived(const struct edge_tunnel *t)
+{
+	return ioc_unacked(t->endpoint) || ioc_unread(t->entry);
+}
+
 /*
- * The end of the connection may be the end of an answer: an orderly close is
- * passed on after the last byte, a reset as a reset.
+ * The end of the connection may be the end of an answer: an orderly close is passed on
+ * after the last byte, a reset as a reset. The other entry does not see how much of its
+ * request the endpoint has received: a close before that is passed on as a reset too.
  */
 static void on_endpoint_ended(struct ioc *io, enum ioc_end how)
 {
 	struct edge_tunnel *t = io->owner;
 
+	if (t->established)
+		t->reset = how != IOC_END_CLOSED || has_unreceived(t);
 	t->endpoint = NULL;
 	if (!t->established) {
 		refuse(t, 502, "endpoint not reached");
 		return;
 	}
-	if (how != IOC_END_CLOSED) {
-		tunnel_free(t, ioc_abort);
-		return;
-	}
-	t->endpoint_closed = true;
+	t->endpoint_ended = true;
 	ioc_pause(t->entry, false);
 	linger(t);
 }
--- a/lib/stream/whole.h
+++ b/lib/stream/whole.h
@@ -4,6 +4,8 @@
  * A length or a last chunk proves that an answer is whole. An answer with neither
  * ends with its connection, and so does one that was cut off. It counts as whole
  * only if nothing made the run stop and the process that made it still runs.
+ * An endpoint may refuse a request that it has not read to its end; a success without
+ * framing that ends before that does not count as whole.
  * If a stop is only suspected, an answer counts as cut off where it can be resumed:
  * one needless resumption costs less than an end that the caller never gets.
  *
@@ -25,6 +27,8 @@
 struct whole_facts {
 	bool framed;	    /* by a length or chunks, and complete by these */
 	bool partial_event; /* of a stream: its last event is incomplete */
+	/* A success, though the endpoint has not received all of the request. */
+	bool unread_success;
 	bool stopped; /* this entry had the run stopped, or may have had it */
 	bool stopped_early; /* the endpoint may have stopped it at a copy */
 	bool resumable;	    /* the rest can be had from another endpoint */
--- a/scripts/early_answer_test.sh
+++ b/scripts/early_answer_test.sh
@@ -102,7 +102,7 @@
 head -c "$SMALL_BYTES" /dev/zero | tr '\0' x >"$DIR/small"
 EVENTS='id: 1|data: piece 1||id: 2|data: piece 2||'
 
-for HOW in unread reset; do
+for HOW in unread reset shutdown; do
 	add_case "part-$HOW" $HOW "$(head_of unframed text/plain)part" \
 		"$(head_of unframed text/event-stream)$EVENTS"
 	run "part-$HOW"
@@ -110,12 +110,24 @@
 done
 
 # What was received before the reset is complete by its framing, on both ways.
-for HOW in unread; do
+for HOW in unread shutdown; do
 	add_case "framed-$HOW" $HOW "$(whole_plain)" "$(whole_stream)"
 	run "framed-$HOW"
 	expect_passed "framed-$HOW" 200:0
 done
 
+# An endpoint may refuse an upload that it has not read. A tunnel ends with a reset then.
+for FRAMING in length unframed; do
+	REFUSAL="$(head_of $FRAMING text/plain | sed 's/200 OK/413 X/')whole"
+	add_case "refusal-$FRAMING" drain "$REFUSAL" "$REFUSAL"
+	run "refusal-$FRAMING"
+	if [ $FRAMING = length ]; then
+		expect_passed refusal-length 413:0
+	else
+		expect_passed_directly refusal-unframed 413:0
+	fi
+done
+
 # Guards against a request on a connection that the endpoint is about to reset. A relay
 # has received what the endpoint has not read, so a tunnel does not show it.
 add_case late late "$(whole_plain)" "$(whole_stream)"
