hparse: a response whose status is not 100 to 599 is malformed

Callers saw: an answer with status 000 or 099 and a length or chunks was awaited until the deadline, and ended with 504, also where another endpoint could have been tried. Status 600 and 999 were passed on as they are. Status 000 itself was never passed on.

Cause: htc skips every status below 200 as informational and waits for the final one; a status above 599 is a status like any other.

Change: the parser rejects a response whose status is outside the range of RFC 9110, 15. It is known at once: a request that may be repeated is sent again, another one gets 502. For 600 and more the RFC asks to treat the response as a 5xx, which is what callers get; an invalid number is not passed on.

Evidence: malformed_answer_test, six statuses by three framings by four kinds of requests, directly and through a tunnel.

Handled already, kept as tests: names of fields with a blank, a tab, a control byte, a byte above 126, a blank before the colon (also of Content-Length and Transfer-Encoding), no name, no colon, no token, control bytes and a bare CR in values, a status line after a blank: 502 at once or the next try, nothing is passed on.

--- a/lib/io/hmsg.c
+++ b/lib/io/hmsg.c
@@ -197,6 +197,12 @@
 	return true;
 }
 
+/* RFC 9110, 15: others are invalid. */
+static bool is_status(unsigned status)
+{
+	return status >= 100 && status <= 599;
+}
+
 static int on_headers(http_parser *hp)
 {
 	struct hparse *p = hp->data;
@@ -205,6 +211,8 @@
 	end_string(m);
 	if (!header_names_are_tokens(m))
 		return -1;
+	if (hp->type == HTTP_RESPONSE && !is_status(hp->status_code))
+		return -1;
 	m->method = hp->method;
 	m->status = hp->status_code;
 	m->keep_alive = http_should_keep_alive(hp);
--- a/lib/io/hmsg.h
+++ b/lib/io/hmsg.h
@@ -4,8 +4,8 @@
  *
  * "Head" means the request or status line and the headers. The library checks
  * the framing: it rejects two Content-Length headers, Content-Length together
- * with chunked encoding, and unknown transfer codings. Header names are checked
- * here.
+ * with chunked encoding, and unknown transfer codings. Header names and the
+ * range of a status are checked here.
  */
 #ifndef HMSG_H
 #define HMSG_H
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -133,6 +133,7 @@
 endless_test scripts/endless_test.sh 1
 endless_test_tunnel TUNNEL=1 CASES="event body_chunked foreign header" scripts/endless_test.sh 1
 head_test scripts/head_test.sh
+malformed_answer_test scripts/malformed_answer_test.sh
 early_answer_test scripts/early_answer_test.sh
 endless_store_test scripts/endless_store_test.sh
 power_test scripts/power_test.sh
--- /dev/null
+++ b/scripts/malformed_answer_test.sh
@@ -0,0 +1,106 @@
+#!/bin/bash
+# Endpoints whose answers have a status that is none, or a head that is none, on connections
+# that stay open; real entries on a stand-in of the platform, one of which reaches endpoints
+# through the other one's tunnels. Checks counts, never times: a request that would wait for
+# the rest of such an answer gets 504 at its deadline.
+#
+# Failure: an answer with status 000 reached callers, or was awaited until the deadline.
+# Failure: an answer in whose head a field's name held a blank or a control byte reached
+# callers, with that line or with another body.
+# Usage: malformed_answer_test.sh
+cd "$(dirname "$0")/.." || exit 1
+EDGES=2
+CUTTABLE=1
+EDGE_SERVICES_EACH=2
+# A request of each case may be repeated.
+EDGE_BOUNDS=', "retry_slack": 100000'
+. scripts/cluster.sh
+. scripts/edge_cluster.sh
+. scripts/scripted_answers.sh
+trap cluster_stop EXIT
+# Of requests: which may be repeated (l, s), and which may not.
+KINDS='l s u o'
+
+# try_of KIND FRAMING STATUS_LINE LINE: an answer with another status line, and one more
+# line in its head.
+try_of() {
+	local type=text/plain body=whole head
+	[ "$1" = plain ] || { type=text/event-stream body='data: x||'; }
+	head=$(head_of "$2" "$type")
+	head=${head/Content-Length: 5/Content-Length: ${#body}}
+	head=$3${head#HTTP/1.1 200 OK}
+	head=${head/X-Other: something/$4}
+	case $2 in
+	chunked) body=$(printf '%x~%s~0~~' "${#body}" "$body") ;;
+	esac
+	echo "$head$body"
+}
+
+# add_case CASE HOW STATUS_LINE LINE: of each framing, HOW if there is one; the second
+# try is answered whole.
+add_case() {
+	local framing how
+	for framing in length chunked unframed; do
+		how=$2
+		[ $framing = unframed ] && how=fin
+		answer "$1-$framing-plain" 1 $how "$(try_of plain $framing "$3" "$4")"
+		answer "$1-$framing-stream" 1 $how "$(try_of stream $framing "$3" "$4")"
+		answer "$1-$framing-plain" 2 kept "$(whole_plain)"
+		answer "$1-$framing-stream" 2 kept "$(whole_stream)"
+		CASES="$CASES $1-$framing"
+	done
+}
+
+# run CASE...: all kinds of requests, through both entries.
+run() {
+	local n kind pids
+	for n in 1 2; do
+		pids=
+		for kind in $KINDS; do
+			send_all "$n" "$kind" "$@" &
+			pids="$pids $!"
+		done
+		wait $pids
+	done
+}
+
+# expect_refused NAME: no answer of the first try was passed on or awaited.
+expect_refused() {
+	local n way=direct
+	for n in 1 2; do
+		ended "$way: $1: a plain call is sent again" $n l 200:0 2
+		ended "$way: $1: a stream is sent again" $n s 200:0 2
+		ended "$way: $1: a plain call that may run once gets 502" $n u 502:0 1
+		ended "$way: $1: a stream that may run once gets 502" $n o 502:0 1
+		way=tunnel
+	done
+}
+
+# ---- Test ----
+
+start_scripted
+
+CASES=
+for STATUS in 000 001 099 20 600 999; do
+	add_case "status-$STATUS" kept "HTTP/1.1 $STATUS X" 'X-Other: something'
+done
+run $CASES
+expect_refused "not a status"
+
+CASES=
+I=0
+for LINE in 'X Other: y' $'X\tOther: y' $'X\x01Other: y' $'X\x0bOther: y' $'X\x1fOther: y' \
+	$'X\x7fOther: y' $'X\x80Other: y' 'X-Other : y' $'X-Other\t: y' \
+	': y' 'X-Other' 'X(Other): y' 'Content-Length : 3' 'Transfer-Encoding : chunked' \
+	$'X-Other: a\x01b' $'X-Other: a\x7fb' 'X-Other: a^b'; do
+	I=$((I + 1))
+	add_case "line-$I" fin 'HTTP/1.1 200 OK' "$LINE"
+done
+add_case "status-line" fin ' HTTP/1.1 200 OK' 'X-Other: something'
+run $CASES
+expect_refused "not a field"
+
+expect "no entry ended by itself" [ -z "$(grep -lE 'Sanitizer|Assertion' "$DIR"/*.log)" ]
+
+echo "malformed_answer_test: $PASSED passed, $FAILED failed"
+[ "$FAILED" = 0 ]
