hparse: folded headers and unknown transfer codings of responses are malformed

Callers saw: an endpoint sent `Transfer-Encoding: chunked`, then a line that begins with a blank, and a chunked body; callers got 200 with the chunk sizes as a part of the body, framed as whole. With `Transfer-Encoding: gzip`, or `chunked, gzip`, they got the coded bytes without the field that names the coding. On a connection that stays open, 504.

Cause: http-parser appends the line to the field before it, so that the coding is not `chunked` any more; a response with a coding it does not know is read as it is until the connection closes. Transfer-Encoding is not passed on.

Change: the parser gets a head line by line and rejects a line that begins with a blank, as RFC 9112, 5.2 allows a gateway; also of requests, with 400. A response's Transfer-Encoding must be `chunked`, once: nothing else is asked for.

--- a/lib/io/hmsg.c
+++ b/lib/io/hmsg.c
@@ -203,6 +203,24 @@
 	return status >= 100 && status <= 599;
 }
 
+/*
+ * Codings other than chunked, which this side decodes, are not asked for. http-parser
+ * reads such a response as it is, to the end of the connection.
+ */
+static bool has_unknown_coding(const struct hmsg *m)
+{
+	static const char chunked[] = "chunked";
+	const char *v = hmsg_find(m, "Transfer-Encoding");
+
+	if (!v)
+		return false;
+	if (hmsg_count(m, "Transfer-Encoding") > 1 ||
+	    strncasecmp(v, chunked, strlen(chunked)))
+		return true;
+	v += strlen(chunked);
+	return v[strspn(v, " \t")] != '\0';
+}
+
 static int on_headers(http_parser *hp)
 {
 	struct hparse *p = hp->data;
@@ -211,7 +229,8 @@
 	end_string(m);
 	if (!header_names_are_tokens(m))
 		return -1;
-	if (hp->type == HTTP_RESPONSE && !is_status(hp->status_code))
+	if (hp->type == HTTP_RESPONSE &&
+	    (!is_status(hp->status_code) || has_unknown_coding(m)))
 		return -1;
 	m->method = hp->method;
 	m->status = hp->status_code;
@@ -239,8 +258,7 @@
 
 	p->in_message = false;
 	p->vt->end(p);
-	if (p->stop)
-		http_parser_pause(hp, 1);
+	http_parser_pause(hp, 1); /* the next bytes are a head */
 	return 0;
 }
 
@@ -270,24 +288,69 @@
 	hmsg_free(&p->msg);
 }
 
-enum hparse_result hparse_feed(struct hparse *p, const char *data, size_t len,
-			       size_t *used)
+static bool in_head(const struct hparse *p)
+{
+	return !p->in_message || !p->in_body;
+}
+
+/* Length of the first line with its LF, or of all bytes if there is none. */
+static size_t line_length(const char *data, size_t len)
+{
+	const char *end = memchr(data, '\n', len);
+
+	return end ? (size_t)(end - data) + 1 : len;
+}
+
+/*
+ * A line that begins with a blank would continue the field before it (RFC 9112, 5.2).
+ * Recipients differ in what value that field has then, and which framing.
+ */
+static bool is_folded(const struct hparse *p, char first)
 {
+	return p->in_message && p->at_line_start &&
+	       (first == ' ' || first == '\t');
+}
+
+/* Parses up to the end of a line of the head, or of the message. */
+static enum hparse_result parse_part(struct hparse *p, const char *data,
+				     size_t len, size_t *used)
+{
+	const bool head = in_head(p);
+	const size_t n = head ? line_length(data, len) : len;
 	enum http_errno error;
 
-	p->stop = false;
+	*used = 0;
+	if (head && is_folded(p, data[0]))
+		return HPARSE_MALFORMED;
 	if (HTTP_PARSER_ERRNO(&p->parser) == HPE_PAUSED)
 		http_parser_pause(&p->parser, 0);
-	*used = http_parser_execute(&p->parser, &callbacks, data, len);
+	*used = http_parser_execute(&p->parser, &callbacks, data, n);
+	p->at_line_start = in_head(p) && *used && data[*used - 1] == '\n';
 	error = HTTP_PARSER_ERRNO(&p->parser);
 	if (p->too_large || error == HPE_HEADER_OVERFLOW)
 		return HPARSE_HEAD_TOO_LARGE;
 	/* Protocol upgrades and CONNECT are not supported. */
 	if (p->parser.upgrade)
 		return HPARSE_MALFORMED;
-	if (error == HPE_PAUSED)
+	if (error == HPE_PAUSED && p->stop)
 		return HPARSE_STOPPED;
-	return error == HPE_OK ? HPARSE_MORE : HPARSE_MALFORMED;
+	return error == HPE_OK || error == HPE_PAUSED ? HPARSE_MORE
+						      : HPARSE_MALFORMED;
+}
+
+enum hparse_result hparse_feed(struct hparse *p, const char *data, size_t len,
+			       size_t *used)
+{
+	enum hparse_result r = HPARSE_MORE;
+	size_t n;
+
+	p->stop = false;
+	*used = 0;
+	while (r == HPARSE_MORE && *used < len) {
+		r = parse_part(p, data + *used, len - *used, &n);
+		*used += n;
+	}
+	return r;
 }
 
 bool hparse_eof(struct hparse *p)
--- a/lib/io/hmsg.h
+++ b/lib/io/hmsg.h
@@ -4,8 +4,9 @@
  *
  * "Head" means the request or status line and the headers. The library checks
  * the framing: it rejects two Content-Length headers, Content-Length together
- * with chunked encoding, and unknown transfer codings. Header names and the
- * range of a status are checked here.
+ * with chunked encoding, and unknown transfer codings of requests. Those of
+ * responses, header names and the range of a status are checked here, and that no
+ * header has several lines.
  */
 #ifndef HMSG_H
 #define HMSG_H
@@ -96,6 +97,7 @@
 	bool in_message;       /* a message has begun and not ended */
 	bool in_body;	       /* the head is complete */
 	bool in_value;	       /* the last header piece was a value */
+	bool at_line_start;    /* the last byte ended a line of the head */
 	bool too_large;	       /* the head is over a limit */
 	bool stop; /* set by the owner in body or end: stop parsing there */
 };
--- a/scripts/malformed_answer_test.sh
+++ b/scripts/malformed_answer_test.sh
@@ -90,8 +90,9 @@
 CASES=
 I=0
 for LINE in 'X Other: y' $'X\tOther: y' $'X\x01Other: y' $'X\x0bOther: y' $'X\x1fOther: y' \
-	$'X\x7fOther: y' $'X\x80Other: y' 'X-Other : y' $'X-Other\t: y' \
+	$'X\x7fOther: y' $'X\x80Other: y' 'X-Other : y' $'X-Other\t: y' ' X-Other: y' \
 	': y' 'X-Other' 'X(Other): y' 'Content-Length : 3' 'Transfer-Encoding : chunked' \
+	'Transfer-Encoding: gzip' 'Transfer-Encoding: chunked, gzip' 'Transfer-Encoding: gzip, chunked' \
 	$'X-Other: a\x01b' $'X-Other: a\x7fb' 'X-Other: a^b'; do
 	I=$((I + 1))
 	add_case "line-$I" fin 'HTTP/1.1 200 OK' "$LINE"
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -125,6 +125,59 @@
 	}
 }
 
+#define STATUS_LINE "HTTP/1.1 200 OK\r\n"
+#define CHUNKED_5 "\r\n5\r\nhello\r\n0\r\n\r\n"
+
+/* Guards against a response whose head has a line that recipients read differently. */
+static void malformed_response_heads_are_rejected(void)
+{
+	static const struct {
+		const char *text;
+		bool rejected;
+	} cases[] = {
+		{ STATUS_LINE "Transfer-Encoding: chunked\r\n" CHUNKED_5,
+		  false },
+		{ STATUS_LINE "Transfer-Encoding: Chunked \r\nX:\r\n" CHUNKED_5,
+		  false },
+		{ STATUS_LINE "Content-Length: 5\r\nX: a\tb c\r\n\r\n hell",
+		  false },
+		{ STATUS_LINE
+		  "Transfer-Encoding: chunked\r\n X: y\r\n" CHUNKED_5,
+		  true },
+		{ STATUS_LINE "Transfer-Encoding:\r\n\tchunked\r\n" CHUNKED_5,
+		  true },
+		{ STATUS_LINE " X: y\r\nContent-Length: 5\r\n\r\nhello", true },
+		{ STATUS_LINE "X: y\n z\r\nContent-Length: 5\r\n\r\nhello",
+		  true },
+		{ STATUS_LINE "Content-Length: 5\r\n \r\n\r\nhello", true },
+		{ STATUS_LINE "Transfer-Encoding: gzip\r\n\r\nhello", true },
+		{ STATUS_LINE "Transfer-Encoding: gzip, chunked\r\n" CHUNKED_5,
+		  true },
+		{ STATUS_LINE "Transfer-Encoding: chunked\r\n"
+			      "Transfer-Encoding: chunked\r\n" CHUNKED_5,
+		  true },
+		{ "HTTP/1.1 000 X\r\nContent-Length: 5\r\n\r\nhello", true },
+		{ "HTTP/1.1 600 X\r\nContent-Length: 5\r\n\r\nhello", true },
+		{ "HTTP/1.1 599 X\r\nContent-Length: 5\r\n\r\nhello", false },
+	};
+	size_t i, step, used;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		for (step = 1; step <= strlen(cases[i].text); step++) {
+			struct parsed got = { 0, 0, BUF_INIT };
+			struct hparse p;
+
+			hparse_init(&p, false, 0, &parse_vtable, &got);
+			CU_ASSERT_EQUAL(feed(&p, cases[i].text, step, &used),
+					cases[i].rejected ? HPARSE_MALFORMED
+							  : HPARSE_STOPPED);
+			CU_ASSERT_EQUAL(got.heads, !cases[i].rejected);
+			hparse_free(&p);
+			buf_free(&got.body);
+		}
+	}
+}
+
 static void oversized_head_is_rejected(void)
 {
 	struct parsed got = { 0, 0, BUF_INIT };
@@ -1759,6 +1812,8 @@
 	{ "a request is parsed in pieces of any size",
 	  request_is_parsed_in_pieces_of_any_size },
 	{ "ambiguous framing is rejected", ambiguous_framing_is_rejected },
+	{ "malformed response heads are rejected",
+	  malformed_response_heads_are_rejected },
 	{ "an oversized head is rejected", oversized_head_is_rejected },
 	{ "hop-by-hop headers are recognized",
 	  hop_by_hop_headers_are_recognized },
