hparse: a response without a body by its status ends with its head

Callers saw: 504 at the deadline for an endpoint's 204 or 304 whose head has a length or a coding, as a 304 may; the same after an informational response with a length. The answer was there at once, but http-parser waits for the body that the head speaks of.

Change: 1xx, 204 and 304 end with their head (RFC 9112, 6.3). 101 is malformed: no other protocol is asked for, and what follows on it is none that is read here.

--- a/lib/io/hmsg.c
+++ b/lib/io/hmsg.c
@@ -197,10 +197,16 @@
 	return true;
 }
 
-/* RFC 9110, 15: others are invalid. */
+/* RFC 9110, 15: others are invalid. Another protocol (101) is not asked for. */
 static bool is_status(unsigned status)
 {
-	return status >= 100 && status <= 599;
+	return status >= 100 && status <= 599 && status != 101;
+}
+
+/* RFC 9112, 6.3: whatever the head says of a length or a coding. */
+static bool has_no_body(unsigned status)
+{
+	return status < 200 || status == 204 || status == 304;
 }
 
 /*
@@ -225,6 +231,7 @@
 {
 	struct hparse *p = hp->data;
 	struct hmsg *m = &p->msg;
+	int ret;
 
 	end_string(m);
 	if (!header_names_are_tokens(m))
@@ -239,7 +246,10 @@
 	m->has_length = hp->flags & F_CONTENTLENGTH;
 	m->length = m->has_length ? hp->content_length : 0;
 	p->in_body = true;
-	return p->vt->head(p);
+	ret = p->vt->head(p);
+	if (!ret && hp->type == HTTP_RESPONSE && has_no_body(hp->status_code))
+		ret = 1;
+	return ret;
 }
 
 static int on_body(http_parser *hp, const char *at, size_t len)
--- a/scripts/malformed_answer_test.sh
+++ b/scripts/malformed_answer_test.sh
@@ -81,7 +81,7 @@
 start_scripted
 
 CASES=
-for STATUS in 000 001 099 20 600 999; do
+for STATUS in 000 001 099 101 20 600 999; do
 	add_case "status-$STATUS" kept "HTTP/1.1 $STATUS X" 'X-Other: something'
 done
 run $CASES
@@ -101,6 +101,36 @@
 run $CASES
 expect_refused "not a field"
 
+# Answers that end with their head, whatever that says of a body.
+for STATUS in 204 304; do
+	for I in $(seq 1 10); do
+		answer "empty-$STATUS-$I-plain" 1 kept \
+			"$(head_of length text/plain | sed "s/200 OK/$STATUS X/")"
+		answer "empty-$STATUS-$I-stream" 1 kept \
+			"$(head_of chunked text/event-stream | sed "s/200 OK/$STATUS X/")"
+	done
+	run $(printf "empty-$STATUS-%s " $(seq 1 10))
+	for N in 1 2; do
+		for KIND in $KINDS; do
+			ended "entry $N: $STATUS is passed on at once ($KIND)" $N $KIND "$STATUS:0" 1
+		done
+	done
+done
+
+CASES=
+for STATUS in 100 103; do
+	START="HTTP/1.1 $STATUS X~Content-Length: 5~~"
+	answer "after-$STATUS-plain" 1 kept "$START$(whole_plain)"
+	answer "after-$STATUS-stream" 1 kept "$START$(whole_stream)"
+	CASES="$CASES after-$STATUS"
+done
+run $CASES
+for N in 1 2; do
+	for KIND in $KINDS; do
+		ended "entry $N: the answer after an informational one ($KIND)" $N $KIND 200:0 1
+	done
+done
+
 expect "no entry ended by itself" [ -z "$(grep -lE 'Sanitizer|Assertion' "$DIR"/*.log)" ]
 
 echo "malformed_answer_test: $PASSED passed, $FAILED failed"
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -527,6 +527,56 @@
 	}
 }
 
+/* Guards against a wait for a body that never comes. */
+static void responses_without_a_body_end_with_their_head(void)
+{
+	static const struct {
+		const char *raw;
+		bool ends, reused;
+		const char *body;
+	} cases[] = {
+		{ "HTTP/1.1 204 X\r\nContent-Length: 5\r\n\r\n", true, true,
+		  "" },
+		{ "HTTP/1.1 304 X\r\nContent-Length: 5\r\n\r\n", true, true,
+		  "" },
+		{ "HTTP/1.1 304 X\r\nTransfer-Encoding: chunked\r\n\r\n", true,
+		  true, "" },
+		{ "HTTP/1.1 204 X\r\nContent-Length: 5\r\n\r\nhello", true,
+		  false, "" },
+		{ "HTTP/1.1 100 X\r\nContent-Length: 5\r\n\r\n" OK(4, "body"),
+		  true, true, "body" },
+		{ "HTTP/1.1 103 X\r\nTransfer-Encoding: chunked\r\n\r\n" OK(
+			  4, "body"),
+		  true, true, "body" },
+		/* It is no answer, and not a part of one. */
+		{ "HTTP/1.1 100 X\r\nContent-Length: 5\r\n\r\nhello" OK(4,
+									"body"),
+		  false, false, "" },
+		/* This side did not ask for another protocol. */
+		{ "HTTP/1.1 101 X\r\n\r\n" OK(4, "body"), false, false, "" },
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct htc_peer to;
+		struct peer p;
+		struct call c;
+
+		open_peer(&p, cases[i].raw);
+		htc_peer_init(&to, loop, clk_real(), &p.addr, &call_limits);
+		start(&to, &c, 0);
+		run_loop(0.03);
+		CU_ASSERT_EQUAL(c.ends, cases[i].ends);
+		CU_ASSERT_EQUAL(c.failures, !cases[i].ends);
+		CU_ASSERT(cases[i].ends || c.why == HTC_MALFORMED);
+		CU_ASSERT_EQUAL(to.nr_idle, cases[i].reused);
+		CU_ASSERT_STRING_EQUAL(buf_cstr(&c.body), cases[i].body);
+		buf_free(&c.body);
+		htc_peer_close(&to);
+		hsc_server_close(&p.server);
+	}
+}
+
 /* Appends `text` until there are `len` bytes at least. */
 static void fill(struct buf *out, const char *text, size_t len)
 {
@@ -1827,6 +1877,8 @@
 	  response_to_another_request_is_skipped },
 	{ "truncated and malformed responses fail",
 	  truncated_and_malformed_responses_fail },
+	{ "responses without a body end with their head",
+	  responses_without_a_body_end_with_their_head },
 	{ "responses beyond a limit fail", responses_beyond_a_limit_fail },
 	{ "calls can be cancelled from within",
 	  calls_can_be_cancelled_from_within },
