edge: a 204 that says it is a stream is passed on without chunks

Callers saw: an endpoint's 204 with `Content-Type: text/event-stream` was passed on with `Transfer-Encoding: chunked` and a last chunk. A 204 ends with its head: the chunk's bytes are the beginning of the next response on that connection, which is none.

Cause: an answer was a stream by its type and its status class alone.

Change: an answer without a body, by its status or to HEAD, is never a stream; one function says so for both places.

The answer to HEAD had no chunk before either; its check stays.

--- a/lib/edge/edge_answer.c
+++ b/lib/edge/edge_answer.c
@@ -316,6 +316,13 @@
 	handle_lost(r, FLT_FAILED, why);
 }
 
+/* A caller would take the last chunk of a stream for its next response. */
+static bool answer_has_no_body(const struct edge_req *r)
+{
+	return r->conn->parse.msg.method == HTTP_HEAD ||
+	       hmsg_has_no_body(r->reply.status);
+}
+
 static bool on_head(struct htc_call *call, const struct hmsg *m)
 {
 	struct edge_req *r = htc_owner(call);
@@ -341,7 +348,7 @@
 	}
 	buf_free(&r->answer_body);
 	r->streaming = r->reply.events && r->reply.status / 100 == 2 &&
-		       !r->reply.not_run;
+		       !r->reply.not_run && !answer_has_no_body(r);
 	if (!r->reply.not_run)
 		edge_send_forget_copy(r);
 	if (r->streaming)
@@ -514,10 +521,8 @@
 static void pass_answer(struct edge_req *r)
 {
 	struct hsc *c = r->conn;
-	const struct hmsg *m = &c->parse.msg;
 	const bool last = hsc_must_close(c);
-	const bool no_body = m->method == HTTP_HEAD || r->reply.status == 204 ||
-			     r->reply.status == 304;
+	const bool no_body = answer_has_no_body(r);
 	BUF_AUTO out = BUF_INIT;
 	struct shb *body = NULL;
 
--- a/lib/io/hmsg.c
+++ b/lib/io/hmsg.c
@@ -100,6 +100,11 @@
 	return hmsg_has_token(m, "Connection", name);
 }
 
+bool hmsg_has_no_body(int status)
+{
+	return status < 200 || status == 204 || status == 304;
+}
+
 /* ---- Parsing ---- */
 
 static uint32_t end_string(struct hmsg *m)
@@ -203,12 +208,6 @@
 	return status >= 100 && status <= 599 && status != 101;
 }
 
-/* RFC 9112, 6.3: whatever the head says of a length or a coding. */
-static bool has_no_body(unsigned status)
-{
-	return status < 200 || status == 204 || status == 304;
-}
-
 /*
  * Codings other than chunked, which this side decodes, are not asked for. http-parser
  * reads such a response as it is, to the end of the connection.
@@ -247,7 +246,7 @@
 	m->length = m->has_length ? hp->content_length : 0;
 	p->in_body = true;
 	ret = p->vt->head(p);
-	if (!ret && hp->type == HTTP_RESPONSE && has_no_body(hp->status_code))
+	if (!ret && hp->type == HTTP_RESPONSE && hmsg_has_no_body(m->status))
 		ret = 1;
 	return ret;
 }
--- a/lib/io/hmsg.h
+++ b/lib/io/hmsg.h
@@ -71,6 +71,12 @@
  */
 bool hmsg_is_hop_by_hop(const struct hmsg *m, unsigned i);
 
+/*
+ * True if a response with this status has no body, whatever its head says of a length or
+ * a coding (RFC 9112, 6.3).
+ */
+bool hmsg_has_no_body(int status);
+
 struct hparse;
 
 struct hparse_vtable {
--- a/scripts/malformed_answer_test.sh
+++ b/scripts/malformed_answer_test.sh
@@ -76,6 +76,17 @@
 	done
 }
 
+# after_head N METHOD CASE: what follows on the head of the answer to a stream's request.
+after_head() {
+	local at
+	at=$(address "$1" callers)
+	exec 3<>"/dev/tcp/${at%:*}/${at#*:}" || return
+	printf '%s /s/x?case=%s-stream HTTP/1.1\r\nHost: t.example\r\nAttempt-Id: raw-%s-%s-%s\r\nAuthorization: Bearer k1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n' \
+		"$2" "$3" "$1" "$2" "$3" >&3
+	timeout 9 cat <&3 | sed '1,/^\r$/d'
+	exec 3>&-
+}
+
 # ---- Test ----
 
 start_scripted
@@ -102,6 +113,11 @@
 expect_refused "not a field"
 
 # Answers that end with their head, whatever that says of a body.
+answer whole-stream 1 fin "$(head_of chunked text/event-stream)"
+for N in 1 2; do
+	expect "entry $N: the answer to HEAD ends with its head" \
+		[ -z "$(after_head $N HEAD whole)" ]
+done
 for STATUS in 204 304; do
 	for I in $(seq 1 10); do
 		answer "empty-$STATUS-$I-plain" 1 kept \
@@ -114,6 +130,8 @@
 		for KIND in $KINDS; do
 			ended "entry $N: $STATUS is passed on at once ($KIND)" $N $KIND "$STATUS:0" 1
 		done
+		expect "entry $N: $STATUS ends with its head" \
+			[ -z "$(after_head $N POST "empty-$STATUS-1")" ]
 	done
 done
 
