hcl: a reply whose first line begins with a blank does not end the process

Callers saw: marldock-entry, or any program that calls an outside system, aborted on a reply whose head begins with a blank after the status line ("mremap_chunk(): invalid pointer", or a segmentation fault within libcurl).

Cause: libcurl 7.88 appends such a line to the header before it. It keeps a pointer to the last header of the transfer before on the same easy handle, which it has freed by then; curl_easy_reset() leaves the pointer.

Change: an easy handle is used for one call. Connections are kept by the multi handle, of which there is one for each call in progress, as before. mux opens a handle a stream and was not affected.

--- a/lib/net/hcl.c
+++ b/lib/net/hcl.c
@@ -10,18 +10,26 @@
 
 #include "net/rhead.h"
 
-/* Idle handles kept, each with its connections. */
+/* Idle multi handles kept, each with its connections. */
 #define MAX_IDLE 32
 
+/* Between two looks at a transfer on which nothing happens, ms. */
+#define POLL_MS 1000
+
 #define DEFAULT_CONNECT_MS 1000
 #define DEFAULT_MAX_BODY (8u * 1024 * 1024)
 
 /* Header bytes kept of a reply. */
 #define MAX_HEADERS 8192
 
+/*
+ * Connections belong to a multi handle. The easy handle of a call is used once: libcurl
+ * 7.88 keeps a pointer to the last header of a transfer, which is freed when the next one
+ * begins, and appends a first line to it that begins with a blank.
+ */
 struct hcl {
 	pthread_mutex_t lock;
-	CURL *idle[MAX_IDLE];
+	CURLM *idle[MAX_IDLE];
 	size_t nr_idle;
 };
 
@@ -46,36 +54,56 @@
 	if (!h)
 		return;
 	while (h->nr_idle)
-		curl_easy_cleanup(h->idle[--h->nr_idle]);
+		curl_multi_cleanup(h->idle[--h->nr_idle]);
 	pthread_mutex_destroy(&h->lock);
 	free(h);
 }
 
-static CURL *take_handle(struct hcl *h)
+static CURLM *take_multi(struct hcl *h)
 {
-	CURL *c = NULL;
+	CURLM *m = NULL;
 
 	pthread_mutex_lock(&h->lock);
 	if (h->nr_idle)
-		c = h->idle[--h->nr_idle];
+		m = h->idle[--h->nr_idle];
 	pthread_mutex_unlock(&h->lock);
-	if (!c)
-		c = curl_easy_init();
-	assert(c);
-	return c;
+	if (!m)
+		m = curl_multi_init();
+	assert(m);
+	return m;
 }
 
-static void give_handle(struct hcl *h, CURL *c)
+static void give_multi(struct hcl *h, CURLM *m)
 {
-	curl_easy_reset(c);
 	pthread_mutex_lock(&h->lock);
 	if (h->nr_idle < MAX_IDLE) {
-		h->idle[h->nr_idle++] = c;
-		c = NULL;
+		h->idle[h->nr_idle++] = m;
+		m = NULL;
 	}
 	pthread_mutex_unlock(&h->lock);
-	if (c)
-		curl_easy_cleanup(c);
+	if (m)
+		curl_multi_cleanup(m);
+}
+
+/* Runs the transfer to its end. */
+static CURLcode perform(CURLM *m, CURL *c)
+{
+	CURLcode rc = CURLE_FAILED_INIT;
+	CURLMsg *msg;
+	int running = 1, left;
+
+	if (curl_multi_add_handle(m, c))
+		return rc;
+	while (running && !curl_multi_perform(m, &running)) {
+		if (running)
+			curl_multi_poll(m, NULL, 0, POLL_MS, NULL);
+	}
+	while ((msg = curl_multi_info_read(m, &left))) {
+		if (msg->msg == CURLMSG_DONE)
+			rc = msg->data.result;
+	}
+	curl_multi_remove_handle(m, c);
+	return rc;
 }
 
 static size_t on_write(char *data, size_t size, size_t n, void *arg)
@@ -180,7 +208,8 @@
 int hcl_call(struct hcl *h, const struct hcl_request *rq, struct hcl_reply *out,
 	     struct err *e)
 {
-	CURL *c = take_handle(h);
+	CURLM *m = take_multi(h);
+	CURL *c = curl_easy_init();
 	struct call call = { .rq = rq, .out = out };
 	struct curl_slist *headers = set_headers(c, rq);
 	char *type = NULL;
@@ -188,8 +217,9 @@
 	CURLcode rc;
 	int ret;
 
+	assert(c);
 	set_options(c, rq, &call);
-	rc = curl_easy_perform(c);
+	rc = perform(m, c);
 	curl_easy_getinfo(c, CURLINFO_RESPONSE_CODE, &status);
 	out->status = (int)status;
 	if (!curl_easy_getinfo(c, CURLINFO_CONTENT_TYPE, &type) && type)
@@ -197,7 +227,8 @@
 	ret = rc != CURLE_OK ? map_error(c, rc, &call, e)
 			     : check_head(&call, e);
 	curl_slist_free_all(headers);
-	give_handle(h, c);
+	curl_easy_cleanup(c);
+	give_multi(h, m);
 	return ret;
 }
 
--- a/tests/test_rhead.c
+++ b/tests/test_rhead.c
@@ -205,6 +205,30 @@
 	close_server(&s);
 }
 
+/* Guards against a process that ends by a reply: libcurl used a header it had freed. */
+static void first_line_with_a_blank_is_harmless(void)
+{
+	static const char sound[] =
+		"HTTP/1.1 200 OK\r\nX: y\r\nContent-Length: 5\r\n\r\nhello";
+	static const char folded[] =
+		"HTTP/1.1 200 OK\r\n X: y\r\nContent-Length: 5\r\n\r\nhello";
+	struct hcl *h = hcl_create();
+	struct server s;
+	int i;
+
+	open_server(&s);
+	for (i = 0; i < 20; i++) {
+		const char *text = i % 2 ? folded : sound;
+		HCL_REPLY_AUTO r = HCL_REPLY_INIT;
+		struct err e = ERR_INIT;
+
+		set_answer(&s, text, strlen(text), false, NULL);
+		CU_ASSERT(!call(h, &s, &r, &e) || i % 2);
+	}
+	hcl_free(h);
+	close_server(&s);
+}
+
 /* ---- mux ---- */
 
 struct sunk {
@@ -317,6 +341,8 @@
 	{ "a call fails if the head of its reply is cut",
 	  call_fails_if_the_head_is_cut },
 	{ "a head without end fails", head_without_end_fails },
+	{ "a first line with a blank is harmless",
+	  first_line_with_a_blank_is_harmless },
 	{ "a stream has no status if the head is cut",
 	  stream_has_no_status_if_the_head_is_cut },
 	{ "a stream of a whole head has its status",
