rhead: replies with a malformed head are refused by marldock-entry and marldock-control

Callers saw: marldock-entry passed on a 200 in whose head a field's name held a blank or a control byte, and a reply with status 600. `Transfer-Encoding : chunked` gave 200 with the chunk sizes as a part of the body.

Cause: libcurl does not check names of fields, takes a name with a blank before its colon for another field, and decodes transfer codings that are not asked for.

Change: rhead, which gets each line of a head and of trailers, refuses a line that is no field: the name a token, no folded line, no control byte in a value, Transfer-Encoding `chunked` once. A final status is 200 to 599. hcl and mux then fail with ERR_IO at once, which is what a connection that breaks off gives: run or not run is unknown.

--- a/lib/io/hmsg.c
+++ b/lib/io/hmsg.c
@@ -100,6 +100,19 @@
 	return hmsg_has_token(m, "Connection", name);
 }
 
+bool hmsg_is_token(const char *data, size_t len)
+{
+	static const char punctuation[] = "!#$%&'*+-.^_`|~";
+	size_t i;
+
+	for (i = 0; i < len; i++) {
+		if (!isalnum((unsigned char)data[i]) &&
+		    (!data[i] || !strchr(punctuation, data[i])))
+			return false;
+	}
+	return len > 0;
+}
+
 bool hmsg_has_no_body(int status)
 {
 	return status < 200 || status == 204 || status == 304;
@@ -188,16 +201,13 @@
  */
 static bool header_names_are_tokens(const struct hmsg *m)
 {
-	static const char punctuation[] = "!#$%&'*+-.^_`|~";
-	const char *c;
 	unsigned i;
 
 	for (i = 0; i < m->nr_headers; i++) {
-		for (c = hmsg_name(m, i); *c; c++) {
-			if (!isalnum((unsigned char)*c) &&
-			    !strchr(punctuation, *c))
-				return false;
-		}
+		const char *name = hmsg_name(m, i);
+
+		if (!hmsg_is_token(name, strlen(name)))
+			return false;
 	}
 	return true;
 }
--- a/lib/net/hcl.c
+++ b/lib/net/hcl.c
@@ -128,7 +128,7 @@
 	const size_t len = size * n;
 
 	if (!rhead_line(&c->head, data, len)) {
-		c->too_large = true;
+		c->too_large = !c->head.malformed;
 		return 0;
 	}
 	if (c->out->headers.len + len < MAX_HEADERS)
@@ -188,6 +188,10 @@
 	if (call->too_large)
 		return err_set(e, ERR_FULL, "%s: the reply is too large",
 			       call->rq->address);
+	if (call->head.malformed)
+		return err_set(e, ERR_IO,
+			       "%s: a line of the reply's head is no field",
+			       call->rq->address);
 	if (rc == CURLE_COULDNT_CONNECT ||
 	    (rc == CURLE_OPERATION_TIMEDOUT && connected <= 0))
 		return err_set(e, ERR_REFUSED, "%s: %s", call->rq->address,
@@ -200,6 +204,9 @@
 {
 	if (rhead_is_whole(&call->head, call->out->status))
 		return 0;
+	if (call->head.complete)
+		return err_set(e, ERR_IO, "%s: the reply's status is %03d",
+			       call->rq->address, call->out->status);
 	return err_set(e, ERR_IO,
 		       "%s: connection closed within the reply's head",
 		       call->rq->address);
--- a/lib/net/rhead.h
+++ b/lib/net/rhead.h
@@ -1,7 +1,7 @@
 /*
  * rhead: the head of a reply that libcurl receives. libcurl takes a connection that
- * closes after the status line for a whole reply, and stores headers without a bound
- * in some versions.
+ * closes after the status line for a whole reply, stores headers without a bound in some
+ * versions, and accepts lines that are no fields.
  */
 #ifndef RHEAD_H
 #define RHEAD_H
@@ -15,9 +15,14 @@
 struct rhead {
 	size_t bytes;
 	bool complete; /* the empty line after the headers arrived */
+	bool chunked;  /* there is a transfer coding */
+	bool malformed;
 };
 
-/* To be called with each line that libcurl reports; false: there are too many bytes. */
+/*
+ * To be called with each line that libcurl reports. False: there are too many bytes, or
+ * the line is no field (`malformed`); nothing more is to be read.
+ */
 bool rhead_line(struct rhead *h, const char *data, size_t len);
 
 /* True if the reply with this status has its whole head, and is a final one. */
--- a/scripts/process_test.sh
+++ b/scripts/process_test.sh
@@ -239,13 +239,34 @@
 plain_fault() {
 	local a
 	for a in $PLAIN_ADDRESSES; do
-		curl -s -o /dev/null "http://$a/standin/fault" -d "{\"mode\":\"$1\"}"
+		curl -s -o /dev/null "http://$a/standin/fault" -d "{\"mode\":\"$1\",\"text\":\"${2:-}\"}"
 	done
 }
 plain_fault cut
 cut_call() { status_of -H "$AUTH" -H "Idempotency-Key: $g.cut" -d '{"nonce":"d1"}' "http://$ENTRY/v1/services/quota/transfer"; }
 expect "reply cut within its head is no success" [ "$(cut_call)" = 504 ]
 expect "nor is it when the call is repeated" [ "$(cut_call)" != 200 ]
+# Guards against a reply that is none but is passed on: a status that is none, lines that
+# are no fields, chunk sizes as a part of the body.
+RAW_LENGTH='Content-Length: 5\r\n\r\nhello'
+RAW_CHUNKS='\r\n5\r\nhello\r\n0\r\n\r\n'
+RAW_CASE=0
+for RAW in "000 X\r\n$RAW_LENGTH" "099 X\r\n$RAW_LENGTH" "600 X\r\n$RAW_LENGTH" \
+	"200 OK\r\nX Other: y\r\n$RAW_LENGTH" "200 OK\r\nX\u0001: y\r\n$RAW_LENGTH" \
+	"200 OK\r\n X: y\r\n$RAW_LENGTH" "200 OK\r\nX-Other\r\n$RAW_LENGTH" \
+	"200 OK\r\nTransfer-Encoding : chunked\r\n$RAW_CHUNKS" \
+	"200 OK\r\nTransfer-Encoding: chunked\r\n X: y\r\n$RAW_CHUNKS"; do
+	RAW_CASE=$((RAW_CASE + 1))
+	plain_fault raw "HTTP/1.1 $RAW"
+	# An endpoint is not used for a while after each of them: 503.
+	for i in $(seq 1 60); do
+		code=$(status_of -H "$AUTH" -H "Idempotency-Key: $g.raw$RAW_CASE-$i" -d '{"nonce":"e1"}' "http://$ENTRY/v1/services/quota/transfer")
+		[ "$code" = 503 ] || break
+		sleep 0.1
+	done
+	[ "$code" = 504 ] || echo "$RAW: $code $(cat "$DIR/body")"
+	expect "malformed reply $RAW_CASE is not passed on" [ "$code" = 504 ]
+done
 plain_fault up
 expect "call with a cut reply ran once" sh -c "for a in $PLAIN_ADDRESSES; do curl -s http://\$a/standin/runs; done | grep -o '\"d1\":[0-9]*' | grep -qx '\"d1\":1'"
 
--- a/tests/standin/plain.c
+++ b/tests/standin/plain.c
@@ -1,8 +1,9 @@
 /*
  * standin-plain: a plain service whose calls have effects. Counts the runs of
  * each nonce in the body {"nonce": "..."}; GET /standin/runs lists them.
- * POST /standin/fault {"mode": "up" | "drop" | "cut"}: drop runs the call and
- * ends the connection without a reply, cut within the head of the reply.
+ * POST /standin/fault {"mode": "up" | "drop" | "cut" | "raw", "text": "..."}: drop runs
+ * the call and ends the connection without a reply, cut within the head of the reply, raw
+ * after the text.
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -20,9 +21,24 @@
 	pthread_mutex_t lock;
 	struct run *runs;
 	long delay_ms;
-	bool drop, cut;
+	bool drop;
+	char raw[512]; /* sent before a drop */
 };
 
+static void set_fault(struct plain *p, struct json_object *o)
+{
+	static const char head_part[] = "HTTP/1.1 200 OK\r\nContent-Le";
+	const char *mode = jsn_str(o, "mode", "up");
+	const char *text = "";
+
+	if (!strcmp(mode, "cut"))
+		text = head_part;
+	else if (!strcmp(mode, "raw"))
+		text = jsn_str(o, "text", "");
+	p->drop = strcmp(mode, "up") != 0;
+	str_copy(p->raw, text, sizeof(p->raw));
+}
+
 static long count_run(struct plain *p, const char *nonce)
 {
 	struct run *r;
@@ -56,31 +72,30 @@
 {
 	JSN_AUTO *o = jsn_parse(buf_cstr(&rq->body), rq->body.len);
 	const char *nonce = jsn_str(o, "nonce", "");
-	static const char head_part[] = "HTTP/1.1 200 OK\r\nContent-Le";
 	struct plain *p = arg;
 	BUF_AUTO b = BUF_INIT;
-	bool drop = false, cut = false;
+	char raw[sizeof(p->raw)] = "";
+	bool drop = false;
 
 	pthread_mutex_lock(&p->lock);
 	if (!strcmp(rq->path, "/standin/runs")) {
 		list_runs(p, &b);
 	} else if (!strcmp(rq->path, "/standin/fault")) {
-		p->cut = !strcmp(jsn_str(o, "mode", "up"), "cut");
-		p->drop = p->cut || !strcmp(jsn_str(o, "mode", "up"), "drop");
+		set_fault(p, o);
 		buf_str(&b, "{}");
 	} else if (!strcmp(rq->path, "/standin/exit")) {
 		standin_quit();
 	} else {
 		drop = p->drop;
-		cut = p->cut;
+		str_copy(raw, p->raw, sizeof(raw));
 		buf_fmt(&b, "{\"nonce\":\"%s\",\"run\":%ld}", nonce,
 			count_run(p, nonce));
 	}
 	pthread_mutex_unlock(&p->lock);
 	if (strncmp(rq->path, "/standin/", 9))
 		clk_sleep_ms(p->delay_ms);
-	if (cut)
-		mg_write(rq->conn, head_part, strlen(head_part));
+	if (*raw)
+		mg_write(rq->conn, raw, strlen(raw));
 	if (drop)
 		rq->started = true;
 	else
--- a/tests/test_rhead.c
+++ b/tests/test_rhead.c
@@ -1,6 +1,11 @@
-/* Replies that hcl and mux receive over loopback, cut at any place or without end. */
+/*
+ * Replies that hcl and mux receive over loopback: cut at any place, without end, malformed,
+ * or reset while the request is being sent.
+ */
+#include <poll.h>
 #include <pthread.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -22,6 +27,8 @@
 	size_t len;	   /* bytes of it that are sent */
 	const char *again; /* sent on and on after them; NULL: nothing */
 	bool reset;
+	bool kept; /* the connection stays open until the client closes */
+	bool unread; /* closed once a part of the body has come, which is not read */
 };
 
 static void read_request(int fd)
@@ -42,14 +49,20 @@
 static void answer(struct server *s, int fd)
 {
 	const struct linger now = { .l_onoff = 1, .l_linger = 0 };
+	struct pollfd input = { .fd = fd, .events = POLLIN };
+	char rest[4096];
 
 	pthread_mutex_lock(&s->lock);
+	if (s->unread)
+		poll(&input, 1, -1);
 	send(fd, s->text, s->len, MSG_NOSIGNAL);
 	while (s->again &&
 	       send(fd, s->again, strlen(s->again), MSG_NOSIGNAL) > 0)
 		;
 	if (s->reset)
 		setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+	while (s->kept && recv(fd, rest, sizeof(rest), 0) > 0)
+		;
 	pthread_mutex_unlock(&s->lock);
 }
 
@@ -229,6 +242,117 @@
 	close_server(&s);
 }
 
+#define STATUS_LINE "HTTP/1.1 200 OK\r\n"
+#define LENGTH "Content-Length: 5\r\n\r\nhello"
+#define CHUNKS "\r\n5\r\nhello\r\n0\r\n\r\n"
+
+/* Replies that are none, with a length, chunks, or to the end of the connection. */
+static const char *const malformed[] = {
+	"HTTP/1.1 000 X\r\n" LENGTH,
+	"HTTP/1.1 000 X\r\nTransfer-Encoding: chunked\r\n" CHUNKS,
+	"HTTP/1.1 000 X\r\n\r\nhello",
+	"HTTP/1.1 099 X\r\n" LENGTH,
+	"HTTP/1.1 600 X\r\n" LENGTH,
+	"HTTP/1.1 999 X\r\n" LENGTH,
+	" HTTP/1.1 200 OK\r\n" LENGTH,
+	STATUS_LINE "X Other: y\r\n" LENGTH,
+	STATUS_LINE "X\tOther: y\r\n" LENGTH,
+	STATUS_LINE "X\x01Other: y\r\n" LENGTH,
+	STATUS_LINE "X\x7fOther: y\r\n" LENGTH,
+	STATUS_LINE "X\x80Other: y\r\n" LENGTH,
+	STATUS_LINE "X-Other : y\r\n" LENGTH,
+	STATUS_LINE " X-Other: y\r\n" LENGTH,
+	STATUS_LINE ": y\r\n" LENGTH,
+	STATUS_LINE "X-Other\r\n" LENGTH,
+	STATUS_LINE "X-Other: a\x01z\r\n" LENGTH,
+	STATUS_LINE "X-Other: a\rb\r\n" LENGTH,
+	STATUS_LINE "Content-Length : 3\r\n\r\nhello",
+	STATUS_LINE "Transfer-Encoding : chunked\r\n" CHUNKS,
+	STATUS_LINE "Transfer-Encoding: chunked\r\n X: y\r\n" CHUNKS,
+	STATUS_LINE "Transfer-Encoding: gzip\r\n\r\nhello",
+	STATUS_LINE "Transfer-Encoding: gzip, chunked\r\n" CHUNKS,
+	STATUS_LINE "Transfer-Encoding: chunked\r\n"
+		    "Transfer-Encoding: chunked\r\n" CHUNKS,
+	STATUS_LINE "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n"
+		    "0\r\nX Other: y\r\n\r\n",
+};
+
+#define NR_MALFORMED (sizeof(malformed) / sizeof(malformed[0]))
+
+/* Guards against a reply that is none but is given to the caller, or awaited. */
+static void call_fails_if_the_reply_is_malformed(void)
+{
+	struct hcl *h = hcl_create();
+	struct server s;
+	size_t i;
+
+	open_server(&s);
+	for (i = 0; i < 2 * NR_MALFORMED; i++) {
+		const char *text = malformed[i / 2];
+		HCL_REPLY_AUTO r = HCL_REPLY_INIT;
+		struct err e = ERR_INIT;
+		int ret;
+
+		set_answer(&s, text, strlen(text), false, NULL);
+		s.kept = i % 2;
+		ret = call(h, &s, &r, &e);
+		/* Its end would come with that of the connection. */
+		if (s.kept && e.code == ERR_TIMEOUT && strstr(text, "\n\r\nh"))
+			continue;
+		if (!ret || e.code != ERR_IO)
+			printf("  not refused: %zu\n", i);
+		CU_ASSERT_EQUAL(ret, -1);
+		CU_ASSERT_EQUAL(e.code, ERR_IO);
+	}
+	s.kept = false;
+	hcl_free(h);
+	close_server(&s);
+}
+
+/* More than the sockets of both sides hold. */
+#define UPLOAD_BYTES (8u << 20)
+#define UPLOADS 40
+
+static void limit_window(struct server *s)
+{
+	const int window = 8192;
+
+	setsockopt(s->listener, SOL_SOCKET, SO_RCVBUF, &window, sizeof(window));
+}
+
+/* Guards against a part of a reply that counts as whole, if the request is cut off. */
+static void call_fails_if_it_is_reset_while_it_is_sent(void)
+{
+	static const char part[] = STATUS_LINE "X: y\r\n\r\npart";
+	struct hcl *h = hcl_create();
+	char *upload = calloc(1, UPLOAD_BYTES);
+	struct server s;
+	int i;
+
+	open_server(&s);
+	limit_window(&s);
+	set_answer(&s, part, strlen(part), false, NULL);
+	s.unread = true;
+	for (i = 0; i < UPLOADS; i++) {
+		const struct hcl_request rq = { .method = "POST",
+						.address = s.address,
+						.path = "/",
+						.body = upload,
+						.body_len = UPLOAD_BYTES,
+						.total_ms = 5000,
+						.once = true };
+		HCL_REPLY_AUTO r = HCL_REPLY_INIT;
+		struct err e = ERR_INIT;
+
+		s.reset = i % 2;
+		CU_ASSERT_EQUAL(hcl_call(h, &rq, &r, &e), -1);
+		CU_ASSERT_EQUAL(e.code, ERR_IO);
+	}
+	free(upload);
+	hcl_free(h);
+	close_server(&s);
+}
+
 /* ---- mux ---- */
 
 struct sunk {
@@ -270,13 +394,14 @@
 }
 
 /* Opens a stream and waits for its end. */
-static void stream(struct mux *m, const struct server *s, struct sunk *g)
+static void stream(struct mux *m, const struct server *s, struct sunk *g,
+		   const char *body)
 {
 	static const struct mux_sink sink = { on_status, on_data, on_end };
 	const struct mux_request rq = { .method = "POST",
 					.address = s->address,
 					.path = "/",
-					.body = "{}",
+					.body = body,
 					.total_ms = 5000 };
 
 	g->ends = g->statuses = 0;
@@ -302,7 +427,7 @@
 
 		for (n = 0; n < len; n++) {
 			set_answer(&s, heads[i / 2].text, n, i % 2, NULL);
-			stream(m, &s, &g);
+			stream(m, &s, &g, "{}");
 			CU_ASSERT_EQUAL(g.why, ERR_IO);
 			CU_ASSERT_EQUAL(g.status, 0);
 			CU_ASSERT_EQUAL(g.statuses, 0);
@@ -324,20 +449,75 @@
 	for (i = 0; i < NR_HEADS; i++) {
 		set_answer(&s, heads[i].text, strlen(heads[i].text), false,
 			   NULL);
-		stream(m, &s, &g);
+		stream(m, &s, &g, "{}");
 		CU_ASSERT_EQUAL(g.why, heads[i].whole ? ERR_NONE : ERR_IO);
 		CU_ASSERT(g.status >= 200);
 	}
 	set_answer(&s, "HTTP/1.1 200 OK\r\n", strlen("HTTP/1.1 200 OK\r\n"),
 		   false, "X-Other: something\r\n");
-	stream(m, &s, &g);
+	stream(m, &s, &g, "{}");
 	CU_ASSERT_EQUAL(g.why, ERR_IO);
 	CU_ASSERT_EQUAL(g.status, 0);
 	mux_free(m);
 	close_server(&s);
 }
 
+/* Guards against the same in a stream, and against a status that is none. */
+static void stream_fails_if_the_reply_is_malformed(void)
+{
+	struct sunk g = { .lock = PTHREAD_MUTEX_INITIALIZER,
+			  .changed = PTHREAD_COND_INITIALIZER };
+	struct mux *m = mux_create(4);
+	struct server s;
+	size_t i;
+
+	open_server(&s);
+	for (i = 0; i < NR_MALFORMED; i++) {
+		set_answer(&s, malformed[i], strlen(malformed[i]), false, NULL);
+		stream(m, &s, &g, "{}");
+		if (g.why != ERR_IO || g.status)
+			printf("  not refused: %zu\n", i);
+		CU_ASSERT_EQUAL(g.why, ERR_IO);
+	}
+	mux_free(m);
+	close_server(&s);
+}
+
+static void stream_fails_if_it_is_reset_while_it_is_sent(void)
+{
+	static const char part[] = STATUS_LINE "X: y\r\n\r\npart";
+	struct sunk g = { .lock = PTHREAD_MUTEX_INITIALIZER,
+			  .changed = PTHREAD_COND_INITIALIZER };
+	struct mux *m = mux_create(4);
+	char *upload = malloc(UPLOAD_BYTES + 1);
+	struct server s;
+	int i;
+
+	memset(upload, 'x', UPLOAD_BYTES);
+	upload[UPLOAD_BYTES] = '\0';
+	open_server(&s);
+	limit_window(&s);
+	set_answer(&s, part, strlen(part), false, NULL);
+	s.unread = true;
+	for (i = 0; i < UPLOADS; i++) {
+		s.reset = i % 2;
+		stream(m, &s, &g, upload);
+		CU_ASSERT_EQUAL(g.why, ERR_IO);
+	}
+	free(upload);
+	mux_free(m);
+	close_server(&s);
+}
+
 static const struct unit_test tests[] = {
+	{ "a call fails if the reply is malformed",
+	  call_fails_if_the_reply_is_malformed },
+	{ "a call fails if it is reset while it is sent",
+	  call_fails_if_it_is_reset_while_it_is_sent },
+	{ "a stream fails if the reply is malformed",
+	  stream_fails_if_the_reply_is_malformed },
+	{ "a stream fails if it is reset while it is sent",
+	  stream_fails_if_it_is_reset_while_it_is_sent },
 	{ "a call fails if the head of its reply is cut",
 	  call_fails_if_the_head_is_cut },
 	{ "a head without end fails", head_without_end_fails },
