--- a/tests/test_hsc_end.c
+++ b/tests/test_hsc_end.c
@@ -213,7 +213,44 @@
 	close(fd);
 }
 
+/* Guards against a part of a request that counts as whole, however its client ends. */
+static void request_that_is_cut_off_is_not_served(void)
+{
+	static const char *const parts[] = {
+		"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\nhello",
+		"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+		"5\r\nhello\r\n",
+		"POST / HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\n"
+		"Content-Length: 10\r\n\r\nhello",
+		"GET / HTTP/1.1\r\nHost: x\r\n",
+	};
+	const struct linger reset = { .l_onoff = 1, .l_linger = 0 };
+	struct served s;
+	size_t i;
+	int fd;
+
+	open_server(&s);
+	for (i = 0; i < 2 * sizeof(parts) / sizeof(parts[0]); i++) {
+		fd = socket(AF_INET, SOCK_STREAM, 0);
+		CU_ASSERT_EQUAL_FATAL(connect(fd,
+					      (const struct sockaddr *)&s.addr,
+					      sizeof(s.addr)),
+				      0);
+		send(fd, parts[i / 2], strlen(parts[i / 2]), MSG_NOSIGNAL);
+		if (i % 2)
+			setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset,
+				   sizeof(reset));
+		close(fd);
+		run_loop(0.02);
+	}
+	CU_ASSERT_EQUAL(s.requests, 0);
+	CU_ASSERT_EQUAL(s.server.nr_conns, 0);
+	hsc_server_close(&s.server);
+}
+
 static const struct unit_test tests[] = {
+	{ "a request that is cut off is not served",
+	  request_that_is_cut_off_is_not_served },
 	{ "closing idle connections keeps unsent responses",
 	  closing_idle_connections_keeps_unsent_responses },
 	{ "the idle time-out keeps unsent responses",
