hsv: a chunked body that is cut off is not served

Cause: mg_read() returns a negative number if the connection ends within a chunked body, or a chunk is malformed. The loop that reads the body ended there as at its last chunk. A body with a length was compared with it.

Change: a negative number refuses the body with 413 and "not run", as of a body that is shorter than its length.

--- a/lib/net/hsv.c
+++ b/lib/net/hsv.c
@@ -73,6 +73,8 @@
 		if (!add_to_body(s, &rq->body, chunk, (size_t)n, counted))
 			return BODY_NO_ROOM;
 	}
+	if (n < 0) /* cut off, or malformed chunks */
+		return BODY_REFUSED;
 	return ri->content_length < 0 ||
 			       rq->body.len == (size_t)ri->content_length
 		       ? BODY_WHOLE
