--- a/lib/edge/edge_answer.c
+++ b/lib/edge/edge_answer.c
@@ -619,7 +619,7 @@
 		handle_lost(r, FLT_FAILED, EDGE_WHY_STOPPED);
 	else if (facts->partial_event)
 		handle_broken(r, "stream ended within an event", true);
-	else if (facts->unread_success)
+	else if (facts->early_success)
 		handle_broken(r, "answer without framing, and request not read",
 			      true);
 	else
@@ -632,8 +632,8 @@
 	const struct whole_facts facts = {
 		.framed = !r->unframed,
 		.partial_event = r->streaming && evs_has_partial(&r->events),
-		.unread_success = r->request_unacked &&
-				  r->reply.status / 100 == 2,
+		.early_success = r->request_unacked &&
+				 r->reply.status / 100 == 2,
 		.stopped = hand_may_have_stopped(&r->hand),
 		.stopped_early =
 			hand_may_have_stopped_early(&r->hand, r->last_event_ms),
--- a/lib/net/rhead.c
+++ b/lib/net/rhead.c
@@ -34,9 +34,9 @@
 	}
 	while (len && (value[len - 1] == ' ' || value[len - 1] == '\t'))
 		len--;
-	if (h->chunked)
+	if (h->coded)
 		return false;
-	h->chunked = true;
+	h->coded = true;
 	return has_name(value, len, chunked);
 }
 
@@ -79,7 +79,7 @@
 		h->complete = true;
 	} else if (is_status_line(data, n)) {
 		h->complete = false; /* a reply after an informational one */
-		h->chunked = false;
+		h->coded = false;
 	} else if (!is_field(h, data, n)) {
 		h->malformed = true;
 	}
--- a/lib/net/rhead.h
+++ b/lib/net/rhead.h
@@ -15,7 +15,7 @@
 struct rhead {
 	size_t bytes;
 	bool complete; /* the empty line after the headers arrived */
-	bool chunked;  /* there is a transfer coding */
+	bool coded;    /* there is a Transfer-Encoding */
 	bool malformed;
 };
 
--- a/lib/stream/whole.c
+++ b/lib/stream/whole.c
@@ -14,8 +14,7 @@
 		return WHOLE_CUT_OFF;
 	if (f->framed)
 		return WHOLE_COMPLETE;
-	if (f->stopped || f->unread_success ||
-	    f->process == WHOLE_PROCESS_OTHER)
+	if (f->stopped || f->early_success || f->process == WHOLE_PROCESS_OTHER)
 		return WHOLE_CUT_OFF;
 	if (f->stopped_early && f->resumable)
 		return WHOLE_CUT_OFF;
--- a/lib/stream/whole.h
+++ b/lib/stream/whole.h
@@ -28,7 +28,7 @@
 	bool framed;	    /* by a length or chunks, and complete by these */
 	bool partial_event; /* of a stream: its last event is incomplete */
 	/* A success, though the endpoint has not received all of the request. */
-	bool unread_success;
+	bool early_success;
 	bool stopped; /* this entry had the run stopped, or may have had it */
 	bool stopped_early; /* the endpoint may have stopped it at a copy */
 	bool resumable;	    /* the rest can be had from another endpoint */
--- a/scripts/early_answer_test.sh
+++ b/scripts/early_answer_test.sh
@@ -38,18 +38,9 @@
 	done
 }
 
-# run CASE [UPLOAD]: all kinds of requests, through both entries.
-run() {
-	local n kind pids
-	for n in 1 2; do
-		pids=
-		for kind in $KINDS; do
-			UPLOAD=$DIR/${2:-upload} send_all "$n" "$kind" \
-				$(seq -f "$1-%g" 1 "$EACH") &
-			pids="$pids $!"
-		done
-		wait $pids
-	done
+# run_case CASE [UPLOAD]: all requests of the case.
+run_case() {
+	UPLOAD=$DIR/${2:-upload} run $(seq -f "$1-%g" 1 "$EACH")
 }
 
 way() { [ "$1" = 1 ] && echo direct || echo tunnel; }
@@ -105,14 +96,14 @@
 for HOW in unread reset shutdown; do
 	add_case "part-$HOW" $HOW "$(head_of unframed text/plain)part" \
 		"$(head_of unframed text/event-stream)$EVENTS"
-	run "part-$HOW"
+	run_case "part-$HOW"
 	expect_cut "part-$HOW"
 done
 
 # What was received before the reset is complete by its framing, on both ways.
 for HOW in unread shutdown; do
 	add_case "framed-$HOW" $HOW "$(whole_plain)" "$(whole_stream)"
-	run "framed-$HOW"
+	run_case "framed-$HOW"
 	expect_passed "framed-$HOW" 200:0
 done
 
@@ -120,7 +111,7 @@
 for FRAMING in length unframed; do
 	REFUSAL="$(head_of $FRAMING text/plain | sed 's/200 OK/413 X/')whole"
 	add_case "refusal-$FRAMING" drain "$REFUSAL" "$REFUSAL"
-	run "refusal-$FRAMING"
+	run_case "refusal-$FRAMING"
 	if [ $FRAMING = length ]; then
 		expect_passed refusal-length 413:0
 	else
@@ -131,12 +122,12 @@
 # Guards against a request on a connection that the endpoint is about to reset. A relay
 # has received what the endpoint has not read, so a tunnel does not show it.
 add_case late late "$(whole_plain)" "$(whole_stream)"
-run late small
+run_case late small
 expect_passed_directly late 200:0
 
 add_case read "read fin" "$(head_of unframed text/plain)whole" \
 	"$(head_of unframed text/event-stream)${EVENTS}id: 3|data: piece 3||"
-run read small
+run_case read small
 expect_passed read 200:0
 
 expect "no entry ended by itself" [ -z "$(grep -lE 'Sanitizer|Assertion' "$DIR"/*.log)" ]
--- a/scripts/head_test.sh
+++ b/scripts/head_test.sh
@@ -83,21 +83,6 @@
 	done
 }
 
-# ---- Requests ----
-
-# run CASE...: all kinds of requests through both entries.
-run() {
-	local n kind pids
-	for n in 1 2; do
-		pids=
-		for kind in $KINDS; do
-			send_all "$n" "$kind" "$@" &
-			pids="$pids $!"
-		done
-		wait $pids
-	done
-}
-
 # ---- Test ----
 
 start_scripted
--- a/scripts/malformed_answer_test.sh
+++ b/scripts/malformed_answer_test.sh
@@ -51,19 +51,6 @@
 	done
 }
 
-# run CASE...: all kinds of requests, through both entries.
-run() {
-	local n kind pids
-	for n in 1 2; do
-		pids=
-		for kind in $KINDS; do
-			send_all "$n" "$kind" "$@" &
-			pids="$pids $!"
-		done
-		wait $pids
-	done
-}
-
 # expect_refused NAME: no answer of the first try was passed on or awaited.
 expect_refused() {
 	local n way=direct
--- a/scripts/scripted_answers.sh
+++ b/scripts/scripted_answers.sh
@@ -72,6 +72,19 @@
 	curl -s -K "$DIR/requests-$n-$kind" >"$DIR/told-$n-$kind"
 }
 
+# run CASE...: requests of all KINDS, through both entries.
+run() {
+	local n kind pids
+	for n in 1 2; do
+		pids=
+		for kind in $KINDS; do
+			send_all "$n" "$kind" "$@" &
+			pids="$pids $!"
+		done
+		wait $pids
+	done
+}
+
 # tries ID: that the stand-ins got.
 tries() { cat "$DIR"/bad-*.out | awk -v id="$1" '$1 == "sent" && $5 == id' | wc -l; }
 
