hcl: a success without framing does not end before its request was written

Callers saw: a part of a plain service's reply as a whole one, from marldock-entry, after the service had answered an upload at once with a 200 without a length, sent a part and closed in order.

Cause: libcurl takes the close for the end of the body and reports success, though the request has not been written.

Change: a 2xx without a length or chunks counts as broken off unless libcurl has written the whole request. Streams of engines (mux) are complete by their last event alone.

--- a/lib/net/hcl.c
+++ b/lib/net/hcl.c
@@ -8,6 +8,7 @@
 #include <string.h>
 #include <strings.h>
 
+#include "io/hmsg.h"
 #include "net/rhead.h"
 
 /* Idle multi handles kept, each with its connections. */
@@ -212,6 +213,25 @@
 		       call->rq->address);
 }
 
+/*
+ * A success that ends with its connection, before the request was written: libcurl takes the
+ * close for the end of the body, and does not write the rest.
+ */
+static int check_sent(CURL *c, const struct call *call, struct err *e)
+{
+	curl_off_t sent = 0;
+
+	curl_easy_getinfo(c, CURLINFO_SIZE_UPLOAD_T, &sent);
+	if (call->out->status / 100 != 2 ||
+	    hmsg_has_no_body(call->out->status) ||
+	    !rhead_is_unframed(&call->head) || !call->rq->body ||
+	    (size_t)sent >= call->rq->body_len)
+		return 0;
+	return err_set(e, ERR_IO,
+		       "%s: connection closed before the request was sent",
+		       call->rq->address);
+}
+
 int hcl_call(struct hcl *h, const struct hcl_request *rq, struct hcl_reply *out,
 	     struct err *e)
 {
@@ -231,8 +251,12 @@
 	out->status = (int)status;
 	if (!curl_easy_getinfo(c, CURLINFO_CONTENT_TYPE, &type) && type)
 		str_copy(out->content_type, type, sizeof(out->content_type));
-	ret = rc != CURLE_OK ? map_error(c, rc, &call, e)
-			     : check_head(&call, e);
+	if (rc != CURLE_OK)
+		ret = map_error(c, rc, &call, e);
+	else if (check_head(&call, e) || check_sent(c, &call, e))
+		ret = -1;
+	else
+		ret = 0;
 	curl_slist_free_all(headers);
 	curl_easy_cleanup(c);
 	give_multi(h, m);
--- a/lib/net/rhead.c
+++ b/lib/net/rhead.c
@@ -49,6 +49,8 @@
 	if (!colon || !hmsg_is_token(data, name) ||
 	    !is_value(colon + 1, len - name - 1))
 		return false;
+	if (has_name(data, name, "Content-Length"))
+		h->has_length = true;
 	return !has_name(data, name, "Transfer-Encoding") ||
 	       is_known_coding(h, colon + 1, len - name - 1);
 }
@@ -79,13 +81,18 @@
 		h->complete = true;
 	} else if (is_status_line(data, n)) {
 		h->complete = false; /* a reply after an informational one */
-		h->coded = false;
+		h->coded = h->has_length = false;
 	} else if (!is_field(h, data, n)) {
 		h->malformed = true;
 	}
 	return h->bytes <= RHEAD_MAX_BYTES && !h->malformed;
 }
 
+bool rhead_is_unframed(const struct rhead *h)
+{
+	return !h->coded && !h->has_length;
+}
+
 bool rhead_is_whole(const struct rhead *h, long status)
 {
 	return h->complete && !h->malformed && status >= 200 && status <= 599;
--- a/lib/net/rhead.h
+++ b/lib/net/rhead.h
@@ -16,6 +16,7 @@
 	size_t bytes;
 	bool complete; /* the empty line after the headers arrived */
 	bool coded;    /* there is a Transfer-Encoding */
+	bool has_length;
 	bool malformed;
 };
 
@@ -25,6 +26,9 @@
  */
 bool rhead_line(struct rhead *h, const char *data, size_t len);
 
+/* True if the end of the body is that of the connection, unless the status has none. */
+bool rhead_is_unframed(const struct rhead *h);
+
 /* True if the reply with this status has its whole head, and is a final one. */
 bool rhead_is_whole(const struct rhead *h, long status);
 
--- a/tests/test_rhead.c
+++ b/tests/test_rhead.c
@@ -27,7 +27,8 @@
 	size_t len;	   /* bytes of it that are sent */
 	const char *again; /* sent on and on after them; NULL: nothing */
 	bool reset;
-	bool kept; /* the connection stays open until the client closes */
+	bool kept;    /* the connection stays open until the client closes */
+	bool orderly; /* a shutdown before the close */
 	bool unread; /* closed once a part of the body has come, which is not read */
 };
 
@@ -61,6 +62,8 @@
 		;
 	if (s->reset)
 		setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+	if (s->orderly)
+		shutdown(fd, SHUT_WR);
 	while (s->kept && recv(fd, rest, sizeof(rest), 0) > 0)
 		;
 	pthread_mutex_unlock(&s->lock);
@@ -321,7 +324,7 @@
 }
 
 /* Guards against a part of a reply that counts as whole, if the request is cut off. */
-static void call_fails_if_it_is_reset_while_it_is_sent(void)
+static void call_fails_if_it_is_cut_off_while_it_is_sent(void)
 {
 	static const char part[] = STATUS_LINE "X: y\r\n\r\npart";
 	struct hcl *h = hcl_create();
@@ -344,7 +347,8 @@
 		HCL_REPLY_AUTO r = HCL_REPLY_INIT;
 		struct err e = ERR_INIT;
 
-		s.reset = i % 2;
+		s.reset = i % 3 == 1;
+		s.orderly = i % 3 == 2;
 		CU_ASSERT_EQUAL(hcl_call(h, &rq, &r, &e), -1);
 		CU_ASSERT_EQUAL(e.code, ERR_IO);
 	}
@@ -512,8 +516,8 @@
 static const struct unit_test tests[] = {
 	{ "a call fails if the reply is malformed",
 	  call_fails_if_the_reply_is_malformed },
-	{ "a call fails if it is reset while it is sent",
-	  call_fails_if_it_is_reset_while_it_is_sent },
+	{ "a call fails if it is cut off while it is sent",
+	  call_fails_if_it_is_cut_off_while_it_is_sent },
 	{ "a stream fails if the reply is malformed",
 	  stream_fails_if_the_reply_is_malformed },
 	{ "a stream fails if it is reset while it is sent",
