hmsg: one function says which transfer coding is known

Cause: hparse and rhead compared Transfer-Encoding with `chunked` each in its own code.

Change: hmsg_is_chunked() serves both, as hmsg_is_token() and hmsg_has_no_body() do.

--- a/lib/io/hmsg.c
+++ b/lib/io/hmsg.c
@@ -113,6 +113,24 @@
 	return len > 0;
 }
 
+static bool is_blank(char c)
+{
+	return c == ' ' || c == '\t';
+}
+
+bool hmsg_is_chunked(const char *value, size_t len)
+{
+	static const char chunked[] = "chunked";
+
+	while (len && is_blank(*value)) {
+		value++;
+		len--;
+	}
+	while (len && is_blank(value[len - 1]))
+		len--;
+	return len == strlen(chunked) && !strncasecmp(value, chunked, len);
+}
+
 bool hmsg_has_no_body(int status)
 {
 	return status < 200 || status == 204 || status == 304;
@@ -218,22 +236,13 @@
 	return status >= 100 && status <= 599 && status != 101;
 }
 
-/*
- * Codings other than chunked, which this side decodes, are not asked for. http-parser
- * reads such a response as it is, to the end of the connection.
- */
+/* http-parser reads such a response as it is, to the end of the connection. */
 static bool has_unknown_coding(const struct hmsg *m)
 {
-	static const char chunked[] = "chunked";
 	const char *v = hmsg_find(m, "Transfer-Encoding");
 
-	if (!v)
-		return false;
-	if (hmsg_count(m, "Transfer-Encoding") > 1 ||
-	    strncasecmp(v, chunked, strlen(chunked)))
-		return true;
-	v += strlen(chunked);
-	return v[strspn(v, " \t")] != '\0';
+	return v && (hmsg_count(m, "Transfer-Encoding") > 1 ||
+		     !hmsg_is_chunked(v, strlen(v)));
 }
 
 static int on_headers(http_parser *hp)
@@ -326,8 +335,7 @@
  */
 static bool is_folded(const struct hparse *p, char first)
 {
-	return p->in_message && p->at_line_start &&
-	       (first == ' ' || first == '\t');
+	return p->in_message && p->at_line_start && is_blank(first);
 }
 
 /* Parses up to the end of a line of the head, or of the message. */
--- a/lib/io/hmsg.h
+++ b/lib/io/hmsg.h
@@ -74,6 +74,12 @@
 /* True if the bytes are a token (RFC 9110, 5.6.2), as names of fields are. */
 bool hmsg_is_token(const char *data, size_t len);
 
+/*
+ * True if the value of a response's Transfer-Encoding is `chunked` alone. Other codings are
+ * not asked for, and nothing here decodes them.
+ */
+bool hmsg_is_chunked(const char *value, size_t len);
+
 /*
  * True if a response with this status has no body, whatever its head says of a length or
  * a coding (RFC 9112, 6.3).
--- a/lib/net/rhead.c
+++ b/lib/net/rhead.c
@@ -23,21 +23,13 @@
 	return len == strlen(name) && !strncasecmp(data, name, len);
 }
 
-/* A coding other than chunked is not asked for. */
+/* True for the first Transfer-Encoding of a head, if it is known. */
 static bool is_known_coding(struct rhead *h, const char *value, size_t len)
 {
-	static const char chunked[] = "chunked";
+	const bool first = !h->coded;
 
-	while (len && (*value == ' ' || *value == '\t')) {
-		value++;
-		len--;
-	}
-	while (len && (value[len - 1] == ' ' || value[len - 1] == '\t'))
-		len--;
-	if (h->coded)
-		return false;
 	h->coded = true;
-	return has_name(value, len, chunked);
+	return first && hmsg_is_chunked(value, len);
 }
 
 /* A line without its CRLF. libcurl accepts others, and may frame the body by them. */
