--- a/scripts/early_answer_test.sh
+++ b/scripts/early_answer_test.sh
@@ -5,11 +5,10 @@
 #
 # Failure: an endpoint answered an upload at once with a 200 without a length, sent a part
 # of its body and reset the connection; callers got the part as a whole answer.
+# Failure: the same, but the endpoint closed in order before it had received the upload.
+# Failure: that connection was used again, and the next request on it got 502.
 # Usage: early_answer_test.sh
 cd "$(dirname "$0")/.." || exit 1
-EDGES=2
-CUTTABLE=1
-EDGE_SERVICES_EACH=2
 ENDLESS_WINDOW=8192
 MAX_BODY_BYTES=4000000
 UPLOAD_BYTES=3000000
@@ -17,14 +16,7 @@
 # larger than the receive window of a relay.
 SMALL_BYTES=30000
 EACH=${EACH:-20}
-# A request of each case may be repeated.
-EDGE_BOUNDS=', "retry_slack": 100000'
-. scripts/cluster.sh
-. scripts/edge_cluster.sh
 . scripts/scripted_answers.sh
-trap cluster_stop EXIT
-# Of requests: which may be repeated (l, s), and which may not.
-KINDS='l s u o'
 
 # add_case CASE HOW PLAIN STREAM: the first try of a request is answered so, of which
 # there are EACH; the second one is answered whole.
--- a/scripts/head_test.sh
+++ b/scripts/head_test.sh
@@ -7,15 +7,7 @@
 # got a 200 with an empty or short body, framed as whole.
 # Usage: head_test.sh
 cd "$(dirname "$0")/.." || exit 1
-EDGES=2
-CUTTABLE=1
-EDGE_SERVICES_EACH=2
-# A request of each case may be repeated.
-EDGE_BOUNDS=', "retry_slack": 100000'
-. scripts/cluster.sh
-. scripts/edge_cluster.sh
 . scripts/scripted_answers.sh
-trap cluster_stop EXIT
 # Of requests: which may be repeated (l, s, and HEAD of l), and which may not.
 KINDS='l head s u o'
 
--- a/scripts/malformed_answer_test.sh
+++ b/scripts/malformed_answer_test.sh
@@ -9,17 +9,7 @@
 # callers, with that line or with another body.
 # Usage: malformed_answer_test.sh
 cd "$(dirname "$0")/.." || exit 1
-EDGES=2
-CUTTABLE=1
-EDGE_SERVICES_EACH=2
-# A request of each case may be repeated.
-EDGE_BOUNDS=', "retry_slack": 100000'
-. scripts/cluster.sh
-. scripts/edge_cluster.sh
 . scripts/scripted_answers.sh
-trap cluster_stop EXIT
-# Of requests: which may be repeated (l, s), and which may not.
-KINDS='l s u o'
 
 # try_of KIND FRAMING STATUS_LINE LINE: an answer with another status line, and one more
 # line in its head.
--- a/scripts/scripted_answers.sh
+++ b/scripts/scripted_answers.sh
@@ -1,5 +1,15 @@
 # Functions for tests whose endpoints answer from files (tests/standin/endless.c): the
-# answers, requests for them, and how these end. Sourced after edge_cluster.sh.
+# answers, requests for them, and how these end. Sourced instead of edge_cluster.sh.
+EDGES=2
+CUTTABLE=1
+EDGE_SERVICES_EACH=2
+# A request of each case may be repeated.
+EDGE_BOUNDS=', "retry_slack": 100000'
+. scripts/cluster.sh
+. scripts/edge_cluster.sh
+trap cluster_stop EXIT
+# Of requests: which may be repeated (l, s), and which may not.
+KINDS='l s u o'
 
 # ---- Answers; ~ stands for CRLF, ^ for CR, | for LF ----
 
--- a/tests/standin/endless.c
+++ b/tests/standin/endless.c
@@ -320,7 +320,7 @@
 		exit(2);
 	}
 	how = buf_cstr(&file);
-	if (!strncmp(how, read_first, strlen(read_first))) {
+	if (is_how(how, read_first)) {
 		read_body(fd, request);
 		how += strlen(read_first);
 	}
@@ -377,7 +377,7 @@
 
 	mode_file = standin_option(argc, argv, "mode", "/dev/null");
 	answers_dir = standin_option(argc, argv, "answers", NULL);
-	window = atoi(standin_option(argc, argv, "window", "0"));
+	window = (int)standin_number(argc, argv, "window", 0);
 	signal(SIGPIPE, SIG_IGN);
 	if (ioc_address(standin_option(argc, argv, "address", "127.0.0.2:0"),
 			&addr, NULL))
--- a/tests/test_hsc_end.c
+++ b/tests/test_hsc_end.c
@@ -107,15 +107,22 @@
 	ioc_address(at, &s->addr, NULL);
 }
 
-/* A client that has sent a request and reads nothing yet. */
-static int request(struct served *s)
+static int connect_to(const struct served *s)
 {
-	static const char text[] = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
 	const int fd = socket(AF_INET, SOCK_STREAM, 0);
 
 	CU_ASSERT_EQUAL_FATAL(connect(fd, (const struct sockaddr *)&s->addr,
 				      sizeof(s->addr)),
 			      0);
+	return fd;
+}
+
+/* A client that has sent a request and reads nothing yet. */
+static int request(struct served *s)
+{
+	static const char text[] = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+	const int fd = connect_to(s);
+
 	CU_ASSERT_EQUAL(send(fd, text, strlen(text), MSG_NOSIGNAL),
 			(ssize_t)strlen(text));
 	fcntl(fd, F_SETFL, O_NONBLOCK);
@@ -231,11 +238,7 @@
 
 	open_server(&s);
 	for (i = 0; i < 2 * sizeof(parts) / sizeof(parts[0]); i++) {
-		fd = socket(AF_INET, SOCK_STREAM, 0);
-		CU_ASSERT_EQUAL_FATAL(connect(fd,
-					      (const struct sockaddr *)&s.addr,
-					      sizeof(s.addr)),
-				      0);
+		fd = connect_to(&s);
 		send(fd, parts[i / 2], strlen(parts[i / 2]), MSG_NOSIGNAL);
 		if (i % 2)
 			setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset,
