--- a/review/4/standin.py
+++ b/review/4/standin.py
@@ -311,7 +311,7 @@
             return False
         last = int(headers.get("last-event-id", "-1"))
         await asyncio.sleep(0.1)
-        text = "HTTP/1.1 200 X\r\n%sReplica-Seal: %s\r\nContent-Type: text/event-stream\r\n"
+        text = "HTTP/1.1 200 X\r\n%sReplica-Seal: %s\r\nContent-Type: text/event-stream\r\nWeight-Versions: 1\r\n"
         writer.write((text % (head, self.id)).encode())
         writer.write(b"Transfer-Encoding: chunked\r\n\r\n")
         self.streams.add(attempt)
